--- /dev/null
+++ b/include/quetzalloft/balancer.h
@@ -0,0 +1,160 @@
+#ifndef QUETZALLOFT_BALANCER_H
+#define QUETZALLOFT_BALANCER_H
+
+/**
+ * DOC: Choice of an endpoint for each attempt, by what this node observed
+ * itself. Reports of load and health lag or mislead and only break ties.
+ */
+
+#include "quetzalloft/table.h"
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_target_info - What membership says of an endpoint.
+ * @gate: "IP:port" of the gate beside it
+ * @failure_domain: where it is
+ * @incarnation: start of its process, to tell a restart
+ * @slots: requests that it can run at once
+ * @connections: connections that it takes
+ */
+typedef struct ql_target_info {
+	char gate[QL_ADDRESS_MAX];
+	char failure_domain[QL_NAME_MAX];
+	uint64_t incarnation;
+	uint32_t slots;
+	uint32_t connections;
+} ql_target_info_t;
+
+/**
+ * struct ql_target - An endpoint as this node sees it.
+ * @info: what membership says
+ * @in_progress: attempts of this node that run there
+ * @latency_us: moving mean
+ * @failures: failed attempts in a row
+ * @added_us: when it was added, for slow start
+ * @ejected_until_us: not chosen before, unless too many are ejected
+ * @refuse_until_us: it asked not to be called before
+ * @level: the load level that its gate returned last
+ * @level_us: when that was
+ */
+typedef struct ql_target {
+	ql_target_info_t info;
+	uint32_t in_progress;
+	double latency_us;
+	uint32_t failures;
+	uint64_t added_us;
+	uint64_t ejected_until_us;
+	uint64_t refuse_until_us;
+	uint32_t level;
+	uint64_t level_us;
+} ql_target_t;
+
+typedef struct ql_balancer ql_balancer_t;
+
+/**
+ * struct ql_balancer_ops - A way to choose.
+ * @name: its name
+ * @pick: choose among the candidates of the balancer
+ */
+typedef struct ql_balancer_ops {
+	const char *name;
+	ql_handle_t (*pick)(ql_balancer_t *balancer,
+			    const ql_handle_t *candidates, guint n_candidates,
+			    uint64_t now_us);
+} ql_balancer_ops_t;
+
+/**
+ * struct ql_balancer - The endpoints of one service.
+ * @ops: the policy
+ * @failure_domain: of this node
+ * @targets: table of &struct ql_target
+ * @random: source of random choices; borrowed
+ */
+struct ql_balancer {
+	const ql_balancer_ops_t *ops;
+	char failure_domain[QL_NAME_MAX];
+	ql_table_t targets;
+	GArray *candidates;
+	GRand *random;
+};
+
+extern const ql_balancer_ops_t ql_balancer_random;
+extern const ql_balancer_ops_t ql_balancer_two_choices;
+
+void ql_balancer_init(ql_balancer_t *balancer, const ql_balancer_ops_t *ops,
+		      const char *failure_domain, GRand *random);
+void ql_balancer_finish(ql_balancer_t *balancer);
+
+/**
+ * ql_balancer_add() - Add an endpoint or renew what is said of it.
+ * @balancer: the endpoints
+ * @info: what membership says; the gate's address is its identity
+ * @now_us: the time
+ *
+ * Return: its handle, or QL_HANDLE_NONE when the table is full.
+ */
+ql_handle_t ql_balancer_add(ql_balancer_t *balancer,
+			    const ql_target_info_t *info, uint64_t now_us);
+
+/**
+ * ql_balancer_remove() - Forget an endpoint.
+ * @balancer: the endpoints
+ * @gate: address of its gate
+ */
+void ql_balancer_remove(ql_balancer_t *balancer, const char *gate);
+
+/**
+ * ql_balancer_pick() - Choose an endpoint and count an attempt on it.
+ * @balancer: the endpoints
+ * @tried: endpoints that this call tried already
+ * @n_tried: their number
+ * @now_us: the time
+ *
+ * Return: its handle, or QL_HANDLE_NONE when every one was tried or none is
+ * known.
+ */
+ql_handle_t ql_balancer_pick(ql_balancer_t *balancer, const ql_handle_t *tried,
+			     size_t n_tried, uint64_t now_us);
+
+/**
+ * struct ql_attempt_result - How an attempt ended, for the balancer.
+ * @outcome: what is known
+ * @reason: why it failed
+ * @latency_us: how long it took
+ * @has_level: whether the gate returned its level
+ * @level: the level
+ * @retry_after_us: what a refusal asked for
+ */
+typedef struct ql_attempt_result {
+	ql_outcome_t outcome;
+	ql_reason_t reason;
+	uint64_t latency_us;
+	bool has_level;
+	uint32_t level;
+	uint64_t retry_after_us;
+} ql_attempt_result_t;
+
+/**
+ * ql_balancer_done() - Report the end of an attempt.
+ * @balancer: the endpoints
+ * @handle: the endpoint; one that was removed meanwhile is ignored
+ * @result: how it ended
+ * @now_us: the time
+ */
+void ql_balancer_done(ql_balancer_t *balancer, ql_handle_t handle,
+		      const ql_attempt_result_t *result, uint64_t now_us);
+
+/**
+ * ql_balancer_level() - The least load level among the endpoints.
+ * @balancer: the endpoints
+ * @now_us: the time
+ *
+ * Return: a request whose shed order is below this level would be refused by
+ * every endpoint; 0 when none is known to refuse.
+ */
+uint32_t ql_balancer_level(const ql_balancer_t *balancer, uint64_t now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/quetzalloft/document.h
@@ -0,0 +1,159 @@
+#ifndef QUETZALLOFT_DOCUMENT_H
+#define QUETZALLOFT_DOCUMENT_H
+
+/**
+ * DOC: The shared configuration document, checked and compiled. A document is
+ * immutable and counted by references.
+ */
+
+#include "quetzalloft/types.h"
+
+#include <glib.h>
+#include <jansson.h>
+
+G_BEGIN_DECLS
+
+#define QL_SERVICES_MAX 1024
+#define QL_CLASSES_MAX 64
+#define QL_ROUTES_MAX 8192
+#define QL_CALLS_MAX 64
+#define QL_ATTEMPTS_MAX 1000
+#define QL_METHOD_MAX 8
+#define QL_PATH_MAX 128
+
+/**
+ * struct ql_class - A class of requests.
+ * @name: its name
+ * @shed_order: classes with lower numbers are shed first
+ */
+typedef struct ql_class {
+	char name[QL_NAME_MAX];
+	uint64_t shed_order;
+} ql_class_t;
+
+/**
+ * struct ql_service - A service and the limits of its calls.
+ * @name: its name
+ * @calls: indexes of the services that it calls
+ * @n_calls: their number
+ * @retry_ratio: retries allowed for each first attempt, 0 to 1
+ * @body_limit_bytes: largest body that is passed in either direction
+ * @queue_ms: longest wait at the gate
+ * @limiter: name of the limiter that its gates use
+ * @subtree_attempts: attempts that one call needs when none fails: one for
+ *                    itself and those of everything below
+ * @depth: length of the longest chain that starts here
+ */
+typedef struct ql_service {
+	char name[QL_NAME_MAX];
+	uint16_t calls[QL_CALLS_MAX];
+	uint16_t n_calls;
+	double retry_ratio;
+	uint64_t body_limit_bytes;
+	uint64_t queue_ms;
+	char limiter[QL_NAME_MAX];
+	uint32_t subtree_attempts;
+	uint32_t depth;
+} ql_service_t;
+
+/**
+ * struct ql_route - Requests that are treated alike.
+ * @name: its name
+ * @host: value of the Host header without port; empty matches every one
+ * @method: HTTP method
+ * @path: matches this path and what is below it
+ * @service: index of the service
+ * @class_index: index of the class
+ * @idempotent: whether a request may be repeated
+ * @deadline_ms: time that a client request has
+ */
+typedef struct ql_route {
+	char name[QL_NAME_MAX];
+	char host[QL_NAME_MAX];
+	char method[QL_METHOD_MAX];
+	char path[QL_PATH_MAX];
+	uint16_t service;
+	uint16_t class_index;
+	bool idempotent;
+	uint64_t deadline_ms;
+} ql_route_t;
+
+/**
+ * struct ql_document - The compiled document.
+ * @references: holders of this document
+ * @version: its number; 0 is the empty document before the first patch
+ * @site: name of the site
+ * @attempts: allowance of attempts of one client request
+ * @json: the source
+ * @digest: hash of the canonical text of the source
+ */
+typedef struct ql_document {
+	uint32_t references;
+	uint64_t version;
+	char site[QL_NAME_MAX];
+	uint64_t attempts;
+	ql_class_t *classes;
+	size_t n_classes;
+	ql_service_t *services;
+	size_t n_services;
+	ql_route_t *routes;
+	size_t n_routes;
+	json_t *json;
+	uint64_t digest;
+} ql_document_t;
+
+/**
+ * ql_document_compile() - Check a document in whole and compile it.
+ * @out: the document, with one reference
+ * @json: the source; the document keeps a reference
+ * @version: its number
+ * @error: detail of a failure, with the path of what is wrong
+ *
+ * An empty object compiles to a document without services. The call graph may
+ * have no cycle and no chain longer than QL_CALL_DEPTH_MAX.
+ *
+ * Return: 0 or QL_E_TYPE, QL_E_UNKNOWN_KEY, QL_E_MISSING_KEY, QL_E_RANGE,
+ * QL_E_NOT_FOUND or QL_E_INVALID.
+ */
+int ql_document_compile(ql_document_t **out, json_t *json, uint64_t version,
+			GError **error);
+
+ql_document_t *ql_document_ref(ql_document_t *doc);
+void ql_document_unref(ql_document_t *doc);
+
+/**
+ * ql_document_digest() - Hash the canonical text of a JSON value.
+ * @json: the value
+ *
+ * Return: the hash.
+ */
+uint64_t ql_document_digest(const json_t *json);
+
+/**
+ * ql_document_find_service() - Find a service by name.
+ * @doc: the document
+ * @name: the name
+ *
+ * Return: its index, or -1.
+ */
+int ql_document_find_service(const ql_document_t *doc, const char *name);
+
+/**
+ * ql_document_match() - Find the route of a request.
+ * @doc: the document
+ * @service: index of the service that the route must name, or -1 for any
+ * @host: value of the Host header, or NULL
+ * @method: HTTP method
+ * @path: path of the URL
+ *
+ * The longest path wins; among equal paths, a route that names the host.
+ *
+ * Return: the route, or NULL.
+ */
+const ql_route_t *ql_document_match(const ql_document_t *doc, int service,
+				    const char *host, const char *method,
+				    const char *path);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/quetzalloft/gate.h
@@ -0,0 +1,162 @@
+#ifndef QUETZALLOFT_GATE_H
+#define QUETZALLOFT_GATE_H
+
+/**
+ * DOC: Admission at the endpoint: a limit on requests in progress, a short
+ * queue above it, and load shedding in the order of the classes.
+ *
+ * The gate has no thread and no clock. The caller offers requests, reports
+ * finished ones, and takes decisions about queued ones with ql_gate_next().
+ */
+
+#include "quetzalloft/limiter.h"
+#include "quetzalloft/table.h"
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_gate_opts - Settings of a gate.
+ * @limiter: policy of the limit
+ * @slots: requests that the endpoint can run at once
+ * @queue_max: requests that may wait
+ * @queue_us: longest wait
+ */
+typedef struct ql_gate_opts {
+	const ql_limiter_ops_t *limiter;
+	uint32_t slots;
+	uint32_t queue_max;
+	uint64_t queue_us;
+} ql_gate_opts_t;
+
+/**
+ * struct ql_gate_request - A request that asks to be admitted.
+ * @shed_order: of its class; lower numbers are shed first
+ * @under_way: work for its client request was done already
+ * @deadline_us: when its time is over, on the clock of @now_us
+ */
+typedef struct ql_gate_request {
+	uint32_t shed_order;
+	bool under_way;
+	uint64_t deadline_us;
+} ql_gate_request_t;
+
+typedef enum ql_gate_verdict {
+	QL_GATE_ADMIT,
+	QL_GATE_QUEUE,
+	QL_GATE_REFUSE,
+} ql_gate_verdict_t;
+
+/**
+ * struct ql_gate_decision - What happens to one request.
+ * @verdict: admitted, queued or refused
+ * @ticket: its handle; ended by a refusal or by ql_gate_finish_request()
+ * @reason: why it was refused
+ * @retry_after_ms: when a refused one may come again
+ */
+typedef struct ql_gate_decision {
+	ql_gate_verdict_t verdict;
+	ql_handle_t ticket;
+	ql_reason_t reason;
+	uint32_t retry_after_ms;
+} ql_gate_decision_t;
+
+/**
+ * struct ql_gate - The gate of one endpoint.
+ * @opts: settings
+ * @limiter: the limit
+ * @tickets: admitted and queued requests
+ * @decided: decisions about queued requests that wait for ql_gate_next()
+ * @in_progress: admitted requests
+ * @queued: waiting requests
+ * @draining: no new request is admitted
+ * @level: one above the highest shed order refused for overload lately
+ * @level_us: when that was
+ */
+typedef struct ql_gate {
+	ql_gate_opts_t opts;
+	ql_limiter_t limiter;
+	ql_table_t tickets;
+	GArray *queue;
+	GArray *decided;
+	uint32_t in_progress;
+	bool draining;
+	uint32_t level;
+	uint64_t level_us;
+	uint64_t sequence;
+} ql_gate_t;
+
+void ql_gate_init(ql_gate_t *gate, const ql_gate_opts_t *opts);
+void ql_gate_finish(ql_gate_t *gate);
+
+/**
+ * ql_gate_offer() - Ask for admission.
+ * @gate: the gate
+ * @request: the request
+ * @now_us: the time
+ *
+ * A request of a higher class takes the place of the lowest queued one when
+ * the queue is full.
+ *
+ * Return: the decision. A queued request is decided by ql_gate_next() later.
+ */
+ql_gate_decision_t ql_gate_offer(ql_gate_t *gate,
+				 const ql_gate_request_t *request,
+				 uint64_t now_us);
+
+/**
+ * ql_gate_finish_request() - Report that an admitted request ended.
+ * @gate: the gate
+ * @ticket: its handle
+ * @overloaded: the endpoint shed it, or it ran out of time
+ * @now_us: the time
+ */
+void ql_gate_finish_request(ql_gate_t *gate, ql_handle_t ticket,
+			    bool overloaded, uint64_t now_us);
+
+/**
+ * ql_gate_cancel() - Take a queued request back.
+ * @gate: the gate
+ * @ticket: its handle
+ *
+ * Return: true when it was still queued; it will not be admitted.
+ */
+bool ql_gate_cancel(ql_gate_t *gate, ql_handle_t ticket);
+
+/**
+ * ql_gate_next() - Take the next decision about a queued request.
+ * @gate: the gate
+ * @decision: the decision
+ * @now_us: the time
+ *
+ * Return: false when no decision is due.
+ */
+bool ql_gate_next(ql_gate_t *gate, ql_gate_decision_t *decision,
+		  uint64_t now_us);
+
+/**
+ * ql_gate_next_us() - When ql_gate_next() has to be called at the latest.
+ * @gate: the gate
+ *
+ * Return: a time, or UINT64_MAX when no request waits.
+ */
+uint64_t ql_gate_next_us(const ql_gate_t *gate);
+
+/**
+ * ql_gate_drain() - Refuse everything that is not admitted yet.
+ * @gate: the gate
+ */
+void ql_gate_drain(ql_gate_t *gate);
+
+/**
+ * ql_gate_level() - The present load level.
+ * @gate: the gate
+ * @now_us: the time
+ *
+ * Return: one above the highest shed order that is refused at present; 0 when
+ * none is.
+ */
+uint32_t ql_gate_level(const ql_gate_t *gate, uint64_t now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/quetzalloft/limiter.h
@@ -0,0 +1,99 @@
+#ifndef QUETZALLOFT_LIMITER_H
+#define QUETZALLOFT_LIMITER_H
+
+/**
+ * DOC: Limits on requests in progress at one endpoint.
+ */
+
+#include "quetzalloft/types.h"
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_limiter_opts - Bounds of a limit.
+ * @initial: limit at the start
+ * @min: least limit
+ * @max: largest limit: the slots of the endpoint
+ */
+typedef struct ql_limiter_opts {
+	uint32_t initial;
+	uint32_t min;
+	uint32_t max;
+} ql_limiter_opts_t;
+
+/**
+ * struct ql_limiter_sample - One finished request.
+ * @latency_us: time at the endpoint
+ * @in_progress: requests in progress when it was admitted, itself included
+ * @overloaded: the endpoint shed it, or it ran out of time
+ */
+typedef struct ql_limiter_sample {
+	uint64_t latency_us;
+	uint32_t in_progress;
+	bool overloaded;
+} ql_limiter_sample_t;
+
+typedef struct ql_limiter ql_limiter_t;
+
+/**
+ * struct ql_limiter_ops - A way to adapt the limit.
+ * @name: its name in the configuration
+ * @init: prepare the state after the bounds were stored
+ * @sample: take one finished request into account
+ */
+typedef struct ql_limiter_ops {
+	const char *name;
+	void (*init)(ql_limiter_t *limiter);
+	void (*sample)(ql_limiter_t *limiter, const ql_limiter_sample_t *sample,
+		       uint64_t now_us);
+} ql_limiter_ops_t;
+
+/**
+ * struct ql_limiter - The limit and the state of its policy.
+ * @ops: the policy
+ * @opts: the bounds
+ * @limit: the limit; its integer part counts
+ * @base_latency_us: latency without queueing, as far as known
+ * @mean_latency_us: moving mean of the latency
+ * @changed_us: when the limit last fell or its window last ended
+ * @samples: samples in the present window
+ */
+struct ql_limiter {
+	const ql_limiter_ops_t *ops;
+	ql_limiter_opts_t opts;
+	double limit;
+	double base_latency_us;
+	double mean_latency_us;
+	uint64_t changed_us;
+	uint32_t samples;
+};
+
+extern const ql_limiter_ops_t ql_limiter_fixed;
+extern const ql_limiter_ops_t ql_limiter_aimd;
+extern const ql_limiter_ops_t ql_limiter_gradient;
+
+/**
+ * ql_limiter_find() - Find a policy by name.
+ * @name: "fixed", "aimd" or "gradient"
+ *
+ * Return: the policy, or NULL.
+ */
+const ql_limiter_ops_t *ql_limiter_find(const char *name);
+
+void ql_limiter_init(ql_limiter_t *limiter, const ql_limiter_ops_t *ops,
+		     const ql_limiter_opts_t *opts);
+
+void ql_limiter_observe(ql_limiter_t *limiter,
+			const ql_limiter_sample_t *sample, uint64_t now_us);
+
+/**
+ * ql_limiter_get() - The present limit.
+ * @limiter: the limit
+ *
+ * Return: requests that may be in progress, at least 1.
+ */
+uint32_t ql_limiter_get(const ql_limiter_t *limiter);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/cli/main.c
@@ -0,0 +1,66 @@
+#include "cli/command.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <sysexits.h>
+
+static const ql_command_t commands[] = {
+	{"config get", "print the configuration and its version",
+	 ql_command_config_get},
+	{"config patch", "submit a patch against a version",
+	 ql_command_config_patch},
+	{"status", "show the state of one process", ql_command_status},
+	{"metrics", "show the counters of one process", ql_command_metrics},
+	{"check", "check a configuration document", ql_command_check},
+};
+
+static void show_help(FILE *out)
+{
+	size_t i;
+
+	fputs("Usage: quetzalloft COMMAND [OPTIONS]\n\nCommands:\n", out);
+	for (i = 0; i < G_N_ELEMENTS(commands); i++)
+		fprintf(out, "  %-14s %s\n", commands[i].name,
+			commands[i].summary);
+}
+
+/* Words of the command that the arguments start with; 0 when none matches. */
+static int match_words(const char *name, int argc, char **argv)
+{
+	char **words = g_strsplit(name, " ", -1);
+	int n = (int)g_strv_length(words);
+	int i;
+
+	for (i = 0; i < n && i < argc; i++)
+		if (strcmp(words[i], argv[i]) != 0)
+			break;
+	g_strfreev(words);
+	return i == n ? n : 0;
+}
+
+int main(int argc, char **argv)
+{
+	size_t i;
+	int n;
+
+	if (argc < 2) {
+		show_help(stderr);
+		return EX_USAGE;
+	}
+	if (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-h")) {
+		show_help(stdout);
+		return EX_OK;
+	}
+	if (!strcmp(argv[1], "--version")) {
+		puts("quetzalloft " QL_VERSION);
+		return EX_OK;
+	}
+	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
+		n = match_words(commands[i].name, argc - 1, argv + 1);
+		if (n)
+			return commands[i].run(argc - n, argv + n);
+	}
+	fprintf(stderr, "quetzalloft: there is no command \"%s\"\n", argv[1]);
+	show_help(stderr);
+	return EX_USAGE;
+}
--- /dev/null
+++ b/src/control/config_state.c
@@ -0,0 +1,365 @@
+#include "quetzalloft/config_state.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+typedef struct {
+	uint64_t patch_digest;
+	ql_patch_answer_t answer;
+} kept_answer_t;
+
+static ql_document_t *empty_document(void)
+{
+	json_t *json = json_object();
+	ql_document_t *doc;
+
+	if (ql_document_compile(&doc, json, 0, NULL))
+		g_assert_not_reached();
+	json_decref(json);
+	return doc;
+}
+
+void ql_config_state_init(ql_config_state_t *state)
+{
+	state->doc = empty_document();
+	g_queue_init(&state->changes);
+	g_queue_init(&state->answer_order);
+	state->answers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void change_free(void *data)
+{
+	ql_config_change_t *change = data;
+
+	g_free(change->text);
+	g_free(change);
+}
+
+void ql_config_state_finish(ql_config_state_t *state)
+{
+	ql_document_unref(state->doc);
+	g_queue_clear_full(&state->changes, change_free);
+	g_queue_clear(&state->answer_order);
+	g_hash_table_destroy(state->answers);
+}
+
+static uint64_t patch_digest(const ql_patch_t *patch)
+{
+	return XXH3_64bits_withSeed(patch->text, patch->length,
+				    patch->base_version);
+}
+
+static void keep_change(ql_config_state_t *state, const char *text,
+			size_t length)
+{
+	ql_config_change_t *change = g_new0(ql_config_change_t, 1);
+
+	change->version = state->doc->version;
+	change->digest = state->doc->digest;
+	change->text = g_memdup2(text, length);
+	change->length = length;
+	g_queue_push_tail(&state->changes, change);
+	if (state->changes.length > QL_CONFIG_CHANGES_KEPT)
+		change_free(g_queue_pop_head(&state->changes));
+}
+
+static void keep_answer(ql_config_state_t *state, const char *id,
+			const kept_answer_t *kept)
+{
+	char *key = g_strdup(id);
+
+	g_hash_table_insert(state->answers, key,
+			    g_memdup2(kept, sizeof(*kept)));
+	g_queue_push_tail(&state->answer_order, key);
+	if (state->answer_order.length > QL_CONFIG_ANSWERS_KEPT)
+		g_hash_table_remove(state->answers,
+				    g_queue_pop_head(&state->answer_order));
+}
+
+static void set_document(ql_config_state_t *state, ql_document_t *doc)
+{
+	ql_document_unref(state->doc);
+	state->doc = doc;
+}
+
+static void refuse(const ql_config_state_t *state, ql_patch_answer_t *answer,
+		   int status, const char *detail)
+{
+	answer->status = status;
+	answer->version = state->doc->version;
+	g_strlcpy(answer->detail, detail, sizeof(answer->detail));
+}
+
+static int patched_document(ql_document_t **out, const ql_config_state_t *state,
+			    const char *text, size_t length, GError **error)
+{
+	json_t *patch = NULL, *json;
+	int ret;
+
+	*out = NULL;
+	ret = ql_json_parse(&patch, text, length, error);
+	if (ret)
+		return ret;
+	json = ql_json_merge_patch(state->doc->json, patch);
+	ret = ql_document_compile(out, json, state->doc->version + 1, error);
+	json_decref(json);
+	json_decref(patch);
+	return ret;
+}
+
+bool ql_config_state_find(const ql_config_state_t *state,
+			  const ql_patch_t *patch, ql_patch_answer_t *answer)
+{
+	const kept_answer_t *kept =
+		g_hash_table_lookup(state->answers, patch->id);
+
+	if (!kept)
+		return false;
+	if (kept->patch_digest == patch_digest(patch))
+		*answer = kept->answer;
+	else
+		refuse(state, answer, QL_E_CONFLICT,
+		       "this id was used with another patch; take a new id");
+	return true;
+}
+
+static void refuse_stale(const ql_config_state_t *state,
+			 const ql_patch_t *patch, ql_patch_answer_t *answer)
+{
+	char detail[sizeof(answer->detail)];
+
+	g_snprintf(detail, sizeof(detail),
+		   "written against version %" PRIu64
+		   ", the current version is %" PRIu64
+		   "; read it again and send a new patch",
+		   patch->base_version, state->doc->version);
+	refuse(state, answer, QL_E_STALE, detail);
+}
+
+/* Decides on a patch that was not answered before. */
+static void decide(ql_config_state_t *state, const ql_patch_t *patch,
+		   ql_patch_answer_t *answer)
+{
+	ql_document_t *doc;
+	GError *error = NULL;
+	int ret;
+
+	if (patch->base_version != state->doc->version) {
+		refuse_stale(state, patch, answer);
+		return;
+	}
+	ret = patched_document(&doc, state, patch->text, patch->length, &error);
+	if (ret) {
+		refuse(state, answer, ret, error->message);
+		g_error_free(error);
+		return;
+	}
+	set_document(state, doc);
+	keep_change(state, patch->text, patch->length);
+	answer->version = doc->version;
+}
+
+void ql_config_state_apply(ql_config_state_t *state, const ql_patch_t *patch,
+			   ql_patch_answer_t *answer)
+{
+	kept_answer_t kept = {.patch_digest = patch_digest(patch)};
+
+	memset(answer, 0, sizeof(*answer));
+	if (ql_config_state_find(state, patch, answer))
+		return;
+	decide(state, patch, answer);
+	kept.answer = *answer;
+	keep_answer(state, patch->id, &kept);
+}
+
+int ql_config_state_follow(ql_config_state_t *state,
+			   const ql_config_change_t *change, GError **error)
+{
+	ql_document_t *doc;
+	int ret;
+
+	if (change->version <= state->doc->version)
+		return 0;
+	if (change->version != state->doc->version + 1)
+		return ql_error_set(error, QL_E_NOT_FOUND,
+				    "change %" PRIu64
+				    " does not follow version %" PRIu64,
+				    change->version, state->doc->version);
+	ret = patched_document(&doc, state, change->text, change->length,
+			       error);
+	if (ret)
+		return ret;
+	if (doc->digest != change->digest) {
+		ql_document_unref(doc);
+		return ql_error_set(error, QL_E_CORRUPT,
+				    "change %" PRIu64
+				    " gives a document with another digest",
+				    change->version);
+	}
+	set_document(state, doc);
+	keep_change(state, change->text, change->length);
+	return 0;
+}
+
+int ql_config_state_replace(ql_config_state_t *state, uint64_t version,
+			    const char *text, size_t length, GError **error)
+{
+	json_t *json = NULL;
+	ql_document_t *doc;
+	int ret;
+
+	if (version <= state->doc->version)
+		return 0;
+	ret = ql_json_parse(&json, text, length, error);
+	if (ret)
+		return ret;
+	ret = ql_document_compile(&doc, json, version, error);
+	json_decref(json);
+	if (ret)
+		return ret;
+	set_document(state, doc);
+	g_queue_clear_full(&state->changes, change_free);
+	return 0;
+}
+
+GList *ql_config_state_changes_since(const ql_config_state_t *state,
+				     uint64_t version)
+{
+	GList *link = state->changes.tail;
+	const ql_config_change_t *change;
+
+	if (version >= state->doc->version)
+		return NULL;
+	for (; link; link = link->prev) {
+		change = link->data;
+		if (change->version == version + 1)
+			return link;
+	}
+	return NULL;
+}
+
+static json_t *save_changes(const ql_config_state_t *state)
+{
+	json_t *changes = json_array();
+	const ql_config_change_t *change;
+	GList *link;
+
+	for (link = state->changes.head; link; link = link->next) {
+		change = link->data;
+		json_array_append_new(changes,
+				      json_pack("{s:I, s:I, s:s%}", "version",
+						(json_int_t)change->version,
+						"digest",
+						(json_int_t)change->digest,
+						"text", change->text,
+						change->length));
+	}
+	return changes;
+}
+
+static json_t *save_answers(const ql_config_state_t *state)
+{
+	json_t *answers = json_array();
+	const kept_answer_t *kept;
+	GList *link;
+
+	for (link = state->answer_order.head; link; link = link->next) {
+		kept = g_hash_table_lookup(state->answers, link->data);
+		json_array_append_new(
+			answers,
+			json_pack("{s:s, s:I, s:i, s:I, s:s}", "id",
+				  (const char *)link->data, "patch_digest",
+				  (json_int_t)kept->patch_digest, "status",
+				  kept->answer.status, "version",
+				  (json_int_t)kept->answer.version, "detail",
+				  kept->answer.detail));
+	}
+	return answers;
+}
+
+json_t *ql_config_state_save(const ql_config_state_t *state)
+{
+	return json_pack("{s:I, s:O, s:o, s:o}", "version",
+			 (json_int_t)state->doc->version, "document",
+			 state->doc->json, "changes", save_changes(state),
+			 "answers", save_answers(state));
+}
+
+static int load_changes(ql_config_state_t *state, json_t *saved)
+{
+	ql_config_change_t *change;
+	json_int_t version, digest;
+	json_t *value;
+	const char *text;
+	size_t i, length;
+
+	json_array_foreach (saved, i, value) {
+		if (json_unpack(value, "{s:I, s:I, s:s%}", "version", &version,
+				"digest", &digest, "text", &text, &length))
+			return QL_E_CORRUPT;
+		change = g_new0(ql_config_change_t, 1);
+		change->version = (uint64_t)version;
+		change->digest = (uint64_t)digest;
+		change->text = g_memdup2(text, length);
+		change->length = length;
+		g_queue_push_tail(&state->changes, change);
+	}
+	return 0;
+}
+
+static int load_answers(ql_config_state_t *state, json_t *saved)
+{
+	kept_answer_t kept = {0};
+	json_int_t patch_digest_saved, version;
+	const char *id, *detail;
+	json_t *value;
+	size_t i;
+
+	json_array_foreach (saved, i, value) {
+		if (json_unpack(value, "{s:s, s:I, s:i, s:I, s:s}", "id", &id,
+				"patch_digest", &patch_digest_saved, "status",
+				&kept.answer.status, "version", &version,
+				"detail", &detail))
+			return QL_E_CORRUPT;
+		kept.patch_digest = (uint64_t)patch_digest_saved;
+		kept.answer.version = (uint64_t)version;
+		g_strlcpy(kept.answer.detail, detail,
+			  sizeof(kept.answer.detail));
+		keep_answer(state, id, &kept);
+	}
+	return 0;
+}
+
+int ql_config_state_load(ql_config_state_t *state, json_t *saved,
+			 GError **error)
+{
+	ql_config_state_t loaded;
+	json_t *document, *changes, *answers;
+	ql_document_t *doc;
+	json_int_t version;
+	int ret;
+
+	if (json_unpack(saved, "{s:I, s:o, s:o, s:o}", "version", &version,
+			"document", &document, "changes", &changes, "answers",
+			&answers))
+		return ql_error_set(error, QL_E_CORRUPT,
+				    "saved configuration lacks a member");
+	ret = ql_document_compile(&doc, document, (uint64_t)version, error);
+	if (ret)
+		return ret;
+	ql_config_state_init(&loaded);
+	set_document(&loaded, doc);
+	if (load_changes(&loaded, changes) || load_answers(&loaded, answers)) {
+		ql_config_state_finish(&loaded);
+		return ql_error_set(error, QL_E_CORRUPT,
+				    "saved configuration is malformed");
+	}
+	ql_config_state_finish(state);
+	*state = loaded;
+	return 0;
+}
--- /dev/null
+++ b/src/control/greeting.c
@@ -0,0 +1,93 @@
+#include "control/greeting.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int ql_greeting_check(const ql_rpc_greeting *greeting, const char *cluster,
+		      char **detail)
+{
+	if (strcmp(greeting->cluster, cluster) != 0) {
+		*detail = strdup("the sender belongs to another cluster");
+		return QL_E_DENIED;
+	}
+	if (greeting->protocol != QL_RPC_PROTOCOL_VERSION) {
+		*detail = strdup("the sender speaks another version of the "
+				 "protocol");
+		return QL_E_PROTOCOL;
+	}
+	return 0;
+}
+
+/* XDR frees with free(), so copies are made with malloc(). */
+static char *copy_bytes(const char *data, size_t length)
+{
+	char *copy = malloc(length + 1);
+
+	g_assert(copy);
+	memcpy(copy, data, length);
+	copy[length] = '\0';
+	return copy;
+}
+
+static void fill_changes(const ql_config_reply_t *reply, GList *link)
+{
+	u_int n = g_list_length(link);
+	const ql_config_change_t *change;
+	ql_rpc_change *out = calloc(n, sizeof(*out));
+
+	g_assert(out);
+	*reply->changes_len = n;
+	*reply->changes_val = out;
+	for (; link; link = link->next, out++) {
+		change = link->data;
+		out->config_version = change->version;
+		out->digest = change->digest;
+		out->patch.patch_len = (u_int)change->length;
+		out->patch.patch_val = copy_bytes(change->text, change->length);
+	}
+}
+
+void ql_config_reply_fill(const ql_config_reply_t *reply,
+			  const ql_config_state_t *config,
+			  uint64_t known_version)
+{
+	GList *changes = ql_config_state_changes_since(config, known_version);
+
+	if (changes) {
+		fill_changes(reply, changes);
+		return;
+	}
+	if (known_version >= config->doc->version)
+		return;
+	*reply->whole_document = TRUE;
+	*reply->document_val = ql_json_text(config->doc->json);
+	*reply->document_len = (u_int)strlen(*reply->document_val);
+}
+
+int ql_config_reply_take(ql_config_state_t *config,
+			 const ql_config_reply_t *reply,
+			 uint64_t config_version, GError **error)
+{
+	ql_config_change_t change;
+	u_int i;
+	int ret;
+
+	if (*reply->whole_document)
+		return ql_config_state_replace(config, config_version,
+					       *reply->document_val,
+					       *reply->document_len, error);
+	for (i = 0; i < *reply->changes_len; i++) {
+		const ql_rpc_change *in = &(*reply->changes_val)[i];
+
+		change.version = in->config_version;
+		change.digest = in->digest;
+		change.text = in->patch.patch_val;
+		change.length = in->patch.patch_len;
+		ret = ql_config_state_follow(config, &change, error);
+		if (ret)
+			return ret;
+	}
+	return 0;
+}
--- /dev/null
+++ b/src/control/greeting.h
@@ -0,0 +1,65 @@
+#ifndef QL_CONTROL_GREETING_H
+#define QL_CONTROL_GREETING_H
+
+/**
+ * DOC: Helpers for the messages of the control protocol.
+ */
+
+#include "quetzalloft/config_state.h"
+
+#include "control.h"
+
+G_BEGIN_DECLS
+
+/**
+ * ql_greeting_check() - Whether a sender may talk to this process.
+ * @greeting: what it sent
+ * @cluster: the cluster of this process
+ * @detail: set to a text for the sender after a failure, freed with free()
+ *
+ * Return: 0, QL_E_DENIED for another cluster, or QL_E_PROTOCOL for another
+ * version of the protocol.
+ */
+int ql_greeting_check(const ql_rpc_greeting *greeting, const char *cluster,
+		      char **detail);
+
+/**
+ * struct ql_config_reply - Where the configuration part of an answer goes.
+ */
+typedef struct ql_config_reply {
+	bool_t *whole_document;
+	u_int *document_len;
+	char **document_val;
+	u_int *changes_len;
+	ql_rpc_change **changes_val;
+} ql_config_reply_t;
+
+/**
+ * ql_config_reply_fill() - Send what a peer lacks of the configuration.
+ * @reply: where it goes
+ * @config: the configuration
+ * @known_version: what the peer has
+ *
+ * Changes are sent when all that the peer lacks are kept, else the document.
+ */
+void ql_config_reply_fill(const ql_config_reply_t *reply,
+			  const ql_config_state_t *config,
+			  uint64_t known_version);
+
+/**
+ * ql_config_reply_take() - Apply what a peer sent of the configuration.
+ * @config: the configuration
+ * @reply: what was sent
+ * @config_version: the version of the sender
+ * @error: detail of a failure
+ *
+ * Return: 0 or a failure of ql_config_state_follow() or
+ * ql_config_state_replace().
+ */
+int ql_config_reply_take(ql_config_state_t *config,
+			 const ql_config_reply_t *reply,
+			 uint64_t config_version, GError **error);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/control/rpc_client.c
@@ -0,0 +1,132 @@
+#include "control/rpc_client.h"
+#include "quetzalloft/address.h"
+#include "quetzalloft/error.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MS_PER_S 1000u
+#define US_PER_MS 1000L
+
+void ql_rpc_client_init(ql_rpc_client_t *client, const char *address,
+			uint32_t program, uint32_t version, uint32_t timeout_ms)
+{
+	memset(client, 0, sizeof(*client));
+	g_strlcpy(client->address, address, sizeof(client->address));
+	client->program = program;
+	client->version = version;
+	client->timeout_ms = timeout_ms;
+}
+
+void ql_rpc_client_finish(ql_rpc_client_t *client)
+{
+	if (client->client)
+		clnt_destroy(client->client);
+	client->client = NULL;
+}
+
+/* Waits for a non-blocking connect; returns 0 or an errno value. */
+static int await_connect(int fd, uint32_t timeout_ms)
+{
+	struct pollfd pfd = {.fd = fd, .events = POLLOUT};
+	socklen_t length = sizeof(int);
+	int status = 0;
+
+	if (poll(&pfd, 1, (int)timeout_ms) <= 0)
+		return ETIMEDOUT;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &status, &length))
+		return errno;
+	return status;
+}
+
+static int connect_to(const struct sockaddr_in *where, uint32_t timeout_ms,
+		      const char *address, GError **error)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	int one = 1;
+	int failed = 0;
+
+	if (fd < 0)
+		return ql_error_set_errno(error, errno, "socket");
+	if (connect(fd, (const struct sockaddr *)where, sizeof(*where)))
+		failed = errno == EINPROGRESS ? await_connect(fd, timeout_ms)
+					      : errno;
+	if (failed) {
+		close(fd);
+		return ql_error_set(error, QL_E_UNAVAILABLE,
+				    "connecting to %s: %s", address,
+				    g_strerror(failed));
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
+	return fd;
+}
+
+static int open_client(ql_rpc_client_t *client, GError **error)
+{
+	struct sockaddr_in where;
+	struct netbuf peer = {.buf = &where,
+			      .len = sizeof(where),
+			      .maxlen = sizeof(where)};
+	int fd, ret;
+
+	ret = ql_address_parse(&where, client->address, error);
+	if (ret)
+		return ret;
+	fd = connect_to(&where, client->timeout_ms, client->address, error);
+	if (fd < 0)
+		return fd;
+	client->client = clnt_vc_create(fd, &peer, client->program,
+					client->version, 0, 0);
+	if (!client->client) {
+		close(fd);
+		return ql_error_set(error, QL_E_IO, "clnt_vc_create failed");
+	}
+	clnt_control(client->client, CLSET_FD_CLOSE, NULL);
+	return 0;
+}
+
+static int failure_type(enum clnt_stat status)
+{
+	switch (status) {
+	case RPC_TIMEDOUT:
+		return QL_E_TIMEOUT;
+	case RPC_CANTSEND:
+	case RPC_CANTRECV:
+		return QL_E_UNAVAILABLE;
+	default:
+		return QL_E_PROTOCOL;
+	}
+}
+
+int ql_rpc_client_call(ql_rpc_client_t *client, const ql_rpc_call_t *call,
+		       GError **error)
+{
+	struct timeval timeout = {
+		.tv_sec = client->timeout_ms / MS_PER_S,
+		.tv_usec = (suseconds_t)(client->timeout_ms % MS_PER_S) *
+			   US_PER_MS,
+	};
+	enum clnt_stat status;
+	int ret;
+
+	if (!client->client) {
+		ret = open_client(client, error);
+		if (ret)
+			return ret;
+	}
+	status = clnt_call(client->client, call->procedure, call->encode,
+			   (caddr_t)call->args, call->decode,
+			   (caddr_t)call->result, timeout);
+	if (status == RPC_SUCCESS)
+		return 0;
+	ret = ql_error_set(error, (ql_error_code_t)failure_type(status),
+			   "%s: %s", client->address, clnt_sperrno(status));
+	ql_rpc_client_finish(client);
+	return ret;
+}
--- /dev/null
+++ b/src/node/answer.h
@@ -0,0 +1,105 @@
+#ifndef QL_NODE_ANSWER_H
+#define QL_NODE_ANSWER_H
+
+/**
+ * DOC: Answers to calls: those of an endpoint, passed on whole, and failures
+ * with an explicit outcome. Also the headers that are not passed on.
+ */
+
+#include "node/http_client.h"
+#include "quetzalloft/metadata.h"
+
+#include <ulfius.h>
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_failure - A call that did not end in an endpoint's answer.
+ * @outcome: what is known
+ * @reason: why
+ * @retry_after_ms: when to come again; 0 when nothing is known
+ * @detail: for the caller; may be NULL
+ */
+typedef struct ql_failure {
+	ql_outcome_t outcome;
+	ql_reason_t reason;
+	uint32_t retry_after_ms;
+	const char *detail;
+} ql_failure_t;
+
+/**
+ * ql_answer_fail() - Answer with a failure.
+ * @response: the answer
+ * @failure: the failure
+ */
+void ql_answer_fail(struct _u_response *response, const ql_failure_t *failure);
+
+/**
+ * ql_answer_pass() - Answer with what an endpoint answered.
+ * @response: the answer
+ * @answer: the endpoint's; its body is taken over
+ */
+void ql_answer_pass(struct _u_response *response, ql_http_answer_t *answer);
+
+/**
+ * ql_answer_add_metadata() - Add protocol headers to an answer.
+ * @response: the answer
+ * @metadata: the headers whose bits are set
+ */
+void ql_answer_add_metadata(struct _u_response *response,
+			    const ql_metadata_t *metadata);
+
+/**
+ * ql_answer_text() - Answer with a text of this node.
+ * @response: the answer
+ * @status: HTTP status
+ * @type: content type
+ * @text: the text
+ */
+void ql_answer_text(struct _u_response *response, unsigned int status,
+		    const char *type, const char *text);
+
+/**
+ * ql_headers_forward() - Copy the headers of a request that are passed on.
+ * @request: the request
+ *
+ * Hop-by-hop headers and those of this protocol are left out; the idempotency
+ * key is passed on.
+ *
+ * Return: a list to free with curl_slist_free_all().
+ */
+struct curl_slist *ql_headers_forward(const struct _u_request *request);
+
+/**
+ * ql_headers_add_metadata() - Add protocol headers to a request.
+ * @headers: the list
+ * @metadata: the headers whose bits are set
+ *
+ * Return: the new list.
+ */
+struct curl_slist *ql_headers_add_metadata(struct curl_slist *headers,
+					   const ql_metadata_t *metadata);
+
+/**
+ * ql_request_metadata() - Parse the protocol headers of a request.
+ * @metadata: the result
+ * @request: the request
+ * @error: detail of a failure
+ *
+ * Return: 0 or a failure of ql_metadata_add().
+ */
+int ql_request_metadata(ql_metadata_t *metadata,
+			const struct _u_request *request, GError **error);
+
+/**
+ * ql_answer_metadata() - Parse the protocol headers of an answer.
+ * @metadata: the result
+ * @answer: the answer
+ *
+ * Return: 0 or a failure of ql_metadata_add().
+ */
+int ql_answer_metadata(ql_metadata_t *metadata, const ql_http_answer_t *answer);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/node/calls.c
@@ -0,0 +1,133 @@
+#include "node/calls.h"
+#include "quetzalloft/error.h"
+
+ql_call_t *ql_call_new(const ql_attempt_id_t *id, uint32_t attempts)
+{
+	ql_call_t *call = g_new0(ql_call_t, 1);
+
+	call->references = 1;
+	call->id = *id;
+	pthread_mutex_init(&call->lock, NULL);
+	ql_allowance_init(&call->allowance, attempts);
+	return call;
+}
+
+static ql_call_t *call_ref(ql_call_t *call)
+{
+	__atomic_add_fetch(&call->references, 1, __ATOMIC_RELAXED);
+	return call;
+}
+
+void ql_call_unref(ql_call_t *call)
+{
+	if (!call || __atomic_sub_fetch(&call->references, 1, __ATOMIC_ACQ_REL))
+		return;
+	pthread_mutex_destroy(&call->lock);
+	g_free(call);
+}
+
+uint32_t ql_call_lend(ql_call_t *call, uint32_t need)
+{
+	uint32_t lent = 0;
+
+	pthread_mutex_lock(&call->lock);
+	if (!call->ended)
+		lent = ql_allowance_lend(&call->allowance, need, 0);
+	pthread_mutex_unlock(&call->lock);
+	return lent;
+}
+
+void ql_call_return(ql_call_t *call, uint32_t lent, uint32_t unused)
+{
+	pthread_mutex_lock(&call->lock);
+	/* What comes back after the end was reported as used already. */
+	if (!call->ended)
+		ql_allowance_return(&call->allowance, lent, unused);
+	pthread_mutex_unlock(&call->lock);
+}
+
+uint32_t ql_call_end(ql_call_t *call)
+{
+	uint32_t unused;
+
+	pthread_mutex_lock(&call->lock);
+	call->ended = true;
+	unused = call->allowance.remaining;
+	call->allowance.remaining = 0;
+	pthread_mutex_unlock(&call->lock);
+	return unused;
+}
+
+static guint attempt_hash(gconstpointer key)
+{
+	const ql_attempt_id_t *id = key;
+
+	return (guint)(id->attempt ^ id->attempt >> 32);
+}
+
+static gboolean attempt_equal(gconstpointer a, gconstpointer b)
+{
+	const ql_attempt_id_t *x = a, *y = b;
+
+	return x->attempt == y->attempt && x->request == y->request;
+}
+
+static void release(void *data)
+{
+	ql_call_unref(data);
+}
+
+void ql_calls_init(ql_calls_t *calls)
+{
+	pthread_mutex_init(&calls->lock, NULL);
+	calls->by_id = g_hash_table_new_full(attempt_hash, attempt_equal, NULL,
+					     release);
+}
+
+void ql_calls_finish(ql_calls_t *calls)
+{
+	g_hash_table_destroy(calls->by_id);
+	pthread_mutex_destroy(&calls->lock);
+}
+
+int ql_calls_add(ql_calls_t *calls, ql_call_t *call)
+{
+	int ret = 0;
+
+	pthread_mutex_lock(&calls->lock);
+	if (g_hash_table_contains(calls->by_id, &call->id))
+		ret = QL_E_EXISTS;
+	else
+		g_hash_table_insert(calls->by_id, &call->id, call_ref(call));
+	pthread_mutex_unlock(&calls->lock);
+	return ret;
+}
+
+ql_call_t *ql_calls_find(ql_calls_t *calls, const ql_attempt_id_t *id)
+{
+	ql_call_t *call;
+
+	pthread_mutex_lock(&calls->lock);
+	call = g_hash_table_lookup(calls->by_id, id);
+	if (call)
+		call_ref(call);
+	pthread_mutex_unlock(&calls->lock);
+	return call;
+}
+
+void ql_calls_remove(ql_calls_t *calls, const ql_call_t *call)
+{
+	pthread_mutex_lock(&calls->lock);
+	g_hash_table_remove(calls->by_id, &call->id);
+	pthread_mutex_unlock(&calls->lock);
+}
+
+guint ql_calls_count(ql_calls_t *calls)
+{
+	guint count;
+
+	pthread_mutex_lock(&calls->lock);
+	count = g_hash_table_size(calls->by_id);
+	pthread_mutex_unlock(&calls->lock);
+	return count;
+}
--- /dev/null
+++ b/src/node/control_service.h
@@ -0,0 +1,77 @@
+#ifndef QL_NODE_CONTROL_SERVICE_H
+#define QL_NODE_CONTROL_SERVICE_H
+
+/**
+ * DOC: The control side of a process: the RPC server of registrar and replica,
+ * and the thread that renews this node's lease.
+ */
+
+#include "control/rpc_server.h"
+#include "node/config_store.h"
+#include "node/counters.h"
+#include "node/gate_service.h"
+#include "node/settings.h"
+#include "quetzalloft/registrar.h"
+#include "quetzalloft/ring.h"
+
+#include <pthread.h>
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_control_service - The control side.
+ * @settings: borrowed
+ * @lock: guards @store and @registrar
+ * @member_lock: guards @member
+ * @wake: pushed to renew the lease at once
+ */
+typedef struct ql_control_service {
+	const ql_settings_t *settings;
+	ql_gate_service_t *gates;
+	ql_counters_t *counters;
+	ql_hlc_t *hlc;
+	json_t *(*report)(void *data, const char *topic, const char *filter);
+	void *data;
+	uint64_t incarnation;
+	pthread_mutex_t lock;
+	ql_config_store_t store;
+	ql_registrar_t registrar;
+	ql_rpc_server_t rpc;
+	pthread_mutex_t member_lock;
+	ql_member_t member;
+	GRand *random;
+	ql_ring_t wake;
+	GThread *thread;
+	int stopping;
+	int leaving;
+} ql_control_service_t;
+
+/**
+ * ql_control_service_start() - Load the state, serve, and renew the lease.
+ * @control: the service, its borrowed members set
+ * @ops: what to do when the node learns something
+ * @ops_data: passed to @ops
+ * @error: detail of a failure
+ *
+ * Return: 0 or a failure of the store or of the RPC server.
+ */
+int ql_control_service_start(ql_control_service_t *control,
+			     const ql_member_ops_t *ops, void *ops_data,
+			     GError **error);
+void ql_control_service_stop(ql_control_service_t *control);
+
+/**
+ * ql_control_service_wake() - Renew the lease at once.
+ * @control: the service
+ */
+void ql_control_service_wake(ql_control_service_t *control);
+
+/**
+ * ql_control_service_leave() - Tell the registrar that this node leaves.
+ * @control: the service
+ */
+void ql_control_service_leave(ql_control_service_t *control);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/node/http_client.c
@@ -0,0 +1,244 @@
+#include "node/http_client.h"
+#include "quetzalloft/error.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define IDLE_HANDLES_MAX 512u
+#define CONNECT_TIMEOUT_MS 1000L
+#define URL_MAX 4096
+
+/* The state of one exchange, for libcurl's callbacks. */
+typedef struct {
+	ql_http_answer_t *answer;
+	size_t body_limit_bytes;
+	int n_sends;
+	bool too_large;
+} exchange_t;
+
+static void queue_free(void *data)
+{
+	GQueue *queue = data;
+
+	g_queue_free_full(queue, (GDestroyNotify)curl_easy_cleanup);
+}
+
+void ql_http_client_init(ql_http_client_t *client)
+{
+	pthread_mutex_init(&client->lock, NULL);
+	client->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     queue_free);
+}
+
+void ql_http_client_finish(ql_http_client_t *client)
+{
+	g_hash_table_destroy(client->idle);
+	pthread_mutex_destroy(&client->lock);
+}
+
+static void header_clear(void *data)
+{
+	ql_http_header_t *header = data;
+
+	g_free(header->name);
+	g_free(header->value);
+}
+
+void ql_http_answer_init(ql_http_answer_t *answer)
+{
+	answer->status = 0;
+	answer->headers = g_array_new(FALSE, FALSE, sizeof(ql_http_header_t));
+	g_array_set_clear_func(answer->headers, header_clear);
+	answer->body = g_byte_array_new();
+}
+
+void ql_http_answer_finish(ql_http_answer_t *answer)
+{
+	g_array_free(answer->headers, TRUE);
+	g_byte_array_free(answer->body, TRUE);
+}
+
+const char *ql_http_answer_header(const ql_http_answer_t *answer,
+				  const char *name)
+{
+	const ql_http_header_t *header;
+	guint i;
+
+	for (i = 0; i < answer->headers->len; i++) {
+		header = &g_array_index(answer->headers, ql_http_header_t, i);
+		if (!g_ascii_strcasecmp(header->name, name))
+			return header->value;
+	}
+	return NULL;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *user)
+{
+	exchange_t *exchange = user;
+	size_t bytes = size * n;
+
+	if (exchange->answer->body->len + bytes > exchange->body_limit_bytes) {
+		exchange->too_large = true;
+		return 0;
+	}
+	g_byte_array_append(exchange->answer->body, (const guint8 *)data,
+			    (guint)bytes);
+	return bytes;
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *user)
+{
+	exchange_t *exchange = user;
+	size_t bytes = size * n;
+	char *line = g_strndup(data, bytes);
+	char *colon = strchr(line, ':');
+	ql_http_header_t header;
+
+	if (g_str_has_prefix(line, "HTTP/"))
+		g_array_set_size(exchange->answer->headers, 0);
+	if (colon) {
+		*colon = '\0';
+		header.name = g_strdup(line);
+		header.value = g_strdup(g_strstrip(colon + 1));
+		g_array_append_val(exchange->answer->headers, header);
+	}
+	g_free(line);
+	return bytes;
+}
+
+/*
+ * Runs just before a request is written. libcurl repeats a request by itself
+ * when a kept connection was closed; the second write is refused here.
+ */
+static int on_send(void *user, char *peer_ip G_GNUC_UNUSED,
+		   char *own_ip G_GNUC_UNUSED, int peer_port G_GNUC_UNUSED,
+		   int own_port G_GNUC_UNUSED)
+{
+	exchange_t *exchange = user;
+
+	return exchange->n_sends++ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+static CURL *take_handle(ql_http_client_t *client, const char *address)
+{
+	GQueue *queue;
+	CURL *handle = NULL;
+
+	pthread_mutex_lock(&client->lock);
+	queue = g_hash_table_lookup(client->idle, address);
+	if (queue)
+		handle = g_queue_pop_tail(queue);
+	pthread_mutex_unlock(&client->lock);
+	return handle ? handle : curl_easy_init();
+}
+
+static void keep_handle(ql_http_client_t *client, const char *address,
+			CURL *handle)
+{
+	GQueue *queue;
+
+	curl_easy_reset(handle);
+	pthread_mutex_lock(&client->lock);
+	queue = g_hash_table_lookup(client->idle, address);
+	if (!queue) {
+		queue = g_queue_new();
+		g_hash_table_insert(client->idle, g_strdup(address), queue);
+	}
+	if (queue->length < IDLE_HANDLES_MAX) {
+		g_queue_push_tail(queue, handle);
+		handle = NULL;
+	}
+	pthread_mutex_unlock(&client->lock);
+	if (handle)
+		curl_easy_cleanup(handle);
+}
+
+static void set_body(CURL *handle, const ql_http_request_t *request)
+{
+	if (!strcmp(request->method, "HEAD")) {
+		curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	if (request->body_bytes || !strcmp(request->method, "POST")) {
+		curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)request->body_bytes);
+		curl_easy_setopt(handle, CURLOPT_POSTFIELDS,
+				 request->body_bytes ? request->body : "");
+	}
+	curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+static void set_options(CURL *handle, const ql_http_request_t *request,
+			exchange_t *exchange)
+{
+	char url[URL_MAX];
+
+	snprintf(url, sizeof(url), "http://%s%s", request->address,
+		 request->target);
+	curl_easy_setopt(handle, CURLOPT_URL, url);
+	curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(handle, CURLOPT_PROXY, "");
+	curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(handle, CURLOPT_HTTPHEADER, request->headers);
+	curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+	curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(handle, CURLOPT_WRITEDATA, exchange);
+	curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(handle, CURLOPT_HEADERDATA, exchange);
+	curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, on_send);
+	curl_easy_setopt(handle, CURLOPT_PREREQDATA, exchange);
+	set_body(handle, request);
+}
+
+static int failure_type(CURLcode code, const exchange_t *exchange)
+{
+	if (exchange->too_large)
+		return QL_E_TOO_LARGE;
+	switch (code) {
+	case CURLE_OPERATION_TIMEDOUT:
+		return QL_E_TIMEOUT;
+	case CURLE_PARTIAL_FILE:
+	case CURLE_WEIRD_SERVER_REPLY:
+	case CURLE_BAD_CONTENT_ENCODING:
+		return QL_E_PROTOCOL;
+	default:
+		return exchange->n_sends ? QL_E_IO : QL_E_UNAVAILABLE;
+	}
+}
+
+int ql_http_client_exchange(ql_http_client_t *client,
+			    const ql_http_request_t *request,
+			    ql_http_answer_t *answer, bool *sent,
+			    GError **error)
+{
+	exchange_t exchange = {
+		.answer = answer,
+		.body_limit_bytes = request->body_limit_bytes,
+	};
+	CURL *handle;
+	CURLcode code;
+
+	*sent = false;
+	if (strlen(request->address) + strlen(request->target) + 16 > URL_MAX)
+		return ql_error_set(error, QL_E_TOO_LARGE,
+				    "the URL is longer than %d bytes", URL_MAX);
+	handle = take_handle(client, request->address);
+	if (!handle)
+		return ql_error_set(error, QL_E_NOMEM, "curl_easy_init");
+	set_options(handle, request, &exchange);
+	code = curl_easy_perform(handle);
+	*sent = exchange.n_sends > 0;
+	if (code == CURLE_OK) {
+		curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE,
+				  &answer->status);
+		keep_handle(client, request->address, handle);
+		return 0;
+	}
+	curl_easy_cleanup(handle);
+	return ql_error_set(error,
+			    (ql_error_code_t)failure_type(code, &exchange),
+			    "%s: %s", request->address,
+			    curl_easy_strerror(code));
+}
--- /dev/null
+++ b/src/node/http_client.h
@@ -0,0 +1,107 @@
+#ifndef QL_NODE_HTTP_CLIENT_H
+#define QL_NODE_HTTP_CLIENT_H
+
+/**
+ * DOC: HTTP calls over kept connections. Idle libcurl handles are kept for
+ * each destination, each with its connection.
+ */
+
+#include "quetzalloft/types.h"
+
+#include <curl/curl.h>
+
+#include <pthread.h>
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_http_client - The idle handles.
+ * @lock: guards the members
+ * @idle: queues of idle handles by "IP:port"
+ */
+typedef struct ql_http_client {
+	pthread_mutex_t lock;
+	GHashTable *idle;
+} ql_http_client_t;
+
+/**
+ * struct ql_http_header - One header.
+ */
+typedef struct ql_http_header {
+	char *name;
+	char *value;
+} ql_http_header_t;
+
+/**
+ * struct ql_http_request - What to send.
+ * @address: "IP:port"
+ * @method: HTTP method
+ * @target: path and query
+ * @headers: lines "Name: value"; borrowed
+ * @body: the body; borrowed
+ * @body_bytes: its length
+ * @timeout_ms: for the whole exchange
+ * @body_limit_bytes: longest body of an answer
+ */
+typedef struct ql_http_request {
+	const char *address;
+	const char *method;
+	const char *target;
+	struct curl_slist *headers;
+	const void *body;
+	size_t body_bytes;
+	uint64_t timeout_ms;
+	size_t body_limit_bytes;
+} ql_http_request_t;
+
+/**
+ * struct ql_http_answer - What came back.
+ * @status: HTTP status
+ * @headers: array of &struct ql_http_header
+ * @body: the body
+ */
+typedef struct ql_http_answer {
+	long status;
+	GArray *headers;
+	GByteArray *body;
+} ql_http_answer_t;
+
+void ql_http_client_init(ql_http_client_t *client);
+void ql_http_client_finish(ql_http_client_t *client);
+
+void ql_http_answer_init(ql_http_answer_t *answer);
+void ql_http_answer_finish(ql_http_answer_t *answer);
+
+/**
+ * ql_http_answer_header() - Find a header.
+ * @answer: the answer
+ * @name: its name; case is ignored
+ *
+ * Return: its value, or NULL.
+ */
+const char *ql_http_answer_header(const ql_http_answer_t *answer,
+				  const char *name);
+
+/**
+ * ql_http_client_exchange() - Send a request and take the whole answer.
+ * @client: the idle handles
+ * @request: the request
+ * @answer: the answer, empty at first
+ * @sent: set when the request may have reached the peer
+ * @error: detail of a failure
+ *
+ * The request is sent once at the most: when a kept connection turns out to be
+ * closed after the first byte, the exchange fails.
+ *
+ * Return: 0, QL_E_UNAVAILABLE when no connection was made, QL_E_IO when it
+ * broke, QL_E_TIMEOUT, QL_E_TOO_LARGE, or QL_E_PROTOCOL for a truncated or
+ * malformed answer.
+ */
+int ql_http_client_exchange(ql_http_client_t *client,
+			    const ql_http_request_t *request,
+			    ql_http_answer_t *answer, bool *sent,
+			    GError **error);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/node/http_server.h
@@ -0,0 +1,64 @@
+#ifndef QL_NODE_HTTP_SERVER_H
+#define QL_NODE_HTTP_SERVER_H
+
+/**
+ * DOC: An HTTP listener with one handler for every request.
+ */
+
+#include "quetzalloft/types.h"
+
+#include <netinet/in.h>
+#include <ulfius.h>
+
+G_BEGIN_DECLS
+
+/**
+ * typedef ql_http_handler_t - Answers one request; may block.
+ */
+typedef void (*ql_http_handler_t)(void *data, const struct _u_request *request,
+				  struct _u_response *response);
+
+/**
+ * struct ql_http_server_opts - Settings of a listener.
+ * @address: IP number to bind to
+ * @port: port to bind to
+ * @connections: connections that are taken
+ * @body_limit_bytes: a longer body is cut to one byte more, so that the
+ *                    handler can tell
+ */
+typedef struct ql_http_server_opts {
+	const char *address;
+	unsigned int port;
+	unsigned int connections;
+	size_t body_limit_bytes;
+	ql_http_handler_t handle;
+	void *data;
+} ql_http_server_opts_t;
+
+typedef struct ql_http_server {
+	struct _u_instance instance;
+	struct sockaddr_in bind_address;
+	ql_http_server_opts_t opts;
+	bool running;
+} ql_http_server_t;
+
+/**
+ * ql_http_server_start() - Listen.
+ * @server: the listener
+ * @opts: settings
+ * @error: detail of a failure
+ *
+ * Return: 0, QL_E_INVALID or QL_E_IO.
+ */
+int ql_http_server_start(ql_http_server_t *server,
+			 const ql_http_server_opts_t *opts, GError **error);
+
+/**
+ * ql_http_server_stop() - Close the listener and every connection.
+ * @server: the listener; one that does not run is ignored
+ */
+void ql_http_server_stop(ql_http_server_t *server);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/node/local_service.c
@@ -0,0 +1,224 @@
+#include "node/local_service.h"
+#include "quetzalloft/address.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SLOTS_MAX 65536
+#define CONNECTIONS_MAX 65536
+#define LEASE_MIN_MS 100
+#define LEASE_MAX_MS 60000
+#define LEASE_DEFAULT_MS 3000
+
+typedef struct {
+	char service[QL_NAME_MAX];
+	uint64_t port;
+	uint64_t slots;
+	uint64_t connections;
+	bool draining;
+	uint64_t lease_ms;
+} source_t;
+
+static const ql_json_member_t announcement_members[] = {
+	QL_MEMBER_STRING(source_t, service, true, 1),
+	QL_MEMBER_UINT(source_t, port, true, 1, 65535),
+	QL_MEMBER_UINT(source_t, slots, true, 1, SLOTS_MAX),
+	QL_MEMBER_UINT(source_t, connections, true, 1, CONNECTIONS_MAX),
+	QL_MEMBER_BOOL(source_t, draining, false),
+	QL_MEMBER_UINT(source_t, lease_ms, false, LEASE_MIN_MS, LEASE_MAX_MS),
+};
+
+static int parse_announcement(const ql_local_service_t *service,
+			      const struct _u_request *request,
+			      ql_announcement_t *out, GError **error)
+{
+	source_t source = {.lease_ms = LEASE_DEFAULT_MS};
+	json_t *json = NULL;
+	int ret;
+
+	ret = ql_json_parse(&json, request->binary_body,
+			    request->binary_body_length, error);
+	if (ret)
+		return ret;
+	ret = ql_json_read(&source, json, "endpoint", announcement_members,
+			   G_N_ELEMENTS(announcement_members), error);
+	json_decref(json);
+	if (ret)
+		return ret;
+	memset(out, 0, sizeof(*out));
+	memcpy(out->service, source.service, sizeof(out->service));
+	ql_address_format(out->address, service->address,
+			  (unsigned int)source.port);
+	out->slots = source.slots;
+	out->connections = source.connections;
+	out->draining = source.draining;
+	out->lease_ms = source.lease_ms;
+	return 0;
+}
+
+static void answer_error(struct _u_response *response, unsigned int status,
+			 const GError *error)
+{
+	json_t *body =
+		json_pack("{s:s, s:s}", "error", ql_error_name(error->code),
+			  "detail", error->message);
+	char *text = body ? ql_json_text(body) : NULL;
+
+	ql_answer_text(response, status, "application/json",
+		       text ? text : "{}");
+	free(text);
+	json_decref(body);
+}
+
+static void announce(ql_local_service_t *service,
+		     const struct _u_request *request,
+		     struct _u_response *response)
+{
+	ql_announcement_t announcement;
+	GError *error = NULL;
+	bool changed = false;
+	int ret;
+
+	ret = parse_announcement(service, request, &announcement, &error);
+	if (!ret)
+		ret = ql_gate_service_announce(service->gates, &announcement,
+					       &changed, &error);
+	if (ret) {
+		answer_error(response, ret == QL_E_FULL ? 507 : 400, error);
+		g_clear_error(&error);
+		return;
+	}
+	if (changed)
+		service->announced(service->data);
+	ql_answer_text(response, 204, "application/json", "");
+}
+
+static void report(ql_local_service_t *service, const char *topic,
+		   struct _u_response *response)
+{
+	json_t *json = service->report(service->data, topic, "");
+	char *text;
+
+	if (!json) {
+		ql_answer_text(response, 404, "text/plain", "no such report\n");
+		return;
+	}
+	text = ql_json_text(json);
+	ql_answer_text(response, 200, "application/json", text);
+	free(text);
+	json_decref(json);
+}
+
+static void own_path(ql_local_service_t *service, const char *name,
+		     const struct _u_request *request,
+		     struct _u_response *response)
+{
+	char *text;
+
+	if (!strcmp(name, "endpoint") && !strcmp(request->http_verb, "PUT")) {
+		announce(service, request, response);
+	} else if (!strcmp(name, "metrics")) {
+		text = ql_counters_text(service->counters);
+		ql_answer_text(response, 200, "text/plain; version=0.0.4",
+			       text);
+		g_free(text);
+	} else {
+		report(service, name, response);
+	}
+}
+
+static bool refuse(ql_failure_t *failure, ql_reason_t reason,
+		   const char *detail)
+{
+	failure->outcome = QL_OUTCOME_NOT_RUN;
+	failure->reason = reason;
+	failure->detail = detail;
+	return false;
+}
+
+/* Makes a call on behalf of the request that the endpoint names. */
+static bool call_for(ql_local_service_t *service, ql_call_t *parent,
+		     const ql_document_t *doc, int callee,
+		     const struct _u_request *request, ql_http_answer_t *answer,
+		     ql_failure_t *failure)
+{
+	char *path =
+		g_strndup(request->http_url, strcspn(request->http_url, "?#"));
+	const ql_route_t *route =
+		ql_document_match(doc, callee, NULL, request->http_verb, path);
+	ql_router_request_t call = {
+		.call = parent,
+		.service = &doc->services[callee],
+		/* What no route describes is not repeated. */
+		.idempotent = route && route->idempotent,
+		.under_way = true,
+		.deadline_us = parent->deadline_us,
+		.config_version = doc->version,
+		.request = request,
+	};
+
+	g_free(path);
+	return ql_router_call(service->router, &call, answer, failure);
+}
+
+static bool call_out(ql_local_service_t *service,
+		     const struct _u_request *request, ql_http_answer_t *answer,
+		     ql_failure_t *failure)
+{
+	ql_metadata_t metadata;
+	ql_document_t *doc;
+	ql_call_t *parent;
+	bool answered;
+	int callee;
+
+	if (ql_request_metadata(&metadata, request, NULL) ||
+	    !(metadata.has & QL_HAS_ATTEMPT) ||
+	    !(metadata.has & QL_HAS_SERVICE)) {
+		ql_count(service->counters, QL_COUNT_BAD_METADATA);
+		return refuse(failure, QL_REASON_BAD_REQUEST,
+			      "allowed one " QL_HEADER_ATTEMPT_ID
+			      " and one " QL_HEADER_SERVICE " header");
+	}
+	parent = ql_calls_find(&service->gates->calls, &metadata.attempt);
+	if (!parent)
+		return refuse(failure, QL_REASON_CANCELLED,
+			      "this attempt is not in progress here");
+	doc = service->document(service->data);
+	callee = ql_document_find_service(doc, metadata.service);
+	answered = callee < 0 ? refuse(failure, QL_REASON_NO_ROUTE,
+				       "the service is not known")
+			      : call_for(service, parent, doc, callee, request,
+					 answer, failure);
+	ql_document_unref(doc);
+	ql_call_unref(parent);
+	return answered;
+}
+
+void ql_local_service_handle(void *data, const struct _u_request *request,
+			     struct _u_response *response)
+{
+	ql_local_service_t *service = data;
+	ql_failure_t failure = {0};
+	ql_http_answer_t answer;
+	ql_metadata_t metadata;
+
+	if (g_str_has_prefix(request->http_url, QL_LOCAL_PREFIX)) {
+		own_path(service, request->http_url + strlen(QL_LOCAL_PREFIX),
+			 request, response);
+		return;
+	}
+	ql_count(service->counters, QL_COUNT_LOCAL_CALLS);
+	ql_http_answer_init(&answer);
+	if (call_out(service, request, &answer, &failure)) {
+		ql_answer_pass(response, &answer);
+		ql_metadata_init(&metadata);
+		metadata.has = QL_HAS_OUTCOME;
+		metadata.outcome = QL_OUTCOME_ANSWERED;
+		ql_answer_add_metadata(response, &metadata);
+	} else {
+		ql_answer_fail(response, &failure);
+	}
+	ql_http_answer_finish(&answer);
+}
--- /dev/null
+++ b/src/node/main.c
@@ -0,0 +1,124 @@
+#include "node/node.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/log.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sysexits.h>
+
+typedef struct {
+	struct arg_file *config;
+	struct arg_lit *check;
+	struct arg_lit *verbose;
+	struct arg_lit *help;
+	struct arg_lit *version;
+	struct arg_end *end;
+} arguments_t;
+
+#define ARGUMENT_ERRORS_MAX 8
+
+static void arguments_init(arguments_t *args)
+{
+	args->config = arg_file0("c", "config", "FILE", "settings of the node");
+	args->check = arg_lit0(NULL, "check", "check the settings and exit");
+	args->verbose = arg_lit0("v", "verbose", "log debug events too");
+	args->help = arg_lit0("h", "help", "show this help and exit");
+	args->version = arg_lit0(NULL, "version", "show the version and exit");
+	args->end = arg_end(ARGUMENT_ERRORS_MAX);
+}
+
+static void show_help(void **table)
+{
+	printf("Usage: quetzalloftd");
+	arg_print_syntax(stdout, table, "\n");
+	printf("Runs one node: gate, router and, by its settings, registrar "
+	       "and replica.\n\n");
+	arg_print_glossary(stdout, table, "  %-24s %s\n");
+}
+
+/* Waits for the signal that asks this process to stop. */
+static void wait_for_stop(void)
+{
+	sigset_t signals;
+	int received;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigwait(&signals, &received);
+	ql_log(LOG_NOTICE, "stop_requested", QL_INT("signal", received));
+}
+
+/* Every thread inherits the mask, so that only sigwait() takes the signals. */
+static void block_signals(void)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGPIPE);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+}
+
+static int run(const ql_settings_t *settings)
+{
+	ql_node_t *node = g_new0(ql_node_t, 1);
+	GError *error = NULL;
+
+	ql_log_set_process(settings->node);
+	block_signals();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	if (ql_node_start(node, settings, &error)) {
+		ql_log_error(LOG_ERR, "start_failed", error);
+		g_error_free(error);
+		g_free(node);
+		return EX_UNAVAILABLE;
+	}
+	wait_for_stop();
+	ql_node_drain(node);
+	ql_node_stop(node);
+	g_free(node);
+	curl_global_cleanup();
+	return EX_OK;
+}
+
+static int load_and_run(const arguments_t *args)
+{
+	ql_settings_t settings;
+	GError *error = NULL;
+
+	if (ql_settings_load(&settings, args->config->filename[0], &error)) {
+		ql_log_error(LOG_ERR, "settings_invalid", error);
+		g_error_free(error);
+		return EX_CONFIG;
+	}
+	return args->check->count ? EX_OK : run(&settings);
+}
+
+int main(int argc, char **argv)
+{
+	arguments_t args;
+	void **table = (void **)&args;
+	int n_errors, status = EX_OK;
+
+	arguments_init(&args);
+	n_errors = arg_parse(argc, argv, table);
+	if (args.verbose->count)
+		ql_log_set_threshold(LOG_DEBUG);
+	if (args.help->count) {
+		show_help(table);
+	} else if (args.version->count) {
+		puts("quetzalloftd " QL_VERSION);
+	} else if (n_errors || !args.config->count) {
+		arg_print_errors(stderr, args.end, "quetzalloftd");
+		fputs("quetzalloftd: --config FILE is needed; see --help\n",
+		      stderr);
+		status = EX_USAGE;
+	} else {
+		status = load_and_run(&args);
+	}
+	arg_freetable(table, sizeof(args) / sizeof(void *));
+	return status;
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,64 @@
+#ifndef QL_NODE_NODE_H
+#define QL_NODE_NODE_H
+
+/**
+ * DOC: One node: its listeners, its router, its gates and its control side.
+ */
+
+#include "node/client_service.h"
+#include "node/control_service.h"
+#include "node/http_server.h"
+#include "node/local_service.h"
+
+#include <pthread.h>
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_node - The node.
+ */
+typedef struct ql_node {
+	const ql_settings_t *settings;
+	ql_counters_t counters;
+	ql_hlc_t hlc;
+	ql_http_client_t client;
+	ql_router_t router;
+	ql_gate_service_t gates;
+	ql_client_service_t clients;
+	ql_local_service_t locals;
+	ql_control_service_t control;
+	ql_http_server_t client_server;
+	ql_http_server_t gate_server;
+	ql_http_server_t local_server;
+	pthread_mutex_t doc_lock;
+	ql_document_t *doc;
+	int ready;
+} ql_node_t;
+
+/**
+ * ql_node_start() - Start every part.
+ * @node: the node
+ * @settings: borrowed
+ * @error: detail of a failure
+ *
+ * Return: 0, or the failure of a part; then nothing runs.
+ */
+int ql_node_start(ql_node_t *node, const ql_settings_t *settings,
+		  GError **error);
+
+/**
+ * ql_node_drain() - Refuse new requests, tell the registrar, and wait until
+ * the requests in progress have ended.
+ * @node: the node
+ */
+void ql_node_drain(ql_node_t *node);
+
+/**
+ * ql_node_stop() - Stop every part.
+ * @node: the node
+ */
+void ql_node_stop(ql_node_t *node);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/node/settings.h
@@ -0,0 +1,85 @@
+#ifndef QL_NODE_SETTINGS_H
+#define QL_NODE_SETTINGS_H
+
+/**
+ * DOC: The settings of one process, read from a JSON file and checked.
+ */
+
+#include "quetzalloft/member.h"
+
+G_BEGIN_DECLS
+
+#define QL_FOLDER_MAX 256
+#define QL_REPLICAS_MAX 32
+
+/**
+ * struct ql_settings - The settings.
+ * @cluster: name of the cluster
+ * @node: name of this node
+ * @failure_domain: where it is
+ * @address: IP number that every listener binds to
+ * @client_port: for clients
+ * @gate_port: for the routers of other nodes
+ * @local_port: for the endpoints of this VM
+ * @control_port: for ONC RPC
+ * @data_folder: for the state of a replica; empty without a disk
+ * @registrar: whether this process is a registrar of its failure domain
+ * @replica: whether it is a replica of the configuration
+ * @registrars: addresses of the registrars of the failure domain
+ * @replicas: addresses of the replicas
+ * @balancer: name of the policy that chooses endpoints
+ * @limiter: name of a limiter that overrides the configuration's; may be empty
+ * @connections: connections that a listener takes
+ * @queue: requests that may wait at a gate
+ * @lease_ms: how long a registrar keeps a node that is silent
+ * @renew_ms: time between renewals of the lease
+ * @drain_ms: least time between the announcement of leaving and the exit
+ */
+typedef struct ql_settings {
+	char cluster[QL_NAME_MAX];
+	char node[QL_NAME_MAX];
+	char failure_domain[QL_NAME_MAX];
+	char address[QL_ADDRESS_MAX];
+	uint64_t client_port;
+	uint64_t gate_port;
+	uint64_t local_port;
+	uint64_t control_port;
+	char data_folder[QL_FOLDER_MAX];
+	bool registrar;
+	bool replica;
+	char registrars[QL_REGISTRARS_MAX][QL_ADDRESS_MAX];
+	size_t n_registrars;
+	char replicas[QL_REPLICAS_MAX][QL_ADDRESS_MAX];
+	size_t n_replicas;
+	char balancer[QL_NAME_MAX];
+	char limiter[QL_NAME_MAX];
+	uint64_t connections;
+	uint64_t queue;
+	uint64_t lease_ms;
+	uint64_t renew_ms;
+	uint64_t drain_ms;
+} ql_settings_t;
+
+/**
+ * ql_settings_parse() - Check settings.
+ * @settings: where to store them
+ * @json: the source
+ * @error: detail of a failure: the key, what was found, what is allowed
+ *
+ * Return: 0 or a failure of ql_json_read(), QL_E_INVALID or QL_E_NOT_FOUND.
+ */
+int ql_settings_parse(ql_settings_t *settings, json_t *json, GError **error);
+
+/**
+ * ql_settings_load() - Read and check a file.
+ * @settings: where to store them
+ * @path: the file
+ * @error: detail of a failure
+ *
+ * Return: 0, a failure of ql_json_load_file() or of ql_settings_parse().
+ */
+int ql_settings_load(ql_settings_t *settings, const char *path, GError **error);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/policy/document.c
@@ -0,0 +1,468 @@
+#include "quetzalloft/document.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define PATH_TEXT_MAX 192
+#define BODY_LIMIT_DEFAULT_BYTES (8u << 20)
+#define BODY_LIMIT_MAX_BYTES (256u << 20)
+#define QUEUE_DEFAULT_MS 50
+#define QUEUE_MAX_MS 10000
+#define DEADLINE_MAX_MS 600000
+#define RETRY_RATIO_DEFAULT 0.1
+#define LIMITER_DEFAULT "gradient"
+
+typedef struct {
+	char site[QL_NAME_MAX];
+	uint64_t attempts;
+	json_t *classes;
+	json_t *services;
+	json_t *routes;
+} root_t;
+
+static const ql_json_member_t root_members[] = {
+	QL_MEMBER_STRING(root_t, site, true, 1),
+	QL_MEMBER_UINT(root_t, attempts, true, 1, QL_ATTEMPTS_MAX),
+	QL_MEMBER_OBJECT(root_t, classes, true),
+	QL_MEMBER_OBJECT(root_t, services, true),
+	QL_MEMBER_OBJECT(root_t, routes, true),
+};
+
+static const ql_json_member_t class_members[] = {
+	QL_MEMBER_UINT(ql_class_t, shed_order, true, 0, QL_CLASSES_MAX),
+};
+
+typedef struct {
+	json_t *calls;
+	double retry_ratio;
+	uint64_t body_limit_bytes;
+	uint64_t queue_ms;
+	char limiter[QL_NAME_MAX];
+} service_source_t;
+
+static const ql_json_member_t service_members[] = {
+	QL_MEMBER_ARRAY(service_source_t, calls, false),
+	QL_MEMBER_REAL(service_source_t, retry_ratio, false, 0, 1),
+	QL_MEMBER_UINT(service_source_t, body_limit_bytes, false, 1,
+		       BODY_LIMIT_MAX_BYTES),
+	QL_MEMBER_UINT(service_source_t, queue_ms, false, 0, QUEUE_MAX_MS),
+	QL_MEMBER_STRING(service_source_t, limiter, false, 1),
+};
+
+typedef struct {
+	char host[QL_NAME_MAX];
+	char method[QL_METHOD_MAX];
+	char path[QL_PATH_MAX];
+	char service[QL_NAME_MAX];
+	char class[QL_NAME_MAX];
+	bool idempotent;
+	uint64_t deadline_ms;
+} route_source_t;
+
+static const ql_json_member_t route_members[] = {
+	QL_MEMBER_STRING(route_source_t, host, false, 1),
+	QL_MEMBER_STRING(route_source_t, method, true, 1),
+	QL_MEMBER_STRING(route_source_t, path, true, 1),
+	QL_MEMBER_STRING(route_source_t, service, true, 1),
+	QL_MEMBER_STRING(route_source_t, class, true, 1),
+	QL_MEMBER_BOOL(route_source_t, idempotent, true),
+	QL_MEMBER_UINT(route_source_t, deadline_ms, true, 1, DEADLINE_MAX_MS),
+};
+
+static int check_name(const char *path, const char *name, GError **error)
+{
+	const char *p;
+
+	for (p = name; *p; p++)
+		if (!g_ascii_isalnum(*p) && !strchr("-_.", *p))
+			break;
+	if (*p || p == name || p - name >= QL_NAME_MAX)
+		return ql_error_set(error, QL_E_INVALID,
+				    "%s: found name \"%s\", allowed 1 to %d of "
+				    "A-Z a-z 0-9 - _ .",
+				    path, name, QL_NAME_MAX - 1);
+	return 0;
+}
+
+static int check_count(const char *path, size_t found, size_t max,
+		       GError **error)
+{
+	if (found <= max)
+		return 0;
+	return ql_error_set(error, QL_E_RANGE,
+			    "%s: found %zu entries, allowed at most %zu", path,
+			    found, max);
+}
+
+static int find_class(const ql_document_t *doc, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < doc->n_classes; i++)
+		if (!strcmp(doc->classes[i].name, name))
+			return (int)i;
+	return -1;
+}
+
+static int compile_classes(ql_document_t *doc, json_t *source, GError **error)
+{
+	char path[PATH_TEXT_MAX];
+	const char *name;
+	json_t *value;
+	ql_class_t *class;
+	int ret;
+
+	ret = check_count("classes", json_object_size(source), QL_CLASSES_MAX,
+			  error);
+	if (ret)
+		return ret;
+	doc->classes = g_new0(ql_class_t, json_object_size(source));
+	json_object_foreach (source, name, value) {
+		ret = check_name("classes", name, error);
+		if (ret)
+			return ret;
+		snprintf(path, sizeof(path), "classes.%s", name);
+		class = &doc->classes[doc->n_classes++];
+		g_strlcpy(class->name, name, sizeof(class->name));
+		ret = ql_json_read(class, value, path, class_members,
+				   G_N_ELEMENTS(class_members), error);
+		if (ret)
+			return ret;
+	}
+	return 0;
+}
+
+static int compile_service(ql_service_t *service, const char *name,
+			   json_t *value, GError **error)
+{
+	service_source_t source = {
+		.retry_ratio = RETRY_RATIO_DEFAULT,
+		.body_limit_bytes = BODY_LIMIT_DEFAULT_BYTES,
+		.queue_ms = QUEUE_DEFAULT_MS,
+		.limiter = LIMITER_DEFAULT,
+	};
+	char path[PATH_TEXT_MAX];
+	int ret;
+
+	snprintf(path, sizeof(path), "services.%s", name);
+	ret = ql_json_read(&source, value, path, service_members,
+			   G_N_ELEMENTS(service_members), error);
+	if (ret)
+		return ret;
+	g_strlcpy(service->name, name, sizeof(service->name));
+	service->retry_ratio = source.retry_ratio;
+	service->body_limit_bytes = source.body_limit_bytes;
+	service->queue_ms = source.queue_ms;
+	g_strlcpy(service->limiter, source.limiter, sizeof(service->limiter));
+	return 0;
+}
+
+static int compare_services(const void *a, const void *b)
+{
+	return strcmp(((const ql_service_t *)a)->name,
+		      ((const ql_service_t *)b)->name);
+}
+
+static int link_calls(ql_document_t *doc, ql_service_t *service, json_t *calls,
+		      GError **error)
+{
+	char path[PATH_TEXT_MAX];
+	json_t *value;
+	size_t i;
+	int callee, ret;
+
+	snprintf(path, sizeof(path), "services.%s.calls", service->name);
+	ret = check_count(path, json_array_size(calls), QL_CALLS_MAX, error);
+	if (ret)
+		return ret;
+	json_array_foreach (calls, i, value) {
+		callee = json_is_string(value)
+				 ? ql_document_find_service(doc,
+							    json_string_value(
+								    value))
+				 : -1;
+		if (callee < 0)
+			return ql_error_set(
+				error, QL_E_NOT_FOUND,
+				"%s[%zu]: found \"%s\", which is not a service",
+				path, i,
+				json_is_string(value) ? json_string_value(value)
+						      : "no string");
+		service->calls[service->n_calls++] = (uint16_t)callee;
+	}
+	return 0;
+}
+
+/* Computes depth and attempts below a service; fails on a cycle. */
+static int measure_service(ql_document_t *doc, uint16_t index, uint32_t level,
+			   GError **error)
+{
+	ql_service_t *service = &doc->services[index];
+	uint64_t attempts = 1;
+	uint32_t depth = 1;
+	uint16_t i;
+	int ret;
+
+	if (level > QL_CALL_DEPTH_MAX)
+		return ql_error_set(error, QL_E_RANGE,
+				    "services.%s.calls: the chain of calls is "
+				    "a cycle or longer than %d",
+				    service->name, QL_CALL_DEPTH_MAX);
+	if (service->depth)
+		return 0;
+	for (i = 0; i < service->n_calls; i++) {
+		const ql_service_t *callee = &doc->services[service->calls[i]];
+
+		ret = measure_service(doc, service->calls[i], level + 1, error);
+		if (ret)
+			return ret;
+		attempts += callee->subtree_attempts;
+		depth = MAX(depth, callee->depth + 1);
+	}
+	if (depth > QL_CALL_DEPTH_MAX)
+		return ql_error_set(error, QL_E_RANGE,
+				    "services.%s.calls: the chain of calls has "
+				    "%u services, allowed at most %d",
+				    service->name, depth, QL_CALL_DEPTH_MAX);
+	service->subtree_attempts = (uint32_t)MIN(attempts, UINT32_MAX);
+	service->depth = depth;
+	return 0;
+}
+
+static int compile_services(ql_document_t *doc, json_t *source, GError **error)
+{
+	const char *name;
+	json_t *value;
+	size_t i;
+	int ret;
+
+	ret = check_count("services", json_object_size(source), QL_SERVICES_MAX,
+			  error);
+	if (ret)
+		return ret;
+	doc->services = g_new0(ql_service_t, json_object_size(source));
+	json_object_foreach (source, name, value) {
+		ret = check_name("services", name, error);
+		if (!ret)
+			ret = compile_service(&doc->services[doc->n_services++],
+					      name, value, error);
+		if (ret)
+			return ret;
+	}
+	if (doc->n_services)
+		qsort(doc->services, doc->n_services, sizeof(*doc->services),
+		      compare_services);
+	for (i = 0; i < doc->n_services; i++) {
+		value = json_object_get(source, doc->services[i].name);
+		ret = link_calls(doc, &doc->services[i],
+				 json_object_get(value, "calls"), error);
+		if (ret)
+			return ret;
+	}
+	for (i = 0; i < doc->n_services; i++) {
+		ret = measure_service(doc, (uint16_t)i, 1, error);
+		if (ret)
+			return ret;
+	}
+	return 0;
+}
+
+static int compile_route(ql_document_t *doc, ql_route_t *route,
+			 const char *name, json_t *value, GError **error)
+{
+	route_source_t source = {0};
+	char path[PATH_TEXT_MAX];
+	int service, class, ret;
+
+	snprintf(path, sizeof(path), "routes.%s", name);
+	ret = ql_json_read(&source, value, path, route_members,
+			   G_N_ELEMENTS(route_members), error);
+	if (ret)
+		return ret;
+	if (source.path[0] != '/')
+		return ql_error_set(error, QL_E_INVALID,
+				    "%s.path: found \"%s\", allowed a path "
+				    "that starts with /",
+				    path, source.path);
+	service = ql_document_find_service(doc, source.service);
+	if (service < 0)
+		return ql_error_set(error, QL_E_NOT_FOUND,
+				    "%s.service: found \"%s\", which is not a "
+				    "service",
+				    path, source.service);
+	class = find_class(doc, source.class);
+	if (class < 0)
+		return ql_error_set(error, QL_E_NOT_FOUND,
+				    "%s.class: found \"%s\", which is not a "
+				    "class",
+				    path, source.class);
+	if (doc->services[service].subtree_attempts > doc->attempts)
+		return ql_error_set(error, QL_E_RANGE,
+				    "attempts: found %" G_GUINT64_FORMAT
+				    ", but a request of %s needs %u when none "
+				    "fails",
+				    doc->attempts, path,
+				    doc->services[service].subtree_attempts);
+	g_strlcpy(route->name, name, sizeof(route->name));
+	memcpy(route->host, source.host, sizeof(route->host));
+	memcpy(route->method, source.method, sizeof(route->method));
+	memcpy(route->path, source.path, sizeof(route->path));
+	route->service = (uint16_t)service;
+	route->class_index = (uint16_t) class;
+	route->idempotent = source.idempotent;
+	route->deadline_ms = source.deadline_ms;
+	return 0;
+}
+
+static int compile_routes(ql_document_t *doc, json_t *source, GError **error)
+{
+	const char *name;
+	json_t *value;
+	int ret;
+
+	ret = check_count("routes", json_object_size(source), QL_ROUTES_MAX,
+			  error);
+	if (ret)
+		return ret;
+	doc->routes = g_new0(ql_route_t, json_object_size(source));
+	json_object_foreach (source, name, value) {
+		ret = check_name("routes", name, error);
+		if (!ret)
+			ret = compile_route(doc, &doc->routes[doc->n_routes++],
+					    name, value, error);
+		if (ret)
+			return ret;
+	}
+	return 0;
+}
+
+static int compile_root(ql_document_t *doc, json_t *json, GError **error)
+{
+	root_t root = {0};
+	int ret;
+
+	if (json_is_object(json) && !json_object_size(json))
+		return 0;
+	ret = ql_json_read(&root, json, "document", root_members,
+			   G_N_ELEMENTS(root_members), error);
+	if (ret)
+		return ret;
+	memcpy(doc->site, root.site, sizeof(doc->site));
+	doc->attempts = root.attempts;
+	ret = compile_classes(doc, root.classes, error);
+	if (!ret)
+		ret = compile_services(doc, root.services, error);
+	if (!ret)
+		ret = compile_routes(doc, root.routes, error);
+	return ret;
+}
+
+static void document_free(ql_document_t *doc)
+{
+	g_free(doc->classes);
+	g_free(doc->services);
+	g_free(doc->routes);
+	json_decref(doc->json);
+	g_free(doc);
+}
+
+int ql_document_compile(ql_document_t **out, json_t *json, uint64_t version,
+			GError **error)
+{
+	ql_document_t *doc = g_new0(ql_document_t, 1);
+	int ret;
+
+	doc->references = 1;
+	doc->version = version;
+	doc->json = json_incref(json);
+	ret = compile_root(doc, json, error);
+	if (ret) {
+		ql_document_unref(doc);
+		*out = NULL;
+		return ret;
+	}
+	doc->digest = ql_document_digest(json);
+	*out = doc;
+	return 0;
+}
+
+ql_document_t *ql_document_ref(ql_document_t *doc)
+{
+	__atomic_add_fetch(&doc->references, 1, __ATOMIC_RELAXED);
+	return doc;
+}
+
+void ql_document_unref(ql_document_t *doc)
+{
+	if (doc && !__atomic_sub_fetch(&doc->references, 1, __ATOMIC_ACQ_REL))
+		document_free(doc);
+}
+
+uint64_t ql_document_digest(const json_t *json)
+{
+	char *text = ql_json_text(json);
+	uint64_t digest = XXH3_64bits(text, strlen(text));
+
+	free(text);
+	return digest;
+}
+
+int ql_document_find_service(const ql_document_t *doc, const char *name)
+{
+	size_t low = 0, high = doc->n_services;
+
+	while (low < high) {
+		size_t middle = (low + high) / 2;
+		int order = strcmp(name, doc->services[middle].name);
+
+		if (!order)
+			return (int)middle;
+		if (order < 0)
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	return -1;
+}
+
+/* Length of the matched path, doubled, plus one for a matched host. */
+static size_t match_score(const ql_route_t *route, const char *host,
+			  const char *method, const char *path)
+{
+	size_t length = strlen(route->path);
+
+	if (strcmp(route->method, method) != 0 ||
+	    strncmp(route->path, path, length) != 0)
+		return 0;
+	if (path[length] && path[length] != '/' &&
+	    route->path[length - 1] != '/')
+		return 0;
+	if (!route->host[0])
+		return 2 * length;
+	return host && !g_ascii_strcasecmp(route->host, host) ? 2 * length + 1
+							      : 0;
+}
+
+const ql_route_t *ql_document_match(const ql_document_t *doc, int service,
+				    const char *host, const char *method,
+				    const char *path)
+{
+	const ql_route_t *best = NULL;
+	size_t best_score = 0;
+	size_t score, i;
+
+	for (i = 0; i < doc->n_routes; i++) {
+		if (service >= 0 && doc->routes[i].service != service)
+			continue;
+		score = match_score(&doc->routes[i], host, method, path);
+		if (score <= best_score)
+			continue;
+		best = &doc->routes[i];
+		best_score = score;
+	}
+	return best;
+}
--- /dev/null
+++ b/src/policy/retry.c
@@ -0,0 +1,75 @@
+#include "quetzalloft/retry.h"
+#include "quetzalloft/clock.h"
+
+#define BACKOFF_BASE_US (5 * QL_US_PER_MS)
+#define BACKOFF_MAX_US (500 * QL_US_PER_MS)
+#define BACKOFF_SHIFT_MAX 10u
+
+void ql_retry_budget_init(ql_retry_budget_t *budget, double ratio, double burst)
+{
+	budget->ratio = ratio;
+	budget->burst = burst;
+	budget->tokens = burst;
+}
+
+void ql_retry_budget_earn(ql_retry_budget_t *budget)
+{
+	budget->tokens = MIN(budget->tokens + budget->ratio, budget->burst);
+}
+
+bool ql_retry_budget_spend(ql_retry_budget_t *budget)
+{
+	if (budget->tokens < 1)
+		return false;
+	budget->tokens -= 1;
+	return true;
+}
+
+static bool may_repeat(const ql_retry_failure_t *failure)
+{
+	switch (failure->outcome) {
+	case QL_OUTCOME_NOT_RUN:
+		return failure->reason != QL_REASON_BAD_REQUEST &&
+		       failure->reason != QL_REASON_TOO_LARGE &&
+		       failure->reason != QL_REASON_NO_ROUTE &&
+		       failure->reason != QL_REASON_DEADLINE &&
+		       failure->reason != QL_REASON_CANCELLED;
+	case QL_OUTCOME_UNKNOWN:
+		return failure->idempotent &&
+		       failure->reason != QL_REASON_DEADLINE &&
+		       failure->reason != QL_REASON_CANCELLED;
+	default:
+		return false;
+	}
+}
+
+/* Full jitter: uniform between nothing and a doubling bound. */
+static uint64_t backoff_us(const ql_retry_failure_t *failure, GRand *random)
+{
+	uint32_t shift = MIN(failure->attempts_made - 1, BACKOFF_SHIFT_MAX);
+	uint64_t bound = MIN(BACKOFF_BASE_US << shift, BACKOFF_MAX_US);
+
+	return (uint64_t)(g_rand_double(random) * (double)bound);
+}
+
+ql_retry_decision_t ql_retry_decide(ql_retry_budget_t *budget,
+				    const ql_retry_failure_t *failure,
+				    GRand *random)
+{
+	ql_retry_decision_t decision = {.reason = failure->reason};
+
+	g_assert(failure->attempts_made >= 1);
+	if (!may_repeat(failure))
+		return decision;
+	decision.backoff_us = backoff_us(failure, random);
+	if (decision.backoff_us >= failure->remaining_us) {
+		decision.reason = QL_REASON_DEADLINE;
+		return decision;
+	}
+	if (!ql_retry_budget_spend(budget)) {
+		decision.reason = QL_REASON_RETRY_BUDGET;
+		return decision;
+	}
+	decision.retry = true;
+	return decision;
+}
--- /dev/null
+++ b/src/util/error.c
@@ -0,0 +1,49 @@
+#include "quetzalloft/error.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+G_DEFINE_QUARK(quetzalloft - error - quark, ql_error)
+
+static const char *const error_names[] = {
+	"ok",	       "no_memory",   "invalid",   "range",    "type",
+	"unknown_key", "missing_key", "not_found", "exists",   "full",
+	"io",	       "corrupt",     "stale",	   "conflict", "pending",
+	"not_leader",  "unavailable", "timeout",   "protocol", "denied",
+	"cancelled",   "too_large",
+};
+
+const char *ql_error_name(int code)
+{
+	if (code > 0 || -code >= (int)G_N_ELEMENTS(error_names))
+		return "other";
+	return error_names[-code];
+}
+
+int ql_error_set(GError **error, ql_error_code_t code, const char *format, ...)
+{
+	va_list args;
+
+	if (!error)
+		return code;
+	va_start(args, format);
+	*error = g_error_new_valist(QL_ERROR, code, format, args);
+	va_end(args);
+	return code;
+}
+
+int ql_error_set_errno(GError **error, int errnum, const char *format, ...)
+{
+	va_list args;
+	char *what;
+
+	if (!error)
+		return QL_E_IO;
+	va_start(args, format);
+	what = g_strdup_vprintf(format, args);
+	va_end(args);
+	*error = g_error_new(QL_ERROR, QL_E_IO, "%s: %s", what,
+			     g_strerror(errnum));
+	g_free(what);
+	return QL_E_IO;
+}
--- /dev/null
+++ b/src/util/json.c
@@ -0,0 +1,246 @@
+#include "quetzalloft/json.h"
+#include "quetzalloft/error.h"
+
+#include <math.h>
+#include <string.h>
+
+static const char *type_name(json_type type)
+{
+	switch (type) {
+	case JSON_OBJECT:
+		return "object";
+	case JSON_ARRAY:
+		return "array";
+	case JSON_STRING:
+		return "string";
+	case JSON_INTEGER:
+		return "integer";
+	case JSON_REAL:
+		return "real";
+	case JSON_TRUE:
+	case JSON_FALSE:
+		return "boolean";
+	default:
+		return "null";
+	}
+}
+
+static int wrong_type(GError **error, const char *path,
+		      const ql_json_member_t *member, const char *allowed,
+		      const json_t *value)
+{
+	return ql_error_set(error, QL_E_TYPE, "%s.%s: found %s, allowed %s",
+			    path, member->key, type_name(json_typeof(value)),
+			    allowed);
+}
+
+static int read_string(char *out, const json_t *value, const char *path,
+		       const ql_json_member_t *member, GError **error)
+{
+	size_t length;
+
+	if (!json_is_string(value))
+		return wrong_type(error, path, member, "a string", value);
+	length = json_string_length(value);
+	if (length >= member->size || (double)length < member->min ||
+	    strlen(json_string_value(value)) != length)
+		return ql_error_set(error, QL_E_RANGE,
+				    "%s.%s: found %zu bytes, allowed %.0f to "
+				    "%zu without NUL",
+				    path, member->key, length, member->min,
+				    member->size - 1);
+	memcpy(out, json_string_value(value), length + 1);
+	return 0;
+}
+
+static int out_of_range(GError **error, const char *path,
+			const ql_json_member_t *member, double found)
+{
+	return ql_error_set(error, QL_E_RANGE,
+			    "%s.%s: found %.15g, allowed %.15g to %.15g", path,
+			    member->key, found, member->min, member->max);
+}
+
+static int read_uint(uint64_t *out, const json_t *value, const char *path,
+		     const ql_json_member_t *member, GError **error)
+{
+	double number;
+
+	if (!json_is_integer(value))
+		return wrong_type(error, path, member, "an integer", value);
+	number = (double)json_integer_value(value);
+	if (number < member->min || number > member->max)
+		return out_of_range(error, path, member, number);
+	*out = (uint64_t)json_integer_value(value);
+	return 0;
+}
+
+static int read_real(double *out, const json_t *value, const char *path,
+		     const ql_json_member_t *member, GError **error)
+{
+	double number;
+
+	if (!json_is_number(value))
+		return wrong_type(error, path, member, "a number", value);
+	number = json_number_value(value);
+	if (!isfinite(number) || number < member->min || number > member->max)
+		return out_of_range(error, path, member, number);
+	*out = number;
+	return 0;
+}
+
+static int read_member(void *out, json_t *value, const char *path,
+		       const ql_json_member_t *member, GError **error)
+{
+	void *field = (char *)out + member->offset;
+
+	switch (member->type) {
+	case QL_JSON_STRING:
+		return read_string(field, value, path, member, error);
+	case QL_JSON_UINT:
+		return read_uint(field, value, path, member, error);
+	case QL_JSON_REAL:
+		return read_real(field, value, path, member, error);
+	case QL_JSON_BOOL:
+		if (!json_is_boolean(value))
+			return wrong_type(error, path, member, "a boolean",
+					  value);
+		*(bool *)field = json_is_true(value);
+		return 0;
+	case QL_JSON_OBJECT:
+		if (!json_is_object(value))
+			return wrong_type(error, path, member, "an object",
+					  value);
+		*(json_t **)field = value;
+		return 0;
+	case QL_JSON_ARRAY:
+		if (!json_is_array(value))
+			return wrong_type(error, path, member, "an array",
+					  value);
+		*(json_t **)field = value;
+		return 0;
+	}
+	return QL_E_TYPE;
+}
+
+static const ql_json_member_t *find_member(const ql_json_member_t *members,
+					   size_t n_members, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < n_members; i++)
+		if (!strcmp(members[i].key, key))
+			return &members[i];
+	return NULL;
+}
+
+static int unknown_key(GError **error, const char *path, const char *key,
+		       const ql_json_member_t *members, size_t n_members)
+{
+	GString *allowed = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < n_members; i++)
+		g_string_append_printf(allowed, "%s%s", i ? ", " : "",
+				       members[i].key);
+	ql_error_set(error, QL_E_UNKNOWN_KEY,
+		     "%s: found unknown key \"%s\", allowed %s", path, key,
+		     allowed->str);
+	g_string_free(allowed, TRUE);
+	return QL_E_UNKNOWN_KEY;
+}
+
+int ql_json_read(void *out, json_t *object, const char *path,
+		 const ql_json_member_t *members, size_t n_members,
+		 GError **error)
+{
+	const ql_json_member_t *member;
+	const char *key;
+	json_t *value;
+	size_t i;
+	int ret;
+
+	if (!json_is_object(object))
+		return ql_error_set(error, QL_E_TYPE,
+				    "%s: found %s, allowed an object", path,
+				    object ? type_name(json_typeof(object))
+					   : "nothing");
+	json_object_foreach (object, key, value) {
+		member = find_member(members, n_members, key);
+		if (!member)
+			return unknown_key(error, path, key, members,
+					   n_members);
+		ret = read_member(out, value, path, member, error);
+		if (ret)
+			return ret;
+	}
+	for (i = 0; i < n_members; i++)
+		if (members[i].required &&
+		    !json_object_get(object, members[i].key))
+			return ql_error_set(error, QL_E_MISSING_KEY,
+					    "%s.%s: required key is missing",
+					    path, members[i].key);
+	return 0;
+}
+
+static int parse_failed(GError **error, const char *source,
+			const json_error_t *detail)
+{
+	return ql_error_set(error, QL_E_INVALID, "%s:%d:%d: %s", source,
+			    detail->line, detail->column, detail->text);
+}
+
+int ql_json_parse(json_t **out, const char *text, size_t length, GError **error)
+{
+	json_error_t detail;
+
+	*out = json_loadb(text, length, JSON_REJECT_DUPLICATES, &detail);
+	return *out ? 0 : parse_failed(error, "text", &detail);
+}
+
+int ql_json_load_file(json_t **out, const char *path, GError **error)
+{
+	json_error_t detail;
+	gchar *text;
+	gsize length;
+	GError *cause = NULL;
+
+	*out = NULL;
+	if (!g_file_get_contents(path, &text, &length, &cause)) {
+		ql_error_set(error, QL_E_IO, "%s", cause->message);
+		g_error_free(cause);
+		return QL_E_IO;
+	}
+	*out = json_loadb(text, length, JSON_REJECT_DUPLICATES, &detail);
+	g_free(text);
+	return *out ? 0 : parse_failed(error, path, &detail);
+}
+
+json_t *ql_json_merge_patch(json_t *target, json_t *patch)
+{
+	json_t *result;
+	const char *key;
+	json_t *value;
+
+	if (!json_is_object(patch))
+		return json_deep_copy(patch);
+	result =
+		json_is_object(target) ? json_deep_copy(target) : json_object();
+	json_object_foreach (patch, key, value) {
+		if (json_is_null(value))
+			json_object_del(result, key);
+		else
+			json_object_set_new(
+				result, key,
+				ql_json_merge_patch(json_object_get(result,
+								    key),
+						    value));
+	}
+	return result;
+}
+
+char *ql_json_text(const json_t *value)
+{
+	return json_dumps(value,
+			  JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+}
--- /dev/null
+++ b/tests/control/config_state_test.cc
@@ -0,0 +1,132 @@
+#include "quetzalloft/config_state.h"
+#include "quetzalloft/error.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+const char *FIRST = "{\"site\":\"s\",\"attempts\":5,\"classes\":{},"
+		    "\"services\":{},\"routes\":{}}";
+
+class ConfigState : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ql_config_state_init(&state);
+	}
+
+	void TearDown() override
+	{
+		ql_config_state_finish(&state);
+	}
+
+	ql_patch_answer_t apply(const char *id, uint64_t base,
+				const std::string &text)
+	{
+		ql_patch_t patch = {};
+		ql_patch_answer_t answer;
+
+		strcpy(patch.id, id);
+		patch.base_version = base;
+		patch.text = text.c_str();
+		patch.length = text.size();
+		ql_config_state_apply(&state, &patch, &answer);
+		return answer;
+	}
+
+	ql_config_state_t state;
+};
+
+TEST_F(ConfigState, AcceptsAgainstTheCurrentVersionOnly)
+{
+	EXPECT_EQ(0, apply("a", 0, FIRST).status);
+	EXPECT_EQ(QL_E_STALE, apply("b", 0, "{\"attempts\":6}").status);
+	EXPECT_EQ(1u, state.doc->version);
+	EXPECT_EQ(5u, state.doc->attempts);
+	EXPECT_EQ(0, apply("c", 1, "{\"attempts\":6}").status);
+	EXPECT_EQ(2u, state.doc->version);
+}
+
+TEST_F(ConfigState, AnswersAResentPatchAsTheFirstTime)
+{
+	ql_patch_answer_t refused;
+
+	EXPECT_EQ(1u, apply("a", 0, FIRST).version);
+	EXPECT_EQ(0, apply("b", 1, "{\"attempts\":6}").status);
+	EXPECT_EQ(0, apply("a", 0, FIRST).status);
+	EXPECT_EQ(1u, apply("a", 0, FIRST).version);
+	EXPECT_EQ(2u, state.doc->version);
+	refused = apply("early", 3, "{\"attempts\":7}");
+	EXPECT_EQ(QL_E_STALE, refused.status);
+	EXPECT_EQ(0, apply("c", 2, "{\"attempts\":8}").status);
+	EXPECT_EQ(QL_E_STALE, apply("early", 3, "{\"attempts\":7}").status);
+	EXPECT_EQ(3u, state.doc->version);
+}
+
+TEST_F(ConfigState, RefusesAnIdWithAnotherPatch)
+{
+	EXPECT_EQ(0, apply("a", 0, FIRST).status);
+	EXPECT_EQ(QL_E_CONFLICT, apply("a", 0, "{}").status);
+	EXPECT_EQ(QL_E_CONFLICT, apply("a", 1, FIRST).status);
+}
+
+TEST_F(ConfigState, RefusesWhatDoesNotCompile)
+{
+	EXPECT_EQ(0, apply("a", 0, FIRST).status);
+	EXPECT_EQ(QL_E_RANGE, apply("b", 1, "{\"attempts\":0}").status);
+	EXPECT_EQ(QL_E_INVALID, apply("c", 1, "{").status);
+	EXPECT_EQ(1u, state.doc->version);
+}
+
+TEST_F(ConfigState, FollowsChangesOfAnother)
+{
+	ql_config_state_t follower;
+	GList *link;
+
+	apply("a", 0, FIRST);
+	apply("b", 1, "{\"attempts\":6}");
+	ql_config_state_init(&follower);
+	for (link = ql_config_state_changes_since(&state, 0); link;
+	     link = link->next)
+		ASSERT_EQ(0,
+			  ql_config_state_follow(
+				  &follower, (ql_config_change_t *)link->data,
+				  nullptr));
+	EXPECT_EQ(2u, follower.doc->version);
+	EXPECT_EQ(state.doc->digest, follower.doc->digest);
+	ql_config_state_finish(&follower);
+}
+
+TEST_F(ConfigState, NeverFallsBack)
+{
+	std::string text = FIRST;
+
+	apply("a", 0, FIRST);
+	apply("b", 1, "{\"attempts\":6}");
+	EXPECT_EQ(0, ql_config_state_replace(&state, 1, text.c_str(),
+					     text.size(), nullptr));
+	EXPECT_EQ(2u, state.doc->version);
+	EXPECT_EQ(6u, state.doc->attempts);
+}
+
+TEST_F(ConfigState, ReturnsFromWhatItSaved)
+{
+	json_t *saved;
+
+	apply("a", 0, FIRST);
+	apply("b", 1, "{\"attempts\":6}");
+	saved = ql_config_state_save(&state);
+	ql_config_state_finish(&state);
+	ql_config_state_init(&state);
+	ASSERT_EQ(0, ql_config_state_load(&state, saved, nullptr));
+	json_decref(saved);
+	EXPECT_EQ(2u, state.doc->version);
+	EXPECT_EQ(1u, apply("a", 0, FIRST).version);
+	EXPECT_NE(nullptr, ql_config_state_changes_since(&state, 1));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/node/settings_test.cc
@@ -0,0 +1,62 @@
+#include "node/settings.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+const std::string BASE =
+	"\"cluster\":\"c\",\"node\":\"n\",\"failure_domain\":\"d\","
+	"\"address\":\"127.0.0.1\",\"client_port\":1,\"gate_port\":2,"
+	"\"local_port\":3,\"control_port\":4";
+
+struct SettingsCase {
+	const char *rest;
+	int expected;
+	const char *part;
+};
+
+class SettingsParse : public testing::TestWithParam<SettingsCase>
+{
+};
+
+TEST_P(SettingsParse, NamesTheKey)
+{
+	std::string text = "{" + BASE + GetParam().rest + "}";
+	ql_settings_t settings;
+	GError *error = nullptr;
+	json_t *json;
+
+	ASSERT_EQ(0, ql_json_parse(&json, text.c_str(), text.size(), nullptr));
+	EXPECT_EQ(GetParam().expected,
+		  ql_settings_parse(&settings, json, &error));
+	if (GetParam().part) {
+		ASSERT_NE(nullptr, error);
+		EXPECT_NE(nullptr, strstr(error->message, GetParam().part))
+			<< error->message;
+	}
+	g_clear_error(&error);
+	json_decref(json);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Files, SettingsParse,
+	testing::Values(
+		SettingsCase{",\"registrars\":[\"127.0.0.1:4\"]", 0, nullptr},
+		SettingsCase{"", QL_E_MISSING_KEY, "settings.registrars"},
+		SettingsCase{",\"registrars\":[\"127.0.0.1\"]", QL_E_INVALID,
+			     "settings.registrars[0]"},
+		SettingsCase{",\"registrar\":true,\"replica\":true",
+			     QL_E_MISSING_KEY, "settings.data_folder"},
+		SettingsCase{",\"registrar\":true,\"colour\":1",
+			     QL_E_UNKNOWN_KEY, "colour"},
+		SettingsCase{",\"registrar\":true,\"renew_ms\":2000",
+			     QL_E_RANGE, "settings.renew_ms"},
+		SettingsCase{",\"registrar\":true,\"limiter\":\"magic\"",
+			     QL_E_NOT_FOUND, "fixed, aimd, gradient"}));
+
+} // namespace
--- /dev/null
+++ b/tests/policy/document_test.cc
@@ -0,0 +1,156 @@
+#include "quetzalloft/document.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+ql_document_t *compile(const std::string &text, int *ret, std::string *detail)
+{
+	ql_document_t *doc = nullptr;
+	GError *error = nullptr;
+	json_t *json = nullptr;
+
+	EXPECT_EQ(0, ql_json_parse(&json, text.c_str(), text.size(), nullptr));
+	*ret = ql_document_compile(&doc, json, 7, &error);
+	if (error)
+		*detail = error->message;
+	g_clear_error(&error);
+	json_decref(json);
+	return doc;
+}
+
+std::string document(const std::string &services, const std::string &routes)
+{
+	return "{\"site\":\"s\",\"attempts\":20,\"classes\":{\"order\":{"
+	       "\"shed_order\":9},\"lookup\":{\"shed_order\":1}},"
+	       "\"services\":{" +
+	       services + "},\"routes\":{" + routes + "}}";
+}
+
+struct BadCase {
+	const char *services;
+	const char *routes;
+	int expected;
+	const char *part;
+};
+
+class DocumentRefuses : public testing::TestWithParam<BadCase>
+{
+};
+
+TEST_P(DocumentRefuses, WithThePath)
+{
+	std::string detail;
+	int ret;
+
+	EXPECT_EQ(nullptr,
+		  compile(document(GetParam().services, GetParam().routes),
+			  &ret, &detail));
+	EXPECT_EQ(GetParam().expected, ret);
+	EXPECT_NE(std::string::npos, detail.find(GetParam().part)) << detail;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Documents, DocumentRefuses,
+	testing::Values(
+		BadCase{"\"a\":{\"calls\":[\"b\"]}", "", QL_E_NOT_FOUND,
+			"services.a.calls[0]: found \"b\""},
+		BadCase{"\"a\":{\"calls\":[\"b\"]},\"b\":{\"calls\":[\"a\"]}",
+			"", QL_E_RANGE, "cycle or longer than 9"},
+		BadCase{"\"a\":{\"retry_ratio\":1.5}", "", QL_E_RANGE,
+			"services.a.retry_ratio"},
+		BadCase{"\"a b\":{}", "", QL_E_INVALID, "services: found name"},
+		BadCase{"\"a\":{}",
+			"\"r\":{\"service\":\"a\",\"method\":\"GET\","
+			"\"path\":\"/\",\"class\":\"none\",\"idempotent\":true,"
+			"\"deadline_ms\":10}",
+			QL_E_NOT_FOUND, "routes.r.class"},
+		BadCase{"\"a\":{}",
+			"\"r\":{\"service\":\"a\",\"method\":\"GET\","
+			"\"path\":\"x\",\"class\":\"order\",\"idempotent\":true,"
+			"\"deadline_ms\":10}",
+			QL_E_INVALID, "routes.r.path"}));
+
+TEST(Document, RefusesAChainOfTen)
+{
+	std::string services = "\"s0\":{}";
+	std::string detail;
+	int ret;
+
+	for (int i = 1; i < 10; i++)
+		services += ",\"s" + std::to_string(i) + "\":{\"calls\":[\"s" +
+			    std::to_string(i - 1) + "\"]}";
+	EXPECT_EQ(nullptr, compile(document(services, ""), &ret, &detail));
+	EXPECT_EQ(QL_E_RANGE, ret);
+}
+
+TEST(Document, CountsAttemptsBelowAService)
+{
+	std::string detail;
+	int ret, index;
+	ql_document_t *doc =
+		compile(document("\"a\":{\"calls\":[\"b\",\"c\"]},\"b\":{"
+				 "\"calls\":[\"c\"]},\"c\":{}",
+				 ""),
+			&ret, &detail);
+
+	ASSERT_NE(nullptr, doc) << detail;
+	index = ql_document_find_service(doc, "a");
+	ASSERT_GE(index, 0);
+	EXPECT_EQ(4u, doc->services[index].subtree_attempts);
+	EXPECT_EQ(3u, doc->services[index].depth);
+	EXPECT_EQ(7u, doc->version);
+	ql_document_unref(doc);
+}
+
+struct MatchCase {
+	const char *host;
+	const char *method;
+	const char *path;
+	const char *expected;
+};
+
+class DocumentMatch : public testing::TestWithParam<MatchCase>
+{
+};
+
+TEST_P(DocumentMatch, TakesTheLongestPath)
+{
+	std::string detail, common = "\"service\":\"a\",\"class\":\"order\","
+				     "\"idempotent\":true,\"deadline_ms\":10,";
+	int ret;
+	ql_document_t *doc = compile(
+		document("\"a\":{}",
+			 "\"all\":{" + common +
+				 "\"method\":\"GET\",\"path\":\"/\"},\"parts\":"
+				 "{" +
+				 common +
+				 "\"method\":\"GET\",\"path\":\"/parts\"},"
+				 "\"host\":{" +
+				 common +
+				 "\"method\":\"GET\",\"path\":\"/parts\","
+				 "\"host\":\"kask.ee\"}"),
+		&ret, &detail);
+	const ql_route_t *route;
+
+	ASSERT_NE(nullptr, doc) << detail;
+	route = ql_document_match(doc, -1, GetParam().host, GetParam().method,
+				  GetParam().path);
+	EXPECT_STREQ(GetParam().expected, route ? route->name : "none");
+	ql_document_unref(doc);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Requests, DocumentMatch,
+	testing::Values(MatchCase{nullptr, "GET", "/parts/7", "parts"},
+			MatchCase{nullptr, "GET", "/partsbin", "all"},
+			MatchCase{"kask.ee", "GET", "/parts", "host"},
+			MatchCase{"other.ee", "GET", "/parts", "parts"},
+			MatchCase{nullptr, "POST", "/parts", "none"}));
+
+} // namespace
--- /dev/null
+++ b/tests/policy/metadata_test.cc
@@ -0,0 +1,91 @@
+#include "quetzalloft/error.h"
+#include "quetzalloft/metadata.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+struct HeaderCase {
+	const char *name;
+	std::string value;
+	int expected;
+};
+
+class MetadataAdd : public testing::TestWithParam<HeaderCase>
+{
+};
+
+TEST_P(MetadataAdd, ChecksEachValue)
+{
+	ql_metadata_t metadata;
+	GError *error = nullptr;
+
+	ql_metadata_init(&metadata);
+	EXPECT_EQ(GetParam().expected,
+		  ql_metadata_add(&metadata, GetParam().name,
+				  GetParam().value.c_str(), &error));
+	EXPECT_EQ(GetParam().expected != 0, error != nullptr);
+	g_clear_error(&error);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Headers, MetadataAdd,
+	testing::Values(
+		HeaderCase{QL_HEADER_TIMEOUT, "100", 0},
+		HeaderCase{"quetzalloft-timeout-ms", "0", 0},
+		HeaderCase{QL_HEADER_TIMEOUT, "-1", QL_E_INVALID},
+		HeaderCase{QL_HEADER_TIMEOUT, "", QL_E_INVALID},
+		HeaderCase{QL_HEADER_TIMEOUT, "1e3", QL_E_INVALID},
+		HeaderCase{QL_HEADER_TIMEOUT, "5,5", QL_E_INVALID},
+		HeaderCase{QL_HEADER_TIMEOUT, "600001", QL_E_RANGE},
+		HeaderCase{QL_HEADER_ATTEMPTS, "99999999999999999999999999",
+			   QL_E_RANGE},
+		HeaderCase{QL_HEADER_ATTEMPT_ID,
+			   "0123456789abcdef-0123456789ABCDEF", 0},
+		HeaderCase{QL_HEADER_ATTEMPT_ID,
+			   "0123456789abcdeg-0123456789abcdef", QL_E_INVALID},
+		HeaderCase{QL_HEADER_KEY, "order-1", 0},
+		HeaderCase{QL_HEADER_KEY, "two words", QL_E_INVALID},
+		HeaderCase{QL_HEADER_KEY, std::string(127, 'k'), 0},
+		HeaderCase{QL_HEADER_KEY, std::string(128, 'k'), QL_E_RANGE},
+		HeaderCase{QL_HEADER_OUTCOME, "maybe", QL_E_INVALID},
+		HeaderCase{"Accept", "anything at all", 0}));
+
+TEST(Metadata, RefusesARepeatedHeader)
+{
+	ql_metadata_t metadata;
+
+	ql_metadata_init(&metadata);
+	ASSERT_EQ(0,
+		  ql_metadata_add(&metadata, QL_HEADER_TIMEOUT, "5", nullptr));
+	EXPECT_EQ(QL_E_CONFLICT,
+		  ql_metadata_add(&metadata, QL_HEADER_TIMEOUT, "5", nullptr));
+}
+
+void add_again(void *data, const char *name, const char *value)
+{
+	EXPECT_EQ(0,
+		  ql_metadata_add((ql_metadata_t *)data, name, value, nullptr));
+}
+
+TEST(Metadata, ReadsWhatItEmits)
+{
+	ql_metadata_t metadata, copy;
+
+	ql_metadata_init(&metadata);
+	ql_metadata_init(&copy);
+	metadata.has = QL_HAS_TIMEOUT | QL_HAS_ATTEMPT | QL_HAS_OUTCOME |
+		       QL_HAS_REASON | QL_HAS_CLASS;
+	metadata.timeout_ms = 1234;
+	metadata.attempt = {1, UINT64_MAX};
+	metadata.outcome = QL_OUTCOME_REFUSED;
+	metadata.reason = QL_REASON_NO_QUORUM;
+	strcpy(metadata.class_name, "order");
+	ql_metadata_emit(&metadata, add_again, &copy);
+	EXPECT_EQ(0, memcmp(&metadata, &copy, sizeof(copy)));
+}
+
+} // namespace
