--- a/include/quetzalloft/metadata.h
+++ b/include/quetzalloft/metadata.h
@@ -17,6 +17,7 @@
 #define QL_HEADER_VERSION "Quetzalloft-Config-Version"
 #define QL_HEADER_SERVICE "Quetzalloft-Service"
 #define QL_HEADER_UNDER_WAY "Quetzalloft-Under-Way"
+#define QL_HEADER_IDEMPOTENT "Quetzalloft-Idempotent"
 #define QL_HEADER_CLOCK "Quetzalloft-Clock"
 #define QL_HEADER_OUTCOME "Quetzalloft-Outcome"
 #define QL_HEADER_REASON "Quetzalloft-Reason"
@@ -40,6 +41,7 @@
  * @class_name: class of the client request
  * @service: the service that is called
  * @under_way: whether other calls of the client request have run already
+ * @idempotent: whether the request may be repeated, and cancelled while it runs
  * @outcome: what is known about the call
  * @reason: why it was not answered
  */
@@ -56,6 +58,7 @@
 	char class_name[QL_NAME_MAX];
 	char service[QL_NAME_MAX];
 	uint64_t under_way;
+	uint64_t idempotent;
 	ql_outcome_t outcome;
 	ql_reason_t reason;
 } ql_metadata_t;
@@ -74,6 +77,7 @@
 	QL_HAS_UNDER_WAY = 1 << 10,
 	QL_HAS_OUTCOME = 1 << 11,
 	QL_HAS_REASON = 1 << 12,
+	QL_HAS_IDEMPOTENT = 1 << 13,
 };
 
 void ql_metadata_init(ql_metadata_t *metadata);
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -46,6 +46,16 @@
 	pthread_mutex_unlock(&call->lock);
 }
 
+void ql_call_cancel(ql_call_t *call)
+{
+	__atomic_store_n(&call->cancelled, 1, __ATOMIC_RELEASE);
+}
+
+bool ql_call_is_cancelled(const ql_call_t *call)
+{
+	return __atomic_load_n(&call->cancelled, __ATOMIC_ACQUIRE);
+}
+
 uint32_t ql_call_end(ql_call_t *call)
 {
 	uint32_t unused;
--- a/src/node/calls.h
+++ b/src/node/calls.h
@@ -22,6 +22,7 @@
  * @lock: guards what follows
  * @allowance: attempts that may still be spent below it
  * @ended: no new call may be made for it
+ * @cancelled: its caller gave up; calls below it are given up too
  */
 typedef struct ql_call {
 	uint32_t references;
@@ -32,6 +33,7 @@
 	pthread_mutex_t lock;
 	ql_allowance_t allowance;
 	bool ended;
+	int cancelled;
 } ql_call_t;
 
 /**
@@ -61,6 +63,20 @@
  */
 void ql_call_return(ql_call_t *call, uint32_t lent, uint32_t unused);
 
+/**
+ * ql_call_cancel() - Note that the caller gave up.
+ * @call: the call
+ */
+void ql_call_cancel(ql_call_t *call);
+
+/**
+ * ql_call_is_cancelled() - Whether the caller gave up.
+ * @call: the call
+ *
+ * Return: true after ql_call_cancel().
+ */
+bool ql_call_is_cancelled(const ql_call_t *call);
+
 /**
  * ql_call_end() - End a call and take its allowance.
  * @call: the call
--- a/src/node/client_service.c
+++ b/src/node/client_service.c
@@ -62,6 +62,19 @@
 	return call;
 }
 
+/* A request and the listener that knows whether its client still waits. */
+typedef struct {
+	ql_http_server_t *server;
+	const struct _u_request *request;
+} waiting_client_t;
+
+static bool client_gone(void *data)
+{
+	const waiting_client_t *client = data;
+
+	return ql_http_server_peer_gone(client->server, client->request);
+}
+
 /* Serves a request whose route is known. */
 static bool serve_route(ql_client_service_t *service, const ql_document_t *doc,
 			const ql_route_t *route,
@@ -69,11 +82,14 @@
 			ql_http_answer_t *answer, ql_failure_t *failure)
 {
 	const ql_service_t *callee = &doc->services[route->service];
+	waiting_client_t client = {service->server, request};
 	ql_router_request_t call = {
 		.service = callee,
 		.idempotent = route->idempotent,
 		.config_version = doc->version,
 		.request = request,
+		.is_cancelled = client_gone,
+		.cancel_data = &client,
 	};
 	bool answered;
 
--- a/src/node/client_service.h
+++ b/src/node/client_service.h
@@ -5,12 +5,14 @@
  * DOC: The listener for clients: the first node of a client request.
  */
 
+#include "node/http_server.h"
 #include "node/router.h"
 
 G_BEGIN_DECLS
 
 /**
  * struct ql_client_service - What it needs.
+ * @server: the listener; borrowed
  * @router: borrowed
  * @counters: borrowed
  * @document: gives the document in force with a new reference
@@ -20,6 +22,7 @@
  * @in_progress: requests that are served at present
  */
 typedef struct ql_client_service {
+	ql_http_server_t *server;
 	ql_router_t *router;
 	ql_counters_t *counters;
 	ql_document_t *(*document)(void *data);
--- /dev/null
+++ b/src/node/gate_handler.c
@@ -0,0 +1,279 @@
+#include "node/gate_service.h"
+#include "quetzalloft/error.h"
+
+#include <string.h>
+
+/* A call of another node. */
+typedef struct {
+	ql_http_server_t *server;
+	const struct _u_request *request;
+	ql_metadata_t metadata;
+	ql_document_t *doc;
+	const ql_service_t *service;
+	ql_local_endpoint_t *endpoint;
+	ql_call_t *call;
+	uint32_t level;
+} gate_call_t;
+
+static bool caller_gone(void *data)
+{
+	const gate_call_t *gc = data;
+
+	return ql_http_server_peer_gone(gc->server, gc->request);
+}
+
+#define REQUIRED_METADATA                                                   \
+	(QL_HAS_TIMEOUT | QL_HAS_ATTEMPTS | QL_HAS_ATTEMPT | QL_HAS_CLASS | \
+	 QL_HAS_SERVICE)
+
+static void not_run(ql_failure_t *failure, ql_reason_t reason,
+		    const char *detail)
+{
+	failure->outcome = QL_OUTCOME_NOT_RUN;
+	failure->reason = reason;
+	failure->detail = detail;
+}
+
+static const ql_class_t *find_class(const ql_document_t *doc, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < doc->n_classes; i++)
+		if (!strcmp(doc->classes[i].name, name))
+			return &doc->classes[i];
+	return NULL;
+}
+
+/* Finds what the call refers to; on failure nothing was run. */
+static bool resolve(ql_gate_service_t *service, gate_call_t *gc,
+		    ql_failure_t *failure)
+{
+	const ql_class_t *class;
+	int index;
+
+	if (!service->opts.is_ready(service->opts.data)) {
+		not_run(failure, QL_REASON_NOT_READY,
+			"the node has not heard from its failure domain yet");
+		return false;
+	}
+	gc->doc = service->opts.document(service->opts.data);
+	index = ql_document_find_service(gc->doc, gc->metadata.service);
+	class = find_class(gc->doc, gc->metadata.class_name);
+	gc->endpoint = ql_gate_service_find(service, gc->metadata.service);
+	if (index < 0 || !class || !gc->endpoint) {
+		not_run(failure, QL_REASON_NO_ENDPOINT,
+			"the service or class is not known here");
+		return false;
+	}
+	gc->service = &gc->doc->services[index];
+	if (gc->request->binary_body_length > gc->service->body_limit_bytes) {
+		ql_count(service->opts.counters, QL_COUNT_TOO_LARGE);
+		not_run(failure, QL_REASON_TOO_LARGE,
+			"the body is over the limit of the service");
+		return false;
+	}
+	gc->call = ql_call_new(&gc->metadata.attempt,
+			       (uint32_t)gc->metadata.attempts - 1);
+	gc->call->deadline_us =
+		ql_clock_now_us() + gc->metadata.timeout_ms * QL_US_PER_MS;
+	gc->call->shed_order = (uint32_t) class->shed_order;
+	g_strlcpy(gc->call->class_name, class->name, QL_NAME_MAX);
+	return true;
+}
+
+static struct curl_slist *endpoint_headers(const gate_call_t *gc,
+					   uint64_t timeout_ms)
+{
+	ql_metadata_t metadata = gc->metadata;
+
+	metadata.has = QL_HAS_TIMEOUT | QL_HAS_ATTEMPT | QL_HAS_CLASS;
+	metadata.timeout_ms = timeout_ms;
+	return ql_headers_add_metadata(ql_headers_forward(gc->request),
+				       &metadata);
+}
+
+static ql_reason_t failure_reason(int ret)
+{
+	switch (ret) {
+	case QL_E_CANCELLED:
+		return QL_REASON_CANCELLED;
+	case QL_E_TIMEOUT:
+		return QL_REASON_DEADLINE;
+	case QL_E_TOO_LARGE:
+		return QL_REASON_TOO_LARGE;
+	case QL_E_PROTOCOL:
+		return QL_REASON_BAD_ANSWER;
+	default:
+		return QL_REASON_CONNECTION_LOST;
+	}
+}
+
+/*
+ * Whether to give up on a running call. One that must not be repeated runs to
+ * its end, since its caller may ask for the answer again.
+ */
+static bool call_given_up(void *data)
+{
+	gate_call_t *gc = data;
+
+	if (!caller_gone(gc))
+		return false;
+	ql_call_cancel(gc->call);
+	return true;
+}
+
+/* Runs an admitted call at the endpoint; true when it answered in whole. */
+static bool run(ql_gate_service_t *service, gate_call_t *gc,
+		ql_http_answer_t *answer, ql_failure_t *failure)
+{
+	uint64_t now_us = ql_clock_now_us();
+	uint64_t timeout_ms;
+	ql_http_request_t http = {
+		.address = gc->endpoint->announcement.address,
+		.method = gc->request->http_verb,
+		.target = gc->request->http_url,
+		.body = gc->request->binary_body,
+		.body_bytes = gc->request->binary_body_length,
+		.body_limit_bytes = gc->service->body_limit_bytes,
+		.is_cancelled = gc->metadata.idempotent ? call_given_up : NULL,
+		.cancel_data = gc,
+	};
+	bool sent;
+	int ret;
+
+	if (now_us >= gc->call->deadline_us) {
+		not_run(failure, QL_REASON_DEADLINE, NULL);
+		return false;
+	}
+	timeout_ms = (gc->call->deadline_us - now_us) / QL_US_PER_MS + 1;
+	http.timeout_ms = timeout_ms;
+	http.headers = endpoint_headers(gc, timeout_ms);
+	ret = ql_http_client_exchange(service->opts.client, &http, answer,
+				      &sent, NULL);
+	curl_slist_free_all(http.headers);
+	if (!ret)
+		return true;
+	if (!sent) {
+		not_run(failure, QL_REASON_CONNECT_FAILED, NULL);
+		return false;
+	}
+	failure->outcome = QL_OUTCOME_UNKNOWN;
+	failure->reason = failure_reason(ret);
+	return false;
+}
+
+/* Admits, runs and answers a call that was resolved. */
+static bool admit_and_run(ql_gate_service_t *service, gate_call_t *gc,
+			  ql_http_answer_t *answer, ql_failure_t *failure)
+{
+	ql_admission_t admission = {
+		.request = {.shed_order = gc->call->shed_order,
+			    .under_way = gc->metadata.under_way,
+			    .deadline_us = gc->call->deadline_us},
+		.is_gone = caller_gone,
+		.data = gc,
+	};
+	ql_gate_decision_t decision =
+		ql_local_endpoint_enter(gc->endpoint, &admission, &gc->level);
+	bool answered;
+
+	if (decision.verdict == QL_GATE_REFUSE) {
+		ql_count(service->opts.counters, QL_COUNT_GATE_REFUSED);
+		not_run(failure, decision.reason, NULL);
+		failure->retry_after_ms = decision.retry_after_ms;
+		return false;
+	}
+	ql_count(service->opts.counters, QL_COUNT_GATE_ADMITTED);
+	if (ql_calls_add(&service->calls, gc->call)) {
+		ql_local_endpoint_leave(gc->endpoint, decision.ticket, false,
+					&gc->level);
+		failure->outcome = QL_OUTCOME_UNKNOWN;
+		failure->reason = QL_REASON_BAD_REQUEST;
+		failure->detail = "this attempt was received already";
+		return false;
+	}
+	answered = run(service, gc, answer, failure);
+	ql_calls_remove(&service->calls, gc->call);
+	ql_local_endpoint_leave(gc->endpoint, decision.ticket,
+				!answered &&
+					failure->reason == QL_REASON_DEADLINE,
+				&gc->level);
+	return answered;
+}
+
+/* An endpoint may say itself that it did not run a request that it shed. */
+static ql_outcome_t endpoint_outcome(const ql_http_answer_t *answer)
+{
+	ql_outcome_t outcome;
+	const char *value = ql_http_answer_header(answer, QL_HEADER_OUTCOME);
+
+	if (value && !ql_outcome_parse(&outcome, value) &&
+	    outcome == QL_OUTCOME_NOT_RUN)
+		return outcome;
+	return QL_OUTCOME_ANSWERED;
+}
+
+static void finish_answer(ql_gate_service_t *service, gate_call_t *gc,
+			  ql_outcome_t outcome, struct _u_response *response)
+{
+	ql_metadata_t metadata;
+
+	ql_metadata_init(&metadata);
+	metadata.has = QL_HAS_ATTEMPT | QL_HAS_UNUSED | QL_HAS_LEVEL |
+		       QL_HAS_OUTCOME | QL_HAS_CLOCK | QL_HAS_VERSION;
+	metadata.attempt = gc->metadata.attempt;
+	metadata.unused =
+		gc->call ? ql_call_end(gc->call) : gc->metadata.attempts - 1;
+	metadata.level = gc->level;
+	metadata.outcome = outcome;
+	metadata.version = gc->doc ? gc->doc->version : 0;
+	metadata.clock = ql_hlc_tick(service->opts.hlc, ql_clock_wall_ms());
+	ql_answer_add_metadata(response, &metadata);
+}
+
+static bool parse_call(ql_gate_service_t *service, gate_call_t *gc,
+		       struct _u_response *response)
+{
+	ql_failure_t failure = {0};
+	GError *error = NULL;
+
+	if (!ql_request_metadata(&gc->metadata, gc->request, &error) &&
+	    (gc->metadata.has & REQUIRED_METADATA) == REQUIRED_METADATA &&
+	    gc->metadata.attempts)
+		return true;
+	ql_count(service->opts.counters, QL_COUNT_BAD_METADATA);
+	not_run(&failure, QL_REASON_BAD_REQUEST,
+		error ? error->message : "a required header is missing");
+	ql_answer_fail(response, &failure);
+	g_clear_error(&error);
+	return false;
+}
+
+void ql_gate_service_handle(void *data, const struct _u_request *request,
+			    struct _u_response *response)
+{
+	ql_gate_service_t *service = data;
+	gate_call_t gc = {.server = service->opts.server, .request = request};
+	ql_failure_t failure = {0};
+	ql_http_answer_t answer;
+	ql_outcome_t outcome;
+
+	if (!parse_call(service, &gc, response))
+		return;
+	if (gc.metadata.has & QL_HAS_CLOCK)
+		ql_hlc_observe(service->opts.hlc, gc.metadata.clock,
+			       ql_clock_wall_ms());
+	ql_http_answer_init(&answer);
+	if (resolve(service, &gc, &failure) &&
+	    admit_and_run(service, &gc, &answer, &failure)) {
+		outcome = endpoint_outcome(&answer);
+		ql_answer_pass(response, &answer);
+	} else {
+		outcome = failure.outcome;
+		ql_answer_fail(response, &failure);
+	}
+	finish_answer(service, &gc, outcome, response);
+	ql_http_answer_finish(&answer);
+	ql_call_unref(gc.call);
+	ql_document_unref(gc.doc);
+}
--- a/src/node/gate_service.h
+++ b/src/node/gate_service.h
@@ -9,9 +9,10 @@
 #include "node/answer.h"
 #include "node/calls.h"
 #include "node/counters.h"
+#include "node/http_server.h"
+#include "node/local_endpoint.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/document.h"
-#include "quetzalloft/gate.h"
 
 #include "control.h"
 
@@ -21,28 +22,9 @@
 
 #define QL_LOCAL_ENDPOINTS_MAX QL_RPC_LOCAL_ENDPOINTS_MAX
 
-typedef struct ql_local_endpoint ql_local_endpoint_t;
-
-/**
- * struct ql_announcement - What an endpoint says of itself.
- * @service: the service that it runs
- * @address: "IP:port" where it listens
- * @slots: requests that it can run at once
- * @connections: connections that it takes
- * @draining: it takes no new request
- * @lease_ms: how long this holds
- */
-typedef struct ql_announcement {
-	char service[QL_NAME_MAX];
-	char address[QL_ADDRESS_MAX];
-	uint64_t slots;
-	uint64_t connections;
-	bool draining;
-	uint64_t lease_ms;
-} ql_announcement_t;
-
 /**
  * struct ql_gate_service_opts - What the gates share.
+ * @server: the listener; borrowed
  * @client: for calls to the endpoints; borrowed
  * @counters: borrowed
  * @hlc: borrowed
@@ -53,6 +35,7 @@
  * @data: passed to both
  */
 typedef struct ql_gate_service_opts {
+	ql_http_server_t *server;
 	ql_http_client_t *client;
 	ql_counters_t *counters;
 	ql_hlc_t *hlc;
@@ -95,6 +78,16 @@
 			     const ql_announcement_t *announcement,
 			     bool *changed, GError **error);
 
+/**
+ * ql_gate_service_find() - Find the local endpoint of a service.
+ * @service: the gates
+ * @name: name of the service
+ *
+ * Return: the endpoint, which lives as long as the gates, or NULL.
+ */
+ql_local_endpoint_t *ql_gate_service_find(ql_gate_service_t *service,
+					  const char *name);
+
 /**
  * ql_gate_service_handle() - Answer a call of another node.
  */
--- a/src/node/http_client.c
+++ b/src/node/http_client.c
@@ -1,10 +1,11 @@
 #include "node/http_client.h"
+#include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
 
 #include <stdio.h>
 #include <string.h>
 
-#define IDLE_HANDLES_MAX 512u
+#define CANCEL_POLL_MS 20
 #define CONNECT_TIMEOUT_MS 1000L
 #define URL_MAX 4096
 
@@ -14,26 +15,17 @@
 	size_t body_limit_bytes;
 	int n_sends;
 	bool too_large;
+	bool cancelled;
 } exchange_t;
 
-static void queue_free(void *data)
-{
-	GQueue *queue = data;
-
-	g_queue_free_full(queue, (GDestroyNotify)curl_easy_cleanup);
-}
-
 void ql_http_client_init(ql_http_client_t *client)
 {
-	pthread_mutex_init(&client->lock, NULL);
-	client->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     queue_free);
+	ql_http_pool_init(&client->pool);
 }
 
 void ql_http_client_finish(ql_http_client_t *client)
 {
-	g_hash_table_destroy(client->idle);
-	pthread_mutex_destroy(&client->lock);
+	ql_http_pool_finish(&client->pool);
 }
 
 static void header_clear(void *data)
@@ -119,40 +111,6 @@
 	return exchange->n_sends++ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
-static CURL *take_handle(ql_http_client_t *client, const char *address)
-{
-	GQueue *queue;
-	CURL *handle = NULL;
-
-	pthread_mutex_lock(&client->lock);
-	queue = g_hash_table_lookup(client->idle, address);
-	if (queue)
-		handle = g_queue_pop_tail(queue);
-	pthread_mutex_unlock(&client->lock);
-	return handle ? handle : curl_easy_init();
-}
-
-static void keep_handle(ql_http_client_t *client, const char *address,
-			CURL *handle)
-{
-	GQueue *queue;
-
-	curl_easy_reset(handle);
-	pthread_mutex_lock(&client->lock);
-	queue = g_hash_table_lookup(client->idle, address);
-	if (!queue) {
-		queue = g_queue_new();
-		g_hash_table_insert(client->idle, g_strdup(address), queue);
-	}
-	if (queue->length < IDLE_HANDLES_MAX) {
-		g_queue_push_tail(queue, handle);
-		handle = NULL;
-	}
-	pthread_mutex_unlock(&client->lock);
-	if (handle)
-		curl_easy_cleanup(handle);
-}
-
 static void set_body(CURL *handle, const ql_http_request_t *request)
 {
 	if (!strcmp(request->method, "HEAD")) {
@@ -196,6 +154,8 @@
 {
 	if (exchange->too_large)
 		return QL_E_TOO_LARGE;
+	if (exchange->cancelled)
+		return QL_E_CANCELLED;
 	switch (code) {
 	case CURLE_OPERATION_TIMEDOUT:
 		return QL_E_TIMEOUT;
@@ -208,6 +168,39 @@
 	}
 }
 
+/* The result of the transfer, once it has ended. */
+static CURLcode transfer_result(CURLM *multi)
+{
+	int n_left;
+	const CURLMsg *message = curl_multi_info_read(multi, &n_left);
+
+	return message ? message->data.result : CURLE_FAILED_INIT;
+}
+
+/* Runs the transfer until it ends or the caller gives up. */
+static CURLcode perform(ql_http_connection_t *connection,
+			const ql_http_request_t *request, exchange_t *exchange)
+{
+	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
+	int n_running = 1;
+
+	curl_multi_add_handle(connection->multi, connection->easy);
+	while (curl_multi_perform(connection->multi, &n_running) == CURLM_OK &&
+	       n_running) {
+		if (request->is_cancelled &&
+		    request->is_cancelled(request->cancel_data)) {
+			exchange->cancelled = true;
+			break;
+		}
+		curl_multi_poll(connection->multi, NULL, 0, CANCEL_POLL_MS,
+				NULL);
+	}
+	if (!n_running)
+		code = transfer_result(connection->multi);
+	curl_multi_remove_handle(connection->multi, connection->easy);
+	return code;
+}
+
 int ql_http_client_exchange(ql_http_client_t *client,
 			    const ql_http_request_t *request,
 			    ql_http_answer_t *answer, bool *sent,
@@ -217,26 +210,28 @@
 		.answer = answer,
 		.body_limit_bytes = request->body_limit_bytes,
 	};
-	CURL *handle;
+	ql_http_connection_t *connection;
 	CURLcode code;
 
 	*sent = false;
 	if (strlen(request->address) + strlen(request->target) + 16 > URL_MAX)
 		return ql_error_set(error, QL_E_TOO_LARGE,
 				    "the URL is longer than %d bytes", URL_MAX);
-	handle = take_handle(client, request->address);
-	if (!handle)
+	connection = ql_http_pool_take(&client->pool, request->address,
+				       ql_clock_now_us());
+	if (!connection)
 		return ql_error_set(error, QL_E_NOMEM, "curl_easy_init");
-	set_options(handle, request, &exchange);
-	code = curl_easy_perform(handle);
+	set_options(connection->easy, request, &exchange);
+	code = perform(connection, request, &exchange);
 	*sent = exchange.n_sends > 0;
 	if (code == CURLE_OK) {
-		curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE,
+		curl_easy_getinfo(connection->easy, CURLINFO_RESPONSE_CODE,
 				  &answer->status);
-		keep_handle(client, request->address, handle);
+		ql_http_pool_keep(&client->pool, request->address, connection,
+				  ql_clock_now_us());
 		return 0;
 	}
-	curl_easy_cleanup(handle);
+	ql_http_connection_close(connection);
 	return ql_error_set(error,
 			    (ql_error_code_t)failure_type(code, &exchange),
 			    "%s: %s", request->address,
--- a/src/node/http_client.h
+++ b/src/node/http_client.h
@@ -2,26 +2,19 @@
 #define QL_NODE_HTTP_CLIENT_H
 
 /**
- * DOC: HTTP calls over kept connections. Idle libcurl handles are kept for
- * each destination, each with its connection.
+ * DOC: HTTP calls over kept connections.
  */
 
-#include "quetzalloft/types.h"
-
-#include <curl/curl.h>
-
-#include <pthread.h>
+#include "node/http_pool.h"
 
 G_BEGIN_DECLS
 
 /**
- * struct ql_http_client - The idle handles.
- * @lock: guards the members
- * @idle: queues of idle handles by "IP:port"
+ * struct ql_http_client - Makes calls.
+ * @pool: its idle connections
  */
 typedef struct ql_http_client {
-	pthread_mutex_t lock;
-	GHashTable *idle;
+	ql_http_pool_t pool;
 } ql_http_client_t;
 
 /**
@@ -42,6 +35,8 @@
  * @body_bytes: its length
  * @timeout_ms: for the whole exchange
  * @body_limit_bytes: longest body of an answer
+ * @is_cancelled: asked now and then whether to give up; may be NULL
+ * @cancel_data: passed to it
  */
 typedef struct ql_http_request {
 	const char *address;
@@ -52,6 +47,8 @@
 	size_t body_bytes;
 	uint64_t timeout_ms;
 	size_t body_limit_bytes;
+	bool (*is_cancelled)(void *data);
+	void *cancel_data;
 } ql_http_request_t;
 
 /**
@@ -84,7 +81,7 @@
 
 /**
  * ql_http_client_exchange() - Send a request and take the whole answer.
- * @client: the idle handles
+ * @client: the client
  * @request: the request
  * @answer: the answer, empty at first
  * @sent: set when the request may have reached the peer
@@ -94,8 +91,8 @@
  * closed after the first byte, the exchange fails.
  *
  * Return: 0, QL_E_UNAVAILABLE when no connection was made, QL_E_IO when it
- * broke, QL_E_TIMEOUT, QL_E_TOO_LARGE, or QL_E_PROTOCOL for a truncated or
- * malformed answer.
+ * broke, QL_E_TIMEOUT, QL_E_CANCELLED, QL_E_TOO_LARGE, or QL_E_PROTOCOL for a
+ * truncated or malformed answer.
  */
 int ql_http_client_exchange(ql_http_client_t *client,
 			    const ql_http_request_t *request,
--- a/src/node/http_server.c
+++ b/src/node/http_server.c
@@ -2,8 +2,10 @@
 #include "quetzalloft/address.h"
 #include "quetzalloft/error.h"
 
+#include <errno.h>
 #include <microhttpd.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define THREAD_STACK_BYTES (256u << 10)
 #define IDLE_TIMEOUT_S 60u
@@ -15,12 +17,80 @@
 static int on_request(const struct _u_request *request,
 		      struct _u_response *response, void *data)
 {
-	const ql_http_server_t *server = data;
+	ql_http_server_t *server = data;
 
 	server->opts.handle(server->opts.data, request, response);
+	if (__atomic_load_n(&server->closing, __ATOMIC_ACQUIRE))
+		u_map_put(response->map_header, "Connection", "close");
 	return U_CALLBACK_COMPLETE;
 }
 
+/* The IP number and port of a peer as one key. */
+static guint64 peer_key(const struct sockaddr *address)
+{
+	const struct sockaddr_in *in = (const struct sockaddr_in *)address;
+
+	return (guint64)in->sin_addr.s_addr << 16 | in->sin_port;
+}
+
+static void on_connection(void *data, struct MHD_Connection *connection,
+			  void **context G_GNUC_UNUSED,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	ql_http_server_t *server = data;
+	const union MHD_ConnectionInfo *address =
+		MHD_get_connection_info(connection,
+					MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const union MHD_ConnectionInfo *socket =
+		MHD_get_connection_info(connection,
+					MHD_CONNECTION_INFO_CONNECTION_FD);
+	guint64 key;
+
+	if (!address || !socket)
+		return;
+	key = peer_key(address->client_addr);
+	pthread_mutex_lock(&server->lock);
+	if (code == MHD_CONNECTION_NOTIFY_STARTED)
+		g_hash_table_insert(server->sockets,
+				    g_memdup2(&key, sizeof(key)),
+				    GINT_TO_POINTER(socket->connect_fd));
+	else
+		g_hash_table_remove(server->sockets, &key);
+	pthread_mutex_unlock(&server->lock);
+}
+
+static int find_socket(ql_http_server_t *server,
+		       const struct _u_request *request)
+{
+	guint64 key = peer_key(request->client_address);
+	gpointer value = NULL;
+	int fd = -1;
+
+	pthread_mutex_lock(&server->lock);
+	if (g_hash_table_lookup_extended(server->sockets, &key, NULL, &value))
+		fd = GPOINTER_TO_INT(value);
+	pthread_mutex_unlock(&server->lock);
+	return fd;
+}
+
+bool ql_http_server_peer_gone(ql_http_server_t *server,
+			      const struct _u_request *request)
+{
+	int fd = find_socket(server, request);
+	ssize_t n;
+	char byte;
+
+	if (fd < 0)
+		return false;
+	n = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+	return !n || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+void ql_http_server_begin_close(ql_http_server_t *server)
+{
+	__atomic_store_n(&server->closing, 1, __ATOMIC_RELEASE);
+}
+
 static int add_routes(ql_http_server_t *server)
 {
 	size_t i;
@@ -43,6 +113,7 @@
 		 NULL},
 		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger,
 		 NULL},
+		{MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)on_connection, server},
 		{MHD_OPTION_SOCK_ADDR, 0, &server->bind_address},
 		{MHD_OPTION_CONNECTION_LIMIT, server->opts.connections, NULL},
 		{MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, NULL},
@@ -66,6 +137,9 @@
 
 	memset(server, 0, sizeof(*server));
 	server->opts = *opts;
+	pthread_mutex_init(&server->lock, NULL);
+	server->sockets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						g_free, NULL);
 	ql_address_format(address, opts->address, opts->port);
 	ret = ql_address_parse(&server->bind_address, address, error);
 	if (ret)
@@ -91,5 +165,7 @@
 		return;
 	ulfius_stop_framework(&server->instance);
 	ulfius_clean_instance(&server->instance);
+	g_hash_table_destroy(server->sockets);
+	pthread_mutex_destroy(&server->lock);
 	server->running = false;
 }
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -8,6 +8,7 @@
 #include "quetzalloft/types.h"
 
 #include <netinet/in.h>
+#include <pthread.h>
 #include <ulfius.h>
 
 G_BEGIN_DECLS
@@ -35,10 +36,19 @@
 	void *data;
 } ql_http_server_opts_t;
 
+/**
+ * struct ql_http_server - The listener.
+ * @lock: guards @sockets
+ * @sockets: socket of each open connection by the peer's address
+ * @closing: answers tell the peer to close its connection
+ */
 typedef struct ql_http_server {
 	struct _u_instance instance;
 	struct sockaddr_in bind_address;
 	ql_http_server_opts_t opts;
+	pthread_mutex_t lock;
+	GHashTable *sockets;
+	int closing;
 	bool running;
 } ql_http_server_t;
 
@@ -53,6 +63,22 @@
 int ql_http_server_start(ql_http_server_t *server,
 			 const ql_http_server_opts_t *opts, GError **error);
 
+/**
+ * ql_http_server_peer_gone() - Whether the peer closed its connection.
+ * @server: the listener
+ * @request: a request that is being answered
+ *
+ * Return: true when nobody waits for the answer any more.
+ */
+bool ql_http_server_peer_gone(ql_http_server_t *server,
+			      const struct _u_request *request);
+
+/**
+ * ql_http_server_begin_close() - Ask every peer to close with its next answer.
+ * @server: the listener
+ */
+void ql_http_server_begin_close(ql_http_server_t *server);
+
 /**
  * ql_http_server_stop() - Close the listener and every connection.
  * @server: the listener; one that does not run is ignored
--- /dev/null
+++ b/src/node/local_endpoint.c
@@ -0,0 +1,173 @@
+#include "node/local_endpoint.h"
+#include "quetzalloft/clock.h"
+#include "quetzalloft/thread.h"
+
+#include <string.h>
+
+#define CANCEL_POLL_US (20 * QL_US_PER_MS)
+
+/* A thread that waits for a decision of the gate. */
+typedef struct {
+	pthread_cond_t decided;
+	bool is_decided;
+	ql_gate_decision_t decision;
+} waiter_t;
+
+void ql_local_endpoint_init(ql_local_endpoint_t *endpoint,
+			    const ql_announcement_t *announcement,
+			    const ql_gate_opts_t *opts)
+{
+	memset(endpoint, 0, sizeof(*endpoint));
+	pthread_mutex_init(&endpoint->lock, NULL);
+	endpoint->announcement = *announcement;
+	ql_gate_init(&endpoint->gate, opts);
+	endpoint->waiters = g_hash_table_new(NULL, NULL);
+}
+
+void ql_local_endpoint_finish(ql_local_endpoint_t *endpoint)
+{
+	ql_gate_finish(&endpoint->gate);
+	g_hash_table_destroy(endpoint->waiters);
+	pthread_mutex_destroy(&endpoint->lock);
+}
+
+/* Hands the decisions that are due to the threads that wait for them. */
+static void wake_waiters(ql_local_endpoint_t *endpoint)
+{
+	ql_gate_decision_t decision;
+	waiter_t *waiter;
+	uint64_t now_us = ql_clock_now_us();
+
+	while (ql_gate_next(&endpoint->gate, &decision, now_us)) {
+		waiter = g_hash_table_lookup(endpoint->waiters,
+					     GUINT_TO_POINTER(decision.ticket));
+		g_assert(waiter);
+		waiter->decision = decision;
+		waiter->is_decided = true;
+		pthread_cond_signal(&waiter->decided);
+	}
+}
+
+/* The gate drains while the endpoint or the node does. */
+static void update_draining(ql_local_endpoint_t *endpoint)
+{
+	bool draining =
+		endpoint->announcement.draining || endpoint->node_draining;
+
+	if (draining && !endpoint->gate.draining)
+		ql_gate_drain(&endpoint->gate);
+	endpoint->gate.draining = draining;
+	wake_waiters(endpoint);
+}
+
+bool ql_local_endpoint_renew(ql_local_endpoint_t *endpoint,
+			     const ql_announcement_t *announcement)
+{
+	uint64_t now_us = ql_clock_now_us();
+	bool returned, changed;
+
+	pthread_mutex_lock(&endpoint->lock);
+	returned = endpoint->expires_us <= now_us ||
+		   strcmp(endpoint->announcement.address,
+			  announcement->address) != 0;
+	changed = returned ||
+		  endpoint->announcement.draining != announcement->draining;
+	if (returned)
+		endpoint->incarnation = (uint64_t)g_get_real_time();
+	endpoint->announcement = *announcement;
+	endpoint->expires_us = now_us + announcement->lease_ms * QL_US_PER_MS;
+	update_draining(endpoint);
+	pthread_mutex_unlock(&endpoint->lock);
+	return changed;
+}
+
+void ql_local_endpoint_drain(ql_local_endpoint_t *endpoint)
+{
+	pthread_mutex_lock(&endpoint->lock);
+	endpoint->node_draining = true;
+	update_draining(endpoint);
+	pthread_mutex_unlock(&endpoint->lock);
+}
+
+/* Takes a request back whose caller gave up, unless it was just decided. */
+static bool take_back(ql_local_endpoint_t *endpoint, waiter_t *waiter,
+		      ql_handle_t ticket)
+{
+	if (waiter->is_decided || !ql_gate_cancel(&endpoint->gate, ticket))
+		return false;
+	waiter->decision.verdict = QL_GATE_REFUSE;
+	waiter->decision.reason = QL_REASON_CANCELLED;
+	return true;
+}
+
+/* Waits until the gate has decided on a queued request. */
+static ql_gate_decision_t await_decision(ql_local_endpoint_t *endpoint,
+					 const ql_admission_t *admission,
+					 ql_handle_t ticket)
+{
+	waiter_t waiter = {0};
+	uint64_t until_us;
+
+	ql_cond_init(&waiter.decided);
+	g_hash_table_insert(endpoint->waiters, GUINT_TO_POINTER(ticket),
+			    &waiter);
+	while (!waiter.is_decided) {
+		until_us = MIN(ql_gate_next_us(&endpoint->gate),
+			       ql_clock_now_us() + CANCEL_POLL_US);
+		ql_cond_wait_until(&waiter.decided, &endpoint->lock, until_us);
+		wake_waiters(endpoint);
+		if (admission->is_gone(admission->data) &&
+		    take_back(endpoint, &waiter, ticket))
+			break;
+	}
+	g_hash_table_remove(endpoint->waiters, GUINT_TO_POINTER(ticket));
+	pthread_cond_destroy(&waiter.decided);
+	return waiter.decision;
+}
+
+ql_gate_decision_t ql_local_endpoint_enter(ql_local_endpoint_t *endpoint,
+					   const ql_admission_t *admission,
+					   uint32_t *level)
+{
+	ql_gate_decision_t decision = {
+		.verdict = QL_GATE_REFUSE,
+		.ticket = QL_HANDLE_NONE,
+		.reason = QL_REASON_NO_ENDPOINT,
+	};
+	uint64_t now_us = ql_clock_now_us();
+
+	pthread_mutex_lock(&endpoint->lock);
+	if (endpoint->expires_us > now_us) {
+		decision = ql_gate_offer(&endpoint->gate, &admission->request,
+					 now_us);
+		wake_waiters(endpoint);
+		if (decision.verdict == QL_GATE_QUEUE)
+			decision = await_decision(endpoint, admission,
+						  decision.ticket);
+	}
+	*level = ql_gate_level(&endpoint->gate, ql_clock_now_us());
+	pthread_mutex_unlock(&endpoint->lock);
+	return decision;
+}
+
+void ql_local_endpoint_leave(ql_local_endpoint_t *endpoint, ql_handle_t ticket,
+			     bool overloaded, uint32_t *level)
+{
+	pthread_mutex_lock(&endpoint->lock);
+	ql_gate_finish_request(&endpoint->gate, ticket, overloaded,
+			       ql_clock_now_us());
+	wake_waiters(endpoint);
+	*level = ql_gate_level(&endpoint->gate, ql_clock_now_us());
+	pthread_mutex_unlock(&endpoint->lock);
+}
+
+bool ql_local_endpoint_is_serving(ql_local_endpoint_t *endpoint)
+{
+	bool serving;
+
+	pthread_mutex_lock(&endpoint->lock);
+	serving = !endpoint->gate.draining &&
+		  endpoint->expires_us > ql_clock_now_us();
+	pthread_mutex_unlock(&endpoint->lock);
+	return serving;
+}
--- /dev/null
+++ b/src/node/local_endpoint.h
@@ -0,0 +1,124 @@
+#ifndef QL_NODE_LOCAL_ENDPOINT_H
+#define QL_NODE_LOCAL_ENDPOINT_H
+
+/**
+ * DOC: An endpoint of this VM and the gate in front of it, for many threads.
+ */
+
+#include "quetzalloft/gate.h"
+
+#include <pthread.h>
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_announcement - What an endpoint says of itself.
+ * @service: the service that it runs
+ * @address: "IP:port" where it listens
+ * @slots: requests that it can run at once
+ * @connections: connections that it takes
+ * @draining: it takes no new request
+ * @lease_ms: how long this holds
+ */
+typedef struct ql_announcement {
+	char service[QL_NAME_MAX];
+	char address[QL_ADDRESS_MAX];
+	uint64_t slots;
+	uint64_t connections;
+	bool draining;
+	uint64_t lease_ms;
+} ql_announcement_t;
+
+/**
+ * struct ql_local_endpoint - The endpoint.
+ * @lock: guards the members
+ * @announcement: what it said last
+ * @expires_us: when that stops to hold
+ * @incarnation: when it was first announced since it last vanished
+ * @node_draining: the node itself leaves
+ * @gate: its gate
+ * @waiters: threads that wait for the gate, by ticket
+ */
+typedef struct ql_local_endpoint {
+	pthread_mutex_t lock;
+	ql_announcement_t announcement;
+	uint64_t expires_us;
+	uint64_t incarnation;
+	bool node_draining;
+	ql_gate_t gate;
+	GHashTable *waiters;
+} ql_local_endpoint_t;
+
+/**
+ * ql_local_endpoint_init() - Prepare the gate of an endpoint.
+ * @endpoint: the endpoint
+ * @announcement: what it said first; it counts from the first renewal on
+ * @opts: settings of the gate
+ */
+void ql_local_endpoint_init(ql_local_endpoint_t *endpoint,
+			    const ql_announcement_t *announcement,
+			    const ql_gate_opts_t *opts);
+void ql_local_endpoint_finish(ql_local_endpoint_t *endpoint);
+
+/**
+ * ql_local_endpoint_renew() - Take an announcement.
+ * @endpoint: the endpoint
+ * @announcement: what it says
+ *
+ * Return: true when the registrar is to hear of it at once: it is new, came
+ * back, or began or ceased to drain.
+ */
+bool ql_local_endpoint_renew(ql_local_endpoint_t *endpoint,
+			     const ql_announcement_t *announcement);
+
+/**
+ * ql_local_endpoint_drain() - Admit nothing more, since the node leaves.
+ * @endpoint: the endpoint
+ */
+void ql_local_endpoint_drain(ql_local_endpoint_t *endpoint);
+
+/**
+ * struct ql_admission - A request that asks to be admitted.
+ * @request: for the gate
+ * @is_gone: asked now and then while it waits whether its caller gave up
+ * @data: passed to it
+ */
+typedef struct ql_admission {
+	ql_gate_request_t request;
+	bool (*is_gone)(void *data);
+	void *data;
+} ql_admission_t;
+
+/**
+ * ql_local_endpoint_enter() - Ask for admission and wait for the decision.
+ * @endpoint: the endpoint
+ * @admission: the request
+ * @level: load level of the gate afterwards
+ *
+ * Return: the decision, never QL_GATE_QUEUE.
+ */
+ql_gate_decision_t ql_local_endpoint_enter(ql_local_endpoint_t *endpoint,
+					   const ql_admission_t *admission,
+					   uint32_t *level);
+
+/**
+ * ql_local_endpoint_leave() - Report that an admitted request ended.
+ * @endpoint: the endpoint
+ * @ticket: its ticket
+ * @overloaded: the endpoint shed it, or it ran out of time
+ * @level: load level of the gate afterwards
+ */
+void ql_local_endpoint_leave(ql_local_endpoint_t *endpoint, ql_handle_t ticket,
+			     bool overloaded, uint32_t *level);
+
+/**
+ * ql_local_endpoint_is_serving() - Whether callers may send requests.
+ * @endpoint: the endpoint
+ *
+ * Return: false when it drains, its node leaves, or its announcement expired.
+ */
+bool ql_local_endpoint_is_serving(ql_local_endpoint_t *endpoint);
+
+G_END_DECLS
+
+#endif
--- a/src/node/local_service.c
+++ b/src/node/local_service.c
@@ -138,6 +138,21 @@
 	return false;
 }
 
+/* A call of an endpoint, given up with the call that it serves. */
+typedef struct {
+	ql_http_server_t *server;
+	const struct _u_request *request;
+	const ql_call_t *parent;
+} waiting_call_t;
+
+static bool call_given_up(void *data)
+{
+	const waiting_call_t *call = data;
+
+	return ql_call_is_cancelled(call->parent) ||
+	       ql_http_server_peer_gone(call->server, call->request);
+}
+
 /* Makes a call on behalf of the request that the endpoint names. */
 static bool call_for(ql_local_service_t *service, ql_call_t *parent,
 		     const ql_document_t *doc, int callee,
@@ -148,6 +163,7 @@
 		g_strndup(request->http_url, strcspn(request->http_url, "?#"));
 	const ql_route_t *route =
 		ql_document_match(doc, callee, NULL, request->http_verb, path);
+	waiting_call_t waiting = {service->server, request, parent};
 	ql_router_request_t call = {
 		.call = parent,
 		.service = &doc->services[callee],
@@ -157,6 +173,8 @@
 		.deadline_us = parent->deadline_us,
 		.config_version = doc->version,
 		.request = request,
+		.is_cancelled = call_given_up,
+		.cancel_data = &waiting,
 	};
 
 	g_free(path);
--- a/src/node/local_service.h
+++ b/src/node/local_service.h
@@ -7,6 +7,7 @@
  */
 
 #include "node/gate_service.h"
+#include "node/http_server.h"
 #include "node/router.h"
 
 G_BEGIN_DECLS
@@ -16,11 +17,13 @@
 
 /**
  * struct ql_local_service - What it needs; all borrowed.
+ * @server: the listener
  * @address: IP number of this VM, where its endpoints listen
  * @report: gives a report as JSON, or NULL when the topic is unknown
  * @announced: called when the registrar is to hear of a change at once
  */
 typedef struct ql_local_service {
+	ql_http_server_t *server;
 	const char *address;
 	ql_router_t *router;
 	ql_gate_service_t *gates;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -114,6 +114,7 @@
 {
 	const ql_settings_t *settings = node->settings;
 	ql_gate_service_opts_t gate_opts = {
+		.server = &node->gate_server,
 		.client = &node->client,
 		.counters = &node->counters,
 		.hlc = &node->hlc,
@@ -136,6 +137,7 @@
 		       settings->failure_domain);
 	ql_gate_service_init(&node->gates, &gate_opts);
 	node->clients = (ql_client_service_t){
+		.server = &node->client_server,
 		.router = &node->router,
 		.counters = &node->counters,
 		.document = node_document,
@@ -143,6 +145,7 @@
 		.data = node,
 	};
 	node->locals = (ql_local_service_t){
+		.server = &node->local_server,
 		.address = settings->address,
 		.router = &node->router,
 		.gates = &node->gates,
@@ -262,6 +265,8 @@
 	       QL_STR("node", node->settings->node));
 	__atomic_store_n(&node->clients.draining, 1, __ATOMIC_RELEASE);
 	ql_gate_service_drain(&node->gates);
+	ql_http_server_begin_close(&node->client_server);
+	ql_http_server_begin_close(&node->gate_server);
 	ql_control_service_leave(&node->control);
 	while (ql_clock_now_us() < earliest_us || is_busy(node))
 		g_usleep(DRAIN_POLL_US);
--- a/src/node/router.c
+++ b/src/node/router.c
@@ -141,12 +141,13 @@
 	ql_metadata_init(&metadata);
 	metadata.has = QL_HAS_TIMEOUT | QL_HAS_ATTEMPTS | QL_HAS_ATTEMPT |
 		       QL_HAS_VERSION | QL_HAS_CLASS | QL_HAS_SERVICE |
-		       QL_HAS_UNDER_WAY | QL_HAS_CLOCK;
+		       QL_HAS_UNDER_WAY | QL_HAS_CLOCK | QL_HAS_IDEMPOTENT;
 	metadata.timeout_ms = timeout_ms;
 	metadata.attempts = lent;
 	metadata.attempt = *attempt;
 	metadata.version = request->config_version;
 	metadata.under_way = request->under_way;
+	metadata.idempotent = request->idempotent;
 	metadata.clock = ql_hlc_tick(pending->router->hlc, ql_clock_wall_ms());
 	g_strlcpy(metadata.class_name, request->call->class_name, QL_NAME_MAX);
 	g_strlcpy(metadata.service, request->service->name, QL_NAME_MAX);
@@ -161,19 +162,28 @@
 	result->reason = reason;
 }
 
+static ql_reason_t unsent_reason(int ret)
+{
+	if (ret == QL_E_CANCELLED)
+		return QL_REASON_CANCELLED;
+	return ret == QL_E_TIMEOUT ? QL_REASON_DEADLINE
+				   : QL_REASON_CONNECT_FAILED;
+}
+
 /* Classifies an exchange that did not give a whole answer. */
 static void classify_failure(ql_attempt_result_t *result, int ret, bool sent)
 {
 	if (!sent) {
-		fail_result(result, QL_OUTCOME_NOT_RUN,
-			    ret == QL_E_TIMEOUT ? QL_REASON_DEADLINE
-						: QL_REASON_CONNECT_FAILED);
+		fail_result(result, QL_OUTCOME_NOT_RUN, unsent_reason(ret));
 		return;
 	}
 	switch (ret) {
 	case QL_E_TIMEOUT:
 		fail_result(result, QL_OUTCOME_UNKNOWN, QL_REASON_DEADLINE);
 		break;
+	case QL_E_CANCELLED:
+		fail_result(result, QL_OUTCOME_UNKNOWN, QL_REASON_CANCELLED);
+		break;
 	case QL_E_TOO_LARGE:
 		fail_result(result, QL_OUTCOME_UNKNOWN, QL_REASON_TOO_LARGE);
 		break;
@@ -242,6 +252,8 @@
 		.body_bytes = request->request->binary_body_length,
 		.timeout_ms = timeout_ms,
 		.body_limit_bytes = request->service->body_limit_bytes,
+		.is_cancelled = request->is_cancelled,
+		.cancel_data = request->cancel_data,
 	};
 	bool sent;
 	int ret;
@@ -313,6 +325,10 @@
 		fail_result(result, QL_OUTCOME_NOT_RUN, QL_REASON_DEADLINE);
 		return true;
 	}
+	if (request->is_cancelled(request->cancel_data)) {
+		fail_result(result, QL_OUTCOME_NOT_RUN, QL_REASON_CANCELLED);
+		return true;
+	}
 	lent = ql_call_lend(request->call, request->service->subtree_attempts);
 	if (!lent) {
 		fail_result(result, QL_OUTCOME_NOT_RUN, QL_REASON_ATTEMPTS);
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -45,6 +45,8 @@
  * @deadline_us: when its time is over
  * @config_version: version of the configuration
  * @request: what came in
+ * @is_cancelled: whether to give up
+ * @cancel_data: passed to it
  */
 typedef struct ql_router_request {
 	ql_call_t *call;
@@ -54,6 +56,8 @@
 	uint64_t deadline_us;
 	uint64_t config_version;
 	const struct _u_request *request;
+	bool (*is_cancelled)(void *data);
+	void *cancel_data;
 } ql_router_request_t;
 
 void ql_router_init(ql_router_t *router, const ql_balancer_ops_t *ops,
--- /dev/null
+++ b/tests/node/http_client_test.cc
@@ -0,0 +1,149 @@
+#include "node/http_client.h"
+#include "quetzalloft/error.h"
+#include "support/raw_server.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+const char *WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+
+class Client : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ql_http_client_init(&client);
+	}
+
+	void TearDown() override
+	{
+		ql_http_client_finish(&client);
+	}
+
+	int exchange(const RawServer &server, bool *sent,
+		     std::string *body = nullptr)
+	{
+		std::string address = server.address();
+		ql_http_request_t request = {};
+		ql_http_answer_t answer;
+		int ret;
+
+		request.address = address.c_str();
+		request.method = "POST";
+		request.target = "/orders";
+		request.timeout_ms = 5000;
+		request.body_limit_bytes = 64;
+		request.is_cancelled = is_cancelled;
+		request.cancel_data = &cancelled;
+		ql_http_answer_init(&answer);
+		ret = ql_http_client_exchange(&client, &request, &answer, sent,
+					      nullptr);
+		if (body)
+			body->assign((char *)answer.body->data,
+				     answer.body->len);
+		ql_http_answer_finish(&answer);
+		return ret;
+	}
+
+	static bool is_cancelled(void *data)
+	{
+		return *(bool *)data;
+	}
+
+	ql_http_client_t client;
+	bool cancelled = false;
+};
+
+struct AnswerCase {
+	std::string bytes;
+	int expected;
+};
+
+class BadAnswer : public Client, public testing::WithParamInterface<AnswerCase>
+{
+};
+
+TEST_P(BadAnswer, IsNeverTakenForAWholeOne)
+{
+	RawServer server([](int) {
+		return RawServer::Reply{GetParam().bytes, true};
+	});
+	bool sent;
+
+	EXPECT_EQ(GetParam().expected, exchange(server, &sent));
+	EXPECT_TRUE(sent);
+	EXPECT_EQ(1, server.requests());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Bytes, BadAnswer,
+	testing::Values(
+		AnswerCase{"", QL_E_IO}, AnswerCase{"HTTP/1.1 200", QL_E_IO},
+		AnswerCase{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+			   QL_E_PROTOCOL},
+		AnswerCase{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			   "\r\n9\r\nhalf",
+			   QL_E_PROTOCOL},
+		AnswerCase{"HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" +
+				   std::string(65, 'x'),
+			   QL_E_TOO_LARGE}));
+
+TEST_F(Client, TakesAWholeAnswerAndKeepsTheConnection)
+{
+	RawServer server([](int) { return RawServer::Reply{WHOLE, false}; });
+	std::string body;
+	bool sent;
+
+	EXPECT_EQ(0, exchange(server, &sent, &body));
+	EXPECT_EQ("whole", body);
+	EXPECT_EQ(0, exchange(server, &sent, &body));
+	EXPECT_EQ(2, server.requests());
+}
+
+TEST_F(Client, NeverSendsARequestTwice)
+{
+	/* The second request on the kept connection is read and not answered.
+	 */
+	RawServer server([](int number) {
+		return number == 1 ? RawServer::Reply{"", true}
+				   : RawServer::Reply{WHOLE, false};
+	});
+	bool sent;
+
+	EXPECT_EQ(0, exchange(server, &sent));
+	EXPECT_NE(0, exchange(server, &sent));
+	EXPECT_TRUE(sent);
+	EXPECT_EQ(2, server.requests());
+}
+
+TEST_F(Client, SaysThatNothingWasSent)
+{
+	ql_http_request_t request = {};
+	ql_http_answer_t answer;
+	bool sent = true;
+
+	/* Port 1 of loopback has no listener. */
+	request.address = "127.0.0.1:1";
+	request.method = "GET";
+	request.target = "/";
+	request.timeout_ms = 5000;
+	ql_http_answer_init(&answer);
+	EXPECT_EQ(QL_E_UNAVAILABLE,
+		  ql_http_client_exchange(&client, &request, &answer, &sent,
+					  nullptr));
+	EXPECT_FALSE(sent);
+	ql_http_answer_finish(&answer);
+}
+
+TEST_F(Client, GivesUpWhenCancelled)
+{
+	RawServer server([](int) { return RawServer::Reply{"", false}; });
+	bool sent;
+
+	cancelled = true;
+	EXPECT_EQ(QL_E_CANCELLED, exchange(server, &sent));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/support/raw_server.h
@@ -0,0 +1,112 @@
+#ifndef TESTS_SUPPORT_RAW_SERVER_H
+#define TESTS_SUPPORT_RAW_SERVER_H
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+
+/**
+ * A TCP server on a free loopback port that answers the request with a given
+ * number on a connection with bytes of the test's choice, well-formed or not.
+ */
+class RawServer
+{
+      public:
+	struct Reply {
+		std::string bytes;
+		bool close;
+	};
+
+	/* Called with the number of the request over all connections. */
+	using Script = std::function<Reply(int)>;
+
+	explicit RawServer(Script script) : script_(script)
+	{
+		sockaddr_in address = {};
+		socklen_t length = sizeof(address);
+
+		listener_ = socket(AF_INET, SOCK_STREAM, 0);
+		address.sin_family = AF_INET;
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		bind(listener_, (sockaddr *)&address, sizeof(address));
+		listen(listener_, 8);
+		getsockname(listener_, (sockaddr *)&address, &length);
+		port_ = ntohs(address.sin_port);
+		thread_ = std::thread([this] { serve(); });
+	}
+
+	~RawServer()
+	{
+		stopping_ = true;
+		shutdown(listener_, SHUT_RDWR);
+		if (connection_ >= 0)
+			shutdown(connection_, SHUT_RDWR);
+		thread_.join();
+		close(listener_);
+	}
+
+	std::string address() const
+	{
+		return "127.0.0.1:" + std::to_string(port_);
+	}
+
+	int requests() const
+	{
+		return requests_;
+	}
+
+      private:
+	void serve()
+	{
+		int fd;
+
+		while (!stopping_ &&
+		       (fd = accept(listener_, nullptr, nullptr)) >= 0)
+			serve_connection(fd);
+	}
+
+	/* Reads up to the blank line; the tests send no bodies here. */
+	static bool read_request(int fd)
+	{
+		std::string text;
+		char byte;
+
+		while (recv(fd, &byte, 1, 0) == 1) {
+			text += byte;
+			if (text.size() >= 4 &&
+			    !text.compare(text.size() - 4, 4, "\r\n\r\n"))
+				return true;
+		}
+		return false;
+	}
+
+	void serve_connection(int fd)
+	{
+		connection_ = fd;
+		while (!stopping_ && read_request(fd)) {
+			Reply reply = script_(requests_++);
+
+			send(fd, reply.bytes.data(), reply.bytes.size(),
+			     MSG_NOSIGNAL);
+			if (reply.close)
+				break;
+		}
+		connection_ = -1;
+		close(fd);
+	}
+
+	Script script_;
+	int listener_;
+	unsigned int port_;
+	std::atomic<bool> stopping_{false};
+	std::atomic<int> requests_{0};
+	std::atomic<int> connection_{-1};
+	std::thread thread_;
+};
+
+#endif
