--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -17,6 +17,7 @@
  * @incarnation: start of its process, to tell a restart
  * @slots: requests that it can run at once
  * @connections: connections that it takes
+ * @stale: its failure domain was not heard of lately
  */
 typedef struct ql_target_info {
 	char gate[QL_ADDRESS_MAX];
@@ -24,6 +25,7 @@
 	uint64_t incarnation;
 	uint32_t slots;
 	uint32_t connections;
+	bool stale;
 } ql_target_info_t;
 
 /**
--- a/include/quetzalloft/registrar.h
+++ b/include/quetzalloft/registrar.h
@@ -2,12 +2,13 @@
 #define QUETZALLOFT_REGISTRAR_H
 
 /**
- * DOC: The registrar of a failure domain: it holds the leases of the nodes,
- * knows their endpoints, and hands out members and configuration as deltas.
- * It has no thread, socket or clock of its own.
+ * DOC: A registrar of a failure domain: it holds the leases of the nodes of
+ * its domain, knows the endpoints of all domains, and hands out endpoints and
+ * configuration as deltas. It has no thread, socket or clock of its own.
  */
 
 #include "quetzalloft/config_state.h"
+#include "quetzalloft/record.h"
 #include "quetzalloft/table.h"
 
 #include "control.h"
@@ -19,27 +20,77 @@
  * @cluster: name of the cluster
  * @failure_domain: whose nodes it serves
  * @incarnation: start of this process
- * @lease_ms: how long a lease lasts without renewal
+ * @started_ms: when it started
+ * @lease_ms: how long a lease lasts without renewal; also how long a registrar
+ *            that has just started is not trusted to know every node
+ * @rules: order of records and warm-up; NULL for the sound ones
  */
 typedef struct ql_registrar_opts {
 	char cluster[QL_NAME_MAX];
 	char failure_domain[QL_NAME_MAX];
 	uint64_t incarnation;
+	uint64_t started_ms;
 	uint32_t lease_ms;
+	const ql_membership_rules_t *rules;
 } ql_registrar_opts_t;
 
+/**
+ * struct ql_registrar_counts - What a registrar counts.
+ * @renewals: leases renewed
+ * @denied: senders of another cluster, domain or identity
+ * @malformed: records that were not taken in
+ * @expired: leases that ran out
+ * @refuted: records of another registrar that a live lease contradicted
+ * @whole_lists: services that were sent whole
+ * @records_sent: endpoints in answers to nodes
+ * @records_full: records refused because the table is full
+ * @diverged: nodes that hold another document under the same version
+ */
+typedef struct ql_registrar_counts {
+	uint64_t renewals;
+	uint64_t denied;
+	uint64_t malformed;
+	uint64_t expired;
+	uint64_t refuted;
+	uint64_t whole_lists;
+	uint64_t records_sent;
+	uint64_t records_full;
+	uint64_t diverged;
+} ql_registrar_counts_t;
+
 /**
  * struct ql_registrar - The registrar.
  * @opts: settings
  * @config: the configuration; borrowed
- * @members: known endpoints
- * @members_version: number of the last change of members
+ * @records: table of endpoints, those that are gone included
+ * @by_key: handles of @records by ql_record_key()
+ * @newest: the record that changed last; records are linked by age
+ * @services: endpoints by service
+ * @nodes: leases by name of the node, only of this failure domain
+ * @gates: names of nodes by gate
+ * @holders: when each registrar of this domain was heard, by incarnation
+ * @domains: what is known of each failure domain
+ * @number: number of the last change
+ * @domains_number: number of the last change of @domains
+ * @swept_ms: when old records were dropped last
+ * @replicas_heard_ms: when a replica answered last; 0 for never
  */
 typedef struct ql_registrar {
 	ql_registrar_opts_t opts;
 	ql_config_state_t *config;
-	ql_table_t members;
-	uint64_t members_version;
+	ql_table_t records;
+	GHashTable *by_key;
+	ql_handle_t newest;
+	GHashTable *services;
+	GHashTable *nodes;
+	GHashTable *gates;
+	GHashTable *holders;
+	GHashTable *domains;
+	uint64_t number;
+	uint64_t domains_number;
+	uint64_t swept_ms;
+	uint64_t replicas_heard_ms;
+	ql_registrar_counts_t counts;
 } ql_registrar_t;
 
 void ql_registrar_init(ql_registrar_t *registrar,
@@ -53,18 +104,63 @@
  * @args: what the node sent
  * @res: the answer, zeros at first; freed by its XDR routine
  * @now_ms: the time
+ *
+ * A sender of another cluster or failure domain, or one that claims the name
+ * or the gate of a node with a live lease, is refused with QL_E_DENIED.
  */
 void ql_registrar_lease(ql_registrar_t *registrar,
 			const ql_rpc_lease_args *args, ql_rpc_lease_res *res,
 			uint64_t now_ms);
 
 /**
- * ql_registrar_tick() - Forget members whose lease ran out.
+ * ql_registrar_offer() - Take the document of a node that is ahead.
+ * @registrar: the registrar
+ * @args: what the node sent
+ * @now_ms: the time
+ * @error: detail of a failure
+ *
+ * Return: 0; QL_E_DENIED when the sender holds no lease here; QL_E_EXISTS when
+ * a replica answers, which is asked instead; QL_E_CORRUPT when the document
+ * does not match its digest; or what ql_document_compile() found.
+ */
+int ql_registrar_offer(ql_registrar_t *registrar, const ql_rpc_offer_args *args,
+		       uint64_t now_ms, GError **error);
+
+/**
+ * ql_registrar_replicas_heard() - A replica answered.
+ * @registrar: the registrar
+ * @now_ms: the time
+ */
+void ql_registrar_replicas_heard(ql_registrar_t *registrar, uint64_t now_ms);
+
+/**
+ * ql_registrar_tick() - Expire leases, mark silent domains, drop old records.
  * @registrar: the registrar
  * @now_ms: the time
  */
 void ql_registrar_tick(ql_registrar_t *registrar, uint64_t now_ms);
 
+/**
+ * ql_registrar_is_ready() - Whether it has run for a lease.
+ * @registrar: the registrar
+ * @now_ms: the time
+ *
+ * Return: whether every living node of the domain had time to renew.
+ */
+bool ql_registrar_is_ready(const ql_registrar_t *registrar, uint64_t now_ms);
+
+/**
+ * ql_registrar_report() - The members as JSON, for operators.
+ * @registrar: the registrar
+ * @now_ms: the time
+ *
+ * Nodes of this domain have their lease age, their version in force and their
+ * endpoints; for other domains the endpoints are listed.
+ *
+ * Return: a new reference.
+ */
+json_t *ql_registrar_report(const ql_registrar_t *registrar, uint64_t now_ms);
+
 G_END_DECLS
 
 #endif
--- /dev/null
+++ b/src/control/exchange.c
@@ -0,0 +1,220 @@
+#include "control/exchange.h"
+#include "control/greeting.h"
+#include "control/registrar_view.h"
+#include "quetzalloft/error.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define INTERVAL_MIN_MS 500u
+/* Spreads the calls, so that many peers do not mean many calls a second. */
+#define INTERVAL_PER_PEER_MS 125u
+#define BACKOFF_MAX_MS 4000u
+#define BACKOFF_DOUBLINGS_MAX 8u
+#define JITTER 0.2
+/* Answers with other digests before all records are exchanged anew. */
+#define MISMATCHES_MAX 3u
+
+static uint64_t with_jitter(ql_exchange_t *exchange, uint64_t delay_ms)
+{
+	double factor =
+		g_rand_double_range(exchange->random, 1 - JITTER, 1 + JITTER);
+
+	return (uint64_t)((double)delay_ms * factor);
+}
+
+void ql_exchange_init(ql_exchange_t *exchange, ql_registrar_t *registrar,
+		      const char *node, size_t n_peers, GRand *random)
+{
+	size_t i;
+
+	g_assert(n_peers <= QL_PEERS_MAX);
+	memset(exchange, 0, sizeof(*exchange));
+	exchange->registrar = registrar;
+	exchange->n_peers = n_peers;
+	exchange->random = random;
+	exchange->interval_ms =
+		MAX(INTERVAL_MIN_MS, (uint32_t)n_peers * INTERVAL_PER_PEER_MS);
+	g_strlcpy(exchange->node, node, sizeof(exchange->node));
+	for (i = 0; i < n_peers; i++)
+		exchange->peers[i].due_ms =
+			registrar->opts.started_ms +
+			(uint64_t)g_rand_int_range(
+				random, 0, (gint32)exchange->interval_ms);
+}
+
+int ql_exchange_due(const ql_exchange_t *exchange, uint64_t now_ms,
+		    uint64_t *delay_ms)
+{
+	uint64_t earliest_ms = now_ms + exchange->interval_ms;
+	int found = -1;
+	size_t i;
+
+	for (i = 0; i < exchange->n_peers; i++) {
+		if (exchange->peers[i].due_ms >= earliest_ms)
+			continue;
+		earliest_ms = exchange->peers[i].due_ms;
+		found = (int)i;
+	}
+	*delay_ms = earliest_ms > now_ms ? earliest_ms - now_ms : 0;
+	return *delay_ms ? -1 : found;
+}
+
+void ql_exchange_fill(const ql_exchange_t *exchange, size_t index,
+		      ql_rpc_exchange_args *args)
+{
+	const ql_registrar_opts_t *opts = &exchange->registrar->opts;
+	const ql_exchange_peer_t *peer = &exchange->peers[index];
+
+	args->greeting.cluster = strdup(opts->cluster);
+	args->greeting.node = strdup(exchange->node);
+	args->greeting.failure_domain = strdup(opts->failure_domain);
+	args->greeting.incarnation = opts->incarnation;
+	args->greeting.protocol = QL_RPC_PROTOCOL_VERSION;
+	args->registrar_incarnation = peer->incarnation;
+	args->number = peer->number;
+}
+
+static void take_domain(ql_exchange_t *exchange, ql_exchange_peer_t *peer,
+			const ql_rpc_domain *domain, bool complete,
+			uint64_t now_ms)
+{
+	ql_registrar_t *registrar = exchange->registrar;
+	ql_domain_entry_t *entry;
+	uint64_t heard_ms = now_ms - MIN(domain->age_ms, now_ms);
+
+	if (!ql_name_is_valid(domain->name))
+		return;
+	entry = ql_registrar__domain(registrar, domain->name);
+	if (!entry)
+		return;
+	if (complete && domain->digest != entry->digest)
+		peer->mismatches++;
+	if (!strcmp(domain->name, registrar->opts.failure_domain))
+		return;
+	entry->heard_ms = MAX(entry->heard_ms, heard_ms);
+	if (complete && domain->covered && !entry->covered) {
+		entry->covered = true;
+		registrar->domains_number = ++registrar->number;
+	}
+}
+
+static void take_domains(ql_exchange_t *exchange, ql_exchange_peer_t *peer,
+			 const ql_rpc_exchange_res *res, uint64_t now_ms)
+{
+	uint32_t before = peer->mismatches;
+	u_int i;
+
+	for (i = 0; i < res->domains.domains_len; i++)
+		take_domain(exchange, peer, &res->domains.domains_val[i],
+			    !res->more, now_ms);
+	if (res->more)
+		return;
+	peer->mismatches = peer->mismatches == before ? 0 : before + 1;
+	if (peer->mismatches < MISMATCHES_MAX)
+		return;
+	peer->mismatches = 0;
+	peer->number = 0;
+	exchange->counts.repairs++;
+}
+
+int ql_exchange_take(ql_exchange_t *exchange, size_t index,
+		     const ql_rpc_exchange_res *res, uint64_t now_ms,
+		     GError **error)
+{
+	ql_exchange_peer_t *peer = &exchange->peers[index];
+	u_int i;
+
+	if (res->status) {
+		ql_exchange_failed(exchange, index, now_ms);
+		return ql_error_set(error, (ql_error_code_t)res->status, "%s",
+				    res->detail);
+	}
+	exchange->counts.answers++;
+	exchange->counts.records += res->endpoints.endpoints_len;
+	ql_registrar__heard(exchange->registrar, res->registrar_incarnation,
+			    now_ms);
+	for (i = 0; i < res->endpoints.endpoints_len; i++)
+		ql_registrar__merge(exchange->registrar,
+				    &res->endpoints.endpoints_val[i], now_ms);
+	peer->failures = 0;
+	peer->incarnation = res->registrar_incarnation;
+	peer->number = res->number;
+	take_domains(exchange, peer, res, now_ms);
+	peer->due_ms = now_ms;
+	if (!res->more)
+		peer->due_ms += with_jitter(exchange, exchange->interval_ms);
+	return 0;
+}
+
+void ql_exchange_failed(ql_exchange_t *exchange, size_t index, uint64_t now_ms)
+{
+	ql_exchange_peer_t *peer = &exchange->peers[index];
+	uint64_t delay_ms = (uint64_t)exchange->interval_ms
+			    << MIN(peer->failures, BACKOFF_DOUBLINGS_MAX);
+
+	exchange->counts.failures++;
+	peer->failures++;
+	delay_ms = CLAMP(delay_ms, exchange->interval_ms,
+			 MAX(exchange->interval_ms, BACKOFF_MAX_MS));
+	peer->due_ms = now_ms + with_jitter(exchange, delay_ms);
+}
+
+/* Finds the oldest record above a number. */
+static const ql_record_t *first_after(const ql_registrar_t *registrar,
+				      uint64_t number)
+{
+	const ql_record_t *found = NULL;
+	const ql_record_t *record =
+		ql_table_get(&registrar->records, registrar->newest);
+
+	while (record && record->number > number) {
+		found = record;
+		record = ql_table_get(&registrar->records, record->older);
+	}
+	return found;
+}
+
+static void write_records(const ql_registrar_t *registrar, uint64_t since,
+			  ql_rpc_exchange_res *res)
+{
+	ql_rpc_endpoint *out =
+		calloc(QL_RPC_EXCHANGE_MAX, sizeof(ql_rpc_endpoint));
+	const ql_record_t *record = first_after(registrar, since);
+	u_int n = 0;
+
+	g_assert(out);
+	res->endpoints.endpoints_val = out;
+	res->number = registrar->number;
+	while (record && n < QL_RPC_EXCHANGE_MAX) {
+		ql_registrar__write(&out[n++], record);
+		res->number = record->number;
+		record = ql_table_get(&registrar->records, record->newer);
+	}
+	res->endpoints.endpoints_len = n;
+	res->more = record ? TRUE : FALSE;
+	if (!res->more)
+		res->number = registrar->number;
+}
+
+void ql_exchange_answer(ql_registrar_t *registrar,
+			const ql_rpc_exchange_args *args,
+			ql_rpc_exchange_res *res, uint64_t now_ms)
+{
+	uint64_t since = args->number;
+
+	res->status = ql_greeting_check(&args->greeting,
+					registrar->opts.cluster, &res->detail);
+	if (res->status) {
+		registrar->counts.denied++;
+		return;
+	}
+	res->detail = strdup("");
+	if (args->registrar_incarnation != registrar->opts.incarnation ||
+	    since > registrar->number)
+		since = 0;
+	res->registrar_incarnation = registrar->opts.incarnation;
+	write_records(registrar, since, res);
+	ql_registrar__fill_domains(registrar, &res->domains.domains_len,
+				   &res->domains.domains_val, now_ms);
+}
--- a/src/control/greeting.c
+++ b/src/control/greeting.c
@@ -49,6 +49,14 @@
 	}
 }
 
+void ql_config_reply_fill_whole(const ql_config_reply_t *reply,
+				const ql_config_state_t *config)
+{
+	*reply->whole_document = TRUE;
+	*reply->document_val = ql_json_text(config->doc->json);
+	*reply->document_len = (u_int)strlen(*reply->document_val);
+}
+
 void ql_config_reply_fill(const ql_config_reply_t *reply,
 			  const ql_config_state_t *config,
 			  uint64_t known_version)
@@ -59,11 +67,8 @@
 		fill_changes(reply, changes);
 		return;
 	}
-	if (known_version >= config->doc->version)
-		return;
-	*reply->whole_document = TRUE;
-	*reply->document_val = ql_json_text(config->doc->json);
-	*reply->document_len = (u_int)strlen(*reply->document_val);
+	if (known_version < config->doc->version)
+		ql_config_reply_fill_whole(reply, config);
 }
 
 int ql_config_reply_take(ql_config_state_t *config,
--- a/src/control/greeting.h
+++ b/src/control/greeting.h
@@ -46,6 +46,14 @@
 			  const ql_config_state_t *config,
 			  uint64_t known_version);
 
+/**
+ * ql_config_reply_fill_whole() - Send the document.
+ * @reply: where it goes
+ * @config: the configuration
+ */
+void ql_config_reply_fill_whole(const ql_config_reply_t *reply,
+				const ql_config_state_t *config);
+
 /**
  * ql_config_reply_take() - Apply what a peer sent of the configuration.
  * @config: the configuration
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -1,103 +1,135 @@
 #include "quetzalloft/member.h"
 #include "control/greeting.h"
+#include "control/member_interest.h"
+#include "control/member_view.h"
 #include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define JITTER 0.2
-
-typedef struct {
-	char service[QL_NAME_MAX];
-	uint64_t seen;
-} known_t;
+#define BACKOFF_MAX_MS 2000u
+#define BACKOFF_DOUBLINGS_MAX 8u
+/* Renewals at a registrar between two comparisons of the digests. */
+#define RENEWALS_PER_DIGEST 8u
+/* With more services than this, digests are compared more rarely. */
+#define SERVICES_PER_DIGEST 64u
+/* A count of renewals after which digests are compared in any case. */
+#define DIGEST_NOW (UINT32_MAX / 2)
+#define SAW_INTERVAL_MS 200u
+/* How long a new node waits for a registrar before it asks its neighbours. */
+#define ASK_NEIGHBOUR_MS 6000u
 
 void ql_member_init(ql_member_t *member, const ql_member_opts_t *opts,
 		    const ql_member_ops_t *ops, void *data, GRand *random)
 {
 	memset(member, 0, sizeof(*member));
 	member->opts = *opts;
+	if (!member->opts.rules)
+		member->opts.rules = &ql_membership_rules;
 	member->ops = ops;
 	member->data = data;
 	member->random = random;
-	member->known =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	member->registrar = -1;
+	member->offer_to = -1;
+	member->heard_ms = opts->started_ms;
+	member->interest =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	member->demanded =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ql_member__view_init(member);
 	ql_config_state_init(&member->config);
 }
 
 void ql_member_finish(ql_member_t *member)
 {
 	ql_config_state_finish(&member->config);
-	g_hash_table_destroy(member->known);
+	ql_member__view_finish(member);
+	g_hash_table_destroy(member->interest);
+	g_hash_table_destroy(member->demanded);
 }
 
-void ql_member_fill_lease(const ql_member_t *member, ql_rpc_lease_args *args)
+/* The registrar at a place in this node's own order of preference. */
+static int registrar_at(const ql_member_t *member, size_t place)
 {
-	args->greeting.cluster = strdup(member->opts.cluster);
-	args->greeting.node = strdup(member->opts.node);
-	args->greeting.failure_domain = strdup(member->opts.failure_domain);
-	args->greeting.incarnation = member->opts.incarnation;
-	args->greeting.protocol = QL_RPC_PROTOCOL_VERSION;
-	args->config_version = member->config.doc->version;
-	args->registrar_incarnation = member->registrar_incarnation;
-	args->members_version = member->members_version;
+	uint64_t start =
+		XXH3_64bits(member->opts.node, strlen(member->opts.node));
+
+	return (int)((start + place) % member->opts.n_registrars);
 }
 
-static void take_endpoint(ql_member_t *member, const ql_rpc_endpoint *endpoint,
-			  uint64_t seen)
+int ql_member_next_registrar(ql_member_t *member, uint64_t now_ms)
 {
-	ql_target_info_t info = {
-		.incarnation = endpoint->incarnation,
-		.slots = endpoint->slots,
-		.connections = endpoint->connections,
-	};
-	known_t *known;
+	int usable[QL_REGISTRARS_ACTIVE];
+	int n_usable = 0;
+	size_t place;
+	int index;
 
-	if (endpoint->state != QL_RPC_ENDPOINT_SERVING) {
-		if (g_hash_table_remove(member->known, endpoint->gate))
-			member->ops->endpoint_gone(member->data,
-						   endpoint->service,
-						   endpoint->gate);
-		return;
+	for (place = 0; place < member->opts.n_registrars; place++) {
+		index = registrar_at(member, place);
+		if (member->links[index].retry_ms > now_ms)
+			continue;
+		usable[n_usable++] = index;
+		if (n_usable == QL_REGISTRARS_ACTIVE)
+			break;
 	}
-	known = g_new0(known_t, 1);
-	g_strlcpy(known->service, endpoint->service, sizeof(known->service));
-	known->seen = seen;
-	g_hash_table_insert(member->known, g_strdup(endpoint->gate), known);
-	g_strlcpy(info.gate, endpoint->gate, sizeof(info.gate));
-	g_strlcpy(info.failure_domain, endpoint->failure_domain,
-		  sizeof(info.failure_domain));
-	member->ops->endpoint_up(member->data, endpoint->service, &info);
+	if (!n_usable)
+		return -1;
+	member->registrar = usable[0] == member->registrar && n_usable > 1
+				    ? usable[1]
+				    : usable[0];
+	return member->registrar;
 }
 
-/* Forgets every endpoint that a whole list did not name. */
-static void forget_unseen(ql_member_t *member, uint64_t seen)
+static void fill_greeting(const ql_member_t *member, ql_rpc_greeting *greeting)
 {
-	GHashTableIter iter;
-	gpointer gate, value;
+	greeting->cluster = strdup(member->opts.cluster);
+	greeting->node = strdup(member->opts.node);
+	greeting->failure_domain = strdup(member->opts.failure_domain);
+	greeting->incarnation = member->opts.incarnation;
+	greeting->protocol = QL_RPC_PROTOCOL_VERSION;
+}
 
-	g_hash_table_iter_init(&iter, member->known);
-	while (g_hash_table_iter_next(&iter, &gate, &value)) {
-		const known_t *known = value;
+/* Whether to compare digests, more rarely for many services. */
+static bool is_digest_due(const ql_member_t *member,
+			  const ql_member_link_t *link)
+{
+	uint32_t factor =
+		1 + g_hash_table_size(member->interest) / SERVICES_PER_DIGEST;
 
-		if (known->seen == seen)
-			continue;
-		member->ops->endpoint_gone(member->data, known->service, gate);
-		g_hash_table_iter_remove(&iter);
-	}
+	return link->renewals >= RENEWALS_PER_DIGEST * factor;
 }
 
-static void take_members(ql_member_t *member, const ql_rpc_lease_res *res)
+void ql_member_fill_lease(ql_member_t *member, int index,
+			  ql_rpc_lease_args *args)
 {
-	u_int i;
+	ql_member_link_t *link = &member->links[index];
 
-	for (i = 0; i < res->members.members_len; i++)
-		take_endpoint(member, &res->members.members_val[i],
-			      res->members_version);
-	if (res->whole_members)
-		forget_unseen(member, res->members_version);
-	member->members_version = res->members_version;
-	member->registrar_incarnation = res->registrar_incarnation;
+	if (ql_member__update_interest(member, args->endpoints.endpoints_val,
+				       args->endpoints.endpoints_len))
+		ql_member__drop_uninteresting(member);
+	fill_greeting(member, &args->greeting);
+	args->config_version = member->config.doc->version;
+	args->config_digest = member->config.doc->digest;
+	args->want_whole_document = member->want_whole_document;
+	args->registrar_incarnation = link->incarnation;
+	args->members_number = link->number;
+	args->epoch = member->epoch;
+	args->sequence = ++member->sequence;
+	if (link->interest_number == member->interest_number &&
+	    !is_digest_due(member, link))
+		return;
+	ql_member__fill_interest(member, args);
+	link->interest_number = member->interest_number;
+	link->renewals = 0;
+}
+
+static void tell_config(ql_member_t *member, uint64_t version_before)
+{
+	if (member->config.doc->version != version_before)
+		member->ops->config_changed(member->data, member->config.doc);
 }
 
 static int take_config(ql_member_t *member, const ql_rpc_lease_res *res,
@@ -115,39 +147,171 @@
 
 	ret = ql_config_reply_take(&member->config, &reply, res->config_version,
 				   error);
-	if (member->config.doc->version != before)
-		member->ops->config_changed(member->data, member->config.doc);
+	member->want_whole_document = ret != 0;
+	tell_config(member, before);
 	return ret;
 }
 
-int ql_member_take_lease(ql_member_t *member, const ql_rpc_lease_res *res,
-			 uint64_t now_ms, GError **error)
+static void set_asked(ql_member_t *member)
+{
+	if (member->asked)
+		return;
+	member->asked = true;
+	if (member->ops->asked)
+		member->ops->asked(member->data);
+}
+
+static void take_link(ql_member_t *member, int index,
+		      const ql_rpc_lease_res *res)
+{
+	ql_member_link_t *link = &member->links[index];
+
+	if (res->want_interest ||
+	    (link->incarnation &&
+	     link->incarnation != res->registrar_incarnation))
+		link->interest_number = 0;
+	link->incarnation = res->registrar_incarnation;
+	if (!res->want_interest)
+		link->number = res->members_number;
+	link->failures = 0;
+	link->retry_ms = 0;
+	link->renewals++;
+}
+
+int ql_member_take_lease(ql_member_t *member, int index,
+			 const ql_rpc_lease_res *res, uint64_t now_ms,
+			 GError **error)
 {
 	int ret;
 
-	if (res->status)
+	if (res->status) {
+		ql_member_lease_failed(member, index, now_ms);
 		return ql_error_set(error, (ql_error_code_t)res->status, "%s",
 				    res->detail);
-	ret = take_config(member, res, error);
-	if (ret)
-		return ret;
-	take_members(member, res);
-	member->asked = true;
+	}
+	take_link(member, index, res);
 	member->heard_ms = now_ms;
-	return 0;
+	member->epoch = MAX(member->epoch, res->epoch);
+	member->conflict = res->conflict;
+	if (res->conflict)
+		member->epoch++;
+	if (res->want_document)
+		member->offer_to = index;
+	if (ql_member__take_view(member, res, now_ms))
+		member->links[index].renewals = DIGEST_NOW;
+	ret = take_config(member, res, error);
+	if (!ret && res->ready)
+		set_asked(member);
+	return ret;
 }
 
-void ql_member_lease_failed(ql_member_t *member)
+void ql_member_lease_failed(ql_member_t *member, int index, uint64_t now_ms)
 {
-	if (member->opts.n_registrars)
-		member->registrar =
-			(member->registrar + 1) % member->opts.n_registrars;
+	ql_member_link_t *link = &member->links[index];
+	uint64_t delay_ms = (uint64_t)member->opts.renew_ms
+			    << MIN(link->failures, BACKOFF_DOUBLINGS_MAX);
+	double factor = g_rand_double_range(member->random, 0.5, 1.0);
+
+	link->failures++;
+	/* What was told to it may not have arrived. */
+	link->interest_number = 0;
+	delay_ms = MIN(delay_ms,
+		       MAX(BACKOFF_MAX_MS, (uint64_t)member->opts.renew_ms));
+	link->retry_ms = now_ms + (uint64_t)((double)delay_ms * factor);
 }
 
-uint32_t ql_member_delay_ms(ql_member_t *member)
+/* The time until one of the registrars may be asked again. */
+static uint64_t backoff_left_ms(const ql_member_t *member, uint64_t now_ms)
 {
-	double factor =
-		g_rand_double_range(member->random, 1 - JITTER, 1 + JITTER);
+	uint64_t least_ms = UINT64_MAX;
+	size_t i;
+
+	for (i = 0; i < member->opts.n_registrars; i++)
+		least_ms = MIN(least_ms, member->links[i].retry_ms);
+	return least_ms > now_ms ? least_ms - now_ms : 0;
+}
 
+uint32_t ql_member_delay_ms(ql_member_t *member, uint64_t now_ms)
+{
+	const ql_member_link_t *link;
+	double factor;
+	uint64_t left_ms;
+
+	if (!member->opts.n_registrars)
+		return member->opts.renew_ms;
+	left_ms = backoff_left_ms(member, now_ms);
+	if (left_ms)
+		return (uint32_t)left_ms;
+	if (member->registrar >= 0) {
+		link = &member->links[member->registrar];
+		if (!link->failures && link->incarnation &&
+		    (!link->interest_number || member->conflict))
+			return 0;
+	}
+	factor = g_rand_double_range(member->random, 1 - JITTER, 1 + JITTER);
 	return (uint32_t)(member->opts.renew_ms * factor);
 }
+
+int ql_member_fill_offer(ql_member_t *member, ql_rpc_offer_args *args)
+{
+	const ql_document_t *doc = member->config.doc;
+	int index = member->offer_to;
+
+	member->offer_to = -1;
+	if (index < 0)
+		return -1;
+	fill_greeting(member, &args->greeting);
+	args->config_version = doc->version;
+	args->digest = doc->digest;
+	args->document.document_val = ql_json_text(doc->json);
+	args->document.document_len =
+		(u_int)strlen(args->document.document_val);
+	return index;
+}
+
+int ql_member_take_document(ql_member_t *member, const ql_rpc_document_res *res,
+			    uint64_t now_ms G_GNUC_UNUSED, GError **error)
+{
+	bool_t whole = res->whole_document;
+	u_int document_len = res->document.document_len;
+	char *document_val = res->document.document_val;
+	u_int changes_len = res->changes.changes_len;
+	ql_rpc_change *changes_val = res->changes.changes_val;
+	ql_config_reply_t reply = {&whole, &document_len, &document_val,
+				   &changes_len, &changes_val};
+	uint64_t before = member->config.doc->version;
+	int ret;
+
+	if (res->status)
+		return ql_error_set(error, (ql_error_code_t)res->status, "%s",
+				    res->detail);
+	ret = ql_config_reply_take(&member->config, &reply, res->config_version,
+				   error);
+	tell_config(member, before);
+	if (!ret && member->config.doc->version)
+		set_asked(member);
+	return ret;
+}
+
+bool ql_member_needs_neighbour(const ql_member_t *member, uint64_t now_ms)
+{
+	return !member->asked &&
+	       now_ms - member->opts.started_ms >= ASK_NEIGHBOUR_MS;
+}
+
+bool ql_member_saw_version(ql_member_t *member, uint64_t version,
+			   uint64_t now_ms)
+{
+	if (version <= member->config.doc->version)
+		return false;
+	member->seen_version = MAX(member->seen_version, version);
+	if (now_ms - member->saw_ms < SAW_INTERVAL_MS)
+		return false;
+	member->saw_ms = now_ms;
+	return true;
+}
+
+uint64_t ql_member_stale_ms(const ql_member_t *member, uint64_t now_ms)
+{
+	return now_ms - MIN(member->heard_ms, now_ms);
+}
--- a/src/control/registrar.c
+++ b/src/control/registrar.c
@@ -1,116 +1,63 @@
 #include "quetzalloft/registrar.h"
 #include "control/greeting.h"
+#include "control/registrar_view.h"
 #include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define MEMBERS_MAX 65536u
-
-typedef struct {
-	char service[QL_NAME_MAX];
-	char gate[QL_ADDRESS_MAX];
-	char node[QL_NAME_MAX];
-	char failure_domain[QL_NAME_MAX];
-	uint64_t incarnation;
-	uint32_t slots;
-	uint32_t connections;
-	uint64_t expires_ms;
-} member_row_t;
+/* A domain that was not heard of for so long is marked stale. */
+#define DOMAIN_STALE_MS 5000u
+#define SWEEP_MS 10000u
+/* While a replica answered lately, no document of a node is taken. */
+#define REPLICAS_FRESH_MS 5000u
 
 void ql_registrar_init(ql_registrar_t *registrar,
 		       const ql_registrar_opts_t *opts,
 		       ql_config_state_t *config)
 {
+	ql_domain_entry_t *own;
+
 	memset(registrar, 0, sizeof(*registrar));
 	registrar->opts = *opts;
+	if (!registrar->opts.rules)
+		registrar->opts.rules = &ql_membership_rules;
 	registrar->config = config;
-	ql_table_init(&registrar->members, sizeof(member_row_t), MEMBERS_MAX);
+	ql_registrar__records_init(registrar);
+	ql_registrar__leases_init(registrar);
+	own = ql_registrar__domain(registrar, opts->failure_domain);
+	own->heard_ms = opts->started_ms;
 }
 
 void ql_registrar_finish(ql_registrar_t *registrar)
 {
-	ql_table_finish(&registrar->members);
-}
-
-static member_row_t *find_member(const ql_registrar_t *registrar,
-				 const char *gate, ql_handle_t *handle)
-{
-	uint32_t cursor = 0;
-	member_row_t *row;
-
-	while ((row = ql_table_next(&registrar->members, &cursor, handle)))
-		if (!strcmp(row->gate, gate))
-			return row;
-	return NULL;
+	ql_registrar__leases_finish(registrar);
+	ql_registrar__records_finish(registrar);
 }
 
-static void remove_member(ql_registrar_t *registrar, ql_handle_t handle)
+bool ql_registrar_is_ready(const ql_registrar_t *registrar, uint64_t now_ms)
 {
-	ql_table_remove(&registrar->members, handle);
-	registrar->members_version++;
+	return registrar->opts.rules->is_warm(registrar->opts.started_ms,
+					      registrar->opts.lease_ms, now_ms);
 }
 
-static void renew(ql_registrar_t *registrar, const ql_rpc_endpoint *endpoint,
-		  uint64_t now_ms)
+void ql_registrar_replicas_heard(ql_registrar_t *registrar, uint64_t now_ms)
 {
-	ql_handle_t handle;
-	member_row_t *row = find_member(registrar, endpoint->gate, &handle);
-	void *fresh;
-
-	if (endpoint->state != QL_RPC_ENDPOINT_SERVING) {
-		if (row)
-			remove_member(registrar, handle);
-		return;
-	}
-	if (!row || row->incarnation != endpoint->incarnation)
-		registrar->members_version++;
-	if (!row) {
-		handle = ql_table_insert(&registrar->members, &fresh);
-		if (handle == QL_HANDLE_NONE)
-			return;
-		row = fresh;
-	}
-	g_strlcpy(row->service, endpoint->service, sizeof(row->service));
-	g_strlcpy(row->gate, endpoint->gate, sizeof(row->gate));
-	g_strlcpy(row->node, endpoint->node, sizeof(row->node));
-	g_strlcpy(row->failure_domain, endpoint->failure_domain,
-		  sizeof(row->failure_domain));
-	row->incarnation = endpoint->incarnation;
-	row->slots = endpoint->slots;
-	row->connections = endpoint->connections;
-	row->expires_ms = now_ms + registrar->opts.lease_ms;
+	registrar->replicas_heard_ms = now_ms;
 }
 
-static void fill_members(const ql_registrar_t *registrar, ql_rpc_lease_res *res)
+static bool replicas_answer(const ql_registrar_t *registrar, uint64_t now_ms)
 {
-	ql_rpc_endpoint *out =
-		calloc(registrar->members.count + 1, sizeof(*out));
-	uint32_t cursor = 0;
-	ql_handle_t handle;
-	const member_row_t *row;
-
-	g_assert(out);
-	res->whole_members = TRUE;
-	res->members.members_val = out;
-	res->members.members_len = registrar->members.count;
-	while ((row = ql_table_next(&registrar->members, &cursor, &handle))) {
-		out->service = strdup(row->service);
-		out->gate = strdup(row->gate);
-		out->node = strdup(row->node);
-		out->failure_domain = strdup(row->failure_domain);
-		out->incarnation = row->incarnation;
-		out->slots = row->slots;
-		out->connections = row->connections;
-		out->state = QL_RPC_ENDPOINT_SERVING;
-		out++;
-	}
+	return registrar->replicas_heard_ms &&
+	       now_ms - registrar->replicas_heard_ms < REPLICAS_FRESH_MS;
 }
 
-void ql_registrar_lease(ql_registrar_t *registrar,
+static void fill_config(ql_registrar_t *registrar,
 			const ql_rpc_lease_args *args, ql_rpc_lease_res *res,
 			uint64_t now_ms)
 {
+	const ql_document_t *doc = registrar->config->doc;
 	ql_config_reply_t reply = {
 		.whole_document = &res->whole_document,
 		.document_len = &res->document.document_len,
@@ -118,34 +65,150 @@
 		.changes_len = &res->changes.changes_len,
 		.changes_val = &res->changes.changes_val,
 	};
-	u_int i;
+
+	res->config_version = doc->version;
+	if (args->config_version == doc->version &&
+	    args->config_digest != doc->digest)
+		registrar->counts.diverged++;
+	res->want_document = args->config_version > doc->version &&
+			     !replicas_answer(registrar, now_ms);
+	if (args->want_whole_document)
+		ql_config_reply_fill_whole(&reply, registrar->config);
+	else
+		ql_config_reply_fill(&reply, registrar->config,
+				     args->config_version);
+}
+
+static void refuse(ql_registrar_t *registrar, ql_rpc_lease_res *res, int status)
+{
+	registrar->counts.denied++;
+	res->status = status;
+	if (status == QL_E_DENIED)
+		res->detail = strdup("the node is not of this failure domain, "
+				     "or its name or gate belongs to a node "
+				     "with a live lease");
+	else if (status == QL_E_STALE)
+		res->detail = strdup("the renewal came late");
+	else
+		res->detail = strdup("a name or an address is malformed");
+}
+
+void ql_registrar_lease(ql_registrar_t *registrar,
+			const ql_rpc_lease_args *args, ql_rpc_lease_res *res,
+			uint64_t now_ms)
+{
+	ql_node_lease_t *lease;
+	int ret;
 
 	res->status = ql_greeting_check(&args->greeting,
 					registrar->opts.cluster, &res->detail);
-	if (!res->detail)
-		res->detail = strdup("");
-	if (res->status)
+	if (res->status) {
+		registrar->counts.denied++;
 		return;
-	ql_registrar_tick(registrar, now_ms);
-	for (i = 0; i < args->endpoints.endpoints_len; i++)
-		renew(registrar, &args->endpoints.endpoints_val[i], now_ms);
+	}
+	ret = ql_registrar__renew(registrar, &lease, args, res, now_ms);
+	if (ret) {
+		refuse(registrar, res, ret);
+		return;
+	}
+	registrar->counts.renewals++;
+	res->detail = strdup("");
 	res->lease_ms = registrar->opts.lease_ms;
 	res->registrar_incarnation = registrar->opts.incarnation;
-	res->members_version = registrar->members_version;
-	if (args->registrar_incarnation != registrar->opts.incarnation ||
-	    args->members_version != registrar->members_version)
-		fill_members(registrar, res);
-	res->config_version = registrar->config->doc->version;
-	ql_config_reply_fill(&reply, registrar->config, args->config_version);
+	res->ready = ql_registrar_is_ready(registrar, now_ms);
+	ql_registrar__fill_services(registrar, lease, args, res);
+	if (args->has_interest ||
+	    args->members_number < registrar->domains_number)
+		ql_registrar__fill_domains(registrar, &res->domains.domains_len,
+					   &res->domains.domains_val, now_ms);
+	fill_config(registrar, args, res, now_ms);
 }
 
-void ql_registrar_tick(ql_registrar_t *registrar, uint64_t now_ms)
+static int check_offer(const ql_registrar_t *registrar,
+		       const ql_rpc_offer_args *args, uint64_t now_ms,
+		       GError **error)
+{
+	const ql_node_lease_t *lease =
+		g_hash_table_lookup(registrar->nodes, args->greeting.node);
+
+	if (!lease || lease->adopted || now_ms >= lease->expires_ms ||
+	    lease->incarnation != args->greeting.incarnation)
+		return ql_error_set(error, QL_E_DENIED,
+				    "the sender holds no lease here");
+	if (replicas_answer(registrar, now_ms))
+		return ql_error_set(error, QL_E_EXISTS,
+				    "the replicas answer and are asked "
+				    "instead");
+	return 0;
+}
+
+static int check_digest(const ql_rpc_offer_args *args, GError **error)
+{
+	json_t *json = NULL;
+	uint64_t digest;
+	int ret;
+
+	ret = ql_json_parse(&json, args->document.document_val,
+			    args->document.document_len, error);
+	if (ret)
+		return ret;
+	digest = ql_document_digest(json);
+	json_decref(json);
+	return digest == args->digest
+		       ? 0
+		       : ql_error_set(error, QL_E_CORRUPT,
+				      "the document differs from its digest");
+}
+
+int ql_registrar_offer(ql_registrar_t *registrar, const ql_rpc_offer_args *args,
+		       uint64_t now_ms, GError **error)
+{
+	int ret = check_offer(registrar, args, now_ms, error);
+
+	if (!ret)
+		ret = check_digest(args, error);
+	return ret ? ret
+		   : ql_config_state_replace(registrar->config,
+					     args->config_version,
+					     args->document.document_val,
+					     args->document.document_len,
+					     error);
+}
+
+/* Returns whether what the nodes are told of the domain changed. */
+static bool update_domain(const ql_registrar_t *registrar,
+			  ql_domain_entry_t *entry, uint64_t now_ms)
+{
+	bool stale, covered = entry->covered;
+
+	if (!strcmp(entry->name, registrar->opts.failure_domain)) {
+		entry->heard_ms = now_ms;
+		entry->covered = ql_registrar_is_ready(registrar, now_ms);
+	}
+	stale = now_ms - MIN(entry->heard_ms, now_ms) > DOMAIN_STALE_MS;
+	if (entry->stale == stale && entry->covered == covered)
+		return false;
+	entry->stale = stale;
+	return true;
+}
+
+static void update_domains(ql_registrar_t *registrar, uint64_t now_ms)
 {
-	uint32_t cursor = 0;
-	ql_handle_t handle;
-	const member_row_t *row;
+	GHashTableIter iter;
+	gpointer value;
 
-	while ((row = ql_table_next(&registrar->members, &cursor, &handle)))
-		if (row->expires_ms <= now_ms)
-			remove_member(registrar, handle);
+	g_hash_table_iter_init(&iter, registrar->domains);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (update_domain(registrar, value, now_ms))
+			registrar->domains_number = ++registrar->number;
+}
+
+void ql_registrar_tick(ql_registrar_t *registrar, uint64_t now_ms)
+{
+	ql_registrar__expire(registrar, now_ms);
+	update_domains(registrar, now_ms);
+	if (now_ms - registrar->swept_ms < SWEEP_MS)
+		return;
+	registrar->swept_ms = now_ms;
+	ql_registrar__sweep(registrar, now_ms);
 }
--- /dev/null
+++ b/src/control/registrar_leases.c
@@ -0,0 +1,393 @@
+#include "control/registrar_leases.h"
+#include "quetzalloft/error.h"
+
+#include <string.h>
+
+/* A node that others tell of has this many leases' time to renew here. */
+#define ADOPTED_LEASES 2u
+#define HOLDERS_MAX 64u
+
+static void lease_free(void *data)
+{
+	ql_node_lease_t *lease = data;
+
+	g_array_free(lease->records, TRUE);
+	if (lease->interest)
+		g_hash_table_destroy(lease->interest);
+	g_free(lease);
+}
+
+void ql_registrar__leases_init(ql_registrar_t *registrar)
+{
+	registrar->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 lease_free);
+	registrar->gates =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	registrar->holders = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   g_free, g_free);
+}
+
+void ql_registrar__leases_finish(ql_registrar_t *registrar)
+{
+	g_hash_table_destroy(registrar->nodes);
+	g_hash_table_destroy(registrar->gates);
+	g_hash_table_destroy(registrar->holders);
+}
+
+static ql_node_lease_t *find_lease(const ql_registrar_t *registrar,
+				   const char *name)
+{
+	return g_hash_table_lookup(registrar->nodes, name);
+}
+
+static ql_node_lease_t *add_lease(ql_registrar_t *registrar, const char *name)
+{
+	ql_node_lease_t *lease = find_lease(registrar, name);
+
+	if (lease)
+		return lease;
+	lease = g_new0(ql_node_lease_t, 1);
+	g_strlcpy(lease->name, name, sizeof(lease->name));
+	lease->records = g_array_new(FALSE, FALSE, sizeof(ql_handle_t));
+	lease->adopted = true;
+	g_hash_table_insert(registrar->nodes, lease->name, lease);
+	return lease;
+}
+
+static bool is_live(const ql_node_lease_t *lease, uint64_t now_ms)
+{
+	return lease && !lease->adopted && now_ms < lease->expires_ms;
+}
+
+static bool owns_gate(const ql_registrar_t *registrar, const char *gate,
+		      const char *node, uint64_t now_ms)
+{
+	const char *owner = g_hash_table_lookup(registrar->gates, gate);
+
+	return !owner || !strcmp(owner, node) ||
+	       !is_live(find_lease(registrar, owner), now_ms);
+}
+
+/* Whether the sender may speak for the node and the endpoints that it names. */
+static int check_identity(const ql_registrar_t *registrar,
+			  const ql_rpc_lease_args *args, uint64_t now_ms)
+{
+	const ql_rpc_greeting *greeting = &args->greeting;
+	const ql_node_lease_t *lease = find_lease(registrar, greeting->node);
+	const ql_rpc_endpoint *endpoint;
+	u_int i;
+
+	if (!ql_name_is_valid(greeting->node))
+		return QL_E_INVALID;
+	if (strcmp(greeting->failure_domain, registrar->opts.failure_domain) !=
+	    0)
+		return QL_E_DENIED;
+	if (is_live(lease, now_ms) &&
+	    greeting->incarnation < lease->incarnation)
+		return QL_E_DENIED;
+	if (lease && !lease->adopted &&
+	    greeting->incarnation == lease->incarnation &&
+	    args->sequence <= lease->sequence)
+		return QL_E_STALE;
+	for (i = 0; i < args->endpoints.endpoints_len; i++) {
+		endpoint = &args->endpoints.endpoints_val[i];
+		if (ql_record_check(endpoint))
+			return QL_E_INVALID;
+		if (strcmp(endpoint->node, greeting->node) != 0 ||
+		    strcmp(endpoint->failure_domain,
+			   greeting->failure_domain) != 0 ||
+		    !owns_gate(registrar, endpoint->gate, greeting->node,
+			       now_ms))
+			return QL_E_DENIED;
+	}
+	return 0;
+}
+
+static bool is_described_anew(const ql_record_t *record,
+			      const ql_rpc_endpoint *endpoint)
+{
+	return record->version.incarnation < endpoint->incarnation ||
+	       record->slots != endpoint->slots ||
+	       record->connections != endpoint->connections ||
+	       strcmp(record->node, endpoint->node) != 0;
+}
+
+/* Whether the renewal would undo what is known; only a higher epoch may. */
+static bool is_conflict(const ql_record_t *record,
+			const ql_rpc_endpoint *endpoint, uint64_t known_epoch)
+{
+	if (known_epoch > record->version.epoch ||
+	    record->version.incarnation < endpoint->incarnation)
+		return false;
+	return record->version.state > endpoint->state ||
+	       record->version.incarnation > endpoint->incarnation;
+}
+
+/* The epoch under which an endpoint is stored. */
+static uint64_t next_epoch(const ql_record_t *record,
+			   const ql_rpc_endpoint *endpoint,
+			   uint64_t known_epoch)
+{
+	uint64_t epoch;
+
+	if (!record)
+		return MAX(known_epoch, 1);
+	epoch = record->version.epoch;
+	if (record->version.incarnation < endpoint->incarnation)
+		return MAX(known_epoch, epoch + 1);
+	if (record->version.state > endpoint->state ||
+	    record->version.incarnation > endpoint->incarnation)
+		return known_epoch;
+	return is_described_anew(record, endpoint) ? MAX(known_epoch, epoch + 1)
+						   : epoch;
+}
+
+/* Stores what the node says of an endpoint. */
+static void renew_record(ql_registrar_t *registrar,
+			 const ql_rpc_endpoint *endpoint, uint64_t known_epoch,
+			 ql_rpc_lease_res *res, uint64_t now_ms)
+{
+	const ql_record_t *record =
+		ql_registrar__find(registrar, endpoint->service,
+				   endpoint->gate);
+	ql_rpc_endpoint next = *endpoint;
+
+	if (record && is_conflict(record, endpoint, known_epoch)) {
+		res->conflict = TRUE;
+		res->epoch = MAX(res->epoch, record->version.epoch);
+		return;
+	}
+	next.holder = registrar->opts.incarnation;
+	next.epoch = next_epoch(record, endpoint, known_epoch);
+	res->epoch = MAX(res->epoch, next.epoch);
+	if (!record || is_described_anew(record, endpoint) ||
+	    record->version.state != endpoint->state ||
+	    record->version.incarnation != endpoint->incarnation)
+		ql_registrar__store(registrar, &next, now_ms);
+}
+
+static bool names_record(const ql_rpc_lease_args *args,
+			 const ql_record_t *record)
+{
+	const ql_rpc_endpoint *endpoint;
+	u_int i;
+
+	for (i = 0; i < args->endpoints.endpoints_len; i++) {
+		endpoint = &args->endpoints.endpoints_val[i];
+		if (!strcmp(endpoint->service, record->set->name) &&
+		    !strcmp(endpoint->gate, record->gate))
+			return true;
+	}
+	return false;
+}
+
+static void end_record(ql_registrar_t *registrar, ql_record_t *record,
+		       uint64_t now_ms)
+{
+	ql_record_version_t gone = record->version;
+
+	if (gone.state == QL_RPC_ENDPOINT_GONE)
+		return;
+	gone.state = QL_RPC_ENDPOINT_GONE;
+	ql_registrar__set_version(registrar, record, &gone, now_ms);
+}
+
+/* Ends the records that the node does not name any more. */
+static void end_unnamed(ql_registrar_t *registrar, ql_node_lease_t *lease,
+			const ql_rpc_lease_args *args, uint64_t now_ms)
+{
+	ql_record_t *record;
+	guint i;
+
+	for (i = 0; i < lease->records->len; i++) {
+		record = ql_table_get(&registrar->records,
+				      g_array_index(lease->records, ql_handle_t,
+						    i));
+		if (record && !strcmp(record->node, lease->name) &&
+		    !names_record(args, record))
+			end_record(registrar, record, now_ms);
+	}
+	g_array_set_size(lease->records, 0);
+}
+
+static void hold_record(const ql_registrar_t *registrar, ql_node_lease_t *lease,
+			const char *service, const char *gate)
+{
+	char key[QL_RECORD_KEY_MAX];
+	ql_handle_t handle, held;
+	gpointer value;
+	guint i;
+
+	ql_record_key(key, service, gate);
+	if (!g_hash_table_lookup_extended(registrar->by_key, key, NULL, &value))
+		return;
+	handle = GPOINTER_TO_UINT(value);
+	for (i = 0; i < lease->records->len; i++) {
+		held = g_array_index(lease->records, ql_handle_t, i);
+		if (held == handle)
+			return;
+	}
+	g_array_append_val(lease->records, handle);
+}
+
+static void hold_gate(ql_registrar_t *registrar, ql_node_lease_t *lease,
+		      const char *gate)
+{
+	if (!strcmp(lease->gate, gate))
+		return;
+	if (lease->gate[0])
+		g_hash_table_remove(registrar->gates, lease->gate);
+	g_strlcpy(lease->gate, gate, sizeof(lease->gate));
+	g_hash_table_replace(registrar->gates, g_strdup(gate),
+			     g_strdup(lease->name));
+}
+
+int ql_registrar__renew(ql_registrar_t *registrar, ql_node_lease_t **out,
+			const ql_rpc_lease_args *args, ql_rpc_lease_res *res,
+			uint64_t now_ms)
+{
+	const ql_rpc_endpoint *endpoint;
+	ql_node_lease_t *lease;
+	u_int i;
+	int ret;
+
+	ret = check_identity(registrar, args, now_ms);
+	if (ret)
+		return ret;
+	lease = add_lease(registrar, args->greeting.node);
+	lease->adopted = false;
+	lease->incarnation = args->greeting.incarnation;
+	lease->renewed_ms = now_ms;
+	lease->expires_ms = now_ms + registrar->opts.lease_ms;
+	lease->config_version = args->config_version;
+	lease->sequence = args->sequence;
+	res->epoch = args->epoch;
+	end_unnamed(registrar, lease, args, now_ms);
+	for (i = 0; i < args->endpoints.endpoints_len; i++) {
+		endpoint = &args->endpoints.endpoints_val[i];
+		renew_record(registrar, endpoint, args->epoch, res, now_ms);
+		hold_record(registrar, lease, endpoint->service,
+			    endpoint->gate);
+		hold_gate(registrar, lease, endpoint->gate);
+	}
+	*out = lease;
+	return 0;
+}
+
+/* A registrar that lost sight of a node does not speak against a fresh lease.
+ */
+static bool refutes(const ql_registrar_t *registrar, const ql_record_t *record,
+		    const ql_rpc_endpoint *endpoint, uint64_t now_ms)
+{
+	const ql_node_lease_t *lease = find_lease(registrar, endpoint->node);
+
+	return record && record->version.state == QL_RPC_ENDPOINT_SERVING &&
+	       endpoint->state == QL_RPC_ENDPOINT_GONE &&
+	       is_live(lease, now_ms) &&
+	       now_ms - lease->renewed_ms < registrar->opts.lease_ms / 2;
+}
+
+static void adopt(ql_registrar_t *registrar, const ql_rpc_endpoint *endpoint,
+		  uint64_t now_ms)
+{
+	ql_node_lease_t *lease;
+
+	if (endpoint->state == QL_RPC_ENDPOINT_GONE ||
+	    strcmp(endpoint->failure_domain, registrar->opts.failure_domain) !=
+		    0)
+		return;
+	lease = add_lease(registrar, endpoint->node);
+	if (lease->adopted)
+		lease->expires_ms =
+			now_ms +
+			(uint64_t)registrar->opts.lease_ms * ADOPTED_LEASES;
+	hold_record(registrar, lease, endpoint->service, endpoint->gate);
+}
+
+void ql_registrar__merge(ql_registrar_t *registrar,
+			 const ql_rpc_endpoint *endpoint, uint64_t now_ms)
+{
+	ql_record_version_t version = ql_record_version_of(endpoint);
+	ql_record_t *record;
+
+	if (ql_record_check(endpoint)) {
+		registrar->counts.malformed++;
+		return;
+	}
+	record = ql_registrar__find(registrar, endpoint->service,
+				    endpoint->gate);
+	if (record &&
+	    registrar->opts.rules->compare(&version, &record->version) <= 0)
+		return;
+	if (refutes(registrar, record, endpoint, now_ms)) {
+		version.epoch++;
+		version.state = QL_RPC_ENDPOINT_SERVING;
+		record->holder = registrar->opts.incarnation;
+		ql_registrar__set_version(registrar, record, &version, now_ms);
+		registrar->counts.refuted++;
+		return;
+	}
+	if (ql_registrar__store(registrar, endpoint, now_ms))
+		adopt(registrar, endpoint, now_ms);
+}
+
+void ql_registrar__heard(ql_registrar_t *registrar, uint64_t holder,
+			 uint64_t now_ms)
+{
+	if (g_hash_table_size(registrar->holders) >= HOLDERS_MAX)
+		g_hash_table_remove_all(registrar->holders);
+	g_hash_table_replace(registrar->holders,
+			     g_memdup2(&holder, sizeof(holder)),
+			     g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
+static bool is_held_elsewhere(const ql_registrar_t *registrar,
+			      const ql_record_t *record, uint64_t now_ms)
+{
+	const uint64_t *heard_ms =
+		g_hash_table_lookup(registrar->holders, &record->holder);
+
+	return heard_ms && now_ms - *heard_ms < registrar->opts.lease_ms;
+}
+
+/* Ends the endpoints of a lease that ran out; returns whether all ended. */
+static bool expire_lease(ql_registrar_t *registrar,
+			 const ql_node_lease_t *lease, uint64_t now_ms)
+{
+	bool all = true;
+	ql_record_t *record;
+	guint i;
+
+	for (i = 0; i < lease->records->len; i++) {
+		record = ql_table_get(&registrar->records,
+				      g_array_index(lease->records, ql_handle_t,
+						    i));
+		if (!record || strcmp(record->node, lease->name) != 0)
+			continue;
+		if (lease->adopted &&
+		    is_held_elsewhere(registrar, record, now_ms))
+			all = false;
+		else
+			end_record(registrar, record, now_ms);
+	}
+	return all;
+}
+
+void ql_registrar__expire(ql_registrar_t *registrar, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, registrar->nodes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ql_node_lease_t *lease = value;
+
+		if (now_ms < lease->expires_ms ||
+		    !expire_lease(registrar, lease, now_ms))
+			continue;
+		registrar->counts.expired++;
+		if (lease->gate[0])
+			g_hash_table_remove(registrar->gates, lease->gate);
+		g_hash_table_iter_remove(&iter);
+	}
+}
--- /dev/null
+++ b/src/control/registrar_records.c
@@ -0,0 +1,289 @@
+#include "control/registrar_records.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define DOMAINS_MAX QL_RPC_DOMAINS_MAX
+#define MS_PER_HOUR 3600000ULL
+/* A cut-off registrar drops an endpoint before others drop its tombstone. */
+#define TOMBSTONE_MS (QL_SILENT_MAX_MS + MS_PER_HOUR)
+
+static void set_free(void *data)
+{
+	ql_service_set_t *set = data;
+
+	g_array_free(set->rows, TRUE);
+	g_free(set);
+}
+
+void ql_registrar__records_init(ql_registrar_t *registrar)
+{
+	ql_table_init(&registrar->records, sizeof(ql_record_t), QL_RECORDS_MAX);
+	registrar->newest = QL_HANDLE_NONE;
+	registrar->by_key =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	registrar->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, set_free);
+	registrar->domains =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+}
+
+void ql_registrar__records_finish(ql_registrar_t *registrar)
+{
+	g_hash_table_destroy(registrar->by_key);
+	g_hash_table_destroy(registrar->services);
+	g_hash_table_destroy(registrar->domains);
+	ql_table_finish(&registrar->records);
+}
+
+static ql_record_t *get(const ql_registrar_t *registrar, ql_handle_t handle)
+{
+	return ql_table_get(&registrar->records, handle);
+}
+
+static ql_handle_t find_handle(const ql_registrar_t *registrar,
+			       const char *service, const char *gate)
+{
+	char key[QL_RECORD_KEY_MAX];
+	gpointer handle;
+
+	ql_record_key(key, service, gate);
+	if (!g_hash_table_lookup_extended(registrar->by_key, key, NULL,
+					  &handle))
+		return QL_HANDLE_NONE;
+	return GPOINTER_TO_UINT(handle);
+}
+
+ql_record_t *ql_registrar__find(const ql_registrar_t *registrar,
+				const char *service, const char *gate)
+{
+	return get(registrar, find_handle(registrar, service, gate));
+}
+
+ql_service_set_t *ql_registrar__service(const ql_registrar_t *registrar,
+					const char *name)
+{
+	return g_hash_table_lookup(registrar->services, name);
+}
+
+ql_service_set_t *ql_registrar__add_service(ql_registrar_t *registrar,
+					    const char *name)
+{
+	ql_service_set_t *set = ql_registrar__service(registrar, name);
+
+	if (set ||
+	    g_hash_table_size(registrar->services) >= QL_REGISTRAR_SERVICES_MAX)
+		return set;
+	set = g_new0(ql_service_set_t, 1);
+	g_strlcpy(set->name, name, sizeof(set->name));
+	set->rows = g_array_new(FALSE, FALSE, sizeof(ql_handle_t));
+	g_hash_table_insert(registrar->services, set->name, set);
+	return set;
+}
+
+ql_domain_entry_t *ql_registrar__domain(ql_registrar_t *registrar,
+					const char *name)
+{
+	ql_domain_entry_t *entry =
+		g_hash_table_lookup(registrar->domains, name);
+
+	if (entry || g_hash_table_size(registrar->domains) >= DOMAINS_MAX)
+		return entry;
+	entry = g_new0(ql_domain_entry_t, 1);
+	g_strlcpy(entry->name, name, sizeof(entry->name));
+	g_hash_table_insert(registrar->domains, entry->name, entry);
+	return entry;
+}
+
+static void unlink_record(ql_registrar_t *registrar, ql_handle_t handle,
+			  const ql_record_t *record)
+{
+	ql_record_t *newer = get(registrar, record->newer);
+	ql_record_t *older = get(registrar, record->older);
+
+	if (newer)
+		newer->older = record->older;
+	else if (registrar->newest == handle)
+		registrar->newest = record->older;
+	if (older)
+		older->newer = record->newer;
+}
+
+static void link_newest(ql_registrar_t *registrar, ql_handle_t handle,
+			ql_record_t *record, uint64_t now_ms)
+{
+	ql_record_t *older = get(registrar, registrar->newest);
+
+	if (older)
+		older->newer = handle;
+	record->older = registrar->newest;
+	record->newer = QL_HANDLE_NONE;
+	record->number = ++registrar->number;
+	record->changed_ms = now_ms;
+	registrar->newest = handle;
+}
+
+static void leave_set(ql_registrar_t *registrar, ql_record_t *record)
+{
+	GArray *rows = record->set->rows;
+	ql_record_t *moved;
+
+	g_array_remove_index_fast(rows, record->index);
+	if (record->index < rows->len) {
+		moved = get(registrar,
+			    g_array_index(rows, ql_handle_t, record->index));
+		moved->index = record->index;
+	}
+}
+
+/* Takes a record out of (or puts it into) the sums that it is part of. */
+static void count_digests(ql_registrar_t *registrar, const ql_record_t *record)
+{
+	uint64_t digest = ql_record_digest(record->set->name, record->gate,
+					   &record->version);
+	ql_domain_entry_t *domain =
+		ql_registrar__domain(registrar, record->failure_domain);
+
+	if (domain && record->version.state != QL_RPC_ENDPOINT_GONE)
+		domain->digest ^= digest;
+	if (record->version.state == QL_RPC_ENDPOINT_SERVING)
+		record->set->digest ^= digest;
+}
+
+static void change_version(ql_registrar_t *registrar, ql_handle_t handle,
+			   ql_record_t *record,
+			   const ql_record_version_t *version)
+{
+	bool served = record->version.state == QL_RPC_ENDPOINT_SERVING;
+	bool serves = version->state == QL_RPC_ENDPOINT_SERVING;
+
+	count_digests(registrar, record);
+	record->version = *version;
+	count_digests(registrar, record);
+	if (served && !serves)
+		leave_set(registrar, record);
+	if (!served && serves) {
+		record->index = record->set->rows->len;
+		g_array_append_val(record->set->rows, handle);
+	}
+}
+
+void ql_registrar__set_version(ql_registrar_t *registrar, ql_record_t *record,
+			       const ql_record_version_t *version,
+			       uint64_t now_ms)
+{
+	ql_handle_t handle =
+		find_handle(registrar, record->set->name, record->gate);
+
+	change_version(registrar, handle, record, version);
+	unlink_record(registrar, handle, record);
+	link_newest(registrar, handle, record, now_ms);
+}
+
+static ql_record_t *add_record(ql_registrar_t *registrar,
+			       const ql_rpc_endpoint *endpoint)
+{
+	ql_service_set_t *set =
+		ql_registrar__add_service(registrar, endpoint->service);
+	char key[QL_RECORD_KEY_MAX];
+	ql_record_t *record;
+	ql_handle_t handle;
+	void *row;
+
+	if (!set || !ql_registrar__domain(registrar, endpoint->failure_domain))
+		return NULL;
+	handle = ql_table_insert(&registrar->records, &row);
+	if (handle == QL_HANDLE_NONE)
+		return NULL;
+	record = row;
+	record->set = set;
+	record->version.state = QL_RPC_ENDPOINT_GONE;
+	record->newer = QL_HANDLE_NONE;
+	record->older = QL_HANDLE_NONE;
+	g_strlcpy(record->gate, endpoint->gate, sizeof(record->gate));
+	g_strlcpy(record->failure_domain, endpoint->failure_domain,
+		  sizeof(record->failure_domain));
+	ql_record_key(key, endpoint->service, endpoint->gate);
+	g_hash_table_insert(registrar->by_key, g_strdup(key),
+			    GUINT_TO_POINTER(handle));
+	return record;
+}
+
+bool ql_registrar__store(ql_registrar_t *registrar,
+			 const ql_rpc_endpoint *endpoint, uint64_t now_ms)
+{
+	ql_record_version_t version = ql_record_version_of(endpoint);
+	ql_record_t *record = ql_registrar__find(registrar, endpoint->service,
+						 endpoint->gate);
+
+	if (!record)
+		record = add_record(registrar, endpoint);
+	if (!record) {
+		registrar->counts.records_full++;
+		return false;
+	}
+	g_strlcpy(record->node, endpoint->node, sizeof(record->node));
+	record->slots = endpoint->slots;
+	record->connections = endpoint->connections;
+	record->holder = endpoint->holder;
+	ql_registrar__set_version(registrar, record, &version, now_ms);
+	return true;
+}
+
+static void drop_record(ql_registrar_t *registrar, ql_handle_t handle,
+			ql_record_t *record)
+{
+	ql_record_version_t gone = record->version;
+	char key[QL_RECORD_KEY_MAX];
+
+	gone.state = QL_RPC_ENDPOINT_GONE;
+	change_version(registrar, handle, record, &gone);
+	unlink_record(registrar, handle, record);
+	ql_record_key(key, record->set->name, record->gate);
+	g_hash_table_remove(registrar->by_key, key);
+	ql_table_remove(&registrar->records, handle);
+}
+
+static bool is_silent(const ql_domain_entry_t *domain, uint64_t now_ms)
+{
+	return domain->stale && now_ms - domain->heard_ms > QL_SILENT_MAX_MS;
+}
+
+/*
+ * A record of a silent domain is dropped without a tombstone: nothing is known
+ * about the endpoint, and a tombstone would spread to others.
+ */
+void ql_registrar__sweep(ql_registrar_t *registrar, uint64_t now_ms)
+{
+	uint32_t cursor = 0;
+	ql_domain_entry_t *domain;
+	ql_handle_t handle;
+	ql_record_t *record;
+
+	while ((record =
+			ql_table_next(&registrar->records, &cursor, &handle))) {
+		domain =
+			ql_registrar__domain(registrar, record->failure_domain);
+		if (is_silent(domain, now_ms)) {
+			domain->covered = false;
+			drop_record(registrar, handle, record);
+		} else if (record->version.state == QL_RPC_ENDPOINT_GONE &&
+			   now_ms - record->changed_ms > TOMBSTONE_MS) {
+			drop_record(registrar, handle, record);
+		}
+	}
+}
+
+void ql_registrar__write(ql_rpc_endpoint *out, const ql_record_t *record)
+{
+	out->service = strdup(record->set->name);
+	out->gate = strdup(record->gate);
+	out->node = strdup(record->node);
+	out->failure_domain = strdup(record->failure_domain);
+	out->incarnation = record->version.incarnation;
+	out->slots = record->slots;
+	out->connections = record->connections;
+	out->state = record->version.state;
+	out->epoch = record->version.epoch;
+	out->holder = record->holder;
+}
--- /dev/null
+++ b/src/control/registrar_view.c
@@ -0,0 +1,298 @@
+#include "control/registrar_view.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* An endpoint that may enter a subset. */
+typedef struct {
+	ql_handle_t handle;
+	const ql_record_t *record;
+	uint64_t score;
+	guint rank;
+} candidate_t;
+
+static const ql_record_t *get(const ql_registrar_t *registrar,
+			      ql_handle_t handle)
+{
+	return ql_table_get(&registrar->records, handle);
+}
+
+static gint compare_scores(const candidate_t *a, const candidate_t *b)
+{
+	return (a->score > b->score) - (a->score < b->score);
+}
+
+static gint by_domain(gconstpointer left, gconstpointer right)
+{
+	const candidate_t *a = left, *b = right;
+	int order =
+		strcmp(a->record->failure_domain, b->record->failure_domain);
+
+	return order ? order : compare_scores(a, b);
+}
+
+static gint by_rank(gconstpointer left, gconstpointer right)
+{
+	const candidate_t *a = left, *b = right;
+
+	if (a->rank != b->rank)
+		return a->rank < b->rank ? -1 : 1;
+	return compare_scores(a, b);
+}
+
+static GArray *list_candidates(const ql_registrar_t *registrar,
+			       const ql_service_set_t *set, const char *node)
+{
+	uint64_t seed = XXH3_64bits(node, strlen(node));
+	GArray *out = g_array_sized_new(FALSE, TRUE, sizeof(candidate_t),
+					set->rows->len);
+	candidate_t candidate = {0};
+	guint i;
+
+	for (i = 0; i < set->rows->len; i++) {
+		candidate.handle = g_array_index(set->rows, ql_handle_t, i);
+		candidate.record = get(registrar, candidate.handle);
+		candidate.score =
+			XXH3_64bits_withSeed(candidate.record->gate,
+					     strlen(candidate.record->gate),
+					     seed);
+		g_array_append_val(out, candidate);
+	}
+	return out;
+}
+
+/* Ranks the endpoints inside each domain, so that domains take turns. */
+static void rank_candidates(GArray *candidates, const char *own_domain)
+{
+	const char *domain = "";
+	candidate_t *candidate;
+	guint i, place = 0;
+
+	g_array_sort(candidates, by_domain);
+	for (i = 0; i < candidates->len; i++) {
+		candidate = &g_array_index(candidates, candidate_t, i);
+		if (strcmp(domain, candidate->record->failure_domain) != 0)
+			place = 0;
+		domain = candidate->record->failure_domain;
+		candidate->rank =
+			strcmp(domain, own_domain) ? place : place / 2;
+		place++;
+	}
+	g_array_sort(candidates, by_rank);
+}
+
+static GArray *copy_rows(const ql_service_set_t *set)
+{
+	GArray *out = g_array_sized_new(FALSE, FALSE, sizeof(ql_handle_t),
+					set->rows->len);
+
+	return g_array_append_vals(out, set->rows->data, set->rows->len);
+}
+
+GArray *ql_registrar__subset(const ql_registrar_t *registrar,
+			     const ql_service_set_t *set, const char *node)
+{
+	const candidate_t *candidate;
+	GArray *candidates, *out;
+	uint64_t slots = 0;
+	guint i;
+
+	if (set->rows->len <= QL_SUBSET_MIN)
+		return copy_rows(set);
+	out = g_array_new(FALSE, FALSE, sizeof(ql_handle_t));
+	candidates = list_candidates(registrar, set, node);
+	rank_candidates(candidates, registrar->opts.failure_domain);
+	for (i = 0; i < candidates->len && i < QL_SUBSET_MAX; i++) {
+		if (i >= QL_SUBSET_MIN && slots >= QL_SUBSET_SLOTS)
+			break;
+		candidate = &g_array_index(candidates, candidate_t, i);
+		g_array_append_val(out, candidate->handle);
+		slots += candidate->record->slots;
+	}
+	g_array_free(candidates, TRUE);
+	return out;
+}
+
+static uint64_t digest_rows(const ql_registrar_t *registrar, const GArray *rows)
+{
+	const ql_record_t *record;
+	uint64_t digest = 0;
+	guint i;
+
+	for (i = 0; i < rows->len; i++) {
+		record = get(registrar, g_array_index(rows, ql_handle_t, i));
+		digest ^= ql_record_digest(record->set->name, record->gate,
+					   &record->version);
+	}
+	return digest;
+}
+
+static ql_rpc_service *add_service(ql_rpc_lease_res *res, const char *name)
+{
+	u_int n = ++res->services.services_len;
+	ql_rpc_service *services =
+		realloc(res->services.services_val, n * sizeof(*services));
+
+	g_assert(services);
+	res->services.services_val = services;
+	memset(&services[n - 1], 0, sizeof(*services));
+	services[n - 1].service = strdup(name);
+	return &services[n - 1];
+}
+
+static void write_rows(ql_registrar_t *registrar, ql_rpc_service *out,
+		       const GArray *rows)
+{
+	guint i;
+
+	out->endpoints.endpoints_len = rows->len;
+	out->endpoints.endpoints_val =
+		calloc(rows->len + 1, sizeof(ql_rpc_endpoint));
+	g_assert(out->endpoints.endpoints_val);
+	for (i = 0; i < rows->len; i++)
+		ql_registrar__write(&out->endpoints.endpoints_val[i],
+				    get(registrar,
+					g_array_index(rows, ql_handle_t, i)));
+	registrar->counts.records_sent += rows->len;
+}
+
+static void write_whole(ql_registrar_t *registrar, ql_rpc_lease_res *res,
+			const char *name, const GArray *rows)
+{
+	ql_rpc_service *out = add_service(res, name);
+
+	out->whole = TRUE;
+	write_rows(registrar, out, rows);
+	registrar->counts.whole_lists++;
+}
+
+/* Sends a service whole when the node knows it differently. */
+static void repair_service(ql_registrar_t *registrar,
+			   const ql_service_set_t *set,
+			   const ql_node_lease_t *lease, uint64_t known,
+			   ql_rpc_lease_res *res)
+{
+	GArray *rows;
+
+	if (set->rows->len <= QL_SUBSET_MIN && set->digest == known)
+		return;
+	rows = ql_registrar__subset(registrar, set, lease->name);
+	if (digest_rows(registrar, rows) != known)
+		write_whole(registrar, res, set->name, rows);
+	g_array_free(rows, TRUE);
+}
+
+static void take_interest(ql_registrar_t *registrar, ql_node_lease_t *lease,
+			  const ql_rpc_lease_args *args, ql_rpc_lease_res *res)
+{
+	const ql_rpc_interest *interest;
+	ql_service_set_t *set;
+	u_int i;
+
+	if (lease->interest)
+		g_hash_table_remove_all(lease->interest);
+	else
+		lease->interest = g_hash_table_new(NULL, NULL);
+	for (i = 0; i < args->interest.interest_len; i++) {
+		interest = &args->interest.interest_val[i];
+		set = ql_registrar__add_service(registrar, interest->service);
+		if (!set || !g_hash_table_add(lease->interest, set))
+			continue;
+		repair_service(registrar, set, lease, interest->digest, res);
+	}
+}
+
+/* Groups what changed since a number by the services that a node calls. */
+static GHashTable *collect_changes(const ql_registrar_t *registrar,
+				   const ql_node_lease_t *lease, uint64_t since)
+{
+	GHashTable *changes =
+		g_hash_table_new_full(NULL, NULL, NULL,
+				      (GDestroyNotify)g_array_unref);
+	ql_handle_t handle = registrar->newest;
+	const ql_record_t *record;
+	GArray *rows;
+
+	while ((record = get(registrar, handle)) && record->number > since) {
+		if (g_hash_table_contains(lease->interest, record->set)) {
+			rows = g_hash_table_lookup(changes, record->set);
+			if (!rows) {
+				rows = g_array_new(FALSE, FALSE,
+						   sizeof(ql_handle_t));
+				g_hash_table_insert(changes, record->set, rows);
+			}
+			g_array_append_val(rows, handle);
+		}
+		handle = record->older;
+	}
+	return changes;
+}
+
+static void write_changes(ql_registrar_t *registrar,
+			  const ql_node_lease_t *lease, uint64_t since,
+			  ql_rpc_lease_res *res)
+{
+	GHashTable *changes = collect_changes(registrar, lease, since);
+	GHashTableIter iter;
+	gpointer key, value;
+	GArray *rows;
+
+	g_hash_table_iter_init(&iter, changes);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const ql_service_set_t *set = key;
+
+		if (set->rows->len <= QL_SUBSET_MIN) {
+			write_rows(registrar, add_service(res, set->name),
+				   value);
+			continue;
+		}
+		rows = ql_registrar__subset(registrar, set, lease->name);
+		write_whole(registrar, res, set->name, rows);
+		g_array_free(rows, TRUE);
+	}
+	g_hash_table_destroy(changes);
+}
+
+void ql_registrar__fill_services(ql_registrar_t *registrar,
+				 ql_node_lease_t *lease,
+				 const ql_rpc_lease_args *args,
+				 ql_rpc_lease_res *res)
+{
+	res->members_number = registrar->number;
+	if (args->has_interest) {
+		take_interest(registrar, lease, args, res);
+		return;
+	}
+	if (!lease->interest ||
+	    args->registrar_incarnation != registrar->opts.incarnation ||
+	    args->members_number > registrar->number) {
+		res->want_interest = TRUE;
+		return;
+	}
+	if (args->members_number < registrar->number)
+		write_changes(registrar, lease, args->members_number, res);
+}
+
+void ql_registrar__fill_domains(const ql_registrar_t *registrar, u_int *len,
+				ql_rpc_domain **val, uint64_t now_ms)
+{
+	guint n = g_hash_table_size(registrar->domains);
+	ql_rpc_domain *out = calloc(n + 1, sizeof(*out));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_assert(out);
+	*len = n;
+	*val = out;
+	g_hash_table_iter_init(&iter, registrar->domains);
+	for (; g_hash_table_iter_next(&iter, NULL, &value); out++) {
+		const ql_domain_entry_t *entry = value;
+
+		out->name = strdup(entry->name);
+		out->age_ms = now_ms - MIN(entry->heard_ms, now_ms);
+		out->covered = entry->covered;
+		out->stale = entry->stale;
+		out->digest = entry->digest;
+	}
+}
--- a/src/control/rpc/control.h
+++ b/src/control/rpc/control.h
@@ -21,10 +21,13 @@
 #define QL_RPC_DOCUMENT_MAX 4194304
 #define QL_RPC_PATCH_MAX 1048576
 #define QL_RPC_LOCAL_ENDPOINTS_MAX 16
-#define QL_RPC_INTEREST_MAX 128
+#define QL_RPC_INTEREST_MAX 1024
 #define QL_RPC_MEMBERS_MAX 4096
 #define QL_RPC_CHANGES_MAX 256
-#define QL_RPC_PROTOCOL_VERSION 1
+#define QL_RPC_DOMAINS_MAX 64
+#define QL_RPC_SERVICES_MAX 1024
+#define QL_RPC_EXCHANGE_MAX 256
+#define QL_RPC_PROTOCOL_VERSION 2
 
 struct ql_rpc_greeting {
 	char *cluster;
@@ -62,24 +65,54 @@
 	u_int slots;
 	u_int connections;
 	ql_rpc_endpoint_state state;
+	u_quad_t epoch;
+	u_quad_t holder;
 };
 typedef struct ql_rpc_endpoint ql_rpc_endpoint;
 
-typedef char *ql_rpc_name;
+struct ql_rpc_interest {
+	char *service;
+	u_quad_t digest;
+};
+typedef struct ql_rpc_interest ql_rpc_interest;
+
+struct ql_rpc_service {
+	char *service;
+	bool_t whole;
+	struct {
+		u_int endpoints_len;
+		ql_rpc_endpoint *endpoints_val;
+	} endpoints;
+};
+typedef struct ql_rpc_service ql_rpc_service;
+
+struct ql_rpc_domain {
+	char *name;
+	u_quad_t age_ms;
+	bool_t covered;
+	bool_t stale;
+	u_quad_t digest;
+};
+typedef struct ql_rpc_domain ql_rpc_domain;
 
 struct ql_rpc_lease_args {
 	ql_rpc_greeting greeting;
 	u_quad_t config_version;
+	u_quad_t config_digest;
 	u_quad_t registrar_incarnation;
-	u_quad_t members_version;
+	u_quad_t members_number;
+	u_quad_t epoch;
+	u_quad_t sequence;
 	bool_t leaving;
 	struct {
 		u_int endpoints_len;
 		ql_rpc_endpoint *endpoints_val;
 	} endpoints;
+	bool_t want_whole_document;
+	bool_t has_interest;
 	struct {
 		u_int interest_len;
-		ql_rpc_name *interest_val;
+		ql_rpc_interest *interest_val;
 	} interest;
 };
 typedef struct ql_rpc_lease_args ql_rpc_lease_args;
@@ -100,15 +133,67 @@
 		ql_rpc_change *changes_val;
 	} changes;
 	u_quad_t registrar_incarnation;
-	u_quad_t members_version;
-	bool_t whole_members;
+	u_quad_t members_number;
+	u_quad_t epoch;
+	bool_t conflict;
+	bool_t ready;
+	bool_t want_interest;
+	bool_t want_document;
+	struct {
+		u_int services_len;
+		ql_rpc_service *services_val;
+	} services;
 	struct {
-		u_int members_len;
-		ql_rpc_endpoint *members_val;
-	} members;
+		u_int domains_len;
+		ql_rpc_domain *domains_val;
+	} domains;
 };
 typedef struct ql_rpc_lease_res ql_rpc_lease_res;
 
+struct ql_rpc_offer_args {
+	ql_rpc_greeting greeting;
+	u_quad_t config_version;
+	u_quad_t digest;
+	struct {
+		u_int document_len;
+		char *document_val;
+	} document;
+};
+typedef struct ql_rpc_offer_args ql_rpc_offer_args;
+
+struct ql_rpc_offer_res {
+	int status;
+	char *detail;
+	u_quad_t clock;
+	u_quad_t config_version;
+};
+typedef struct ql_rpc_offer_res ql_rpc_offer_res;
+
+struct ql_rpc_exchange_args {
+	ql_rpc_greeting greeting;
+	u_quad_t registrar_incarnation;
+	u_quad_t number;
+};
+typedef struct ql_rpc_exchange_args ql_rpc_exchange_args;
+
+struct ql_rpc_exchange_res {
+	int status;
+	char *detail;
+	u_quad_t clock;
+	u_quad_t registrar_incarnation;
+	u_quad_t number;
+	bool_t more;
+	struct {
+		u_int endpoints_len;
+		ql_rpc_endpoint *endpoints_val;
+	} endpoints;
+	struct {
+		u_int domains_len;
+		ql_rpc_domain *domains_val;
+	} domains;
+};
+typedef struct ql_rpc_exchange_res ql_rpc_exchange_res;
+
 struct ql_rpc_patch_args {
 	ql_rpc_greeting greeting;
 	char *id;
@@ -203,6 +288,12 @@
 #define QL_CANCEL 5
 extern  enum clnt_stat ql_cancel_1(ql_rpc_cancel_args *, ql_rpc_cancel_res *, CLIENT *);
 extern  bool_t ql_cancel_1_svc(ql_rpc_cancel_args *, ql_rpc_cancel_res *, struct svc_req *);
+#define QL_OFFER 6
+extern  enum clnt_stat ql_offer_1(ql_rpc_offer_args *, ql_rpc_offer_res *, CLIENT *);
+extern  bool_t ql_offer_1_svc(ql_rpc_offer_args *, ql_rpc_offer_res *, struct svc_req *);
+#define QL_EXCHANGE 7
+extern  enum clnt_stat ql_exchange_1(ql_rpc_exchange_args *, ql_rpc_exchange_res *, CLIENT *);
+extern  bool_t ql_exchange_1_svc(ql_rpc_exchange_args *, ql_rpc_exchange_res *, struct svc_req *);
 extern int ql_control_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -221,6 +312,12 @@
 #define QL_CANCEL 5
 extern  enum clnt_stat ql_cancel_1();
 extern  bool_t ql_cancel_1_svc();
+#define QL_OFFER 6
+extern  enum clnt_stat ql_offer_1();
+extern  bool_t ql_offer_1_svc();
+#define QL_EXCHANGE 7
+extern  enum clnt_stat ql_exchange_1();
+extern  bool_t ql_exchange_1_svc();
 extern int ql_control_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -231,9 +328,15 @@
 extern  bool_t xdr_ql_rpc_change (XDR *, ql_rpc_change*);
 extern  bool_t xdr_ql_rpc_endpoint_state (XDR *, ql_rpc_endpoint_state*);
 extern  bool_t xdr_ql_rpc_endpoint (XDR *, ql_rpc_endpoint*);
-extern  bool_t xdr_ql_rpc_name (XDR *, ql_rpc_name*);
+extern  bool_t xdr_ql_rpc_interest (XDR *, ql_rpc_interest*);
+extern  bool_t xdr_ql_rpc_service (XDR *, ql_rpc_service*);
+extern  bool_t xdr_ql_rpc_domain (XDR *, ql_rpc_domain*);
 extern  bool_t xdr_ql_rpc_lease_args (XDR *, ql_rpc_lease_args*);
 extern  bool_t xdr_ql_rpc_lease_res (XDR *, ql_rpc_lease_res*);
+extern  bool_t xdr_ql_rpc_offer_args (XDR *, ql_rpc_offer_args*);
+extern  bool_t xdr_ql_rpc_offer_res (XDR *, ql_rpc_offer_res*);
+extern  bool_t xdr_ql_rpc_exchange_args (XDR *, ql_rpc_exchange_args*);
+extern  bool_t xdr_ql_rpc_exchange_res (XDR *, ql_rpc_exchange_res*);
 extern  bool_t xdr_ql_rpc_patch_args (XDR *, ql_rpc_patch_args*);
 extern  bool_t xdr_ql_rpc_patch_res (XDR *, ql_rpc_patch_res*);
 extern  bool_t xdr_ql_rpc_document_args (XDR *, ql_rpc_document_args*);
@@ -248,9 +351,15 @@
 extern bool_t xdr_ql_rpc_change ();
 extern bool_t xdr_ql_rpc_endpoint_state ();
 extern bool_t xdr_ql_rpc_endpoint ();
-extern bool_t xdr_ql_rpc_name ();
+extern bool_t xdr_ql_rpc_interest ();
+extern bool_t xdr_ql_rpc_service ();
+extern bool_t xdr_ql_rpc_domain ();
 extern bool_t xdr_ql_rpc_lease_args ();
 extern bool_t xdr_ql_rpc_lease_res ();
+extern bool_t xdr_ql_rpc_offer_args ();
+extern bool_t xdr_ql_rpc_offer_res ();
+extern bool_t xdr_ql_rpc_exchange_args ();
+extern bool_t xdr_ql_rpc_exchange_res ();
 extern bool_t xdr_ql_rpc_patch_args ();
 extern bool_t xdr_ql_rpc_patch_res ();
 extern bool_t xdr_ql_rpc_document_args ();
--- a/src/control/rpc/control_xdr.c
+++ b/src/control/rpc/control_xdr.c
@@ -70,15 +70,54 @@
 		 return FALSE;
 	 if (!xdr_ql_rpc_endpoint_state (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->holder))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_ql_rpc_name (XDR *xdrs, ql_rpc_name *objp)
+xdr_ql_rpc_interest (XDR *xdrs, ql_rpc_interest *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, objp, QL_RPC_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->service, QL_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ql_rpc_service (XDR *xdrs, ql_rpc_service *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, QL_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->endpoints.endpoints_val, (u_int *) &objp->endpoints.endpoints_len, QL_RPC_MEMBERS_MAX,
+		sizeof (ql_rpc_endpoint), (xdrproc_t) xdr_ql_rpc_endpoint))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ql_rpc_domain (XDR *xdrs, ql_rpc_domain *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, QL_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->covered))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->stale))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
 	return TRUE;
 }
@@ -92,17 +131,27 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_digest))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->registrar_incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->members_version))
+	 if (!xdr_u_quad_t (xdrs, &objp->members_number))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->endpoints.endpoints_val, (u_int *) &objp->endpoints.endpoints_len, QL_RPC_LOCAL_ENDPOINTS_MAX,
 		sizeof (ql_rpc_endpoint), (xdrproc_t) xdr_ql_rpc_endpoint))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->want_whole_document))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_interest))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->interest.interest_val, (u_int *) &objp->interest.interest_len, QL_RPC_INTEREST_MAX,
-		sizeof (ql_rpc_name), (xdrproc_t) xdr_ql_rpc_name))
+		sizeof (ql_rpc_interest), (xdrproc_t) xdr_ql_rpc_interest))
 		 return FALSE;
 	return TRUE;
 }
@@ -112,6 +161,105 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_int (xdrs, &objp->status))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->detail, QL_RPC_DETAIL_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->clock))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->lease_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->whole_document))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, QL_RPC_DOCUMENT_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, QL_RPC_CHANGES_MAX,
+			sizeof (ql_rpc_change), (xdrproc_t) xdr_ql_rpc_change))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->registrar_incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->members_number))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->conflict))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ready))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->want_interest))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->want_document))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->conflict);
+		IXDR_PUT_BOOL(buf, objp->ready);
+		IXDR_PUT_BOOL(buf, objp->want_interest);
+		IXDR_PUT_BOOL(buf, objp->want_document);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, QL_RPC_SERVICES_MAX,
+			sizeof (ql_rpc_service), (xdrproc_t) xdr_ql_rpc_service))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, QL_RPC_DOMAINS_MAX,
+			sizeof (ql_rpc_domain), (xdrproc_t) xdr_ql_rpc_domain))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_int (xdrs, &objp->status))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->detail, QL_RPC_DETAIL_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->clock))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->lease_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->whole_document))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, QL_RPC_DOCUMENT_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, QL_RPC_CHANGES_MAX,
+			sizeof (ql_rpc_change), (xdrproc_t) xdr_ql_rpc_change))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->registrar_incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->members_number))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->conflict))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ready))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->want_interest))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->want_document))
+				 return FALSE;
+
+		} else {
+		objp->conflict = IXDR_GET_BOOL(buf);
+		objp->ready = IXDR_GET_BOOL(buf);
+		objp->want_interest = IXDR_GET_BOOL(buf);
+		objp->want_document = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, QL_RPC_SERVICES_MAX,
+			sizeof (ql_rpc_service), (xdrproc_t) xdr_ql_rpc_service))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, QL_RPC_DOMAINS_MAX,
+			sizeof (ql_rpc_domain), (xdrproc_t) xdr_ql_rpc_domain))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_int (xdrs, &objp->status))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->detail, QL_RPC_DETAIL_MAX))
@@ -131,13 +279,96 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->registrar_incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->members_version))
+	 if (!xdr_u_quad_t (xdrs, &objp->members_number))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->whole_members))
+	 if (!xdr_bool (xdrs, &objp->conflict))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, QL_RPC_MEMBERS_MAX,
+	 if (!xdr_bool (xdrs, &objp->ready))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->want_interest))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->want_document))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, QL_RPC_SERVICES_MAX,
+		sizeof (ql_rpc_service), (xdrproc_t) xdr_ql_rpc_service))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, QL_RPC_DOMAINS_MAX,
+		sizeof (ql_rpc_domain), (xdrproc_t) xdr_ql_rpc_domain))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ql_rpc_offer_args (XDR *xdrs, ql_rpc_offer_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ql_rpc_greeting (xdrs, &objp->greeting))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, QL_RPC_DOCUMENT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ql_rpc_offer_res (XDR *xdrs, ql_rpc_offer_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->detail, QL_RPC_DETAIL_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ql_rpc_exchange_args (XDR *xdrs, ql_rpc_exchange_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ql_rpc_greeting (xdrs, &objp->greeting))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->registrar_incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ql_rpc_exchange_res (XDR *xdrs, ql_rpc_exchange_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->detail, QL_RPC_DETAIL_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->registrar_incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->more))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->endpoints.endpoints_val, (u_int *) &objp->endpoints.endpoints_len, QL_RPC_EXCHANGE_MAX,
 		sizeof (ql_rpc_endpoint), (xdrproc_t) xdr_ql_rpc_endpoint))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, QL_RPC_DOMAINS_MAX,
+		sizeof (ql_rpc_domain), (xdrproc_t) xdr_ql_rpc_domain))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -1,6 +1,5 @@
 #include "node/control_service.h"
 #include "control/greeting.h"
-#include "control/rpc_client.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
 #include "quetzalloft/log.h"
@@ -8,14 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CALL_TIMEOUT_MS 1000u
-#define WAKE_RING_ENTRIES 16u
-
-static uint64_t now_ms(void)
-{
-	return ql_clock_now_us() / QL_US_PER_MS;
-}
-
 static uint64_t take_clock(ql_control_service_t *control, uint64_t remote)
 {
 	uint64_t wall_ms = ql_clock_wall_ms();
@@ -36,14 +27,27 @@
 	ql_rpc_lease_res *res = out;
 
 	res->clock = take_clock(control, args->greeting.clock);
-	if (!control->settings->registrar) {
-		res->status = QL_E_UNAVAILABLE;
-		res->detail = copy_text("this process is no registrar");
-		return;
-	}
-	pthread_mutex_lock(&control->lock);
-	ql_registrar_lease(&control->registrar, args, res, now_ms());
-	pthread_mutex_unlock(&control->lock);
+	ql_registrar_service_lease(&control->registrar, args, res);
+}
+
+static void handle_offer(void *data, const void *in, void *out)
+{
+	ql_control_service_t *control = data;
+	const ql_rpc_offer_args *args = in;
+	ql_rpc_offer_res *res = out;
+
+	res->clock = take_clock(control, args->greeting.clock);
+	ql_registrar_service_offer(&control->registrar, args, res);
+}
+
+static void handle_exchange(void *data, const void *in, void *out)
+{
+	ql_control_service_t *control = data;
+	const ql_rpc_exchange_args *args = in;
+	ql_rpc_exchange_res *res = out;
+
+	res->clock = take_clock(control, args->greeting.clock);
+	ql_registrar_service_exchange(&control->registrar, args, res);
 }
 
 static bool refuse_sender(const ql_control_service_t *control,
@@ -101,11 +105,9 @@
 	submit_patch(control, args, res);
 }
 
-static void handle_document(void *data, const void *in, void *out)
+static void fill_document(const ql_config_state_t *config,
+			  uint64_t known_version, ql_rpc_document_res *res)
 {
-	ql_control_service_t *control = data;
-	const ql_rpc_document_args *args = in;
-	ql_rpc_document_res *res = out;
 	ql_config_reply_t reply = {
 		.whole_document = &res->whole_document,
 		.document_len = &res->document.document_len,
@@ -114,15 +116,30 @@
 		.changes_val = &res->changes.changes_val,
 	};
 
+	res->config_version = config->doc->version;
+	ql_config_reply_fill(&reply, config, known_version);
+}
+
+static void handle_document(void *data, const void *in, void *out)
+{
+	ql_control_service_t *control = data;
+	const ql_rpc_document_args *args = in;
+	ql_rpc_document_res *res = out;
+
 	res->clock = take_clock(control, args->greeting.clock);
 	if (refuse_sender(control, &args->greeting, &res->status, &res->detail))
 		return;
 	res->detail = copy_text("");
-	pthread_mutex_lock(&control->lock);
-	res->config_version = control->store.state.doc->version;
-	ql_config_reply_fill(&reply, &control->store.state,
-			     args->known_version);
-	pthread_mutex_unlock(&control->lock);
+	if (control->settings->replica || control->settings->registrar) {
+		pthread_mutex_lock(&control->lock);
+		fill_document(&control->store.state, args->known_version, res);
+		pthread_mutex_unlock(&control->lock);
+	} else {
+		pthread_mutex_lock(&control->lease.lock);
+		fill_document(&control->lease.member.config,
+			      args->known_version, res);
+		pthread_mutex_unlock(&control->lease.lock);
+	}
 }
 
 static void handle_report(void *data, const void *in, void *out)
@@ -160,142 +177,44 @@
 	PROCEDURE(QL_PATCH, patch, handle_patch),
 	PROCEDURE(QL_DOCUMENT, document, handle_document),
 	PROCEDURE(QL_REPORT, report, handle_report),
+	PROCEDURE(QL_OFFER, offer, handle_offer),
+	PROCEDURE(QL_EXCHANGE, exchange, handle_exchange),
 };
 
-static void describe_node(ql_control_service_t *control,
-			  ql_rpc_lease_args *args)
+static int init_store(ql_control_service_t *control, GError **error)
 {
 	const ql_settings_t *settings = control->settings;
-	char gate[QL_ADDRESS_MAX * 2];
-	u_int i;
-
-	g_snprintf(gate, sizeof(gate), "%s:%u", settings->address,
-		   (unsigned int)settings->gate_port);
-	args->endpoints.endpoints_val =
-		calloc(QL_LOCAL_ENDPOINTS_MAX, sizeof(ql_rpc_endpoint));
-	g_assert(args->endpoints.endpoints_val);
-	args->endpoints.endpoints_len =
-		ql_gate_service_describe(control->gates, settings->node,
-					 settings->failure_domain, gate,
-					 args->endpoints.endpoints_val);
-	args->leaving = __atomic_load_n(&control->leaving, __ATOMIC_ACQUIRE);
-	if (args->leaving)
-		for (i = 0; i < args->endpoints.endpoints_len; i++)
-			args->endpoints.endpoints_val[i].state =
-				QL_RPC_ENDPOINT_LEAVING;
-}
 
-static int exchange_lease(ql_control_service_t *control,
-			  ql_rpc_client_t *client, GError **error)
-{
-	ql_rpc_lease_args args = {0};
-	ql_rpc_lease_res res = {0};
-	ql_rpc_call_t call = {
-		.procedure = QL_LEASE,
-		.encode = (xdrproc_t)xdr_ql_rpc_lease_args,
-		.args = &args,
-		.decode = (xdrproc_t)xdr_ql_rpc_lease_res,
-		.result = &res,
-	};
-	int ret;
-
-	pthread_mutex_lock(&control->member_lock);
-	ql_member_fill_lease(&control->member, &args);
-	pthread_mutex_unlock(&control->member_lock);
-	args.greeting.clock = ql_hlc_tick(control->hlc, ql_clock_wall_ms());
-	describe_node(control, &args);
-	ret = ql_rpc_client_call(client, &call, error);
-	if (!ret) {
-		take_clock(control, res.clock);
-		pthread_mutex_lock(&control->member_lock);
-		ret = ql_member_take_lease(&control->member, &res, now_ms(),
-					   error);
-		pthread_mutex_unlock(&control->member_lock);
-	}
-	xdr_free((xdrproc_t)xdr_ql_rpc_lease_res, &res);
-	xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
-	return ret;
-}
-
-static void renew_lease(ql_control_service_t *control, ql_rpc_client_t *clients)
-{
-	GError *error = NULL;
-	size_t index = control->member.registrar;
-
-	ql_count(control->counters, QL_COUNT_LEASES_SENT);
-	if (!exchange_lease(control, &clients[index], &error))
-		return;
-	ql_count(control->counters, QL_COUNT_LEASES_FAILED);
-	ql_log(LOG_WARNING, "lease_failed",
-	       QL_STR("registrar", clients[index].address),
-	       QL_STR("error", ql_error_name(error->code)),
-	       QL_STR("detail", error->message));
-	g_error_free(error);
-	ql_member_lease_failed(&control->member);
-}
-
-static void *renew_leases(void *data)
-{
-	ql_control_service_t *control = data;
-	ql_rpc_client_t clients[QL_REGISTRARS_MAX];
-	size_t n = control->settings->n_registrars;
-	size_t i;
-
-	for (i = 0; i < n; i++)
-		ql_rpc_client_init(&clients[i],
-				   control->settings->registrars[i],
-				   QL_CONTROL_PROGRAM, QL_CONTROL_V1,
-				   CALL_TIMEOUT_MS);
-	while (!__atomic_load_n(&control->stopping, __ATOMIC_ACQUIRE)) {
-		renew_lease(control, clients);
-		ql_ring_wait(&control->wake,
-			     (int)ql_member_delay_ms(&control->member));
-		while (ql_ring_pop(&control->wake))
-			;
-	}
-	for (i = 0; i < n; i++)
-		ql_rpc_client_finish(&clients[i]);
-	return NULL;
+	if (settings->replica)
+		return ql_config_store_init(&control->store,
+					    settings->data_folder, error);
+	ql_config_state_init(&control->store.state);
+	return 0;
 }
 
-static void init_member(ql_control_service_t *control,
-			const ql_member_ops_t *ops, void *ops_data)
+static int init_registrar(ql_control_service_t *control, GError **error)
 {
-	const ql_settings_t *settings = control->settings;
-	ql_member_opts_t opts = {
-		.incarnation = control->incarnation,
-		.n_registrars = settings->n_registrars,
-		.renew_ms = (uint32_t)settings->renew_ms,
-	};
-
-	memcpy(opts.cluster, settings->cluster, sizeof(opts.cluster));
-	memcpy(opts.node, settings->node, sizeof(opts.node));
-	memcpy(opts.failure_domain, settings->failure_domain,
-	       sizeof(opts.failure_domain));
-	memcpy(opts.registrars, settings->registrars, sizeof(opts.registrars));
-	control->random = g_rand_new();
-	pthread_mutex_init(&control->member_lock, NULL);
-	ql_member_init(&control->member, &opts, ops, ops_data, control->random);
+	ql_registrar_service_t *registrar = &control->registrar;
+
+	registrar->settings = control->settings;
+	registrar->hlc = control->hlc;
+	registrar->lock = &control->lock;
+	registrar->incarnation = control->incarnation;
+	return ql_registrar_service_init(registrar, &control->store.state,
+					 error);
 }
 
-static int init_state(ql_control_service_t *control, GError **error)
+static int init_lease(ql_control_service_t *control, const ql_member_ops_t *ops,
+		      void *ops_data, GError **error)
 {
-	const ql_settings_t *settings = control->settings;
-	ql_registrar_opts_t opts = {
-		.incarnation = control->incarnation,
-		.lease_ms = (uint32_t)settings->lease_ms,
-	};
-
-	if (!settings->replica)
-		ql_config_state_init(&control->store.state);
-	else if (ql_config_store_init(&control->store, settings->data_folder,
-				      error))
-		return QL_E_IO;
-	memcpy(opts.cluster, settings->cluster, sizeof(opts.cluster));
-	memcpy(opts.failure_domain, settings->failure_domain,
-	       sizeof(opts.failure_domain));
-	ql_registrar_init(&control->registrar, &opts, &control->store.state);
-	return 0;
+	ql_lease_service_t *lease = &control->lease;
+
+	lease->settings = control->settings;
+	lease->gates = control->gates;
+	lease->counters = control->counters;
+	lease->hlc = control->hlc;
+	lease->incarnation = control->incarnation;
+	return ql_lease_service_init(lease, ops, ops_data, error);
 }
 
 static int start_rpc(ql_control_service_t *control, GError **error)
@@ -325,41 +244,27 @@
 
 	control->incarnation = (uint64_t)g_get_real_time();
 	pthread_mutex_init(&control->lock, NULL);
-	ret = init_state(control, error);
+	ret = init_store(control, error);
+	if (!ret)
+		ret = init_registrar(control, error);
 	if (!ret)
-		ret = ql_ring_init(&control->wake, WAKE_RING_ENTRIES, error);
+		ret = init_lease(control, ops, ops_data, error);
 	if (!ret)
 		ret = start_rpc(control, error);
 	if (ret)
 		return ret;
-	init_member(control, ops, ops_data);
-	control->thread = g_thread_new("lease", renew_leases, control);
+	ql_registrar_service_start(&control->registrar);
+	ql_lease_service_start(&control->lease);
 	return 0;
 }
 
-void ql_control_service_wake(ql_control_service_t *control)
-{
-	/* A full ring means that a wake-up is due already. */
-	ql_ring_push(&control->wake, control);
-}
-
-void ql_control_service_leave(ql_control_service_t *control)
-{
-	__atomic_store_n(&control->leaving, 1, __ATOMIC_RELEASE);
-	ql_control_service_wake(control);
-}
-
 void ql_control_service_stop(ql_control_service_t *control)
 {
-	__atomic_store_n(&control->stopping, 1, __ATOMIC_RELEASE);
-	ql_control_service_wake(control);
-	g_thread_join(control->thread);
+	ql_lease_service_stop(&control->lease);
+	ql_registrar_service_stop(&control->registrar);
 	ql_rpc_server_stop(&control->rpc);
-	ql_member_finish(&control->member);
-	ql_registrar_finish(&control->registrar);
+	ql_lease_service_finish(&control->lease);
+	ql_registrar_service_finish(&control->registrar);
 	ql_config_state_finish(&control->store.state);
-	ql_ring_finish(&control->wake);
-	g_rand_free(control->random);
-	pthread_mutex_destroy(&control->member_lock);
 	pthread_mutex_destroy(&control->lock);
 }
--- a/src/node/control_service.h
+++ b/src/node/control_service.h
@@ -2,17 +2,14 @@
 #define QL_NODE_CONTROL_SERVICE_H
 
 /**
- * DOC: The control side of a process: the RPC server of registrar and replica,
- * and the thread that renews this node's lease.
+ * DOC: The control side of a process: the RPC server, the replica, the
+ * registrar, and the lease of this node.
  */
 
 #include "control/rpc_server.h"
 #include "node/config_store.h"
-#include "node/counters.h"
-#include "node/gate_service.h"
-#include "node/settings.h"
-#include "quetzalloft/registrar.h"
-#include "quetzalloft/ring.h"
+#include "node/lease_service.h"
+#include "node/registrar_service.h"
 
 #include <pthread.h>
 
@@ -21,9 +18,10 @@
 /**
  * struct ql_control_service - The control side.
  * @settings: borrowed
- * @lock: guards @store and @registrar
- * @member_lock: guards @member
- * @wake: pushed to renew the lease at once
+ * @lock: guards @store and the registrar
+ * @store: the configuration of a replica, or the one that a registrar follows
+ * @registrar: the registrar of this process
+ * @lease: the lease of this node
  */
 typedef struct ql_control_service {
 	const ql_settings_t *settings;
@@ -35,15 +33,9 @@
 	uint64_t incarnation;
 	pthread_mutex_t lock;
 	ql_config_store_t store;
-	ql_registrar_t registrar;
 	ql_rpc_server_t rpc;
-	pthread_mutex_t member_lock;
-	ql_member_t member;
-	GRand *random;
-	ql_ring_t wake;
-	GThread *thread;
-	int stopping;
-	int leaving;
+	ql_registrar_service_t registrar;
+	ql_lease_service_t lease;
 } ql_control_service_t;
 
 /**
@@ -60,18 +52,6 @@
 			     GError **error);
 void ql_control_service_stop(ql_control_service_t *control);
 
-/**
- * ql_control_service_wake() - Renew the lease at once.
- * @control: the service
- */
-void ql_control_service_wake(ql_control_service_t *control);
-
-/**
- * ql_control_service_leave() - Tell the registrar that this node leaves.
- * @control: the service
- */
-void ql_control_service_leave(ql_control_service_t *control);
-
 G_END_DECLS
 
 #endif
--- /dev/null
+++ b/src/node/lease_service.c
@@ -0,0 +1,378 @@
+#include "node/lease_service.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define CALL_TIMEOUT_MS 1000u
+#define WAKE_RING_ENTRIES 16u
+
+static uint64_t now_ms(void)
+{
+	return ql_clock_now_us() / QL_US_PER_MS;
+}
+
+static bool is_leaving(const ql_lease_service_t *service)
+{
+	return __atomic_load_n(&service->leaving, __ATOMIC_ACQUIRE);
+}
+
+static bool is_stopping(const ql_lease_service_t *service)
+{
+	return __atomic_load_n(&service->stopping, __ATOMIC_ACQUIRE);
+}
+
+static void describe_node(ql_lease_service_t *service, ql_rpc_lease_args *args)
+{
+	const ql_settings_t *settings = service->settings;
+	char gate[QL_ADDRESS_MAX * 2];
+	u_int i;
+
+	g_snprintf(gate, sizeof(gate), "%s:%u", settings->address,
+		   (unsigned int)settings->gate_port);
+	args->endpoints.endpoints_val =
+		calloc(QL_LOCAL_ENDPOINTS_MAX, sizeof(ql_rpc_endpoint));
+	g_assert(args->endpoints.endpoints_val);
+	args->endpoints.endpoints_len =
+		ql_gate_service_describe(service->gates, settings->node,
+					 settings->failure_domain, gate,
+					 args->endpoints.endpoints_val);
+	args->leaving = is_leaving(service);
+	if (args->leaving)
+		for (i = 0; i < args->endpoints.endpoints_len; i++)
+			args->endpoints.endpoints_val[i].state =
+				QL_RPC_ENDPOINT_LEAVING;
+}
+
+static int exchange_lease(ql_lease_service_t *service, int index,
+			  GError **error)
+{
+	ql_rpc_lease_args args = {0};
+	ql_rpc_lease_res res = {0};
+	ql_rpc_call_t call = {
+		.procedure = QL_LEASE,
+		.encode = (xdrproc_t)xdr_ql_rpc_lease_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_ql_rpc_lease_res,
+		.result = &res,
+	};
+	int ret;
+
+	describe_node(service, &args);
+	pthread_mutex_lock(&service->lock);
+	ql_member_fill_lease(&service->member, index, &args);
+	pthread_mutex_unlock(&service->lock);
+	args.greeting.clock = ql_hlc_tick(service->hlc, ql_clock_wall_ms());
+	ret = ql_rpc_client_call(&service->clients[index], &call, error);
+	pthread_mutex_lock(&service->lock);
+	if (ret)
+		ql_member_lease_failed(&service->member, index, now_ms());
+	else
+		ret = ql_member_take_lease(&service->member, index, &res,
+					   now_ms(), error);
+	pthread_mutex_unlock(&service->lock);
+	if (res.clock)
+		ql_hlc_observe(service->hlc, res.clock, ql_clock_wall_ms());
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_res, &res);
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
+	return ret;
+}
+
+static void renew_at(ql_lease_service_t *service, int index)
+{
+	GError *error = NULL;
+
+	ql_count(service->counters, QL_COUNT_LEASES_SENT);
+	if (!exchange_lease(service, index, &error))
+		return;
+	ql_count(service->counters, QL_COUNT_LEASES_FAILED);
+	ql_log(LOG_WARNING, "lease_failed",
+	       QL_STR("registrar", service->clients[index].address),
+	       QL_STR("error", ql_error_name(error->code)),
+	       QL_STR("detail", error->message));
+	g_error_free(error);
+}
+
+static int call_offer(ql_rpc_client_t *client, const ql_rpc_offer_args *args,
+		      GError **error)
+{
+	ql_rpc_offer_res res = {0};
+	ql_rpc_call_t call = {
+		.procedure = QL_OFFER,
+		.encode = (xdrproc_t)xdr_ql_rpc_offer_args,
+		.args = args,
+		.decode = (xdrproc_t)xdr_ql_rpc_offer_res,
+		.result = &res,
+	};
+	int ret = ql_rpc_client_call(client, &call, error);
+
+	if (!ret && res.status)
+		ret = ql_error_set(error, (ql_error_code_t)res.status, "%s",
+				   res.detail);
+	xdr_free((xdrproc_t)xdr_ql_rpc_offer_res, &res);
+	return ret;
+}
+
+/* Gives the document to a registrar that is behind. */
+static void make_offer(ql_lease_service_t *service)
+{
+	ql_rpc_offer_args args = {0};
+	GError *error = NULL;
+	int index, ret;
+
+	pthread_mutex_lock(&service->lock);
+	index = ql_member_fill_offer(&service->member, &args);
+	pthread_mutex_unlock(&service->lock);
+	if (index < 0)
+		return;
+	args.greeting.clock = ql_hlc_tick(service->hlc, ql_clock_wall_ms());
+	ret = call_offer(&service->clients[index], &args, &error);
+	ql_log(LOG_NOTICE, ret ? "config_offer_failed" : "config_offered",
+	       QL_STR("registrar", service->clients[index].address),
+	       QL_UINT("version", args.config_version),
+	       QL_STR("error", ql_error_name(ret)));
+	g_clear_error(&error);
+	xdr_free((xdrproc_t)xdr_ql_rpc_offer_args, &args);
+}
+
+static int exchange_document(ql_lease_service_t *service,
+			     ql_rpc_client_t *client, GError **error)
+{
+	const ql_settings_t *settings = service->settings;
+	ql_rpc_document_args args = {
+		.greeting.cluster = (char *)settings->cluster,
+		.greeting.node = (char *)settings->node,
+		.greeting.failure_domain = (char *)settings->failure_domain,
+		.greeting.incarnation = service->incarnation,
+		.greeting.protocol = QL_RPC_PROTOCOL_VERSION,
+	};
+	ql_rpc_document_res res = {0};
+	ql_rpc_call_t call = {
+		.procedure = QL_DOCUMENT,
+		.encode = (xdrproc_t)xdr_ql_rpc_document_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_ql_rpc_document_res,
+		.result = &res,
+	};
+	int ret;
+
+	args.greeting.clock = ql_hlc_tick(service->hlc, ql_clock_wall_ms());
+	ret = ql_rpc_client_call(client, &call, error);
+	if (!ret) {
+		pthread_mutex_lock(&service->lock);
+		ret = ql_member_take_document(&service->member, &res, now_ms(),
+					      error);
+		pthread_mutex_unlock(&service->lock);
+	}
+	xdr_free((xdrproc_t)xdr_ql_rpc_document_res, &res);
+	return ret;
+}
+
+/* Asks another node of the domain when no registrar answers at the start. */
+static void ask_neighbour(ql_lease_service_t *service)
+{
+	ql_rpc_client_t *client;
+	GError *error = NULL;
+	bool needed;
+	int ret;
+
+	pthread_mutex_lock(&service->lock);
+	needed = ql_member_needs_neighbour(&service->member, now_ms());
+	pthread_mutex_unlock(&service->lock);
+	if (!needed || !service->settings->n_neighbours)
+		return;
+	client = &service->neighbours[service->next_neighbour++ %
+				      service->settings->n_neighbours];
+	ret = exchange_document(service, client, &error);
+	ql_log(LOG_NOTICE, "neighbour_asked", QL_STR("peer", client->address),
+	       QL_STR("error", ql_error_name(ret)));
+	g_clear_error(&error);
+}
+
+static void renew_lease(ql_lease_service_t *service)
+{
+	int index;
+
+	pthread_mutex_lock(&service->lock);
+	index = ql_member_next_registrar(&service->member, now_ms());
+	pthread_mutex_unlock(&service->lock);
+	if (index >= 0)
+		renew_at(service, index);
+	make_offer(service);
+	ask_neighbour(service);
+}
+
+static void tell_all(ql_lease_service_t *service)
+{
+	size_t i;
+
+	for (i = 0; i < service->settings->n_registrars; i++)
+		renew_at(service, (int)i);
+}
+
+static void wait_for_renewal(ql_lease_service_t *service)
+{
+	uint32_t delay_ms;
+
+	pthread_mutex_lock(&service->lock);
+	delay_ms = ql_member_delay_ms(&service->member, now_ms());
+	pthread_mutex_unlock(&service->lock);
+	ql_ring_wait(&service->wake, (int)delay_ms);
+	while (ql_ring_pop(&service->wake))
+		;
+}
+
+static void *renew_leases(void *data)
+{
+	ql_lease_service_t *service = data;
+	bool told = false;
+
+	while (!is_stopping(service)) {
+		if (is_leaving(service) && !told) {
+			tell_all(service);
+			told = true;
+		} else {
+			renew_lease(service);
+		}
+		wait_for_renewal(service);
+	}
+	return NULL;
+}
+
+static void init_clients(ql_lease_service_t *service)
+{
+	const ql_settings_t *settings = service->settings;
+	size_t i;
+
+	for (i = 0; i < settings->n_registrars; i++)
+		ql_rpc_client_init(&service->clients[i],
+				   settings->registrars[i], QL_CONTROL_PROGRAM,
+				   QL_CONTROL_V1, CALL_TIMEOUT_MS);
+	for (i = 0; i < settings->n_neighbours; i++)
+		ql_rpc_client_init(&service->neighbours[i],
+				   settings->neighbours[i], QL_CONTROL_PROGRAM,
+				   QL_CONTROL_V1, CALL_TIMEOUT_MS);
+}
+
+static void finish_clients(ql_lease_service_t *service)
+{
+	size_t i;
+
+	for (i = 0; i < service->settings->n_registrars; i++)
+		ql_rpc_client_finish(&service->clients[i]);
+	for (i = 0; i < service->settings->n_neighbours; i++)
+		ql_rpc_client_finish(&service->neighbours[i]);
+}
+
+static void init_member(ql_lease_service_t *service, const ql_member_ops_t *ops,
+			void *ops_data)
+{
+	const ql_settings_t *settings = service->settings;
+	ql_member_opts_t opts = {
+		.incarnation = service->incarnation,
+		.started_ms = now_ms(),
+		.n_registrars = settings->n_registrars,
+		.renew_ms = (uint32_t)settings->renew_ms,
+	};
+
+	memcpy(opts.cluster, settings->cluster, sizeof(opts.cluster));
+	memcpy(opts.node, settings->node, sizeof(opts.node));
+	memcpy(opts.failure_domain, settings->failure_domain,
+	       sizeof(opts.failure_domain));
+	memcpy(opts.registrars, settings->registrars, sizeof(opts.registrars));
+	service->random = g_rand_new();
+	pthread_mutex_init(&service->lock, NULL);
+	ql_member_init(&service->member, &opts, ops, ops_data, service->random);
+}
+
+int ql_lease_service_init(ql_lease_service_t *service,
+			  const ql_member_ops_t *ops, void *ops_data,
+			  GError **error)
+{
+	int ret = ql_ring_init(&service->wake, WAKE_RING_ENTRIES, error);
+
+	if (ret)
+		return ret;
+	init_member(service, ops, ops_data);
+	init_clients(service);
+	return 0;
+}
+
+void ql_lease_service_start(ql_lease_service_t *service)
+{
+	service->thread = g_thread_new("lease", renew_leases, service);
+}
+
+void ql_lease_service_wake(ql_lease_service_t *service)
+{
+	/* A full ring means that a wake-up is due already. */
+	ql_ring_push(&service->wake, service);
+}
+
+void ql_lease_service_leave(ql_lease_service_t *service)
+{
+	__atomic_store_n(&service->leaving, 1, __ATOMIC_RELEASE);
+	ql_lease_service_wake(service);
+}
+
+void ql_lease_service_saw_version(ql_lease_service_t *service, uint64_t version)
+{
+	bool due;
+
+	pthread_mutex_lock(&service->lock);
+	due = ql_member_saw_version(&service->member, version, now_ms());
+	pthread_mutex_unlock(&service->lock);
+	if (due)
+		ql_lease_service_wake(service);
+}
+
+void ql_lease_service_want(ql_lease_service_t *service, const char *name)
+{
+	bool due;
+
+	pthread_mutex_lock(&service->lock);
+	due = ql_member_want_service(&service->member, name);
+	pthread_mutex_unlock(&service->lock);
+	if (due)
+		ql_lease_service_wake(service);
+}
+
+json_t *ql_lease_service_report(ql_lease_service_t *service)
+{
+	const ql_member_t *member = &service->member;
+	json_t *json;
+
+	pthread_mutex_lock(&service->lock);
+	json = json_pack("{s:s, s:s, s:I, s:I, s:I, s:b, s:i, s:i}", "node",
+			 service->settings->node, "failure_domain",
+			 service->settings->failure_domain, "config_version",
+			 (json_int_t)member->config.doc->version,
+			 "seen_version",
+			 (json_int_t)MAX(member->seen_version,
+					 member->config.doc->version),
+			 "stale_ms",
+			 (json_int_t)ql_member_stale_ms(member, now_ms()),
+			 "asked", member->asked, "services_followed",
+			 (int)g_hash_table_size(member->interest),
+			 "endpoints_known",
+			 (int)g_hash_table_size(member->known));
+	pthread_mutex_unlock(&service->lock);
+	return json;
+}
+
+void ql_lease_service_stop(ql_lease_service_t *service)
+{
+	__atomic_store_n(&service->stopping, 1, __ATOMIC_RELEASE);
+	ql_lease_service_wake(service);
+	g_thread_join(service->thread);
+}
+
+void ql_lease_service_finish(ql_lease_service_t *service)
+{
+	finish_clients(service);
+	ql_member_finish(&service->member);
+	ql_ring_finish(&service->wake);
+	g_rand_free(service->random);
+	pthread_mutex_destroy(&service->lock);
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -22,7 +22,8 @@
 {
 	ql_node_t *node = data;
 
-	return __atomic_load_n(&node->ready, __ATOMIC_ACQUIRE);
+	return __atomic_load_n(&node->asked, __ATOMIC_ACQUIRE) &&
+	       __atomic_load_n(&node->configured, __ATOMIC_ACQUIRE);
 }
 
 static void endpoint_up(void *data, const char *service,
@@ -53,14 +54,24 @@
 	pthread_mutex_unlock(&node->doc_lock);
 	ql_document_unref(old);
 	ql_count(&node->counters, QL_COUNT_CONFIG_CHANGES);
-	__atomic_store_n(&node->ready, 1, __ATOMIC_RELEASE);
+	__atomic_store_n(&node->configured, 1, __ATOMIC_RELEASE);
 	ql_log(LOG_NOTICE, "config_in_force", QL_UINT("version", doc->version));
 }
 
+static void asked(void *data)
+{
+	ql_node_t *node = data;
+
+	__atomic_store_n(&node->asked, 1, __ATOMIC_RELEASE);
+	ql_log(LOG_NOTICE, "domain_asked",
+	       QL_STR("node", node->settings->node));
+}
+
 static const ql_member_ops_t member_ops = {
 	.endpoint_up = endpoint_up,
 	.endpoint_gone = endpoint_gone,
 	.config_changed = config_changed,
+	.asked = asked,
 };
 
 static json_t *report_status(ql_node_t *node)
@@ -100,6 +111,10 @@
 		return report_status(node);
 	if (!strcmp(topic, "counters"))
 		return report_counters(node);
+	if (!strcmp(topic, "members"))
+		return ql_registrar_service_report(&node->control.registrar);
+	if (!strcmp(topic, "membership"))
+		return ql_lease_service_report(&node->control.lease);
 	return NULL;
 }
 
@@ -107,7 +122,7 @@
 {
 	ql_node_t *node = data;
 
-	ql_control_service_wake(&node->control);
+	ql_lease_service_wake(&node->control.lease);
 }
 
 static void init_data_path(ql_node_t *node)
@@ -262,7 +277,7 @@
 	       QL_STR("node", node->settings->node));
 	__atomic_store_n(&node->clients.draining, 1, __ATOMIC_RELEASE);
 	ql_gate_service_drain(&node->gates);
-	ql_control_service_leave(&node->control);
+	ql_lease_service_leave(&node->control.lease);
 	while (ql_clock_now_us() < earliest_us || is_busy(node))
 		g_usleep(DRAIN_POLL_US);
 	ql_log(LOG_NOTICE, "drain_finished",
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -32,7 +32,8 @@
 	ql_http_server_t local_server;
 	pthread_mutex_t doc_lock;
 	ql_document_t *doc;
-	int ready;
+	int asked;
+	int configured;
 } ql_node_t;
 
 /**
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -68,24 +68,42 @@
 	return 0;
 }
 
+/* A member of the settings that is a list of addresses. */
+typedef struct {
+	const char *key;
+	char (*out)[QL_ADDRESS_MAX];
+	size_t *n_out;
+	size_t max;
+} address_list_t;
+
 /* Takes the lists of addresses out of the object before the rest is read. */
 static int read_lists(ql_settings_t *settings, json_t *json, GError **error)
 {
-	json_t *registrars = json_object_get(json, "registrars");
-	json_t *replicas = json_object_get(json, "replicas");
-	int ret = 0;
+	const address_list_t lists[] = {
+		{"registrars", settings->registrars, &settings->n_registrars,
+		 QL_REGISTRARS_MAX},
+		{"replicas", settings->replicas, &settings->n_replicas,
+		 QL_REPLICAS_MAX},
+		{"peers", settings->peers, &settings->n_peers,
+		 QL_REGISTRAR_PEERS_MAX},
+		{"neighbours", settings->neighbours, &settings->n_neighbours,
+		 QL_NEIGHBOURS_MAX},
+	};
+	json_t *value;
+	size_t i;
+	int ret;
 
-	if (registrars)
-		ret = read_addresses(settings->registrars,
-				     &settings->n_registrars, QL_REGISTRARS_MAX,
-				     registrars, "registrars", error);
-	if (!ret && replicas)
-		ret = read_addresses(settings->replicas, &settings->n_replicas,
-				     QL_REPLICAS_MAX, replicas, "replicas",
-				     error);
-	json_object_del(json, "registrars");
-	json_object_del(json, "replicas");
-	return ret;
+	for (i = 0; i < G_N_ELEMENTS(lists); i++) {
+		value = json_object_get(json, lists[i].key);
+		if (!value)
+			continue;
+		ret = read_addresses(lists[i].out, lists[i].n_out, lists[i].max,
+				     value, lists[i].key, error);
+		if (ret)
+			return ret;
+		json_object_del(json, lists[i].key);
+	}
+	return 0;
 }
 
 static int check_relations(const ql_settings_t *settings, GError **error)
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -11,6 +11,8 @@
 
 #define QL_FOLDER_MAX 256
 #define QL_REPLICAS_MAX 32
+#define QL_REGISTRAR_PEERS_MAX 128
+#define QL_NEIGHBOURS_MAX 8
 
 /**
  * struct ql_settings - The settings.
@@ -27,6 +29,9 @@
  * @replica: whether it is a replica of the configuration
  * @registrars: addresses of the registrars of the failure domain
  * @replicas: addresses of the replicas
+ * @peers: addresses of the other registrars, of all failure domains
+ * @neighbours: control addresses of some other nodes of the failure domain,
+ *              which are asked when no registrar answers at the start
  * @balancer: name of the policy that chooses endpoints
  * @limiter: name of a limiter that overrides the configuration's; may be empty
  * @connections: connections that a listener takes
@@ -51,6 +56,10 @@
 	size_t n_registrars;
 	char replicas[QL_REPLICAS_MAX][QL_ADDRESS_MAX];
 	size_t n_replicas;
+	char peers[QL_REGISTRAR_PEERS_MAX][QL_ADDRESS_MAX];
+	size_t n_peers;
+	char neighbours[QL_NEIGHBOURS_MAX][QL_ADDRESS_MAX];
+	size_t n_neighbours;
 	char balancer[QL_NAME_MAX];
 	char limiter[QL_NAME_MAX];
 	uint64_t connections;
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -166,7 +166,9 @@
 	double warmth = CLAMP(age, SLOW_START_FLOOR, 1.0);
 	double cost = latency * (target->in_progress + 1) / warmth;
 
-	return target->refuse_until_us > now_us ? cost * 100 : cost;
+	return target->refuse_until_us > now_us || target->info.stale
+		       ? cost * 100
+		       : cost;
 }
 
 static ql_handle_t pick_two_choices(ql_balancer_t *balancer,
--- /dev/null
+++ b/tests/control/member_test.cc
@@ -0,0 +1,277 @@
+#include "quetzalloft/error.h"
+#include "quetzalloft/member.h"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+struct Seen {
+	std::map<std::string, bool> serving;
+	std::map<std::string, bool> stale;
+	uint64_t version = 0;
+	bool asked = false;
+};
+
+void endpoint_up(void *data, const char *, const ql_target_info_t *info)
+{
+	Seen *seen = (Seen *)data;
+
+	seen->serving[info->gate] = true;
+	seen->stale[info->gate] = info->stale;
+}
+
+void endpoint_gone(void *data, const char *, const char *gate)
+{
+	((Seen *)data)->serving[gate] = false;
+}
+
+void config_changed(void *data, ql_document_t *doc)
+{
+	((Seen *)data)->version = doc->version;
+}
+
+void asked(void *data)
+{
+	((Seen *)data)->asked = true;
+}
+
+const ql_member_ops_t OPS = {endpoint_up, endpoint_gone, config_changed, asked};
+
+const char DOCUMENT[] = "{\"site\":\"s\",\"attempts\":5,\"classes\":{},"
+			"\"services\":{\"a\":{}},\"routes\":{}}";
+
+ql_rpc_endpoint endpoint(const char *gate, ql_rpc_endpoint_state state)
+{
+	ql_rpc_endpoint out = {};
+
+	out.service = (char *)"a";
+	out.gate = (char *)gate;
+	out.node = (char *)"n";
+	out.failure_domain = (char *)"d";
+	out.incarnation = 1;
+	out.epoch = 1;
+	out.state = state;
+	return out;
+}
+
+class Member : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ql_member_opts_t opts = {};
+
+		strcpy(opts.cluster, "c");
+		strcpy(opts.node, "n0");
+		strcpy(opts.failure_domain, "d");
+		opts.incarnation = 1;
+		opts.n_registrars = 2;
+		opts.renew_ms = 500;
+		random = g_rand_new_with_seed(1);
+		ql_member_init(&member, &opts, &OPS, &seen, random);
+		configure();
+	}
+
+	void TearDown() override
+	{
+		ql_member_finish(&member);
+		g_rand_free(random);
+	}
+
+	/* Gives the member its document and interest. */
+	void configure()
+	{
+		ql_rpc_lease_args args = {};
+		ql_rpc_lease_res res = answer(1);
+
+		res.config_version = 1;
+		res.whole_document = TRUE;
+		res.document.document_val = (char *)DOCUMENT;
+		res.document.document_len = sizeof(DOCUMENT) - 1;
+		ASSERT_EQ(0,
+			  ql_member_take_lease(&member, 0, &res, 0, nullptr));
+		ql_member_fill_lease(&member, 0, &args);
+		xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
+	}
+
+	static ql_rpc_lease_res answer(uint64_t incarnation)
+	{
+		ql_rpc_lease_res res = {};
+
+		res.detail = (char *)"";
+		res.registrar_incarnation = incarnation;
+		res.members_number = 5;
+		return res;
+	}
+
+	/* Takes a list of endpoints of the service from a registrar. */
+	void take(int registrar, bool whole, bool ready, uint64_t now_ms,
+		  std::vector<ql_rpc_endpoint> endpoints, bool stale = false)
+	{
+		ql_rpc_lease_res res = answer((uint64_t)registrar + 1);
+		ql_rpc_service service = {};
+		ql_rpc_domain domain = {};
+
+		service.service = (char *)"a";
+		service.whole = whole;
+		service.endpoints.endpoints_val = endpoints.data();
+		service.endpoints.endpoints_len = (u_int)endpoints.size();
+		domain.name = (char *)"d";
+		domain.covered = TRUE;
+		domain.stale = stale;
+		res.ready = ready;
+		res.services.services_val = &service;
+		res.services.services_len = 1;
+		res.domains.domains_val = &domain;
+		res.domains.domains_len = 1;
+		ASSERT_EQ(0, ql_member_take_lease(&member, registrar, &res,
+						  now_ms, nullptr));
+	}
+
+	Seen seen;
+	GRand *random;
+	ql_member_t member;
+};
+
+const char GATE[] = "127.0.0.1:1";
+
+/* The numbers of two registrars are alike here and mean nothing together. */
+TEST_F(Member, ForgetsWhatAnotherRegistrarDoesNotName)
+{
+	take(0, true, true, 1000, {endpoint(GATE, QL_RPC_ENDPOINT_SERVING)});
+	EXPECT_TRUE(seen.serving[GATE]);
+	take(1, true, true, 9000, {});
+	EXPECT_FALSE(seen.serving[GATE]);
+}
+
+TEST_F(Member, ForgetsNothingByAColdRegistrar)
+{
+	take(0, true, true, 1000, {endpoint(GATE, QL_RPC_ENDPOINT_SERVING)});
+	take(1, true, false, 9000, {});
+	EXPECT_TRUE(seen.serving[GATE]);
+}
+
+TEST_F(Member, ForgetsNothingThatWasConfirmedLately)
+{
+	take(0, true, true, 1000, {endpoint(GATE, QL_RPC_ENDPOINT_SERVING)});
+	take(1, true, true, 1500, {});
+	EXPECT_TRUE(seen.serving[GATE]);
+}
+
+TEST_F(Member, IsNotToldTheOldByARegistrarThatLags)
+{
+	take(0, true, true, 1000, {endpoint(GATE, QL_RPC_ENDPOINT_SERVING)});
+	take(0, false, true, 2000, {endpoint(GATE, QL_RPC_ENDPOINT_LEAVING)});
+	EXPECT_FALSE(seen.serving[GATE]);
+	take(1, true, true, 2500, {endpoint(GATE, QL_RPC_ENDPOINT_SERVING)});
+	EXPECT_FALSE(seen.serving[GATE]);
+}
+
+TEST_F(Member, MarksTheEndpointsOfASilentDomain)
+{
+	take(0, true, true, 1000, {endpoint(GATE, QL_RPC_ENDPOINT_SERVING)});
+	EXPECT_FALSE(seen.stale[GATE]);
+	take(0, false, true, 9000, {}, true);
+	EXPECT_TRUE(seen.serving[GATE]);
+	EXPECT_TRUE(seen.stale[GATE]);
+	take(0, false, true, 9500, {}, false);
+	EXPECT_FALSE(seen.stale[GATE]);
+}
+
+TEST_F(Member, HasAskedOnlyWhenARegistrarIsReady)
+{
+	EXPECT_EQ(1u, seen.version);
+	EXPECT_FALSE(seen.asked);
+	take(0, true, false, 1000, {});
+	EXPECT_FALSE(seen.asked);
+	take(0, true, true, 2000, {});
+	EXPECT_TRUE(seen.asked);
+}
+
+TEST_F(Member, AsksANeighbourWhenNoRegistrarAnswers)
+{
+	ql_rpc_document_res res = {};
+
+	EXPECT_FALSE(ql_member_needs_neighbour(&member, 1000));
+	EXPECT_TRUE(ql_member_needs_neighbour(&member, 10000));
+	res.detail = (char *)"";
+	res.config_version = 7;
+	res.whole_document = TRUE;
+	res.document.document_val = (char *)DOCUMENT;
+	res.document.document_len = sizeof(DOCUMENT) - 1;
+	EXPECT_EQ(0, ql_member_take_document(&member, &res, 10000, nullptr));
+	EXPECT_EQ(7u, seen.version);
+	EXPECT_TRUE(seen.asked);
+	EXPECT_FALSE(ql_member_needs_neighbour(&member, 11000));
+}
+
+TEST_F(Member, NeverTakesALowerVersion)
+{
+	ql_rpc_document_res res = {};
+
+	res.detail = (char *)"";
+	res.whole_document = TRUE;
+	res.document.document_val = (char *)DOCUMENT;
+	res.document.document_len = sizeof(DOCUMENT) - 1;
+	res.config_version = 7;
+	EXPECT_EQ(0, ql_member_take_document(&member, &res, 0, nullptr));
+	res.config_version = 6;
+	EXPECT_EQ(0, ql_member_take_document(&member, &res, 0, nullptr));
+	EXPECT_EQ(7u, member.config.doc->version);
+}
+
+TEST_F(Member, RenewsAtOnceForAHigherVersionWithinABound)
+{
+	uint64_t now_ms;
+	int renewals = 0;
+
+	EXPECT_FALSE(ql_member_saw_version(&member, 1, 1000));
+	for (now_ms = 1000; now_ms < 2000; now_ms++)
+		renewals += ql_member_saw_version(&member, UINT64_MAX, now_ms);
+	EXPECT_GE(renewals, 1);
+	EXPECT_LE(renewals, 5);
+}
+
+TEST_F(Member, TurnsToTheSpareAndBack)
+{
+	int first = ql_member_next_registrar(&member, 1000);
+	int second = ql_member_next_registrar(&member, 1000);
+
+	EXPECT_NE(first, second);
+	ql_member_lease_failed(&member, first, 1000);
+	EXPECT_EQ(second, ql_member_next_registrar(&member, 1001));
+	EXPECT_EQ(second, ql_member_next_registrar(&member, 1002));
+	ql_member_lease_failed(&member, second, 1002);
+	EXPECT_EQ(-1, ql_member_next_registrar(&member, 1003));
+	EXPECT_LE(ql_member_delay_ms(&member, 1003), 500u);
+	EXPECT_GE(ql_member_next_registrar(&member, 1600), 0);
+}
+
+TEST_F(Member, TakesTheDocumentWholeAfterAChangeThatDoesNotApply)
+{
+	ql_rpc_lease_res res = answer(1);
+	ql_rpc_lease_args args = {};
+	ql_rpc_change change = {};
+
+	change.config_version = 2;
+	change.digest = 1;
+	change.patch.patch_val = (char *)"{\"attempts\":6}";
+	change.patch.patch_len = strlen(change.patch.patch_val);
+	res.config_version = 2;
+	res.changes.changes_val = &change;
+	res.changes.changes_len = 1;
+	EXPECT_EQ(QL_E_CORRUPT,
+		  ql_member_take_lease(&member, 0, &res, 1000, nullptr));
+	EXPECT_EQ(1u, member.config.doc->version);
+	ql_member_fill_lease(&member, 0, &args);
+	EXPECT_TRUE(args.want_whole_document);
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/control/registrar_test.cc
@@ -0,0 +1,289 @@
+#include "quetzalloft/registrar.h"
+#include "control/exchange.h"
+#include "control/registrar_view.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <set>
+#include <string>
+
+namespace
+{
+
+constexpr uint64_t START_MS = 100000;
+constexpr uint32_t LEASE_MS = 3000;
+
+class Registrar : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ql_registrar_opts_t opts = {};
+
+		strcpy(opts.cluster, "c");
+		strcpy(opts.failure_domain, "d");
+		opts.incarnation = 1;
+		opts.started_ms = START_MS;
+		opts.lease_ms = LEASE_MS;
+		ql_config_state_init(&config);
+		ql_registrar_init(&registrar, &opts, &config);
+	}
+
+	void TearDown() override
+	{
+		ql_registrar_finish(&registrar);
+		ql_config_state_finish(&config);
+	}
+
+	struct Claim {
+		const char *cluster = "c";
+		const char *domain = "d";
+		const char *node = "n";
+		const char *endpoint_node = "n";
+		const char *gate = "127.0.0.1:1";
+		uint64_t incarnation = 5;
+		uint64_t version = 0;
+	};
+
+	int lease(const Claim &claim, uint64_t now_ms)
+	{
+		ql_rpc_lease_args args = {};
+		ql_rpc_endpoint endpoint = {};
+		ql_rpc_lease_res res = {};
+
+		args.greeting.cluster = (char *)claim.cluster;
+		args.greeting.node = (char *)claim.node;
+		args.greeting.failure_domain = (char *)claim.domain;
+		args.greeting.incarnation = claim.incarnation;
+		args.greeting.protocol = QL_RPC_PROTOCOL_VERSION;
+		args.config_version = claim.version;
+		args.sequence = ++sequence;
+		endpoint.service = (char *)"a";
+		endpoint.gate = (char *)claim.gate;
+		endpoint.node = (char *)claim.endpoint_node;
+		endpoint.failure_domain = (char *)claim.domain;
+		endpoint.incarnation = claim.incarnation;
+		args.endpoints.endpoints_len = 1;
+		args.endpoints.endpoints_val = &endpoint;
+		ql_registrar_lease(&registrar, &args, &res, now_ms);
+		want_document = res.want_document;
+		xdr_free((xdrproc_t)xdr_ql_rpc_lease_res, &res);
+		return res.status;
+	}
+
+	int offer(uint64_t version, const std::string &text, uint64_t digest,
+		  uint64_t now_ms)
+	{
+		ql_rpc_offer_args args = {};
+
+		args.greeting.node = (char *)"n";
+		args.greeting.incarnation = 5;
+		args.config_version = version;
+		args.digest = digest;
+		args.document.document_val = (char *)text.c_str();
+		args.document.document_len = (u_int)text.size();
+		return ql_registrar_offer(&registrar, &args, now_ms, nullptr);
+	}
+
+	ql_config_state_t config;
+	ql_registrar_t registrar;
+	uint64_t sequence = 0;
+	bool want_document = false;
+};
+
+TEST_F(Registrar, RefusesAFalseIdentity)
+{
+	struct Case {
+		const char *what;
+		Claim claim;
+		uint64_t now_ms;
+		int status;
+	};
+	const Case cases[] = {
+		{"the node itself", {}, 10, 0},
+		{"another cluster", {"x"}, 20, QL_E_DENIED},
+		{"another domain", {"c", "e"}, 20, QL_E_DENIED},
+		{"an older incarnation",
+		 {"c", "d", "n", "n", "127.0.0.1:1", 4},
+		 20,
+		 QL_E_DENIED},
+		{"the gate of a live node",
+		 {"c", "d", "m", "m", "127.0.0.1:1", 9},
+		 20,
+		 QL_E_DENIED},
+		{"an endpoint of another node",
+		 {"c", "d", "m", "n", "127.0.0.1:2", 9},
+		 20,
+		 QL_E_DENIED},
+		{"a malformed name",
+		 {"c", "d", "a b", "a b", "127.0.0.1:2", 9},
+		 20,
+		 QL_E_INVALID},
+		{"a malformed address",
+		 {"c", "d", "m", "m", "nowhere", 9},
+		 20,
+		 QL_E_INVALID},
+		{"a restart", {"c", "d", "n", "n", "127.0.0.1:1", 6}, 30, 0},
+		{"the gate after the lease",
+		 {"c", "d", "m", "m", "127.0.0.1:1", 9},
+		 30 + LEASE_MS,
+		 0},
+	};
+	uint64_t denied = 0;
+
+	for (auto &test : cases) {
+		SCOPED_TRACE(test.what);
+		EXPECT_EQ(test.status,
+			  lease(test.claim, START_MS + test.now_ms));
+		denied += test.status ? 1 : 0;
+	}
+	EXPECT_EQ(denied, registrar.counts.denied);
+}
+
+TEST_F(Registrar, RefusesARenewalThatComesLate)
+{
+	EXPECT_EQ(0, lease({}, START_MS));
+	EXPECT_EQ(0, lease({}, START_MS + 1));
+	sequence -= 2;
+	EXPECT_EQ(QL_E_STALE, lease({}, START_MS + 2));
+}
+
+const char DOCUMENT[] = "{\"site\":\"s\",\"attempts\":5,\"classes\":{},"
+			"\"services\":{},\"routes\":{}}";
+
+TEST_F(Registrar, TakesTheDocumentOfANodeThatIsAhead)
+{
+	json_t *json = nullptr;
+	uint64_t digest;
+	Claim ahead;
+
+	ASSERT_EQ(0, ql_json_parse(&json, DOCUMENT, strlen(DOCUMENT), nullptr));
+	digest = ql_document_digest(json);
+	json_decref(json);
+	ahead.version = 9;
+	EXPECT_EQ(QL_E_DENIED, offer(9, DOCUMENT, digest, START_MS));
+	EXPECT_EQ(0, lease(ahead, START_MS));
+	EXPECT_TRUE(want_document);
+	EXPECT_EQ(QL_E_CORRUPT, offer(9, DOCUMENT, digest + 1, START_MS));
+	EXPECT_EQ(QL_E_INVALID, offer(9, "{", digest, START_MS));
+	EXPECT_EQ(0u, config.doc->version);
+	EXPECT_EQ(0, offer(9, DOCUMENT, digest, START_MS));
+	EXPECT_EQ(9u, config.doc->version);
+	EXPECT_EQ(0, offer(8, DOCUMENT, digest, START_MS));
+	EXPECT_EQ(9u, config.doc->version);
+}
+
+TEST_F(Registrar, AsksTheReplicasRatherThanANode)
+{
+	Claim ahead;
+
+	ahead.version = 9;
+	ql_registrar_replicas_heard(&registrar, START_MS);
+	EXPECT_EQ(0, lease(ahead, START_MS));
+	EXPECT_FALSE(want_document);
+	EXPECT_EQ(QL_E_EXISTS, offer(9, DOCUMENT, 0, START_MS));
+}
+
+/* Stores endpoints of a large service in some failure domains. */
+void add_endpoints(ql_registrar_t *registrar, int first, int n, int n_domains)
+{
+	ql_rpc_endpoint endpoint = {};
+	int i;
+
+	for (i = first; i < first + n; i++) {
+		std::string gate = "127.0.0.1:" + std::to_string(1000 + i);
+		std::string domain = "e" + std::to_string(i % n_domains);
+
+		endpoint.service = (char *)"big";
+		endpoint.gate = (char *)gate.c_str();
+		endpoint.node = (char *)"m";
+		endpoint.failure_domain = (char *)domain.c_str();
+		endpoint.epoch = 1;
+		endpoint.slots = 10;
+		ql_registrar__merge(registrar, &endpoint, START_MS);
+	}
+}
+
+std::set<std::string> subset(const ql_registrar_t *registrar, const char *node)
+{
+	GArray *rows =
+		ql_registrar__subset(registrar,
+				     ql_registrar__service(registrar, "big"),
+				     node);
+	std::set<std::string> gates;
+	guint i;
+
+	for (i = 0; i < rows->len; i++)
+		gates.insert(((ql_record_t *)ql_table_get(
+				      &registrar->records,
+				      g_array_index(rows, ql_handle_t, i)))
+				     ->gate);
+	g_array_free(rows, TRUE);
+	return gates;
+}
+
+TEST_F(Registrar, GivesAStableSubsetOfALargeService)
+{
+	std::set<std::string> before, after, used;
+	size_t kept = 0;
+	int i;
+
+	add_endpoints(&registrar, 0, 1000, 4);
+	before = subset(&registrar, "n");
+	EXPECT_EQ(before, subset(&registrar, "n"));
+	EXPECT_EQ(QL_SUBSET_MAX, before.size());
+	add_endpoints(&registrar, 1000, 1, 4);
+	after = subset(&registrar, "n");
+	for (auto &gate : before)
+		kept += after.count(gate);
+	EXPECT_GE(kept, before.size() - 2);
+	for (i = 0; i < 200; i++) {
+		std::string node = "n" + std::to_string(i);
+
+		for (auto &gate : subset(&registrar, node.c_str()))
+			used.insert(gate);
+	}
+	EXPECT_GE(used.size(), 990u) << "endpoints that no node would call";
+}
+
+TEST_F(Registrar, SendsABoundedExchangeInPieces)
+{
+	ql_registrar_opts_t opts = registrar.opts;
+	ql_config_state_t other_config;
+	ql_registrar_t other;
+	ql_exchange_t exchange;
+	GRand *random = g_rand_new_with_seed(1);
+	int calls = 0;
+	bool more = true;
+
+	add_endpoints(&registrar, 0, 1000, 4);
+	strcpy(opts.failure_domain, "other");
+	opts.incarnation = 2;
+	ql_config_state_init(&other_config);
+	ql_registrar_init(&other, &opts, &other_config);
+	ql_exchange_init(&exchange, &other, "r", 1, random);
+	for (; more; calls++) {
+		ql_rpc_exchange_args args = {};
+		ql_rpc_exchange_res res = {};
+
+		ql_exchange_fill(&exchange, 0, &args);
+		ql_exchange_answer(&registrar, &args, &res, START_MS);
+		EXPECT_LE(res.endpoints.endpoints_len,
+			  (u_int)QL_RPC_EXCHANGE_MAX);
+		EXPECT_EQ(0, ql_exchange_take(&exchange, 0, &res, START_MS,
+					      nullptr));
+		more = res.more;
+		xdr_free((xdrproc_t)xdr_ql_rpc_exchange_args, &args);
+		xdr_free((xdrproc_t)xdr_ql_rpc_exchange_res, &res);
+	}
+	EXPECT_EQ(4, calls);
+	EXPECT_EQ(1000u, ql_registrar__service(&other, "big")->rows->len);
+	ql_registrar_finish(&other);
+	ql_config_state_finish(&other_config);
+	g_rand_free(random);
+}
+
+} // namespace
