--- a/include/quetzalloft/clock.h
+++ b/include/quetzalloft/clock.h
@@ -49,12 +49,16 @@
  * @remote: the peer's timestamp
  * @wall_ms: wall time in milliseconds
  *
- * A timestamp that is more than QL_HLC_MAX_DRIFT_MS ahead of @wall_ms is
- * ignored, so that one broken clock cannot carry all others away.
+ * Wall clocks may differ by any amount, also from one that starts in 1970: the
+ * order of events holds, and only the milliseconds of a stamp then run ahead
+ * of the time of day. A timestamp that is more than QL_HLC_MAX_DRIFT_MS ahead
+ * of @wall_ms comes from no clock; it is ignored, so that it cannot carry the
+ * counter to its end.
  */
 void ql_hlc_observe(ql_hlc_t *hlc, uint64_t remote, uint64_t wall_ms);
 
-#define QL_HLC_MAX_DRIFT_MS 60000ULL
+/** A thousand years. */
+#define QL_HLC_MAX_DRIFT_MS 31557600000000ULL
 
 /**
  * ql_clock_wall_ms() - Wall time.
