Spread counters over threads and add latency histograms

Cause: all threads of a node counted in the same cache lines, and nothing measured latencies.

No metric has a label.

TOWN_PORT_OFFSET moves the ports of the town: path/whole failed once while another checkout ran the same test on the same ports, and passed three times in a row alone.

--- a/examples/demo/town.sh
+++ b/examples/demo/town.sh
@@ -5,9 +5,10 @@
 TOWN_PIDS=""
 
 # town_init BUILD_FOLDER FIRST_PORT
+# $TOWN_PORT_OFFSET moves the ports, so that two checkouts can run at once.
 town_init() {
 	TOWN_BUILD=$1
-	TOWN_PORT=$2
+	TOWN_PORT=$(($2 + ${TOWN_PORT_OFFSET:-0}))
 	TOWN_DIR=$(mktemp -d)
 	trap town_end EXIT
 }
--- a/src/node/counters.c
+++ b/src/node/counters.c
@@ -1,31 +1,65 @@
 #include "node/counters.h"
 
-#include <inttypes.h>
-
-static const char *const names[QL_N_COUNTERS] = {
-	[QL_COUNT_CLIENT_REQUESTS] = "client_requests",
-	[QL_COUNT_CLIENT_ANSWERED] = "client_answered",
-	[QL_COUNT_CLIENT_NOT_RUN] = "client_not_run",
-	[QL_COUNT_CLIENT_REFUSED] = "client_refused",
-	[QL_COUNT_CLIENT_UNKNOWN] = "client_unknown",
-	[QL_COUNT_LOCAL_CALLS] = "local_calls",
-	[QL_COUNT_ATTEMPTS] = "attempts",
-	[QL_COUNT_RETRIES] = "retries",
-	[QL_COUNT_EARLY_REFUSALS] = "early_refusals",
-	[QL_COUNT_GATE_ADMITTED] = "gate_admitted",
-	[QL_COUNT_GATE_REFUSED] = "gate_refused",
-	[QL_COUNT_BAD_METADATA] = "bad_metadata",
-	[QL_COUNT_BAD_ANSWERS] = "bad_answers",
-	[QL_COUNT_TOO_LARGE] = "too_large",
-	[QL_COUNT_LEASES_SENT] = "leases_sent",
-	[QL_COUNT_LEASES_FAILED] = "leases_failed",
-	[QL_COUNT_CONFIG_CHANGES] = "config_changes",
+static const ql_metric_t metrics[QL_N_COUNTERS] = {
+	[QL_COUNT_CLIENT_REQUESTS] = {"client_requests",
+				      "Client requests received."},
+	[QL_COUNT_CLIENT_ANSWERED] = {"client_answered",
+				      "Client requests answered in whole."},
+	[QL_COUNT_CLIENT_NOT_RUN] = {"client_not_run",
+				     "Client requests told not-run."},
+	[QL_COUNT_CLIENT_REFUSED] = {"client_refused",
+				     "Client requests told refused."},
+	[QL_COUNT_CLIENT_UNKNOWN] = {"client_unknown",
+				     "Client requests told unknown."},
+	[QL_COUNT_LOCAL_CALLS] = {"local_calls",
+				  "Calls of the endpoints of this VM."},
+	[QL_COUNT_ATTEMPTS] = {"attempts", "Attempts made by the router."},
+	[QL_COUNT_RETRIES] = {"retries", "Attempts after the first of a call."},
+	[QL_COUNT_EARLY_REFUSALS] = {"early_refusals",
+				     "Calls refused before any attempt, from "
+				     "the levels that gates reported."},
+	[QL_COUNT_GATE_ADMITTED] = {"gate_admitted",
+				    "Calls that the gates admitted."},
+	[QL_COUNT_GATE_REFUSED] = {"gate_refused",
+				   "Calls that the gates refused."},
+	[QL_COUNT_BAD_METADATA] = {"bad_metadata",
+				   "Requests with malformed headers."},
+	[QL_COUNT_BAD_ANSWERS] = {"bad_answers",
+				  "Answers dropped: late, of another attempt "
+				  "or malformed."},
+	[QL_COUNT_TOO_LARGE] = {"too_large", "Bodies over the limit."},
+	[QL_COUNT_LEASES_SENT] = {"leases_sent", "Lease renewals sent."},
+	[QL_COUNT_LEASES_FAILED] = {"leases_failed",
+				    "Lease renewals without an answer."},
+	[QL_COUNT_CONFIG_CHANGES] = {"config_changes",
+				     "Configuration versions put in force."},
+};
+
+static const ql_metric_t latency_metrics[QL_N_LATENCIES] = {
+	[QL_LATENCY_CLIENT] = {"client_request",
+			       "Client requests at their first node."},
+	[QL_LATENCY_ATTEMPT] = {"attempt", "Attempts at the calling node."},
+	[QL_LATENCY_GATE_WAIT] = {"gate_wait",
+				  "Waits for the decision of a gate."},
+	[QL_LATENCY_ENDPOINT] = {"endpoint",
+				 "Admitted requests at the endpoint."},
 };
 
 const char *ql_counter_name(ql_counter_t counter)
 {
 	g_assert(counter < QL_N_COUNTERS);
-	return names[counter];
+	return metrics[counter].name;
+}
+
+uint64_t ql_counter_value(const ql_counters_t *counters, ql_counter_t counter)
+{
+	uint64_t value = 0;
+	unsigned int shard;
+
+	for (shard = 0; shard < QL_METRICS_SHARDS; shard++)
+		value += __atomic_load_n(&counters->values[shard][counter],
+					 __ATOMIC_RELAXED);
+	return value;
 }
 
 char *ql_counters_text(const ql_counters_t *counters)
@@ -34,11 +68,46 @@
 	int i;
 
 	for (i = 0; i < QL_N_COUNTERS; i++)
-		g_string_append_printf(text,
-				       "# TYPE quetzalloft_%s_total counter\n"
-				       "quetzalloft_%s_total %" PRIu64 "\n",
-				       names[i], names[i],
-				       __atomic_load_n(&counters->values[i],
-						       __ATOMIC_RELAXED));
+		ql_metrics_put_counter(text, &metrics[i],
+				       ql_counter_value(counters,
+							(ql_counter_t)i));
+	for (i = 0; i < QL_N_LATENCIES; i++)
+		ql_metrics_put_histogram(text, &latency_metrics[i],
+					 &counters->latencies[i]);
 	return g_string_free(text, FALSE);
 }
+
+static json_t *quantile(const ql_histogram_t *histogram, double share)
+{
+	return json_integer(
+		(json_int_t)ql_histogram_quantile_us(histogram, share));
+}
+
+static json_t *latency_json(const ql_histogram_t *histogram)
+{
+	uint64_t count = ql_histogram_count(histogram);
+	uint64_t mean_us = count ? ql_histogram_sum_us(histogram) / count : 0;
+
+	return json_pack("{s:I, s:I, s:o, s:o, s:o}", "count",
+			 (json_int_t)count, "mean_us", (json_int_t)mean_us,
+			 "p50_us", quantile(histogram, 0.5), "p99_us",
+			 quantile(histogram, 0.99), "p999_us",
+			 quantile(histogram, 0.999));
+}
+
+json_t *ql_counters_report(const ql_counters_t *counters)
+{
+	json_t *values = json_object();
+	json_t *latencies = json_object();
+	int i;
+
+	for (i = 0; i < QL_N_COUNTERS; i++)
+		json_object_set_new(values, metrics[i].name,
+				    json_integer((json_int_t)ql_counter_value(
+					    counters, (ql_counter_t)i)));
+	for (i = 0; i < QL_N_LATENCIES; i++)
+		json_object_set_new(latencies, latency_metrics[i].name,
+				    latency_json(&counters->latencies[i]));
+	return json_pack("{s:o, s:o}", "counters", values, "latencies",
+			 latencies);
+}
--- a/src/node/counters.h
+++ b/src/node/counters.h
@@ -2,10 +2,13 @@
 #define QL_NODE_COUNTERS_H
 
 /**
- * DOC: Counters of a node, cheap enough for the path of every call.
+ * DOC: Counters and latencies of a node, cheap enough for the path of every
+ * call. Zeros are a fresh set. No metric has a label that a caller chooses.
  */
 
-#include "quetzalloft/types.h"
+#include "quetzalloft/metrics.h"
+
+#include <jansson.h>
 
 G_BEGIN_DECLS
 
@@ -33,15 +36,63 @@
 	QL_N_COUNTERS,
 } ql_counter_t;
 
+/**
+ * enum ql_latency - What is timed.
+ * @QL_LATENCY_CLIENT: a client request at its first node
+ * @QL_LATENCY_ATTEMPT: an attempt at the calling node
+ * @QL_LATENCY_GATE_WAIT: a request's wait for the gate's decision
+ * @QL_LATENCY_ENDPOINT: an admitted request at the endpoint
+ */
+typedef enum ql_latency {
+	QL_LATENCY_CLIENT,
+	QL_LATENCY_ATTEMPT,
+	QL_LATENCY_GATE_WAIT,
+	QL_LATENCY_ENDPOINT,
+	QL_N_LATENCIES,
+} ql_latency_t;
+
+/**
+ * struct ql_counters - The counters and latencies.
+ * @values: counters, spread over threads
+ * @latencies: one histogram each
+ */
 typedef struct ql_counters {
-	uint64_t values[QL_N_COUNTERS];
+	uint64_t values[QL_METRICS_SHARDS][QL_N_COUNTERS + QL_METRICS_PADDING];
+	ql_histogram_t latencies[QL_N_LATENCIES];
 } ql_counters_t;
 
+/**
+ * ql_count() - Count one event.
+ * @counters: the counters
+ * @counter: what is counted
+ */
 static inline void ql_count(ql_counters_t *counters, ql_counter_t counter)
 {
-	__atomic_add_fetch(&counters->values[counter], 1, __ATOMIC_RELAXED);
+	__atomic_add_fetch(&counters->values[ql_metrics_shard()][counter], 1,
+			   __ATOMIC_RELAXED);
 }
 
+/**
+ * ql_count_latency() - Count one duration.
+ * @counters: the counters
+ * @latency: what was timed
+ * @value_us: microseconds
+ */
+static inline void ql_count_latency(ql_counters_t *counters,
+				    ql_latency_t latency, uint64_t value_us)
+{
+	ql_histogram_add(&counters->latencies[latency], value_us);
+}
+
+/**
+ * ql_counter_value() - The present value of a counter.
+ * @counters: the counters
+ * @counter: which one
+ *
+ * Return: events since the start.
+ */
+uint64_t ql_counter_value(const ql_counters_t *counters, ql_counter_t counter);
+
 /**
  * ql_counter_name() - The name of a counter in reports.
  * @counter: the counter
@@ -51,13 +102,23 @@
 const char *ql_counter_name(ql_counter_t counter);
 
 /**
- * ql_counters_text() - All counters in the Prometheus text format.
+ * ql_counters_text() - Counters and latencies in the Prometheus text format.
  * @counters: the counters
  *
  * Return: a string to free with g_free().
  */
 char *ql_counters_text(const ql_counters_t *counters);
 
+/**
+ * ql_counters_report() - Counters and latencies as JSON: "counters" by name,
+ * and "latencies" by name with "count", "mean_us", "p50_us", "p99_us" and
+ * "p999_us".
+ * @counters: the counters
+ *
+ * Return: the report.
+ */
+json_t *ql_counters_report(const ql_counters_t *counters);
+
 G_END_DECLS
 
 #endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -79,18 +79,6 @@
 	return json;
 }
 
-static json_t *report_counters(const ql_node_t *node)
-{
-	json_t *json = json_object();
-	int i;
-
-	for (i = 0; i < QL_N_COUNTERS; i++)
-		json_object_set_new(
-			json, ql_counter_name((ql_counter_t)i),
-			json_integer((json_int_t)node->counters.values[i]));
-	return json;
-}
-
 static json_t *report(void *data, const char *topic,
 		      const char *filter G_GNUC_UNUSED)
 {
@@ -99,7 +87,7 @@
 	if (!strcmp(topic, "status"))
 		return report_status(node);
 	if (!strcmp(topic, "counters"))
-		return report_counters(node);
+		return ql_counters_report(&node->counters);
 	return NULL;
 }
 
