Give the command line all its commands, shared options and stable statuses

Cause: the command line was a first version: one server, no retry of a patch, raw JSON, and "config get" printed "{}" whenever a replica answered with the changes since version 0 in place of the document.

New: config status, members, drain, timeline (gathered in pages or from saved files, merged by hybrid logical clock, as a table, a tree of one request, or an SVG picture); check reads charts and prints them for Graphviz. config patch sends the same id again through pending, not-leader, silence and lost answers, following the leader that a replica names. A drain is the RPC program of src/control/rpc/operator.x and does what SIGTERM does.

Before: 5 commands, no test.

Ruled out: asking 18,000 nodes one by one for their version. Nodes report it with each renewal, so that config status asks one registrar of each failure domain.

--- /dev/null
+++ b/src/cli/command.c
@@ -0,0 +1,76 @@
+#include "cli/command.h"
+#include "quetzalloft/error.h"
+
+#include <stdio.h>
+#include <sysexits.h>
+
+/* What follows from a failure: how the command ends, what the user can do. */
+typedef struct {
+	ql_error_code_t code;
+	int status;
+	const char *advice;
+} consequence_t;
+
+static const consequence_t consequences[] = {
+	{QL_OK, EX_OK, NULL},
+	{QL_E_STALE, QL_EXIT_STALE,
+	 "Read the present version with \"quetzalloft config get\", write the "
+	 "patch anew against it, and submit it under a new id."},
+	{QL_E_CONFLICT, QL_EXIT_REFUSED,
+	 "This id was used for other content: choose a new one."},
+	{QL_E_DENIED, QL_EXIT_REFUSED,
+	 "Give the name of the cluster that the process belongs to with "
+	 "--cluster."},
+	{QL_E_PROTOCOL, QL_EXIT_REFUSED,
+	 "Check that --server names a control port, and that both sides run "
+	 "the same version."},
+	{QL_E_UNAVAILABLE, EX_TEMPFAIL,
+	 "Check that quetzalloftd runs there, or name other processes with "
+	 "further --server options."},
+	{QL_E_TIMEOUT, EX_TEMPFAIL,
+	 "Nothing is known of the request. Try again, with the same --id if "
+	 "it had one, or with a longer --timeout-ms."},
+	{QL_E_NOT_LEADER, EX_TEMPFAIL,
+	 "Name the other replicas with further --server options."},
+	{QL_E_PENDING, EX_TEMPFAIL,
+	 "The answer is not settled yet. Send the same again, with the same "
+	 "--id."},
+	{QL_E_IO, EX_IOERR, NULL},
+	{QL_E_INVALID, EX_DATAERR, NULL},
+	{QL_E_RANGE, EX_DATAERR, NULL},
+	{QL_E_TYPE, EX_DATAERR, NULL},
+	{QL_E_UNKNOWN_KEY, EX_DATAERR, NULL},
+	{QL_E_MISSING_KEY, EX_DATAERR, NULL},
+	{QL_E_EXISTS, EX_DATAERR, NULL},
+	{QL_E_NOT_FOUND, EX_DATAERR, NULL},
+};
+
+static const consequence_t *find_consequence(int code)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(consequences); i++)
+		if ((int)consequences[i].code == code)
+			return &consequences[i];
+	return NULL;
+}
+
+int ql_command_exit_status(int ret)
+{
+	const consequence_t *consequence = find_consequence(ret);
+
+	return consequence ? consequence->status : QL_EXIT_REFUSED;
+}
+
+int ql_command_complain(const char *command, GError *error)
+{
+	const consequence_t *consequence = find_consequence(error->code);
+	int status = ql_command_exit_status(error->code);
+
+	fprintf(stderr, "quetzalloft %s: %s: %s\n", command,
+		ql_error_name(error->code), error->message);
+	if (consequence && consequence->advice)
+		fprintf(stderr, "%s\n", consequence->advice);
+	g_error_free(error);
+	return status;
+}
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -2,7 +2,7 @@
 #define QL_CLI_COMMAND_H
 
 /**
- * DOC: Commands of the operator's command line.
+ * DOC: Commands of the operator's command line, and how they end.
  */
 
 #include <glib.h>
@@ -23,24 +23,45 @@
 
 int ql_command_config_get(int argc, char **argv);
 int ql_command_config_patch(int argc, char **argv);
-int ql_command_check(int argc, char **argv);
+int ql_command_config_status(int argc, char **argv);
+int ql_command_members(int argc, char **argv);
 int ql_command_status(int argc, char **argv);
+int ql_command_drain(int argc, char **argv);
+int ql_command_timeline(int argc, char **argv);
 int ql_command_metrics(int argc, char **argv);
+int ql_command_check(int argc, char **argv);
 
-/** Exit statuses beside those of sysexits.h. */
+/**
+ * enum ql_exit - Exit statuses beside those of sysexits.h. They stay the same
+ * over versions.
+ * @QL_EXIT_REFUSED: the cluster refused the request
+ * @QL_EXIT_STALE: the patch was written against an old version
+ * @QL_EXIT_PARTIAL: some processes did not answer, or lag behind
+ */
 enum ql_exit {
 	QL_EXIT_REFUSED = 3,
 	QL_EXIT_STALE = 4,
+	QL_EXIT_PARTIAL = 5,
 };
 
 /**
  * ql_command_exit_status() - The exit status for a failure.
  * @ret: 0 or a negative error code
  *
- * Return: a status that stays the same over versions.
+ * Return: a status of sysexits.h or of &enum ql_exit.
  */
 int ql_command_exit_status(int ret);
 
+/**
+ * ql_command_complain() - Write a failure, and what to do next, to standard
+ * error.
+ * @command: the command that failed
+ * @error: the failure; freed
+ *
+ * Return: the exit status.
+ */
+int ql_command_complain(const char *command, GError *error);
+
 G_END_DECLS
 
 #endif
--- /dev/null
+++ b/src/cli/config_get_command.c
@@ -0,0 +1,113 @@
+#include "cli/command.h"
+#include "cli/output.h"
+#include "cli/peer.h"
+#include "control/greeting.h"
+#include "quetzalloft/config_state.h"
+#include "quetzalloft/error.h"
+
+#include <stdio.h>
+#include <sysexits.h>
+
+#define COMMAND "config get"
+#define SUMMARY                                                                 \
+	"Prints the configuration and its version, as a quorum of replicas "    \
+	"confirms it.\nWith --local, as the process that answers has it: that " \
+	"may be an older version."
+
+static json_t *describe(const ql_document_t *doc)
+{
+	return json_pack("{s:I, s:O}", "version", (json_int_t)doc->version,
+			 "document", doc->json);
+}
+
+/* The answer holds the document or the changes from an empty one. */
+static int take_document(json_t **out, ql_rpc_document_res *res,
+			 const char *address, GError **error)
+{
+	ql_config_reply_t reply = {
+		.whole_document = &res->whole_document,
+		.document_len = &res->document.document_len,
+		.document_val = &res->document.document_val,
+		.changes_len = &res->changes.changes_len,
+		.changes_val = &res->changes.changes_val,
+	};
+	ql_config_state_t state;
+	int ret;
+
+	if (res->status)
+		return ql_error_set(error, (ql_error_code_t)res->status,
+				    "%s: %s", address, res->detail);
+	ql_config_state_init(&state);
+	ret = ql_config_reply_take(&state, &reply, res->config_version, error);
+	if (!ret)
+		*out = describe(state.doc);
+	ql_config_state_finish(&state);
+	return ret;
+}
+
+/* What is asked for, and where the answer goes. */
+typedef struct {
+	const ql_options_t *options;
+	bool local;
+	json_t *found;
+} question_t;
+
+static int ask(void *data, const char *address, uint64_t timeout_ms,
+	       GError **error)
+{
+	question_t *question = data;
+	ql_rpc_document_args args = {.must_be_current = !question->local};
+	ql_rpc_document_res res = {0};
+	ql_rpc_call_t call = {
+		.procedure = QL_DOCUMENT,
+		.encode = (xdrproc_t)xdr_ql_rpc_document_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_ql_rpc_document_res,
+		.result = &res,
+	};
+	int ret;
+
+	ql_peer_greeting(&args.greeting, question->options->cluster);
+	ret = ql_peer_call(address, QL_CONTROL_PROGRAM, &call, timeout_ms,
+			   error);
+	if (ret)
+		return ret;
+	ret = take_document(&question->found, &res, address, error);
+	xdr_free((xdrproc_t)xdr_ql_rpc_document_res, &res);
+	return ret;
+}
+
+static int get(const ql_options_t *options, bool local)
+{
+	question_t question = {.options = options, .local = local};
+	GError *error = NULL;
+	json_t *found;
+
+	if (ql_peer_try_all(options, ask, &question, &error))
+		return ql_command_complain(COMMAND, error);
+	found = question.found;
+	if (options->json) {
+		ql_output_json(found);
+		return EX_OK;
+	}
+	printf("version %" JSON_INTEGER_FORMAT "\n",
+	       json_integer_value(json_object_get(found, "version")));
+	ql_output_json(json_incref(json_object_get(found, "document")));
+	json_decref(found);
+	return EX_OK;
+}
+
+int ql_command_config_get(int argc, char **argv)
+{
+	struct arg_lit *local = arg_lit0("l", "local", "ask for no quorum");
+	ql_arguments_t arguments;
+	ql_options_t options;
+	int status;
+
+	ql_arguments_init(&arguments, COMMAND, SUMMARY, true);
+	ql_arguments_add(&arguments, local);
+	if (ql_arguments_parse(&arguments, argc, argv, &options, &status))
+		status = get(&options, local->count > 0);
+	ql_arguments_finish(&arguments);
+	return status;
+}
--- /dev/null
+++ b/src/cli/config_status_command.c
@@ -0,0 +1,82 @@
+#include "cli/command.h"
+#include "cli/members.h"
+#include "cli/peer.h"
+
+#include <stdio.h>
+#include <sysexits.h>
+
+#define COMMAND "config status"
+#define SUMMARY                                                              \
+	"Shows which version each node has in force and which nodes lag.\n"  \
+	"Nodes report their version with each renewal of their lease; the "  \
+	"registrars among\nthe servers are asked: name one of each failure " \
+	"domain. Exits with 5 when a node\nlags or a server does not answer."
+
+static void take(void *data, const char *address G_GNUC_UNUSED, json_t *report)
+{
+	ql_members_take(data, report);
+}
+
+static void print_json(const ql_members_t *members, json_int_t newest,
+		       size_t n_behind)
+{
+	ql_output_json(json_pack("{s:I, s:i, s:i, s:O}", "newest", newest,
+				 "nodes_known",
+				 (int)json_object_size(members->nodes),
+				 "nodes_behind", (int)n_behind, "nodes",
+				 members->nodes));
+}
+
+static int print(const ql_members_t *members, const ql_options_t *options,
+		 bool all)
+{
+	json_int_t newest = ql_members_newest(members);
+	ql_sheet_t sheet;
+	size_t n_behind;
+
+	ql_sheet_init(&sheet, ql_members_version_titles);
+	n_behind = ql_members_fill_versions(members, newest, all, &sheet);
+	if (options->json) {
+		print_json(members, newest, n_behind);
+	} else {
+		printf("newest version in force: %" JSON_INTEGER_FORMAT
+		       "; nodes known: %zu; nodes behind: %zu\n",
+		       newest, json_object_size(members->nodes), n_behind);
+		if (all || n_behind)
+			ql_sheet_print(&sheet);
+	}
+	ql_sheet_finish(&sheet);
+	return n_behind ? QL_EXIT_PARTIAL : EX_OK;
+}
+
+static int show(const ql_options_t *options, bool all)
+{
+	ql_members_t members;
+	int status, lag;
+
+	ql_members_init(&members);
+	status =
+		ql_peer_report_all(options, COMMAND, "members", take, &members);
+	if (status == EX_OK || status == QL_EXIT_PARTIAL) {
+		lag = print(&members, options, all);
+		status = status == EX_OK ? lag : status;
+	}
+	ql_members_finish(&members);
+	return status;
+}
+
+int ql_command_config_status(int argc, char **argv)
+{
+	struct arg_lit *all =
+		arg_lit0("a", "all", "list the nodes that do not lag too");
+	ql_arguments_t arguments;
+	ql_options_t options;
+	int status;
+
+	ql_arguments_init(&arguments, COMMAND, SUMMARY, true);
+	ql_arguments_add(&arguments, all);
+	if (ql_arguments_parse(&arguments, argc, argv, &options, &status))
+		status = show(&options, all->count > 0);
+	ql_arguments_finish(&arguments);
+	return status;
+}
--- /dev/null
+++ b/src/cli/drain_command.c
@@ -0,0 +1,101 @@
+#include "cli/command.h"
+#include "cli/output.h"
+#include "cli/peer.h"
+#include "quetzalloft/clock.h"
+#include "quetzalloft/error.h"
+
+#include "operator.h"
+
+#include <stdio.h>
+#include <sysexits.h>
+
+#define COMMAND "drain"
+#define SUMMARY                                                                 \
+	"Asks one node to stop gracefully: it refuses new requests, says that " \
+	"it leaves,\nfinishes the requests in progress and exits. Waits until " \
+	"it has gone, unless\n--no-wait is given."
+#define POLL_US (100 * QL_US_PER_MS)
+
+static int ask(const ql_options_t *options, GError **error)
+{
+	ql_rpc_drain_args args = {0};
+	ql_rpc_drain_res res = {0};
+	ql_rpc_call_t call = {
+		.procedure = QL_DRAIN,
+		.encode = (xdrproc_t)xdr_ql_rpc_drain_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_ql_rpc_drain_res,
+		.result = &res,
+	};
+	int ret;
+
+	ql_peer_greeting(&args.greeting, options->cluster);
+	ret = ql_peer_call(options->servers[0], QL_OPERATOR_PROGRAM, &call,
+			   options->timeout_ms, error);
+	if (ret)
+		return ret;
+	if (res.status)
+		ret = ql_error_set(error, (ql_error_code_t)res.status, "%s: %s",
+				   options->servers[0], res.detail);
+	xdr_free((xdrproc_t)xdr_ql_rpc_drain_res, &res);
+	return ret;
+}
+
+/* The control port closes last, when no request is in progress any more. */
+static int await_end(const ql_options_t *options, GError **error)
+{
+	uint64_t until_us =
+		ql_clock_now_us() + options->timeout_ms * QL_US_PER_MS;
+	json_t *report;
+
+	while (!ql_peer_report(&report, options, options->servers[0], "status",
+			       "", NULL)) {
+		json_decref(report);
+		if (ql_clock_now_us() >= until_us)
+			return ql_error_set(
+				error, QL_E_PENDING,
+				"%s drains and still has requests in progress",
+				options->servers[0]);
+		g_usleep(POLL_US);
+	}
+	return 0;
+}
+
+static int drain(const ql_options_t *options, bool wait)
+{
+	GError *error = NULL;
+	int ret;
+
+	if (options->n_servers != 1) {
+		fputs("quetzalloft drain: name exactly one --server\n", stderr);
+		return EX_USAGE;
+	}
+	ret = ask(options, &error);
+	if (!ret && wait)
+		ret = await_end(options, &error);
+	if (ret)
+		return ql_command_complain(COMMAND, error);
+	if (options->json)
+		ql_output_json(json_pack("{s:s, s:b}", "server",
+					 options->servers[0], "gone", wait));
+	else
+		printf("%s %s\n", options->servers[0],
+		       wait ? "has stopped" : "drains");
+	return EX_OK;
+}
+
+int ql_command_drain(int argc, char **argv)
+{
+	struct arg_lit *no_wait =
+		arg_lit0("n", "no-wait", "do not wait until it has gone");
+	ql_arguments_t arguments;
+	ql_options_t options;
+	int status;
+
+	ql_arguments_init(&arguments, COMMAND, SUMMARY, true);
+	ql_arguments_add(&arguments, no_wait);
+	if (ql_arguments_parse(&arguments, argc, argv, &options, &status))
+		status = drain(&options, !no_wait->count);
+	ql_arguments_finish(&arguments);
+	return status;
+}
--- /dev/null
+++ b/src/cli/history_picture.c
@@ -0,0 +1,179 @@
+#include "cli/history.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define LANE_HEIGHT 56
+#define LANE_TOP 40
+#define LEFT_MARGIN 160
+#define STEP_WIDTH 26
+#define DOT_RADIUS 6
+#define CLOCK_COUNTER_BITS 16
+
+/* Colours by the beginning of an event's name. */
+static const struct {
+	const char *prefix;
+	const char *colour;
+} colours[] = {
+	{"request_", "#333333"},     {"attempt_answered", "#2a8f4f"},
+	{"attempt_sent", "#2f6fb3"}, {"attempt_", "#c0392b"},
+	{"gate_refused", "#c0392b"}, {"gate_", "#7f8c2f"},
+	{"endpoint_", "#8e5ea2"},    {"", "#777777"},
+};
+
+/* The lanes in the order in which the processes first appear. */
+typedef struct {
+	const ql_history_t *history;
+	GPtrArray *nodes;
+	GHashTable *last_of_attempt;
+	GString *text;
+} drawing_t;
+
+static guint lane_of(drawing_t *drawing, const char *node)
+{
+	guint i;
+
+	for (i = 0; i < drawing->nodes->len; i++)
+		if (!strcmp(g_ptr_array_index(drawing->nodes, i), node))
+			return i;
+	g_ptr_array_add(drawing->nodes, (gpointer)node);
+	return drawing->nodes->len - 1;
+}
+
+static guint y_of(guint lane)
+{
+	return LANE_TOP + lane * LANE_HEIGHT;
+}
+
+static guint x_of(guint index)
+{
+	return LEFT_MARGIN + index * STEP_WIDTH;
+}
+
+static const char *colour_of(const char *event)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(colours); i++)
+		if (g_str_has_prefix(event, colours[i].prefix))
+			return colours[i].colour;
+	return "#777777";
+}
+
+static void append_escaped(GString *text, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+
+static void append_escaped(GString *text, const char *format, ...)
+{
+	va_list args;
+	char *escaped;
+
+	va_start(args, format);
+	escaped = g_markup_vprintf_escaped(format, args);
+	va_end(args);
+	g_string_append(text, escaped);
+	g_free(escaped);
+}
+
+/* A line from the event before of the same attempt. */
+static void draw_line(drawing_t *drawing, guint index)
+{
+	const ql_moment_t *moment = ql_history_at(drawing->history, index);
+	gpointer before;
+	guint from;
+
+	if (!moment->id.attempt)
+		return;
+	before = g_hash_table_lookup(drawing->last_of_attempt,
+				     &moment->id.attempt);
+	if (before) {
+		from = GPOINTER_TO_UINT(before) - 1;
+		g_string_append_printf(
+			drawing->text,
+			"<line x1=\"%u\" y1=\"%u\" x2=\"%u\" y2=\"%u\" "
+			"stroke=\"#999999\"/>\n",
+			x_of(from),
+			y_of(lane_of(
+				drawing,
+				ql_history_at(drawing->history, from)->node)),
+			x_of(index), y_of(lane_of(drawing, moment->node)));
+	}
+	g_hash_table_insert(drawing->last_of_attempt,
+			    (gpointer)&moment->id.attempt,
+			    GUINT_TO_POINTER(index + 1));
+}
+
+static void draw_dot(drawing_t *drawing, guint index)
+{
+	const ql_moment_t *moment = ql_history_at(drawing->history, index);
+
+	g_string_append_printf(drawing->text,
+			       "<circle cx=\"%u\" cy=\"%u\" r=\"%d\" "
+			       "fill=\"%s\"><title>",
+			       x_of(index),
+			       y_of(lane_of(drawing, moment->node)), DOT_RADIUS,
+			       colour_of(moment->event));
+	append_escaped(drawing->text,
+		       "%s at %s, clock %" PRIu64 " ms\n"
+		       "request %016" PRIx64 " attempt %016" PRIx64 "\n"
+		       "%s %s %s %s %s version %" PRIu64,
+		       moment->event, moment->node,
+		       moment->clock >> CLOCK_COUNTER_BITS, moment->id.request,
+		       moment->id.attempt, moment->service, moment->endpoint,
+		       moment->class_name, moment->outcome, moment->reason,
+		       moment->version);
+	g_string_append(drawing->text, "</title></circle>\n");
+}
+
+static void draw_lane(drawing_t *drawing, guint lane, guint width)
+{
+	guint y = y_of(lane);
+
+	g_string_append_printf(drawing->text,
+			       "<line x1=\"%u\" y1=\"%u\" x2=\"%u\" y2=\"%u\" "
+			       "stroke=\"#dddddd\"/>\n"
+			       "<text x=\"8\" y=\"%u\">",
+			       LEFT_MARGIN, y, width, y, y + 4);
+	append_escaped(drawing->text, "%s",
+		       (const char *)g_ptr_array_index(drawing->nodes, lane));
+	g_string_append(drawing->text, "</text>\n");
+}
+
+static void draw(drawing_t *drawing)
+{
+	guint n = drawing->history->moments->len;
+	guint width = x_of(n) + STEP_WIDTH;
+	guint i;
+
+	for (i = 0; i < n; i++)
+		lane_of(drawing, ql_history_at(drawing->history, i)->node);
+	g_string_append_printf(
+		drawing->text,
+		"<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%u\" "
+		"height=\"%u\" font-family=\"sans-serif\" font-size=\"13\">\n"
+		"<rect width=\"100%%\" height=\"100%%\" fill=\"#ffffff\"/>\n",
+		width, y_of(drawing->nodes->len));
+	for (i = 0; i < drawing->nodes->len; i++)
+		draw_lane(drawing, i, width);
+	for (i = 0; i < n; i++)
+		draw_line(drawing, i);
+	for (i = 0; i < n; i++)
+		draw_dot(drawing, i);
+	g_string_append(drawing->text, "</svg>\n");
+}
+
+char *ql_history_picture(const ql_history_t *history)
+{
+	drawing_t drawing = {
+		.history = history,
+		.nodes = g_ptr_array_new(),
+		.last_of_attempt =
+			g_hash_table_new(g_int64_hash, g_int64_equal),
+		.text = g_string_new(NULL),
+	};
+
+	draw(&drawing);
+	g_hash_table_destroy(drawing.last_of_attempt);
+	g_ptr_array_free(drawing.nodes, TRUE);
+	return g_string_free(drawing.text, FALSE);
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -9,9 +9,16 @@
 	 ql_command_config_get},
 	{"config patch", "submit a patch against a version",
 	 ql_command_config_patch},
-	{"status", "show the state of one process", ql_command_status},
-	{"metrics", "show the counters of one process", ql_command_metrics},
-	{"check", "check a configuration document", ql_command_check},
+	{"config status", "show which version is in force where",
+	 ql_command_config_status},
+	{"members", "list nodes and endpoints", ql_command_members},
+	{"status", "show the state of processes", ql_command_status},
+	{"drain", "stop a node gracefully", ql_command_drain},
+	{"timeline", "show what happened, over all processes",
+	 ql_command_timeline},
+	{"metrics", "show counters and latencies", ql_command_metrics},
+	{"check", "check configuration documents and state charts",
+	 ql_command_check},
 };
 
 static void show_help(FILE *out)
@@ -22,6 +29,7 @@
 	for (i = 0; i < G_N_ELEMENTS(commands); i++)
 		fprintf(out, "  %-14s %s\n", commands[i].name,
 			commands[i].summary);
+	fputs("\n\"quetzalloft COMMAND --help\" says more.\n", out);
 }
 
 /* Words of the command that the arguments start with; 0 when none matches. */
--- /dev/null
+++ b/src/cli/members_command.c
@@ -0,0 +1,79 @@
+#include "cli/command.h"
+#include "cli/members.h"
+#include "cli/peer.h"
+
+#include <stdio.h>
+#include <sysexits.h>
+
+#define COMMAND "members"
+#define SUMMARY                                                               \
+	"Lists the nodes and their endpoints, joined from the registrars "    \
+	"among the servers.\nA registrar knows the nodes of its own failure " \
+	"domain: name one of each."
+
+static void take(void *data, const char *address G_GNUC_UNUSED, json_t *report)
+{
+	ql_members_take(data, report);
+}
+
+static void print_domain(const char *name, const json_t *domain)
+{
+	json_int_t age_ms =
+		json_integer_value(json_object_get(domain, "age_ms"));
+
+	if (json_is_true(json_object_get(domain, "stale")))
+		printf("failure domain %s: not heard for %" JSON_INTEGER_FORMAT
+		       " ms\n",
+		       name, age_ms);
+}
+
+static void print_domains(const ql_members_t *members)
+{
+	const char *name;
+	json_t *domain;
+
+	json_object_foreach (members->domains, name, domain) {
+		print_domain(name, domain);
+	}
+}
+
+static void print(const ql_members_t *members)
+{
+	ql_sheet_t sheet;
+
+	ql_sheet_init(&sheet, ql_members_endpoint_titles);
+	ql_members_fill_endpoints(members, &sheet);
+	ql_sheet_print(&sheet);
+	ql_sheet_finish(&sheet);
+	print_domains(members);
+}
+
+static int show(const ql_options_t *options)
+{
+	ql_members_t members;
+	int status;
+
+	ql_members_init(&members);
+	status =
+		ql_peer_report_all(options, COMMAND, "members", take, &members);
+	if (options->json)
+		ql_output_json(json_pack("{s:O, s:O}", "nodes", members.nodes,
+					 "domains", members.domains));
+	else if (status == EX_OK || status == QL_EXIT_PARTIAL)
+		print(&members);
+	ql_members_finish(&members);
+	return status;
+}
+
+int ql_command_members(int argc, char **argv)
+{
+	ql_arguments_t arguments;
+	ql_options_t options;
+	int status;
+
+	ql_arguments_init(&arguments, COMMAND, SUMMARY, true);
+	if (ql_arguments_parse(&arguments, argc, argv, &options, &status))
+		status = show(&options);
+	ql_arguments_finish(&arguments);
+	return status;
+}
--- /dev/null
+++ b/src/cli/metrics_command.c
@@ -0,0 +1,92 @@
+#include "cli/command.h"
+#include "cli/output.h"
+#include "cli/peer.h"
+
+#include <stdio.h>
+#include <sysexits.h>
+
+#define COMMAND "metrics"
+#define SUMMARY                                                                \
+	"Shows the counters and latencies of each process among the "          \
+	"servers. The same\nnumbers are at /quetzalloft/metrics of the local " \
+	"port, in the Prometheus text format."
+#define TOPIC "counters"
+
+static const char *const counter_titles[] = {"COUNTER", "VALUE", NULL};
+static const char *const latency_titles[] = {
+	"LATENCY (US)", "COUNT", "MEAN", "P50", "P99", "P99.9", NULL,
+};
+
+static void print_counters(const json_t *counters)
+{
+	const char *name;
+	json_t *value;
+	ql_sheet_t sheet;
+
+	ql_sheet_init(&sheet, counter_titles);
+	json_object_foreach ((json_t *)counters, name, value) {
+		ql_sheet_add(&sheet, name);
+		ql_sheet_add_number(&sheet, json_integer_value(value));
+	}
+	ql_sheet_print(&sheet);
+	ql_sheet_finish(&sheet);
+}
+
+static void print_latencies(const json_t *latencies)
+{
+	const char *name;
+	json_t *value;
+	ql_sheet_t sheet;
+
+	ql_sheet_init(&sheet, latency_titles);
+	json_object_foreach ((json_t *)latencies, name, value) {
+		ql_sheet_add(&sheet, name);
+		ql_sheet_add_member(&sheet, value, "count");
+		ql_sheet_add_member(&sheet, value, "mean_us");
+		ql_sheet_add_member(&sheet, value, "p50_us");
+		ql_sheet_add_member(&sheet, value, "p99_us");
+		ql_sheet_add_member(&sheet, value, "p999_us");
+	}
+	ql_sheet_print(&sheet);
+	ql_sheet_finish(&sheet);
+}
+
+static void print_report(void *data G_GNUC_UNUSED, const char *address,
+			 json_t *report)
+{
+	printf("%s\n", address);
+	print_counters(json_object_get(report, "counters"));
+	print_latencies(json_object_get(report, "latencies"));
+}
+
+static void take_json(void *data, const char *address, json_t *report)
+{
+	json_object_set(data, address, report);
+}
+
+static int show(const ql_options_t *options)
+{
+	json_t *all;
+	int status;
+
+	if (!options->json)
+		return ql_peer_report_all(options, COMMAND, TOPIC, print_report,
+					  NULL);
+	all = json_object();
+	status = ql_peer_report_all(options, COMMAND, TOPIC, take_json, all);
+	ql_output_json(all);
+	return status;
+}
+
+int ql_command_metrics(int argc, char **argv)
+{
+	ql_arguments_t arguments;
+	ql_options_t options;
+	int status;
+
+	ql_arguments_init(&arguments, COMMAND, SUMMARY, true);
+	if (ql_arguments_parse(&arguments, argc, argv, &options, &status))
+		status = show(&options);
+	ql_arguments_finish(&arguments);
+	return status;
+}
--- a/src/cli/peer.c
+++ b/src/cli/peer.c
@@ -1,68 +1,158 @@
 #include "cli/peer.h"
 #include "cli/command.h"
+#include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
 
-#include <stdio.h>
 #include <sysexits.h>
 
-#define CALL_TIMEOUT_MS 3000u
+#define PROGRAM_VERSION 1u
+#define SENDER "operator"
 
 void ql_peer_greeting(ql_rpc_greeting *greeting, const char *cluster)
 {
-	greeting->cluster = (char *)cluster;
-	greeting->node = (char *)"operator";
-	greeting->failure_domain = (char *)"";
-	greeting->protocol = QL_RPC_PROTOCOL_VERSION;
+	*greeting = (ql_rpc_greeting){
+		.cluster = (char *)cluster,
+		.node = (char *)SENDER,
+		.failure_domain = (char *)"",
+		.protocol = QL_RPC_PROTOCOL_VERSION,
+	};
 }
 
-int ql_peer_call(const char *address, const ql_rpc_call_t *call, GError **error)
+int ql_peer_call(const char *address, uint32_t program,
+		 const ql_rpc_call_t *call, uint64_t timeout_ms, GError **error)
 {
 	ql_rpc_client_t client;
 	int ret;
 
-	ql_rpc_client_init(&client, address, QL_CONTROL_PROGRAM, QL_CONTROL_V1,
-			   CALL_TIMEOUT_MS);
+	ql_rpc_client_init(&client, address, program, PROGRAM_VERSION,
+			   (uint32_t)timeout_ms);
 	ret = ql_rpc_client_call(&client, call, error);
 	ql_rpc_client_finish(&client);
+	/* An answer that broke off may have left parts behind. */
+	if (ret)
+		xdr_free(call->decode, call->result);
 	return ret;
 }
 
-int ql_command_exit_status(int ret)
+/* An equal part of the time that is left for each server that is left. */
+static uint64_t share_ms(uint64_t until_us, size_t n_left)
 {
-	switch (ret) {
-	case 0:
-		return EX_OK;
-	case QL_E_STALE:
-		return QL_EXIT_STALE;
+	uint64_t now_us = ql_clock_now_us();
+	uint64_t left_ms =
+		until_us > now_us ? (until_us - now_us) / QL_US_PER_MS : 0;
+
+	return left_ms / n_left + 1;
+}
+
+bool ql_peer_is_settled(int status)
+{
+	switch (status) {
+	case QL_E_PENDING:
+	case QL_E_NOT_LEADER:
 	case QL_E_UNAVAILABLE:
 	case QL_E_TIMEOUT:
-	case QL_E_NOT_LEADER:
-	case QL_E_PENDING:
-		return EX_TEMPFAIL;
 	case QL_E_IO:
-		return EX_IOERR;
-	case QL_E_INVALID:
-	case QL_E_RANGE:
-	case QL_E_TYPE:
-	case QL_E_UNKNOWN_KEY:
-	case QL_E_MISSING_KEY:
-	case QL_E_NOT_FOUND:
-		return EX_DATAERR;
+		return false;
 	default:
-		return QL_EXIT_REFUSED;
+		return true;
+	}
+}
+
+int ql_peer_try_all(const ql_options_t *options, ql_peer_try_t ask, void *data,
+		    GError **error)
+{
+	uint64_t until_us =
+		ql_clock_now_us() + options->timeout_ms * QL_US_PER_MS;
+	GString *said = g_string_new(NULL);
+	int ret = QL_E_UNAVAILABLE;
+	size_t i;
+
+	for (i = 0; i < options->n_servers; i++) {
+		GError *cause = NULL;
+
+		ret = ask(data, options->servers[i],
+			  share_ms(until_us, options->n_servers - i), &cause);
+		if (cause)
+			g_string_append_printf(said, "%s%s",
+					       said->len ? "; " : "",
+					       cause->message);
+		g_clear_error(&cause);
+		if (ql_peer_is_settled(ret))
+			break;
 	}
+	if (ret)
+		ql_error_set(error, (ql_error_code_t)ret, "%s", said->str);
+	g_string_free(said, TRUE);
+	return ret;
+}
+
+static int take_report(json_t **out, const ql_rpc_report_res *res,
+		       const char *address, GError **error)
+{
+	GError *cause = NULL;
+
+	*out = NULL;
+	if (res->status)
+		return ql_error_set(error, (ql_error_code_t)res->status,
+				    "%s: %s", address, res->detail);
+	if (!ql_json_parse(out, res->report.report_val, res->report.report_len,
+			   &cause))
+		return 0;
+	ql_error_set(error, QL_E_PROTOCOL, "%s: %s", address, cause->message);
+	g_error_free(cause);
+	return QL_E_PROTOCOL;
+}
+
+int ql_peer_report(json_t **out, const ql_options_t *options,
+		   const char *address, const char *topic, const char *filter,
+		   GError **error)
+{
+	ql_rpc_report_args args = {
+		.topic = (char *)topic,
+		.filter = (char *)filter,
+	};
+	ql_rpc_report_res res = {0};
+	ql_rpc_call_t call = {
+		.procedure = QL_REPORT,
+		.encode = (xdrproc_t)xdr_ql_rpc_report_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_ql_rpc_report_res,
+		.result = &res,
+	};
+	int ret;
+
+	ql_peer_greeting(&args.greeting, options->cluster);
+	ret = ql_peer_call(address, QL_CONTROL_PROGRAM, &call,
+			   options->timeout_ms, error);
+	if (ret)
+		return ret;
+	ret = take_report(out, &res, address, error);
+	xdr_free((xdrproc_t)xdr_ql_rpc_report_res, &res);
+	return ret;
 }
 
-int ql_peer_complain(const char *command, GError *error)
+int ql_peer_report_all(const ql_options_t *options, const char *command,
+		       const char *topic, ql_peer_take_t take, void *data)
 {
-	int status = ql_command_exit_status(error->code);
-
-	fprintf(stderr, "quetzalloft %s: %s: %s\n", command,
-		ql_error_name(error->code), error->message);
-	if (status == EX_TEMPFAIL)
-		fputs("Nothing is known of the request; send it again, with "
-		      "the same id if it had one.\n",
-		      stderr);
-	g_error_free(error);
-	return status;
+	int failed = EX_OK;
+	size_t answered = 0;
+	size_t i;
+
+	for (i = 0; i < options->n_servers; i++) {
+		GError *error = NULL;
+		json_t *report = NULL;
+
+		if (ql_peer_report(&report, options, options->servers[i], topic,
+				   "", &error)) {
+			failed = ql_command_complain(command, error);
+			continue;
+		}
+		take(data, options->servers[i], report);
+		json_decref(report);
+		answered++;
+	}
+	if (failed == EX_OK || !answered)
+		return failed;
+	return QL_EXIT_PARTIAL;
 }
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -1,6 +1,7 @@
 #include "node/control_service.h"
 #include "control/greeting.h"
 #include "control/rpc_client.h"
+#include "node/operator_service.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
 #include "quetzalloft/log.h"
@@ -313,7 +314,8 @@
 		   control->settings->address,
 		   (unsigned int)control->settings->control_port);
 	control->rpc.programs[0] = program;
-	control->rpc.n_programs = 1;
+	control->rpc.programs[1] = ql_operator_program(control->settings);
+	control->rpc.n_programs = 2;
 	return ql_rpc_server_start(&control->rpc, address, error);
 }
 
--- /dev/null
+++ b/tests/cli/commands_test.cc
@@ -0,0 +1,266 @@
+#include "cli/command.h"
+#include "control/greeting.h"
+#include "control/rpc_server.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/timeline.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <mutex>
+#include <string>
+#include <sysexits.h>
+#include <vector>
+
+namespace
+{
+
+const char ADDRESS[] = "127.0.0.1:27981";
+const char SILENT[] = "127.0.0.1:27980";
+const char MEMBERS[] =
+	R"({"nodes":[{"node":"n1","failure_domain":"d1","config_version":3,
+	"lease_age_ms":1,"endpoints":[]},{"node":"n2","failure_domain":"d1",
+	"config_version":2,"lease_age_ms":2,"endpoints":[]}],"domains":[
+	{"failure_domain":"d2","age_ms":9000,"covered":false,"stale":true}]})";
+
+/* A process that answers reports and patches as the test wants. */
+class Commands : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ql_hlc_init(&hlc);
+		ql_timeline_init(&timeline, "n1", &hlc,
+				 QL_TIMELINE_REPORT_MAX + 64);
+		server = {};
+		server.programs[0] = {QL_CONTROL_PROGRAM, QL_CONTROL_V1,
+				      PROCEDURES, 2, this};
+		server.n_programs = 1;
+		ASSERT_EQ(0, ql_rpc_server_start(&server, ADDRESS, nullptr));
+	}
+
+	void TearDown() override
+	{
+		ql_rpc_server_stop(&server);
+		ql_timeline_finish(&timeline);
+	}
+
+	static void report(void *data, const void *in, void *out)
+	{
+		auto *self = static_cast<Commands *>(data);
+		auto *args = static_cast<const ql_rpc_report_args *>(in);
+		auto *res = static_cast<ql_rpc_report_res *>(out);
+		json_t *json;
+
+		res->status = ql_greeting_check(&args->greeting, "town",
+						&res->detail);
+		if (res->status)
+			return;
+		res->detail = strdup("");
+		if (!strcmp(args->topic, "timeline")) {
+			json = ql_timeline_report(&self->timeline,
+						  args->filter);
+			res->report.report_val = json_dumps(json, 0);
+			json_decref(json);
+		} else if (!strcmp(args->topic, "members")) {
+			res->report.report_val = strdup(MEMBERS);
+		} else {
+			res->status = QL_E_NOT_FOUND;
+			return;
+		}
+		res->report.report_len = (u_int)strlen(res->report.report_val);
+	}
+
+	/* Not the leader at first, undecided then, accepted at last. */
+	static void patch(void *data, const void *in, void *out)
+	{
+		auto *self = static_cast<Commands *>(data);
+		auto *args = static_cast<const ql_rpc_patch_args *>(in);
+		auto *res = static_cast<ql_rpc_patch_res *>(out);
+		const int said[] = {QL_E_NOT_LEADER, QL_E_PENDING, 0};
+
+		std::lock_guard<std::mutex> guard(self->lock);
+		self->ids.push_back(args->id);
+		res->status = said[std::min<size_t>(self->ids.size() - 1, 2)];
+		res->config_version = 8;
+		res->detail = strdup("");
+		res->leader =
+			strdup(res->status == QL_E_NOT_LEADER ? ADDRESS : "");
+	}
+
+	int run(int (*command)(int, char **), std::vector<std::string> words)
+	{
+		std::vector<char *> argv;
+
+		words.insert(words.begin(), "command");
+		for (auto &word : words)
+			argv.push_back(word.data());
+		argv.push_back(nullptr);
+		testing::internal::CaptureStdout();
+		testing::internal::CaptureStderr();
+		int status = command((int)words.size(), argv.data());
+		out = testing::internal::GetCapturedStdout();
+		err = testing::internal::GetCapturedStderr();
+		return status;
+	}
+
+	std::vector<std::string> sent_ids()
+	{
+		std::lock_guard<std::mutex> guard(lock);
+
+		return ids;
+	}
+
+	static const ql_rpc_procedure_t PROCEDURES[2];
+	ql_hlc_t hlc;
+	ql_timeline_t timeline;
+	ql_rpc_server_t server;
+	std::mutex lock; /* guards ids */
+	std::vector<std::string> ids;
+	std::string out, err;
+};
+
+const ql_rpc_procedure_t Commands::PROCEDURES[2] = {
+	{QL_REPORT, (xdrproc_t)xdr_ql_rpc_report_args,
+	 (xdrproc_t)xdr_ql_rpc_report_res, sizeof(ql_rpc_report_args),
+	 sizeof(ql_rpc_report_res), Commands::report},
+	{QL_PATCH, (xdrproc_t)xdr_ql_rpc_patch_args,
+	 (xdrproc_t)xdr_ql_rpc_patch_res, sizeof(ql_rpc_patch_args),
+	 sizeof(ql_rpc_patch_res), Commands::patch},
+};
+
+TEST_F(Commands, SayWhichNodesLag)
+{
+	EXPECT_EQ(QL_EXIT_PARTIAL,
+		  run(ql_command_config_status, {"-s", ADDRESS, "-c", "town"}));
+	EXPECT_NE(std::string::npos,
+		  out.find("newest version in force: 3; nodes known: 2; "
+			   "nodes behind: 1"))
+		<< out;
+	EXPECT_NE(std::string::npos, out.find("n2"));
+	EXPECT_EQ(std::string::npos, out.find("n1"));
+}
+
+TEST_F(Commands, ListMembersAndNameWhoIsSilent)
+{
+	EXPECT_EQ(EX_OK,
+		  run(ql_command_members, {"-s", ADDRESS, "-c", "town"}));
+	EXPECT_NE(std::string::npos, out.find("failure domain d2: not heard"));
+	EXPECT_EQ(QL_EXIT_PARTIAL,
+		  run(ql_command_members,
+		      {"-s", SILENT, "-s", ADDRESS, "-c", "town"}));
+	EXPECT_NE(std::string::npos, err.find(SILENT)) << err;
+	EXPECT_NE(std::string::npos, out.find("n2"));
+	EXPECT_EQ(EX_TEMPFAIL,
+		  run(ql_command_members, {"-s", SILENT, "-c", "town"}));
+	EXPECT_EQ(QL_EXIT_REFUSED,
+		  run(ql_command_members, {"-s", ADDRESS, "-c", "other"}));
+	EXPECT_NE(std::string::npos, err.find("denied")) << err;
+	EXPECT_EQ(EX_DATAERR,
+		  run(ql_command_status, {"-s", ADDRESS, "-c", "town"}));
+}
+
+TEST_F(Commands, GatherATimelineOfSeveralPages)
+{
+	ql_timeline_event_t event = {};
+
+	event.event = QL_EVENT_GATE_ADMITTED;
+	for (size_t i = 0; i < QL_TIMELINE_REPORT_MAX + 3; i++)
+		ql_timeline_record(&timeline, &event);
+	EXPECT_EQ(EX_OK, run(ql_command_timeline,
+			     {"-s", ADDRESS, "-c", "town", "--json"}));
+	EXPECT_EQ(QL_TIMELINE_REPORT_MAX + 3,
+		  (size_t)std::count(out.begin(), out.end(), '\n'));
+	EXPECT_EQ("", err);
+	EXPECT_EQ(EX_USAGE,
+		  run(ql_command_timeline,
+		      {"-s", ADDRESS, "-c", "town", "--request", "xyz"}));
+}
+
+TEST_F(Commands, SendAPatchAgainUnderOneId)
+{
+	char *folder = g_dir_make_tmp(nullptr, nullptr);
+	std::string path = std::string(folder) + "/patch";
+
+	g_file_set_contents(path.c_str(), "{}", -1, nullptr);
+	EXPECT_EQ(EX_OK, run(ql_command_config_patch,
+			     {"-s", SILENT, "-s", ADDRESS, "-c", "town", "-b",
+			      "7", path}));
+	EXPECT_EQ("accepted as version 8\n", out);
+	std::vector<std::string> sent = sent_ids();
+
+	ASSERT_EQ(3u, sent.size());
+	EXPECT_EQ(sent[0], sent[1]);
+	EXPECT_EQ(sent[0], sent[2]);
+	EXPECT_EQ("id " + sent[0] + "\n", err);
+	EXPECT_EQ(EX_USAGE,
+		  run(ql_command_config_patch,
+		      {"-s", ADDRESS, "-c", "town", "-b", "-1", path}));
+	unlink(path.c_str());
+	EXPECT_EQ(EX_NOINPUT,
+		  run(ql_command_config_patch,
+		      {"-s", ADDRESS, "-c", "town", "-b", "7", path}));
+	rmdir(folder);
+	g_free(folder);
+}
+
+TEST_F(Commands, CheckTellsFilesApart)
+{
+	struct {
+		std::vector<std::string> words;
+		int status;
+		const char *out, *err;
+	} cases[] = {
+		{{QL_SOURCE_DIR "/charts/patch.json"},
+		 EX_OK,
+		 "chart patch",
+		 ""},
+		{{"--dot", QL_SOURCE_DIR "/charts/patch.json"},
+		 EX_OK,
+		 "digraph \"patch\"",
+		 ""},
+		{{QL_SOURCE_DIR "/examples/tandfe.json"},
+		 EX_OK,
+		 "services",
+		 ""},
+		{{"--dot", QL_SOURCE_DIR "/examples/tandfe.json"},
+		 EX_DATAERR,
+		 "",
+		 "needs a state chart"},
+		{{QL_SOURCE_DIR "/CMakeLists.txt"},
+		 EX_DATAERR,
+		 "",
+		 "CMakeLists.txt:1"},
+		{{"/nowhere"}, EX_IOERR, "", "/nowhere"},
+		{{}, EX_USAGE, "", "--help"},
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.words.empty() ? "" : c.words.back());
+		EXPECT_EQ(c.status, run(ql_command_check, c.words));
+		EXPECT_NE(std::string::npos, out.find(c.out)) << out;
+		EXPECT_NE(std::string::npos, err.find(c.err)) << err;
+	}
+}
+
+TEST_F(Commands, ExplainThemselves)
+{
+	int (*const commands[])(int, char **) = {
+		ql_command_config_get,	  ql_command_config_patch,
+		ql_command_config_status, ql_command_members,
+		ql_command_status,	  ql_command_drain,
+		ql_command_timeline,	  ql_command_metrics,
+		ql_command_check,
+	};
+
+	for (auto command : commands) {
+		EXPECT_EQ(EX_OK, run(command, {"--help"}));
+		EXPECT_EQ(0u, out.find("Usage: quetzalloft ")) << out;
+		EXPECT_EQ("", err);
+		EXPECT_EQ(EX_USAGE, run(command, {"--nonsense"}));
+		EXPECT_NE(std::string::npos, err.find("--help")) << err;
+	}
+}
+
+} // namespace
--- /dev/null
+++ b/tests/cli/patch_sender_test.cc
@@ -0,0 +1,98 @@
+#include "cli/patch_sender.h"
+#include "quetzalloft/error.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace
+{
+
+/* What the replicas say, one answer after the other. */
+struct Step {
+	int status;
+	const char *leader;
+};
+
+struct Script {
+	std::vector<Step> steps;
+	size_t next = 0;
+	uint64_t now_us = 0;
+	std::string asked;
+};
+
+void send(void *data, const char *address, ql_patch_result_t *result,
+	  char *leader)
+{
+	auto *script = static_cast<Script *>(data);
+	const Step &step = script->steps[std::min(script->next++,
+						  script->steps.size() - 1)];
+
+	script->asked += std::string(address) + " ";
+	result->status = step.status;
+	result->version = 7;
+	result->detail = g_strdup("said");
+	g_strlcpy(leader, step.leader, QL_ADDRESS_MAX);
+}
+
+uint64_t now(void *data)
+{
+	return static_cast<Script *>(data)->now_us;
+}
+
+void pause_for(void *data, uint64_t pause_us)
+{
+	static_cast<Script *>(data)->now_us += pause_us;
+}
+
+struct PatchCase {
+	std::vector<Step> steps;
+	int status;
+	unsigned int sent;
+	const char *asked;
+};
+
+class PatchSubmit : public testing::TestWithParam<PatchCase>
+{
+};
+
+TEST_P(PatchSubmit, SendsAgainUntilTheAnswerIsSettled)
+{
+	Script script;
+	ql_patch_transport_t transport = {send, now, pause_for, &script};
+	ql_options_t options = {"town", {"a", "b"}, 2, 350, false};
+	ql_patch_result_t result;
+
+	script.steps = GetParam().steps;
+	ql_patch_submit(&result, &transport, &options);
+	EXPECT_EQ(GetParam().status, result.status);
+	EXPECT_EQ(GetParam().sent, result.sent);
+	EXPECT_EQ(GetParam().asked, script.asked);
+	EXPECT_EQ(7u, result.version);
+	EXPECT_STREQ("said", result.detail);
+	g_free(result.detail);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Answers, PatchSubmit,
+	testing::Values(
+		PatchCase{{{0, ""}}, 0, 1, "a "},
+		PatchCase{{{QL_E_STALE, ""}}, QL_E_STALE, 1, "a "},
+		PatchCase{{{QL_E_CONFLICT, ""}}, QL_E_CONFLICT, 1, "a "},
+		PatchCase{{{QL_E_DENIED, ""}}, QL_E_DENIED, 1, "a "},
+		PatchCase{{{QL_E_NOT_LEADER, "c"}, {0, ""}}, 0, 2, "a c "},
+		PatchCase{{{QL_E_NOT_LEADER, ""}, {0, ""}}, 0, 2, "a b "},
+		PatchCase{{{QL_E_PENDING, ""}, {QL_E_STALE, ""}},
+			  QL_E_STALE,
+			  2,
+			  "a b "},
+		PatchCase{{{QL_E_NOT_LEADER, "c"},
+			   {QL_E_UNAVAILABLE, ""},
+			   {0, ""}},
+			  0,
+			  3,
+			  "a c b "},
+		PatchCase{{{QL_E_TIMEOUT, ""}}, QL_E_TIMEOUT, 4, "a b a b "}));
+
+} // namespace
