--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -11,13 +11,25 @@
 #include <mutex>
 #include <string>
 #include <sysexits.h>
+#include <unistd.h>
 #include <vector>
 
 namespace
 {
 
-const char ADDRESS[] = "127.0.0.1:27981";
-const char SILENT[] = "127.0.0.1:27980";
+/* A loopback number of this process's own, as tests run side by side. */
+std::string own_address(unsigned int port)
+{
+	unsigned int pid = (unsigned int)getpid();
+	char text[QL_ADDRESS_MAX];
+
+	snprintf(text, sizeof(text), "127.%u.%u.%u:%u", 64 + (pid >> 16 & 63),
+		 pid >> 8 & 255, pid & 255, port);
+	return text;
+}
+
+const std::string ADDRESS = own_address(27981);
+const std::string SILENT = own_address(27980);
 const char MEMBERS[] =
 	R"({"nodes":[{"node":"n1","failure_domain":"d1","config_version":3,
 	"lease_age_ms":1,"endpoints":[]},{"node":"n2","failure_domain":"d1",
@@ -37,7 +49,8 @@
 		server.programs[0] = {QL_CONTROL_PROGRAM, QL_CONTROL_V1,
 				      PROCEDURES, 2, this};
 		server.n_programs = 1;
-		ASSERT_EQ(0, ql_rpc_server_start(&server, ADDRESS, nullptr));
+		ASSERT_EQ(0, ql_rpc_server_start(&server, ADDRESS.c_str(),
+						 nullptr));
 	}
 
 	void TearDown() override
@@ -85,8 +98,8 @@
 		res->status = said[std::min<size_t>(self->ids.size() - 1, 2)];
 		res->config_version = 8;
 		res->detail = strdup("");
-		res->leader =
-			strdup(res->status == QL_E_NOT_LEADER ? ADDRESS : "");
+		res->leader = strdup(
+			res->status == QL_E_NOT_LEADER ? ADDRESS.c_str() : "");
 	}
 
 	int run(int (*command)(int, char **), std::vector<std::string> words)
