Refuse client requests early by what is heard of their route

Cause: a request whose last service is overloaded was refused there, after the services above had done their work for it.

Change: ql_level keeps, for each route, how many client requests were served and how many were shed below. A request whose way was free counts double, which lifts the refusal soon after the recovery.

Ruled out: refusing by the highest level that any service returned. It refuses requests that never reach that service, and under a partial overload it refuses either all of a class or none.

Before and after: not measured on traces yet.

--- /dev/null
+++ b/include/quetzalloft/level.h
@@ -0,0 +1,105 @@
+#ifndef QUETZALLOFT_LEVEL_H
+#define QUETZALLOFT_LEVEL_H
+
+/**
+ * DOC: Early refusal at the first node, before any work is done for a client
+ * request.
+ *
+ * What is learned is kept for each route, since a route has one class and one
+ * set of services below it: a route that never reaches an overloaded service
+ * hears nothing of it and is not refused. A part of the requests is refused
+ * that grows with the part that was shed below; the rest goes on and shows
+ * when the overload ends.
+ */
+
+#include "quetzalloft/types.h"
+
+G_BEGIN_DECLS
+
+/**
+ * enum ql_level_end - How a client request ended, for this module.
+ * @QL_LEVEL_SERVED: with a whole answer
+ * @QL_LEVEL_SHED: refused or failed because a gate on its way is overloaded,
+ *                 or because its time ran out
+ * @QL_LEVEL_OTHER: in a way that says nothing of the load
+ */
+typedef enum ql_level_end {
+	QL_LEVEL_SERVED,
+	QL_LEVEL_SHED,
+	QL_LEVEL_OTHER,
+} ql_level_end_t;
+
+/**
+ * struct ql_level_route - What is known of one route. Counts decay.
+ * @offered: requests that ended or were refused early
+ * @served: requests with a whole answer; one whose way was free counts double
+ * @counted_us: the time of both counts
+ * @admitted_us: when a request was let through last
+ */
+typedef struct ql_level_route {
+	double offered;
+	double served;
+	uint64_t counted_us;
+	uint64_t admitted_us;
+} ql_level_route_t;
+
+/**
+ * struct ql_level - What the first node heard of the load below.
+ * @routes: by index of the route in the document
+ * @n_routes: their number
+ * @random: source of the choice and of the jitter; borrowed
+ */
+typedef struct ql_level {
+	ql_level_route_t *routes;
+	size_t n_routes;
+	GRand *random;
+} ql_level_t;
+
+/**
+ * struct ql_level_decision - Whether to refuse a client request early.
+ * @refuse: it is refused, and was not run anywhere
+ * @reason: why
+ * @retry_after_ms: when it may come again
+ */
+typedef struct ql_level_decision {
+	bool refuse;
+	ql_reason_t reason;
+	uint32_t retry_after_ms;
+} ql_level_decision_t;
+
+void ql_level_init(ql_level_t *level, size_t n_routes, GRand *random);
+void ql_level_finish(ql_level_t *level);
+
+/**
+ * ql_level_reset() - Forget everything, after the routes changed.
+ * @level: the state
+ * @n_routes: number of routes of the new document
+ */
+void ql_level_reset(ql_level_t *level, size_t n_routes);
+
+/**
+ * ql_level_offer() - Decide on a client request before its first attempt.
+ * @level: the state
+ * @route: index of its route; one that is out of range is let through
+ * @now_us: the time
+ *
+ * Return: the decision. One that is let through ends with ql_level_done().
+ */
+ql_level_decision_t ql_level_offer(ql_level_t *level, size_t route,
+				   uint64_t now_us);
+
+/**
+ * ql_level_done() - Report the end of a client request that was let through.
+ * @level: the state
+ * @route: index of its route
+ * @end: how it ended
+ * @is_free: no gate on its way refuses its class at present: the highest load
+ *           level on its way is not above the shed order of the class
+ * @now_us: the time
+ */
+void ql_level_done(ql_level_t *level, size_t route, ql_level_end_t end,
+		   bool is_free, uint64_t now_us);
+
+G_END_DECLS
+
+#endif
