Replay traces through the decision library

Cause: the policies were tested one at a time; nothing showed what whole client requests get when a service slows down, demand surges and clients retry, all at once.

Change: ql_replay runs a trace in virtual time over endpoint fakes with the gates, limiters, balancers, retries and allowances composed as in the node.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -26,11 +26,13 @@
 int ql_command_check(int argc, char **argv);
 int ql_command_status(int argc, char **argv);
 int ql_command_metrics(int argc, char **argv);
+int ql_command_replay(int argc, char **argv);
 
 /** Exit statuses beside those of sysexits.h. */
 enum ql_exit {
 	QL_EXIT_REFUSED = 3,
 	QL_EXIT_STALE = 4,
+	QL_EXIT_OUTCOME = 5,
 };
 
 /**
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -12,6 +12,8 @@
 	{"status", "show the state of one process", ql_command_status},
 	{"metrics", "show the counters of one process", ql_command_metrics},
 	{"check", "check a configuration document", ql_command_check},
+	{"replay", "replay a trace and check its stated outcomes",
+	 ql_command_replay},
 };
 
 static void show_help(FILE *out)
--- /dev/null
+++ b/src/policy/replay_call.c
@@ -0,0 +1,330 @@
+#include "quetzalloft/clock.h"
+#include "replay_model.h"
+
+#include <string.h>
+
+/* What each layer does that is not guarded. */
+#define PLAIN_TRIES 3u
+
+static void call_clear(void *data)
+{
+	ql_replay__call_t *call = data;
+
+	if (call->parent)
+		ql_replay__attempt_unref(call->parent);
+	ql_replay__submission_unref(call->submission);
+}
+
+static void attempt_clear(void *data)
+{
+	ql_replay__attempt_t *attempt = data;
+
+	if (attempt->call)
+		ql_replay__call_unref(attempt->call);
+	ql_replay__submission_unref(attempt->submission);
+}
+
+void ql_replay__submission_unref(ql_replay__submission_t *submission)
+{
+	g_rc_box_release(submission);
+}
+
+void ql_replay__call_unref(ql_replay__call_t *call)
+{
+	g_rc_box_release_full(call, call_clear);
+}
+
+void ql_replay__attempt_unref(ql_replay__attempt_t *attempt)
+{
+	g_rc_box_release_full(attempt, attempt_clear);
+}
+
+/* Who lends to the attempts of a call. */
+static ql_allowance_t *holder_of(ql_replay__call_t *call)
+{
+	return call->parent ? &call->parent->allowance
+			    : &call->submission->allowance;
+}
+
+static bool makes_calls(const ql_replay__call_t *call)
+{
+	return call->parent || call->submission->arrivals->calls;
+}
+
+/* The endpoint gives up a request whose call below failed. */
+static void fail_parent(ql_replay__sim_t *sim, ql_replay__attempt_t *parent)
+{
+	ql_replay__end_t end = {
+		.result.outcome = QL_OUTCOME_ANSWERED,
+		.unused = parent->allowance.remaining,
+	};
+
+	ql_replay__endpoint_release(sim, parent, false);
+	ql_replay__attempt_end(sim, parent, &end);
+}
+
+static void call_end(ql_replay__sim_t *sim, ql_replay__call_t *call,
+		     const ql_replay__end_t *end)
+{
+	ql_replay__attempt_t *parent = call->parent;
+
+	call->over = true;
+	if (!parent) {
+		ql_replay__submission_end(sim, call->submission, end);
+	} else if (parent->call_below == call) {
+		parent->call_below = NULL;
+		parent->level = MAX(parent->level, end->result.level);
+		if (end->whole)
+			ql_replay__attempt_step(sim, parent);
+		else if (parent->state == ATTEMPT_RUNNING)
+			fail_parent(sim, parent);
+	}
+	ql_replay__call_unref(call);
+}
+
+/* Ends a call that can make no attempt, or none more. */
+static void call_fail(ql_replay__sim_t *sim, ql_replay__call_t *call,
+		      const ql_attempt_result_t *result)
+{
+	ql_replay__end_t end = {.result = *result};
+
+	if (call->may_have_run)
+		end.result.outcome = QL_OUTCOME_UNKNOWN;
+	call_end(sim, call, &end);
+}
+
+static void call_fail_not_run(ql_replay__sim_t *sim, ql_replay__call_t *call,
+			      ql_reason_t reason)
+{
+	ql_attempt_result_t result = {
+		.outcome = QL_OUTCOME_NOT_RUN,
+		.reason = reason,
+	};
+
+	call_fail(sim, call, &result);
+}
+
+void ql_replay__call_start(ql_replay__sim_t *sim,
+			   ql_replay__submission_t *submission,
+			   ql_replay__attempt_t *parent, uint32_t node,
+			   uint16_t service)
+{
+	ql_replay__call_t *call = g_rc_box_new0(ql_replay__call_t);
+
+	call->submission = g_rc_box_acquire(submission);
+	call->node = node;
+	call->service = service;
+	if (parent) {
+		call->parent = g_rc_box_acquire(parent);
+		parent->call_below = call;
+	}
+	ql_retry_budget_earn(&sim->endpoints[node].budgets[service]);
+	ql_replay__call_try(sim, call);
+}
+
+static ql_replay__attempt_t *new_attempt(ql_replay__sim_t *sim,
+					 ql_replay__call_t *call,
+					 ql_handle_t target, uint32_t lent)
+{
+	ql_replay__submission_t *submission = call->submission;
+	ql_replay__attempt_t *attempt = g_rc_box_new0(ql_replay__attempt_t);
+	const ql_balancer_t *balancer =
+		&sim->endpoints[call->node].balancers[call->service];
+	const ql_target_t *row = ql_table_get(&balancer->targets, target);
+
+	attempt->submission = g_rc_box_acquire(submission);
+	attempt->call = g_rc_box_acquire(call);
+	attempt->endpoint = GPOINTER_TO_UINT(
+		g_hash_table_lookup(sim->by_gate, row->info.gate));
+	attempt->ticket = QL_HANDLE_NONE;
+	attempt->target = target;
+	attempt->lent = lent;
+	attempt->is_root = !call->parent;
+	attempt->makes_calls = makes_calls(call);
+	if (lent)
+		ql_allowance_init(&attempt->allowance, lent - 1);
+	attempt->deadline_us =
+		sim->policy->guarded
+			? submission->deadline_us
+			: sim->now_us + submission->route->deadline_ms *
+						QL_US_PER_MS / PLAIN_TRIES;
+	call->attempt = attempt;
+	return attempt;
+}
+
+static void count_attempt(ql_replay__sim_t *sim,
+			  ql_replay__submission_t *submission)
+{
+	double *most = &sim->result->values[QL_REPLAY_ATTEMPTS_MAX];
+
+	sim->result->attempts++;
+	submission->attempts++;
+	*most = MAX(*most, submission->attempts);
+	if (submission->attempts == sim->doc->attempts + 1)
+		ql_replay__violation(sim, QL_REPLAY_ATTEMPTS_OVER_BOUND,
+				     "attempt %u for a %s request",
+				     submission->attempts,
+				     submission->route->name);
+}
+
+void ql_replay__call_try(ql_replay__sim_t *sim, ql_replay__call_t *call)
+{
+	ql_balancer_t *balancer =
+		&sim->endpoints[call->node].balancers[call->service];
+	const ql_service_t *service = &sim->doc->services[call->service];
+	uint32_t need = makes_calls(call) ? service->subtree_attempts : 1;
+	uint32_t lent = 0;
+	ql_replay__attempt_t *attempt;
+	ql_handle_t target;
+
+	if (call->over)
+		return;
+	if (sim->policy->guarded) {
+		if (sim->now_us >= call->submission->deadline_us) {
+			call_fail_not_run(sim, call, QL_REASON_DEADLINE);
+			return;
+		}
+		lent = ql_allowance_lend(holder_of(call), need, 0);
+		if (!lent) {
+			call_fail_not_run(sim, call, QL_REASON_ATTEMPTS);
+			return;
+		}
+	}
+	target = ql_balancer_pick(balancer, call->tried, call->n_tried,
+				  sim->now_us);
+	if (target == QL_HANDLE_NONE) {
+		ql_allowance_return(holder_of(call), lent + 1, lent);
+		call_fail_not_run(sim, call, QL_REASON_NO_ENDPOINT);
+		return;
+	}
+	attempt = new_attempt(sim, call, target, lent);
+	call->attempts_made++;
+	count_attempt(sim, call->submission);
+	ql_replay__schedule(sim, attempt->deadline_us, EVENT_ATTEMPT_DEADLINE,
+			    0, attempt);
+	ql_replay__endpoint_take(sim, attempt);
+}
+
+/* Whether, and when, the call is tried again. */
+static bool decide_retry(ql_replay__sim_t *sim, ql_replay__call_t *call,
+			 ql_attempt_result_t *result, uint64_t *backoff_us)
+{
+	uint64_t deadline_us = call->submission->deadline_us;
+	ql_retry_failure_t failure = {
+		.outcome = result->outcome,
+		.reason = result->reason,
+		.idempotent = call->submission->route->idempotent,
+		.attempts_made = call->attempts_made,
+		.remaining_us = deadline_us > sim->now_us
+					? deadline_us - sim->now_us
+					: 0,
+		.retry_after_us = result->retry_after_us,
+	};
+	ql_retry_decision_t decision;
+
+	*backoff_us = 0;
+	if (!sim->policy->guarded)
+		return call->attempts_made < PLAIN_TRIES;
+	if (result->outcome == QL_OUTCOME_ANSWERED)
+		return false;
+	decision = ql_retry_decide(
+		&sim->endpoints[call->node].budgets[call->service], &failure,
+		sim->random);
+	*backoff_us = decision.backoff_us;
+	return decision.retry;
+}
+
+/* The caller's node hears how the attempt ended, or gives it up. */
+static void caller_sees(ql_replay__sim_t *sim, ql_replay__attempt_t *attempt,
+			const ql_replay__end_t *end)
+{
+	ql_replay__call_t *call = attempt->call;
+	ql_attempt_result_t result = end->result;
+	uint64_t backoff_us;
+
+	if (!call)
+		return;
+	attempt->call = NULL;
+	call->attempt = NULL;
+	result.latency_us = sim->now_us - attempt->offered_us;
+	ql_balancer_done(&sim->endpoints[call->node].balancers[call->service],
+			 attempt->target, &result, sim->now_us);
+	ql_allowance_return(holder_of(call), attempt->lent, end->unused);
+	if (result.outcome == QL_OUTCOME_UNKNOWN)
+		call->may_have_run = true;
+	if (call->n_tried < QL_REPLAY__TRIED_MAX)
+		call->tried[call->n_tried++] = attempt->target;
+	if (call->over)
+		;
+	else if (end->whole)
+		call_end(sim, call, end);
+	else if (decide_retry(sim, call, &result, &backoff_us))
+		ql_replay__schedule(sim, sim->now_us + backoff_us,
+				    EVENT_CALL_RETRY, 0, call);
+	else
+		call_fail(sim, call, &result);
+	ql_replay__call_unref(call);
+}
+
+void ql_replay__attempt_end(ql_replay__sim_t *sim,
+			    ql_replay__attempt_t *attempt,
+			    const ql_replay__end_t *end)
+{
+	ql_replay__end_t told = *end;
+
+	attempt->state = ATTEMPT_OVER;
+	told.result.has_level = true;
+	told.result.level = attempt->level;
+	caller_sees(sim, attempt, &told);
+	ql_replay__attempt_unref(attempt);
+}
+
+void ql_replay__attempt_step(ql_replay__sim_t *sim,
+			     ql_replay__attempt_t *attempt)
+{
+	const ql_service_t *service =
+		&sim->doc->services[sim->endpoints[attempt->endpoint].service];
+	ql_replay__end_t end = {
+		.whole = true,
+		.result.outcome = QL_OUTCOME_ANSWERED,
+	};
+
+	if (attempt->state != ATTEMPT_RUNNING || attempt->call_below)
+		return;
+	if (attempt->makes_calls && attempt->next_callee < service->n_calls) {
+		ql_replay__call_start(sim, attempt->submission, attempt,
+				      attempt->endpoint,
+				      service->calls[attempt->next_callee++]);
+		return;
+	}
+	end.unused = attempt->allowance.remaining;
+	ql_replay__endpoint_release(sim, attempt, false);
+	ql_replay__attempt_end(sim, attempt, &end);
+}
+
+/* A guarded attempt is cancelled; any other runs on without its caller. */
+void ql_replay__attempt_deadline(ql_replay__sim_t *sim,
+				 ql_replay__attempt_t *attempt)
+{
+	ql_replay__end_t end = {
+		.result.outcome = QL_OUTCOME_UNKNOWN,
+		.result.reason = QL_REASON_DEADLINE,
+	};
+
+	if (attempt->state == ATTEMPT_OVER)
+		return;
+	if (!sim->policy->guarded) {
+		caller_sees(sim, attempt, &end);
+		return;
+	}
+	ql_replay__endpoint_pump(sim, attempt->endpoint);
+	if (attempt->state == ATTEMPT_OVER)
+		return;
+	if (attempt->call_below) {
+		attempt->call_below->over = true;
+		ql_replay__call_unref(attempt->call_below);
+		attempt->call_below = NULL;
+	}
+	ql_replay__endpoint_release(sim, attempt, true);
+	ql_replay__attempt_end(sim, attempt, &end);
+}
