--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -30,6 +30,7 @@
 int ql_command_timeline(int argc, char **argv);
 int ql_command_metrics(int argc, char **argv);
 int ql_command_check(int argc, char **argv);
+int ql_command_replay(int argc, char **argv);
 
 /**
  * enum ql_exit - Exit statuses beside those of sysexits.h. They stay the same
@@ -37,11 +38,13 @@
  * @QL_EXIT_REFUSED: the cluster refused the request
  * @QL_EXIT_STALE: the patch was written against an old version
  * @QL_EXIT_PARTIAL: some processes did not answer, or lag behind
+ * @QL_EXIT_OUTCOME: a stated outcome of a trace was not met
  */
 enum ql_exit {
 	QL_EXIT_REFUSED = 3,
 	QL_EXIT_STALE = 4,
 	QL_EXIT_PARTIAL = 5,
+	QL_EXIT_OUTCOME = 6,
 };
 
 /**
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -19,6 +19,8 @@
 	{"metrics", "show counters and latencies", ql_command_metrics},
 	{"check", "check configuration documents and state charts",
 	 ql_command_check},
+	{"replay", "replay a trace and check its stated outcomes",
+	 ql_command_replay},
 };
 
 static void show_help(FILE *out)
