Claim idempotency keys at a majority of keepers

Cause: a keyed request that may not be repeated could run twice when its copies reach two gates, and a refusal said nothing true of other copies.

Change: a keeper and a copy of a request as state machines. Round 0 is open and takes one exchange at a quorum of three quarters; later rounds prepare first. A forfeited claim opens the next generation of the key, a sealed key stays shut, a keeper without memory is silent for the retention.

--- /dev/null
+++ b/src/policy/claim.c
@@ -0,0 +1,406 @@
+#include "policy/claim_internal.h"
+#include "quetzalloft/clock.h"
+
+#include <string.h>
+
+static bool may_vote(const ql_keeper_t *keeper, uint64_t now_us)
+{
+	return now_us >= keeper->votes_from_us;
+}
+
+static uint32_t majority(uint32_t n_members, uint32_t n_answering G_GNUC_UNUSED)
+{
+	return n_members / 2 + 1;
+}
+
+static uint32_t open_quorum(uint32_t n_members)
+{
+	return (3 * n_members + 3) / 4;
+}
+
+static bool is_released(const ql_claim_reply_t *reply)
+{
+	return reply->note == QL_CLAIM_NOTE_FORFEITED;
+}
+
+static ql_outcome_t outcome(ql_claim_result_t result)
+{
+	switch (result) {
+	case QL_CLAIM_SEALED:
+		return QL_OUTCOME_NOT_RUN;
+	case QL_CLAIM_ANSWERED:
+		return QL_OUTCOME_ANSWERED;
+	case QL_CLAIM_UNKNOWN:
+		return QL_OUTCOME_UNKNOWN;
+	default:
+		return QL_OUTCOME_REFUSED;
+	}
+}
+
+const ql_claim_rules_t ql_claim_rules = {
+	.may_vote = may_vote,
+	.majority = majority,
+	.open_quorum = open_quorum,
+	.is_released = is_released,
+	.outcome = outcome,
+};
+
+ql_reason_t ql_claim_reason(ql_claim_result_t result)
+{
+	switch (result) {
+	case QL_CLAIM_CONFLICT:
+		return QL_REASON_KEY_CONFLICT;
+	case QL_CLAIM_IN_PROGRESS:
+		return QL_REASON_KEY_IN_PROGRESS;
+	case QL_CLAIM_NO_QUORUM:
+		return QL_REASON_NO_QUORUM;
+	case QL_CLAIM_LAPSED:
+		return QL_REASON_DEADLINE;
+	case QL_CLAIM_UNKNOWN:
+		return QL_REASON_CONNECTION_LOST;
+	default:
+		return QL_REASON_OVERLOAD;
+	}
+}
+
+static uint32_t count_bits(uint32_t mask)
+{
+	return (uint32_t)__builtin_popcount(mask);
+}
+
+static bool has_open_quorum(const ql_claim_t *claim, uint32_t mask)
+{
+	uint32_t i, set;
+
+	for (i = 0; i < claim->opts.n_sets; i++) {
+		set = claim->opts.sets[i];
+		if (count_bits(mask & set) <
+		    claim->opts.rules->open_quorum(count_bits(set)))
+			return false;
+	}
+	return true;
+}
+
+static bool has_majority(const ql_claim_t *claim, uint32_t mask)
+{
+	uint32_t i, set, n_answering;
+
+	for (i = 0; i < claim->opts.n_sets; i++) {
+		set = claim->opts.sets[i];
+		n_answering = count_bits(claim->answering & set);
+		if (count_bits(mask & set) <
+		    claim->opts.rules->majority(count_bits(set), n_answering))
+			return false;
+	}
+	return true;
+}
+
+static bool same_claimant(const ql_attempt_id_t *a, const ql_attempt_id_t *b)
+{
+	return a->request == b->request && a->attempt == b->attempt;
+}
+
+bool ql_claim__same_value(const ql_claim_value_t *a, const ql_claim_value_t *b)
+{
+	return a->kind == b->kind && same_claimant(&a->claimant, &b->claimant);
+}
+
+int ql_claim__compare_ballots(const ql_claim_ballot_t *a,
+			      const ql_claim_ballot_t *b)
+{
+	if (a->round != b->round)
+		return a->round < b->round ? -1 : 1;
+	if (a->proposer != b->proposer)
+		return a->proposer < b->proposer ? -1 : 1;
+	return 0;
+}
+
+static bool same_request(const ql_claim_value_t *a, const ql_claim_value_t *b)
+{
+	return a->fingerprint[0] == b->fingerprint[0] &&
+	       a->fingerprint[1] == b->fingerprint[1];
+}
+
+static uint32_t all_keepers(const ql_claim_t *claim)
+{
+	return (1u << claim->opts.n_keepers) - 1;
+}
+
+static ql_claim_action_t finish(ql_claim_t *claim, ql_claim_result_t result)
+{
+	claim->result = result;
+	return QL_CLAIM_DONE;
+}
+
+static ql_claim_action_t send(ql_claim_t *claim, ql_claim_op_t op)
+{
+	claim->request.op = op;
+	claim->step++;
+	claim->granted = 0;
+	claim->answering = 0;
+	claim->settled = 0;
+	return QL_CLAIM_SEND;
+}
+
+/* Round 0 of a generation: the copy's own value, without preparation. */
+static ql_claim_action_t open_generation(ql_claim_t *claim, uint32_t generation)
+{
+	claim->request.generation = generation;
+	claim->request.value = claim->opts.value;
+	memset(&claim->request.ballot, 0, sizeof(claim->request.ballot));
+	memset(&claim->released, 0, sizeof(claim->released));
+	claim->round_seen = 0;
+	return send(claim, QL_CLAIM_OP_ACCEPT);
+}
+
+static ql_claim_action_t next_round(ql_claim_t *claim)
+{
+	if (++claim->rounds > QL_CLAIM_ROUNDS_MAX)
+		return finish(claim, QL_CLAIM_NO_QUORUM);
+	if (claim->generation_seen > claim->request.generation) {
+		claim->request.generation = claim->generation_seen;
+		memset(&claim->released, 0, sizeof(claim->released));
+	}
+	claim->request.ballot.round = claim->round_seen + 1;
+	claim->request.ballot.proposer = claim->proposer;
+	return send(claim, QL_CLAIM_OP_PREPARE);
+}
+
+void ql_claim_init(ql_claim_t *claim, const ql_claim_opts_t *opts,
+		   uint64_t now_us)
+{
+	g_assert(opts->n_keepers <= QL_KEEPERS_MAX);
+	memset(claim, 0, sizeof(*claim));
+	claim->opts = *opts;
+	claim->start_us = now_us;
+	claim->proposer = opts->value.claimant.attempt;
+	g_strlcpy(claim->request.key, opts->key, QL_KEY_MAX);
+	if (opts->value.kind == QL_CLAIM_SEAL)
+		memset(&claim->opts.value.claimant, 0,
+		       sizeof(claim->opts.value.claimant));
+	open_generation(claim, 0);
+}
+
+void ql_claim_finish(ql_claim_t *claim)
+{
+	if (claim->answer)
+		g_bytes_unref(claim->answer);
+}
+
+/* The value that may have been chosen in round 0, seen from a majority. */
+static const ql_claim_value_t *find_open_choice(const ql_claim_t *claim,
+						uint32_t unseen)
+{
+	uint32_t i, j, holders;
+	const ql_claim_value_t *value;
+
+	for (i = 0; i < claim->opts.n_keepers; i++) {
+		value = &claim->replies[i].value;
+		if (!(claim->granted >> i & 1) || value->kind == QL_CLAIM_NONE)
+			continue;
+		holders = unseen;
+		for (j = 0; j < claim->opts.n_keepers; j++)
+			if (claim->granted >> j & 1 &&
+			    ql_claim__same_value(value,
+						 &claim->replies[j].value))
+				holders |= 1u << j;
+		if (has_open_quorum(claim, holders))
+			return value;
+	}
+	return NULL;
+}
+
+/* The value that a prepared round must carry on, or this copy's own. */
+static const ql_claim_value_t *value_to_propose(const ql_claim_t *claim)
+{
+	const ql_claim_reply_t *reply, *highest = NULL;
+	const ql_claim_value_t *value;
+	uint32_t i;
+
+	for (i = 0; i < claim->opts.n_keepers; i++) {
+		reply = &claim->replies[i];
+		if (!(claim->granted >> i & 1) ||
+		    reply->value.kind == QL_CLAIM_NONE)
+			continue;
+		if (!highest ||
+		    ql_claim__compare_ballots(&reply->accepted,
+					      &highest->accepted) > 0)
+			highest = reply;
+	}
+	if (!highest)
+		return &claim->opts.value;
+	if (highest->accepted.round)
+		return &highest->value;
+	value = find_open_choice(claim, all_keepers(claim) & ~claim->granted);
+	return value ? value : &claim->opts.value;
+}
+
+static ql_claim_action_t propose(ql_claim_t *claim)
+{
+	claim->request.value = *value_to_propose(claim);
+	return send(claim, QL_CLAIM_OP_ACCEPT);
+}
+
+static uint64_t oldest_age_ms(const ql_claim_t *claim,
+			      const ql_claim_value_t *value)
+{
+	uint64_t age_ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < claim->opts.n_keepers; i++)
+		if (claim->answering >> i & 1 &&
+		    ql_claim__same_value(&claim->replies[i].value, value))
+			age_ms = MAX(age_ms, claim->replies[i].age_ms);
+	return age_ms;
+}
+
+static ql_claim_action_t finish_other_claim(ql_claim_t *claim,
+					    const ql_claim_value_t *value)
+{
+	if (same_claimant(&claim->released, &value->claimant))
+		return open_generation(claim, claim->request.generation + 1);
+	if (oldest_age_ms(claim, value) > value->lease_ms)
+		return finish(claim, QL_CLAIM_UNKNOWN);
+	return finish(claim, QL_CLAIM_IN_PROGRESS);
+}
+
+/* A value was chosen: it stands for good in this generation. */
+static ql_claim_action_t finish_chosen(ql_claim_t *claim,
+				       const ql_claim_value_t *chosen)
+{
+	ql_claim_value_t value = *chosen;
+
+	if (value.kind == QL_CLAIM_SEAL)
+		return finish(claim, QL_CLAIM_SEALED);
+	if (ql_claim__same_value(&value, &claim->opts.value))
+		return finish(claim, QL_CLAIM_WON);
+	if (!same_request(&value, &claim->opts.value))
+		return finish(claim, QL_CLAIM_CONFLICT);
+	return finish_other_claim(claim, &value);
+}
+
+/* No quorum came about in this step: try a higher round, or give up. */
+static ql_claim_action_t retry(ql_claim_t *claim)
+{
+	if (has_majority(claim, claim->answering))
+		return next_round(claim);
+	return finish(claim,
+		      claim->no_room ? QL_CLAIM_NO_ROOM : QL_CLAIM_NO_QUORUM);
+}
+
+static ql_claim_action_t judge_open_round(ql_claim_t *claim)
+{
+	const ql_claim_value_t *value;
+	uint32_t i;
+
+	if (has_open_quorum(claim, claim->granted))
+		return finish_chosen(claim, &claim->opts.value);
+	if (claim->settled != all_keepers(claim))
+		return QL_CLAIM_WAIT;
+	/* A repeat sees the votes for an earlier copy without preparing. */
+	for (i = 0; i < claim->opts.n_keepers; i++)
+		if (claim->answering >> i & 1 &&
+		    (claim->replies[i].accepted.round ||
+		     claim->replies[i].generation != claim->request.generation))
+			return retry(claim);
+	claim->granted = claim->answering;
+	value = find_open_choice(claim, 0);
+	return value ? finish_chosen(claim, value) : retry(claim);
+}
+
+static ql_claim_action_t judge(ql_claim_t *claim)
+{
+	uint32_t open = all_keepers(claim) & ~claim->settled;
+
+	if (claim->request.op == QL_CLAIM_OP_ACCEPT &&
+	    !claim->request.ballot.round)
+		return judge_open_round(claim);
+	if (has_majority(claim, claim->granted)) {
+		if (claim->request.op == QL_CLAIM_OP_PREPARE)
+			return propose(claim);
+		return finish_chosen(claim, &claim->request.value);
+	}
+	return open ? QL_CLAIM_WAIT : retry(claim);
+}
+
+/* What one reply settles by itself, since a claim has one holder. */
+static ql_claim_result_t settled_by(const ql_claim_t *claim,
+				    const ql_claim_reply_t *reply)
+{
+	if (reply->value.kind != QL_CLAIM_RUN)
+		return QL_CLAIM_PENDING;
+	if (!same_request(&reply->value, &claim->opts.value))
+		return QL_CLAIM_CONFLICT;
+	if (reply->note == QL_CLAIM_NOTE_ANSWERED)
+		return reply->answer ? QL_CLAIM_ANSWERED : QL_CLAIM_UNKNOWN;
+	if (reply->note == QL_CLAIM_NOTE_NOT_KEPT)
+		return QL_CLAIM_UNKNOWN;
+	return QL_CLAIM_PENDING;
+}
+
+static void record_reply(ql_claim_t *claim, uint32_t keeper,
+			 const ql_claim_reply_t *reply)
+{
+	claim->settled |= 1u << keeper;
+	if (!reply)
+		return;
+	claim->no_room |= reply->status == QL_CLAIM_FULL;
+	if (reply->status != QL_CLAIM_GRANTED &&
+	    reply->status != QL_CLAIM_REJECTED)
+		return;
+	claim->replies[keeper] = *reply;
+	claim->replies[keeper].answer = NULL;
+	claim->answering |= 1u << keeper;
+	if (reply->status == QL_CLAIM_GRANTED)
+		claim->granted |= 1u << keeper;
+	claim->generation_seen = MAX(claim->generation_seen, reply->generation);
+	claim->round_seen = MAX(claim->round_seen, reply->promised.round);
+	if (reply->generation == claim->request.generation &&
+	    reply->value.kind == QL_CLAIM_RUN &&
+	    claim->opts.rules->is_released(reply))
+		claim->released = reply->value.claimant;
+}
+
+ql_claim_action_t ql_claim_take(ql_claim_t *claim, uint32_t step,
+				uint32_t keeper, const ql_claim_reply_t *reply,
+				uint64_t now_us)
+{
+	ql_claim_result_t result;
+
+	g_assert(keeper < claim->opts.n_keepers);
+	if (claim->result != QL_CLAIM_PENDING)
+		return QL_CLAIM_DONE;
+	if (step != claim->step || claim->settled >> keeper & 1)
+		return QL_CLAIM_WAIT;
+	if (now_us - claim->start_us >= QL_CLAIM_START_MAX_US)
+		return finish(claim, QL_CLAIM_LAPSED);
+	record_reply(claim, keeper, reply);
+	result = reply ? settled_by(claim, reply) : QL_CLAIM_PENDING;
+	if (result == QL_CLAIM_ANSWERED)
+		claim->answer = g_bytes_ref(reply->answer);
+	if (result != QL_CLAIM_PENDING)
+		return finish(claim, result);
+	return judge(claim);
+}
+
+ql_claim_action_t ql_claim_hasten(ql_claim_t *claim, uint64_t now_us)
+{
+	if (claim->result != QL_CLAIM_PENDING)
+		return QL_CLAIM_DONE;
+	if (now_us - claim->start_us >= QL_CLAIM_START_MAX_US)
+		return finish(claim, QL_CLAIM_LAPSED);
+	claim->settled = all_keepers(claim);
+	return judge(claim);
+}
+
+void ql_claim_note(const ql_claim_t *claim, ql_claim_request_t *request,
+		   ql_claim_note_t note, GBytes *answer)
+{
+	memset(request, 0, sizeof(*request));
+	request->op = QL_CLAIM_OP_NOTE;
+	g_strlcpy(request->key, claim->opts.key, QL_KEY_MAX);
+	request->generation = claim->request.generation;
+	request->value = claim->opts.value;
+	request->note = note;
+	request->answer = answer;
+}
--- /dev/null
+++ b/tests/policy/claim_explore_test.cc
@@ -0,0 +1,149 @@
+#include "claim_world.h"
+
+#include <gtest/gtest.h>
+
+using claim_test::Options;
+using claim_test::World;
+
+namespace
+{
+
+constexpr uint32_t kSeeds = 6000;
+constexpr int kScheduleBytes = 600;
+
+std::string Schedule(uint32_t seed)
+{
+	GRand *random = g_rand_new_with_seed(seed);
+	std::string schedule;
+
+	for (int i = 0; i < kScheduleBytes; i++)
+		schedule += (char)g_rand_int_range(random, 0, 256);
+	g_rand_free(random);
+	return schedule;
+}
+
+struct Layout {
+	const char *name;
+	Options options;
+};
+
+class ClaimExplore : public testing::TestWithParam<Layout>
+{
+};
+
+/* No schedule breaks a promise, and each kind of ending is reached. */
+TEST_P(ClaimExplore, PromisesHold)
+{
+	int runs = 0, told_not_run = 0;
+	int results[QL_CLAIM_LAPSED + 1] = {};
+
+	for (uint32_t seed = 1; seed <= kSeeds; seed++) {
+		World world(GetParam().options);
+
+		world.Play(Schedule(seed));
+		ASSERT_EQ("", world.Broken()) << "seed " << seed;
+		runs += world.total.runs;
+		told_not_run += world.total.told_not_run;
+		for (int i = 0; i <= QL_CLAIM_LAPSED; i++)
+			results[i] += world.total.results[i];
+	}
+	EXPECT_GT(runs, 0);
+	EXPECT_GT(told_not_run, 0);
+	for (int i = QL_CLAIM_WON; i <= QL_CLAIM_LAPSED; i++)
+		EXPECT_TRUE(results[i] > 0 || i == QL_CLAIM_NO_ROOM)
+			<< "result " << i;
+}
+
+const Layout layouts[] = {
+	{"three", {}},
+	{"five", {&ql_claim_rules, 5, {31}}},
+	{"changing", {&ql_claim_rules, 5, {7, 28}}},
+};
+
+INSTANTIATE_TEST_SUITE_P(Keepers, ClaimExplore, testing::ValuesIn(layouts),
+			 [](const auto &test) { return test.param.name; });
+
+/* Known faults: each must be found. */
+bool AmnesiacVotes(const ql_keeper_t *, uint64_t)
+{
+	return true;
+}
+
+uint32_t MajorityOfLive(uint32_t, uint32_t n_answering)
+{
+	return n_answering / 2 + 1;
+}
+
+uint32_t OpenMajority(uint32_t n_members)
+{
+	return n_members / 2 + 1;
+}
+
+bool ReleasedByTimeout(const ql_claim_reply_t *reply)
+{
+	return reply->note == QL_CLAIM_NOTE_FORFEITED ||
+	       reply->age_ms > reply->value.lease_ms;
+}
+
+ql_outcome_t NotRunWithoutSeal(ql_claim_result_t result)
+{
+	if (result == QL_CLAIM_IN_PROGRESS || result == QL_CLAIM_NO_QUORUM)
+		return QL_OUTCOME_NOT_RUN;
+	return ql_claim_rules.outcome(result);
+}
+
+struct Fault {
+	const char *name;
+	void (*plant)(ql_claim_rules_t *rules);
+	const char *broken;
+};
+
+class ClaimFault : public testing::TestWithParam<Fault>
+{
+};
+
+TEST_P(ClaimFault, IsFound)
+{
+	ql_claim_rules_t rules = ql_claim_rules;
+	Options options;
+	uint32_t found = 0;
+
+	GetParam().plant(&rules);
+	options.rules = &rules;
+	for (uint32_t seed = 1; seed <= kSeeds && !found; seed++) {
+		World world(options);
+
+		world.Play(Schedule(seed));
+		if (world.Broken() == GetParam().broken)
+			found = seed;
+	}
+	EXPECT_NE(0u, found);
+	RecordProperty("seed", (int)found);
+	if (found)
+		printf("fault %s: found by seed %u\n", GetParam().name, found);
+}
+
+const Fault faults[] = {
+	{"amnesiac_votes",
+	 [](ql_claim_rules_t *rules) { rules->may_vote = AmnesiacVotes; },
+	 "ran twice"},
+	{"majority_of_live",
+	 [](ql_claim_rules_t *rules) { rules->majority = MajorityOfLive; },
+	 "ran twice"},
+	{"open_majority",
+	 [](ql_claim_rules_t *rules) { rules->open_quorum = OpenMajority; },
+	 "ran twice"},
+	{"released_by_timeout",
+	 [](ql_claim_rules_t *rules) {
+		 rules->is_released = ReleasedByTimeout;
+	 },
+	 "ran twice"},
+	{"not_run_without_seal",
+	 [](ql_claim_rules_t *rules) { rules->outcome = NotRunWithoutSeal; },
+	 "ran although told not run"},
+};
+
+INSTANTIATE_TEST_SUITE_P(Known, ClaimFault, testing::ValuesIn(faults),
+			 [](const auto &test) { return test.param.name; });
+
+} // namespace
