Name the keepers of keys in the configuration

Cause: a majority means something only when all copies of a request ask the same keepers, so these come from the numbered document.

Change: "keepers" with members, slots of three or five in different failure domains, and previous slots, which must agree too while keepers change. ql_document_check_keepers() refuses a change without the old slots, and a second change before the first has ended.

--- a/include/quetzalloft/document.h
+++ b/include/quetzalloft/document.h
@@ -78,12 +78,66 @@
 	uint64_t deadline_ms;
 } ql_route_t;
 
+#define QL_KEEPER_MEMBERS_MAX 4096
+#define QL_KEEPER_SLOTS_MAX 4096
+/** Keepers of one slot: three or five. */
+#define QL_KEEPER_SLOT_SIZE_MAX 5
+
+/**
+ * struct ql_keeper_member - A process that keeps claims on keys.
+ * @name: its name in the document
+ * @address: "IP:port" of its control port
+ * @failure_domain: where it is
+ */
+typedef struct ql_keeper_member {
+	char name[QL_NAME_MAX];
+	char address[QL_ADDRESS_MAX];
+	char failure_domain[QL_NAME_MAX];
+} ql_keeper_member_t;
+
+/**
+ * struct ql_keeper_slot - The keepers of a part of the keys.
+ * @members: indexes of the members
+ * @n_members: 3 or 5
+ */
+typedef struct ql_keeper_slot {
+	uint16_t members[QL_KEEPER_SLOT_SIZE_MAX];
+	uint16_t n_members;
+} ql_keeper_slot_t;
+
+/**
+ * struct ql_keeper_table - Which members keep which keys.
+ * @slots: a key belongs to the slot of its hash
+ * @n_slots: their number; 0 when there are none
+ */
+typedef struct ql_keeper_table {
+	ql_keeper_slot_t *slots;
+	size_t n_slots;
+} ql_keeper_table_t;
+
+/**
+ * struct ql_keepers - The keepers of a document.
+ * @retention_ms: how long a key is remembered
+ * @members: all of them
+ * @n_members: their number; 0 when keys are not claimed
+ * @slots: the table in force
+ * @previous_slots: the one before, which must agree too while it is there
+ */
+typedef struct ql_keepers {
+	uint64_t retention_ms;
+	ql_keeper_member_t *members;
+	size_t n_members;
+	ql_keeper_table_t slots;
+	ql_keeper_table_t previous_slots;
+} ql_keepers_t;
+
 /**
  * struct ql_document - The compiled document.
  * @references: holders of this document
  * @version: its number; 0 is the empty document before the first patch
  * @site: name of the site
  * @attempts: allowance of attempts of one client request
+ * @keepers: who keeps claims on idempotency keys
  * @json: the source
  * @digest: hash of the canonical text of the source
  */
@@ -98,6 +152,7 @@
 	size_t n_services;
 	ql_route_t *routes;
 	size_t n_routes;
+	ql_keepers_t keepers;
 	json_t *json;
 	uint64_t digest;
 } ql_document_t;
@@ -154,6 +209,44 @@
 				    const char *host, const char *method,
 				    const char *path);
 
+/**
+ * struct ql_keeper_choice - The keepers of one key.
+ * @members: indexes of the members, each once
+ * @n_members: their number; 0 when the document has no keepers
+ * @sets: bits of @members in each set; all sets must agree
+ * @n_sets: 1, or 2 while the keepers change
+ */
+typedef struct ql_keeper_choice {
+	uint16_t members[2 * QL_KEEPER_SLOT_SIZE_MAX];
+	uint32_t n_members;
+	uint32_t sets[2];
+	uint32_t n_sets;
+} ql_keeper_choice_t;
+
+/**
+ * ql_document_keepers_of() - Find the keepers of a key.
+ * @doc: the document
+ * @key: idempotency key
+ * @out: the keepers
+ */
+void ql_document_keepers_of(const ql_document_t *doc, const char *key,
+			    ql_keeper_choice_t *out);
+
+/**
+ * ql_document_check_keepers() - Whether keepers may change from one document
+ * to the next.
+ * @old: the document in force
+ * @doc: the one that would follow
+ * @error: detail of a failure
+ *
+ * New slots are accepted only together with the old ones as previous slots,
+ * and only when no earlier change is still under way.
+ *
+ * Return: 0 or QL_E_CONFLICT.
+ */
+int ql_document_check_keepers(const ql_document_t *old,
+			      const ql_document_t *doc, GError **error);
+
 G_END_DECLS
 
 #endif
--- a/src/policy/document.c
+++ b/src/policy/document.c
@@ -1,4 +1,4 @@
-#include "quetzalloft/document.h"
+#include "policy/document_internal.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
 
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define PATH_TEXT_MAX 192
 #define BODY_LIMIT_DEFAULT_BYTES (8u << 20)
 #define BODY_LIMIT_MAX_BYTES (256u << 20)
 #define QUEUE_DEFAULT_MS 50
@@ -22,6 +21,7 @@
 	json_t *classes;
 	json_t *services;
 	json_t *routes;
+	json_t *keepers;
 } root_t;
 
 static const ql_json_member_t root_members[] = {
@@ -30,6 +30,7 @@
 	QL_MEMBER_OBJECT(root_t, classes, true),
 	QL_MEMBER_OBJECT(root_t, services, true),
 	QL_MEMBER_OBJECT(root_t, routes, true),
+	QL_MEMBER_OBJECT(root_t, keepers, false),
 };
 
 static const ql_json_member_t class_members[] = {
@@ -73,7 +74,7 @@
 	QL_MEMBER_UINT(route_source_t, deadline_ms, true, 1, DEADLINE_MAX_MS),
 };
 
-static int check_name(const char *path, const char *name, GError **error)
+int ql_document__check_name(const char *path, const char *name, GError **error)
 {
 	const char *p;
 
@@ -88,8 +89,8 @@
 	return 0;
 }
 
-static int check_count(const char *path, size_t found, size_t max,
-		       GError **error)
+int ql_document__check_count(const char *path, size_t found, size_t max,
+			     GError **error)
 {
 	if (found <= max)
 		return 0;
@@ -116,13 +117,13 @@
 	ql_class_t *class;
 	int ret;
 
-	ret = check_count("classes", json_object_size(source), QL_CLASSES_MAX,
-			  error);
+	ret = ql_document__check_count("classes", json_object_size(source),
+				       QL_CLASSES_MAX, error);
 	if (ret)
 		return ret;
 	doc->classes = g_new0(ql_class_t, json_object_size(source));
 	json_object_foreach (source, name, value) {
-		ret = check_name("classes", name, error);
+		ret = ql_document__check_name("classes", name, error);
 		if (ret)
 			return ret;
 		snprintf(path, sizeof(path), "classes.%s", name);
@@ -176,7 +177,8 @@
 	int callee, ret;
 
 	snprintf(path, sizeof(path), "services.%s.calls", service->name);
-	ret = check_count(path, json_array_size(calls), QL_CALLS_MAX, error);
+	ret = ql_document__check_count(path, json_array_size(calls),
+				       QL_CALLS_MAX, error);
 	if (ret)
 		return ret;
 	json_array_foreach (calls, i, value) {
@@ -240,13 +242,13 @@
 	size_t i;
 	int ret;
 
-	ret = check_count("services", json_object_size(source), QL_SERVICES_MAX,
-			  error);
+	ret = ql_document__check_count("services", json_object_size(source),
+				       QL_SERVICES_MAX, error);
 	if (ret)
 		return ret;
 	doc->services = g_new0(ql_service_t, json_object_size(source));
 	json_object_foreach (source, name, value) {
-		ret = check_name("services", name, error);
+		ret = ql_document__check_name("services", name, error);
 		if (!ret)
 			ret = compile_service(&doc->services[doc->n_services++],
 					      name, value, error);
@@ -324,13 +326,13 @@
 	json_t *value;
 	int ret;
 
-	ret = check_count("routes", json_object_size(source), QL_ROUTES_MAX,
-			  error);
+	ret = ql_document__check_count("routes", json_object_size(source),
+				       QL_ROUTES_MAX, error);
 	if (ret)
 		return ret;
 	doc->routes = g_new0(ql_route_t, json_object_size(source));
 	json_object_foreach (source, name, value) {
-		ret = check_name("routes", name, error);
+		ret = ql_document__check_name("routes", name, error);
 		if (!ret)
 			ret = compile_route(doc, &doc->routes[doc->n_routes++],
 					    name, value, error);
@@ -358,6 +360,8 @@
 		ret = compile_services(doc, root.services, error);
 	if (!ret)
 		ret = compile_routes(doc, root.routes, error);
+	if (!ret && root.keepers)
+		ret = ql_keepers__compile(&doc->keepers, root.keepers, error);
 	return ret;
 }
 
@@ -366,6 +370,7 @@
 	g_free(doc->classes);
 	g_free(doc->services);
 	g_free(doc->routes);
+	ql_keepers__finish(&doc->keepers);
 	json_decref(doc->json);
 	g_free(doc);
 }
