Refuse patches that change keepers without the old ones

Cause: two majorities could form when a patch replaced the keepers at once; and giving up on silent keepers ended a claim too early.

Change: the configuration asks ql_document_check_keepers() for each patch. A claim goes on without silent keepers only after a majority answered; failing keepers and giving up became steps of the schedules.

--- a/include/quetzalloft/claim.h
+++ b/include/quetzalloft/claim.h
@@ -213,6 +213,7 @@
 /**
  * struct ql_keeper - The votes of one keeper, in memory only.
  * @opts: settings
+ * @start_us: when it started
  * @votes_from_us: it is silent before, since it may have forgotten votes
  * @records: by key
  * @order: records, the one voted on least lately first
@@ -221,6 +222,7 @@
  */
 struct ql_keeper {
 	ql_keeper_opts_t opts;
+	uint64_t start_us;
 	uint64_t votes_from_us;
 	GHashTable *records;
 	GQueue order;
@@ -238,6 +240,14 @@
 		    uint64_t now_us);
 void ql_keeper_finish(ql_keeper_t *keeper);
 
+/**
+ * ql_keeper_set_retention() - Follow the retention of the configuration.
+ * @keeper: the keeper
+ * @retention_us: how long a key is remembered; also how long after its start
+ *                the keeper is silent
+ */
+void ql_keeper_set_retention(ql_keeper_t *keeper, uint64_t retention_us);
+
 /**
  * ql_keeper_handle() - Answer a message.
  * @keeper: the keeper
@@ -345,10 +355,18 @@
  * @claim: the claim
  * @now_us: the time
  *
+ * Nothing happens while less than a majority has answered.
+ *
  * Return: what to do next.
  */
 ql_claim_action_t ql_claim_hasten(ql_claim_t *claim, uint64_t now_us);
 
+/**
+ * ql_claim_give_up() - End a claim that was not decided in time.
+ * @claim: the claim; it ends as QL_CLAIM_NO_QUORUM
+ */
+void ql_claim_give_up(ql_claim_t *claim);
+
 /**
  * ql_claim_note() - Build the message that ends a claim to run.
  * @claim: the claim
--- a/src/control/config_state.c
+++ b/src/control/config_state.c
@@ -109,6 +109,12 @@
 	ret = ql_document_compile(out, json, state->doc->version + 1, error);
 	json_decref(json);
 	json_decref(patch);
+	if (!ret)
+		ret = ql_document_check_keepers(state->doc, *out, error);
+	if (ret) {
+		ql_document_unref(*out);
+		*out = NULL;
+	}
 	return ret;
 }
 
--- a/src/policy/claim.c
+++ b/src/policy/claim.c
@@ -389,10 +389,18 @@
 		return QL_CLAIM_DONE;
 	if (now_us - claim->start_us >= QL_CLAIM_START_MAX_US)
 		return finish(claim, QL_CLAIM_LAPSED);
+	if (!has_majority(claim, claim->answering))
+		return QL_CLAIM_WAIT;
 	claim->settled = all_keepers(claim);
 	return judge(claim);
 }
 
+void ql_claim_give_up(ql_claim_t *claim)
+{
+	if (claim->result == QL_CLAIM_PENDING)
+		claim->result = QL_CLAIM_NO_QUORUM;
+}
+
 void ql_claim_note(const ql_claim_t *claim, ql_claim_request_t *request,
 		   ql_claim_note_t note, GBytes *answer)
 {
--- a/src/policy/claim_keeper.c
+++ b/src/policy/claim_keeper.c
@@ -26,12 +26,19 @@
 {
 	memset(keeper, 0, sizeof(*keeper));
 	keeper->opts = *opts;
+	keeper->start_us = now_us;
 	keeper->votes_from_us = now_us + opts->retention_us;
 	keeper->records = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						record_free);
 	g_queue_init(&keeper->order);
 }
 
+void ql_keeper_set_retention(ql_keeper_t *keeper, uint64_t retention_us)
+{
+	keeper->opts.retention_us = retention_us;
+	keeper->votes_from_us = keeper->start_us + retention_us;
+}
+
 void ql_keeper_finish(ql_keeper_t *keeper)
 {
 	g_hash_table_destroy(keeper->records);
--- a/tests/control/config_state_test.cc
+++ b/tests/control/config_state_test.cc
@@ -67,6 +67,31 @@
 	EXPECT_EQ(3u, state.doc->version);
 }
 
+TEST_F(ConfigState, RefusesNewKeepersWithoutTheOld)
+{
+	std::string members, slots = "[[\"k0\",\"k1\",\"k2\"]]",
+			     next = "[[\"k1\",\"k2\",\"k3\"]]";
+
+	for (int i = 0; i < 4; i++)
+		members += (i ? ",\"k" : "\"k") + std::to_string(i) +
+			   "\":{\"address\":\"127.0.0.1:2400" +
+			   std::to_string(i) + "\",\"failure_domain\":\"d" +
+			   std::to_string(i) + "\"}";
+	EXPECT_EQ(0, apply("a", 0, FIRST).status);
+	EXPECT_EQ(0, apply("b", 1,
+			   "{\"keepers\":{\"members\":{" + members +
+				   "},\"slots\":" + slots + "}}")
+			     .status);
+	EXPECT_EQ(
+		QL_E_CONFLICT,
+		apply("c", 2, "{\"keepers\":{\"slots\":" + next + "}}").status);
+	EXPECT_EQ(2u, state.doc->version);
+	EXPECT_EQ(0, apply("d", 2,
+			   "{\"keepers\":{\"slots\":" + next +
+				   ",\"previous_slots\":" + slots + "}}")
+			     .status);
+}
+
 TEST_F(ConfigState, RefusesAnIdWithAnotherPatch)
 {
 	EXPECT_EQ(0, apply("a", 0, FIRST).status);
--- a/tests/policy/claim_world.h
+++ b/tests/policy/claim_world.h
@@ -130,6 +130,10 @@
 			Hasten(which);
 		else if (what < 57)
 			Expire();
+		else if (what < 62)
+			Fail(which);
+		else if (what < 64)
+			GiveUp(which);
 		else
 			Deliver(which);
 	}
@@ -272,6 +276,33 @@
 			Act(index, ql_claim_hasten(&copy.claim, now_us_));
 	}
 
+	/* One keeper is not reached by one copy. */
+	void Fail(uint8_t which)
+	{
+		if (copies_.empty())
+			return;
+		size_t index = which % copies_.size();
+		Copy &copy = *copies_[index];
+
+		if (copy.alive && copy.pending)
+			Act(index, ql_claim_take(&copy.claim, copy.claim.step,
+						 which % options_.n_keepers,
+						 nullptr, now_us_));
+	}
+
+	void GiveUp(uint8_t which)
+	{
+		if (copies_.empty())
+			return;
+		size_t index = which % copies_.size();
+		Copy &copy = *copies_[index];
+
+		if (!copy.alive || !copy.pending)
+			return;
+		ql_claim_give_up(&copy.claim);
+		Act(index, QL_CLAIM_DONE);
+	}
+
 	void Act(size_t index, ql_claim_action_t action)
 	{
 		Copy &copy = *copies_[index];
