--- /dev/null
+++ b/src/control/rpc/replica.x
@@ -0,0 +1,144 @@
+/*
+ * Messages between the replicas of the configuration, and what operators ask
+ * of one.
+ */
+
+%#include "control.h"
+
+const QL_REPLICA_MEMBERS_MAX = 32;
+const QL_REPLICA_ENTRIES_MAX = 256;
+const QL_REPLICA_PIECE_MAX = 262144;
+const QL_REPLICA_PAYLOAD_MAX = 1052672;
+const QL_REPLICA_STATE_MAX = 67108864;
+const QL_REPLICA_BATCH_MAX = 64;
+
+enum ql_replica_entry_kind {
+	QL_REPLICA_ENTRY_NONE = 0,
+	QL_REPLICA_ENTRY_MEMBERS = 1,
+	QL_REPLICA_ENTRY_PATCH = 2
+};
+
+struct ql_rpc_replica_entry {
+	unsigned hyper term;
+	unsigned int kind;
+	opaque payload<QL_REPLICA_PAYLOAD_MAX>;
+};
+
+struct ql_rpc_replica_member {
+	unsigned hyper id;
+	string address<QL_RPC_ADDRESS_MAX>;
+	bool voter;
+};
+
+struct ql_rpc_replica_members {
+	ql_rpc_replica_member members<QL_REPLICA_MEMBERS_MAX>;
+};
+
+/* Payload of an entry of kind QL_REPLICA_ENTRY_PATCH. */
+struct ql_rpc_replica_patch {
+	string id<QL_RPC_KEY_MAX>;
+	unsigned hyper base_version;
+	opaque text<QL_RPC_PATCH_MAX>;
+};
+
+/* Content of a snapshot. */
+struct ql_rpc_replica_snapshot {
+	ql_rpc_replica_members members;
+	opaque state<QL_REPLICA_STATE_MAX>;
+};
+
+enum ql_replica_message_type {
+	QL_REPLICA_PRE_VOTE = 0,
+	QL_REPLICA_PRE_VOTE_ANSWER = 1,
+	QL_REPLICA_VOTE = 2,
+	QL_REPLICA_VOTE_ANSWER = 3,
+	QL_REPLICA_APPEND = 4,
+	QL_REPLICA_APPEND_ANSWER = 5,
+	QL_REPLICA_SNAPSHOT = 6,
+	QL_REPLICA_SNAPSHOT_ANSWER = 7
+};
+
+/*
+ * index and index_term: the last entry of a candidate, the entry before
+ * entries, the last entry that an answer confirms, or that of a snapshot.
+ * round: a number of the leader, echoed by the answer.
+ */
+struct ql_rpc_replica_message {
+	ql_replica_message_type type;
+	unsigned hyper from;
+	unsigned hyper to;
+	unsigned hyper term;
+	unsigned hyper index;
+	unsigned hyper index_term;
+	unsigned hyper commit;
+	unsigned hyper round;
+	bool granted;
+	ql_rpc_replica_entry entries<QL_REPLICA_ENTRIES_MAX>;
+	unsigned hyper offset;
+	unsigned hyper total;
+	opaque piece<QL_REPLICA_PIECE_MAX>;
+};
+
+struct ql_rpc_replica_deliver_args {
+	ql_rpc_greeting greeting;
+	string address<QL_RPC_ADDRESS_MAX>;
+	ql_rpc_replica_message messages<QL_REPLICA_BATCH_MAX>;
+};
+
+struct ql_rpc_replica_deliver_res {
+	int status;
+	string detail<QL_RPC_DETAIL_MAX>;
+	unsigned hyper clock;
+};
+
+struct ql_rpc_replica_status_args {
+	ql_rpc_greeting greeting;
+};
+
+/* log_index 0 and no members: this replica has never belonged to a cluster. */
+struct ql_rpc_replica_status_res {
+	int status;
+	string detail<QL_RPC_DETAIL_MAX>;
+	unsigned hyper clock;
+	unsigned hyper id;
+	unsigned hyper leader;
+	string leader_address<QL_RPC_ADDRESS_MAX>;
+	unsigned hyper term;
+	string role<QL_RPC_NAME_MAX>;
+	unsigned hyper log_index;
+	unsigned hyper commit;
+	unsigned hyper applied;
+	unsigned hyper config_version;
+	ql_rpc_replica_members members;
+	bool members_settled;
+};
+
+enum ql_replica_change_kind {
+	QL_REPLICA_ADD_LEARNER = 0,
+	QL_REPLICA_PROMOTE = 1,
+	QL_REPLICA_REMOVE = 2
+};
+
+/* An operator changes the members; the answer is QL_E_PENDING until it is
+ * committed, so the same call is made again until it is settled. */
+struct ql_rpc_replica_change_args {
+	ql_rpc_greeting greeting;
+	ql_replica_change_kind kind;
+	unsigned hyper id;
+	string address<QL_RPC_ADDRESS_MAX>;
+};
+
+struct ql_rpc_replica_change_res {
+	int status;
+	string detail<QL_RPC_DETAIL_MAX>;
+	unsigned hyper clock;
+	string leader_address<QL_RPC_ADDRESS_MAX>;
+};
+
+program QL_REPLICA_PROGRAM {
+	version QL_REPLICA_V1 {
+		ql_rpc_replica_deliver_res QL_REPLICA_DELIVER(ql_rpc_replica_deliver_args) = 1;
+		ql_rpc_replica_status_res QL_REPLICA_STATUS(ql_rpc_replica_status_args) = 2;
+		ql_rpc_replica_change_res QL_REPLICA_CHANGE(ql_rpc_replica_change_args) = 3;
+	} = 1;
+} = 0x20517a02;
--- /dev/null
+++ b/src/store/frame.c
@@ -0,0 +1,80 @@
+#include "store/frame.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Holds bytes that JSON text and XDR padding do not. */
+static const guint8 magic[8] = {0x9f, 'q', 'l', 0x00, 0xf5, 'f', 0x01, 0xff};
+
+/* magic, length of the payload, checksum; numbers are big endian. */
+#define LENGTH_OFFSET 8
+#define CHECKSUM_OFFSET 16
+
+static uint64_t checksum(const ql_frame_place_t *place, const void *payload,
+			 size_t length)
+{
+	uint64_t seed =
+		XXH3_64bits_withSeed(&place->offset, sizeof(place->offset),
+				     place->file);
+
+	return XXH3_64bits_withSeed(payload, length, seed ^ length);
+}
+
+void ql_frame_append(GByteArray *out, const ql_frame_place_t *place,
+		     const void *payload, size_t length)
+{
+	uint64_t number;
+
+	g_byte_array_append(out, magic, sizeof(magic));
+	number = GUINT64_TO_BE((uint64_t)length);
+	g_byte_array_append(out, (guint8 *)&number, sizeof(number));
+	number = GUINT64_TO_BE(checksum(place, payload, length));
+	g_byte_array_append(out, (guint8 *)&number, sizeof(number));
+	g_byte_array_append(out, payload, (guint)length);
+}
+
+static uint64_t read_number(const guint8 *from)
+{
+	uint64_t number;
+
+	memcpy(&number, from, sizeof(number));
+	return GUINT64_FROM_BE(number);
+}
+
+bool ql_frame_read(const guint8 **payload, size_t *length,
+		   const GByteArray *file, const ql_frame_place_t *place)
+{
+	const guint8 *frame = file->data + place->offset;
+	uint64_t room = file->len - place->offset;
+
+	if (room < QL_FRAME_HEADER_BYTES ||
+	    memcmp(frame, magic, sizeof(magic)) != 0)
+		return false;
+	*length = read_number(frame + LENGTH_OFFSET);
+	if (*length > room - QL_FRAME_HEADER_BYTES)
+		return false;
+	*payload = frame + QL_FRAME_HEADER_BYTES;
+	return read_number(frame + CHECKSUM_OFFSET) ==
+	       checksum(place, *payload, *length);
+}
+
+bool ql_frame_exists_after(const GByteArray *file,
+			   const ql_frame_place_t *place)
+{
+	ql_frame_place_t next = {.file = place->file};
+	const guint8 *payload, *found;
+	size_t length;
+
+	next.offset = place->offset + 1;
+	while (next.offset < file->len) {
+		found = memmem(file->data + next.offset,
+			       file->len - next.offset, magic, sizeof(magic));
+		if (!found)
+			return false;
+		next.offset = (uint64_t)(found - file->data);
+		if (ql_frame_read(&payload, &length, file, &next))
+			return true;
+		next.offset++;
+	}
+	return false;
+}
