Replicate the configuration through a log with terms

Cause: the configuration had one replica; a patch that it accepted was lost with its disk, and nothing told an old copy from a current one. The commit index is synced before an entry is applied, so that what a replica has shown it shows again after a restart. Ruled out: messages of many entries in the exploration; with one entry each an old entry and the first of the new term can be counted apart.

--- /dev/null
+++ b/src/control/replica_disk.c
@@ -0,0 +1,114 @@
+#include "control/replica_private.h"
+
+#include <string.h>
+
+void ql_replica__require_write(ql_replica_t *replica)
+{
+	replica->required = replica->taken + 1;
+}
+
+static bool has_news(const ql_replica_t *replica)
+{
+	return replica->required > replica->taken || replica->restart ||
+	       replica->state.commit > replica->writing_commit;
+}
+
+static void take_entries(ql_replica_t *replica, ql_replica_write_t *write,
+			 uint64_t from)
+{
+	size_t i;
+
+	write->n_entries = ql_replica_last_index(replica) + 1 - from;
+	write->entries = g_new0(ql_journal_entry_t, write->n_entries);
+	for (i = 0; i < write->n_entries; i++) {
+		write->entries[i] = *ql_replica__entry(replica, from + i);
+		g_bytes_ref(write->entries[i].payload);
+	}
+}
+
+static void take_base(ql_replica_t *replica, ql_replica_write_t *write)
+{
+	write->restart = true;
+	write->base.snapshot = replica->snapshot;
+	g_bytes_ref(write->base.snapshot.data);
+	write->base.base_index = replica->base_index;
+	write->base.base_term = replica->base_term;
+	write->base.entries = write->entries;
+	write->base.n_entries = write->n_entries;
+	replica->restart = false;
+}
+
+bool ql_replica_take_write(ql_replica_t *replica, ql_replica_write_t *write)
+{
+	if (replica->failed || replica->taken > replica->done ||
+	    !has_news(replica))
+		return false;
+	memset(write, 0, sizeof(*write));
+	write->sequence = ++replica->taken;
+	write->state = replica->state;
+	take_entries(replica, write,
+		     replica->restart ? replica->base_index + 1
+				      : replica->unwritten);
+	if (replica->restart)
+		take_base(replica, write);
+	replica->unwritten = ql_replica_last_index(replica) + 1;
+	replica->writing_last = ql_replica_last_index(replica);
+	replica->writing_commit = replica->state.commit;
+	return true;
+}
+
+int ql_replica_write_run(const ql_replica_write_t *write, ql_journal_t *journal,
+			 GError **error)
+{
+	if (write->restart)
+		return ql_journal_restart(journal, &write->state, &write->base,
+					  error);
+	return ql_journal_write(journal, &write->state, write->entries,
+				write->n_entries, error);
+}
+
+void ql_replica_write_finish(ql_replica_write_t *write)
+{
+	size_t i;
+
+	for (i = 0; i < write->n_entries; i++)
+		g_bytes_unref(write->entries[i].payload);
+	g_free(write->entries);
+	g_clear_pointer(&write->base.snapshot.data, g_bytes_unref);
+}
+
+void ql_replica__apply(ql_replica_t *replica)
+{
+	uint64_t last = MIN(replica->synced_commit, replica->synced_index);
+	const ql_journal_entry_t *entry;
+
+	if (replica->snapshot.index > replica->applied &&
+	    replica->snapshot.index <= last &&
+	    ql_replica__restore_snapshot(replica, NULL)) {
+		replica->failed = true;
+		return;
+	}
+	while (replica->applied < last) {
+		entry = ql_replica__entry(replica, ++replica->applied);
+		replica->ops->apply(replica->data, entry);
+	}
+	if (replica->applied >=
+	    replica->snapshot.index + replica->opts.snapshot_entries)
+		ql_replica__take_snapshot(replica);
+}
+
+void ql_replica_write_done(ql_replica_t *replica, uint64_t sequence)
+{
+	if (replica->failed || sequence != replica->taken)
+		return;
+	replica->done = sequence;
+	replica->synced_index = replica->writing_last;
+	replica->synced_commit = replica->writing_commit;
+	ql_replica__release_held(replica);
+	if (replica->role == QL_REPLICA_CANDIDATE &&
+	    replica->required <= replica->done)
+		ql_replica__vote_for_self(replica);
+	ql_replica__advance_commit(replica);
+	ql_replica__apply(replica);
+	ql_replica__finish_reads(replica);
+}
--- /dev/null
+++ b/src/control/replica_read.c
@@ -0,0 +1,84 @@
+#include "control/replica_private.h"
+#include "quetzalloft/error.h"
+
+#include <stdlib.h>
+
+typedef struct {
+	uint64_t round;
+	uint64_t index;
+	uint64_t token;
+} read_t;
+
+int ql_replica_read(ql_replica_t *replica, uint64_t token)
+{
+	read_t *read;
+
+	if (replica->role != QL_REPLICA_LEADER)
+		return QL_E_NOT_LEADER;
+	if (replica->state.commit < replica->term_start)
+		return QL_E_PENDING;
+	read = g_new(read_t, 1);
+	read->round = ++replica->round;
+	read->index = replica->state.commit;
+	read->token = token;
+	g_queue_push_tail(&replica->reads, read);
+	ql_replica__broadcast(replica);
+	ql_replica__finish_reads(replica);
+	return 0;
+}
+
+static int compare_rounds(const void *a, const void *b)
+{
+	uint64_t left = *(const uint64_t *)a;
+	uint64_t right = *(const uint64_t *)b;
+
+	return left < right ? 1 : left > right ? -1 : 0;
+}
+
+/* The newest round that a quorum has answered. */
+static uint64_t confirmed_round(const ql_replica_t *replica)
+{
+	uint64_t rounds[QL_REPLICA_MEMBERS_MAX] = {0};
+	const ql_replica_peer_t *peer;
+	size_t n = 0, i;
+
+	for (i = 0; i < replica->n_peers; i++) {
+		peer = &replica->peers[i];
+		if (!peer->voter)
+			continue;
+		rounds[n++] = peer->id == replica->state.identity
+				      ? replica->round
+				      : peer->round;
+	}
+	qsort(rounds, n, sizeof(*rounds), compare_rounds);
+	return rounds[ql_replica__quorum(replica) - 1];
+}
+
+void ql_replica__finish_reads(ql_replica_t *replica)
+{
+	uint64_t confirmed, token;
+	read_t *read;
+
+	if (replica->role != QL_REPLICA_LEADER || !replica->reads.length)
+		return;
+	confirmed = confirmed_round(replica);
+	while ((read = g_queue_peek_head(&replica->reads))) {
+		if (read->round > confirmed || read->index > replica->applied)
+			return;
+		token = read->token;
+		g_free(g_queue_pop_head(&replica->reads));
+		replica->ops->read_done(replica->data, token, 0);
+	}
+}
+
+void ql_replica__fail_reads(ql_replica_t *replica)
+{
+	uint64_t token;
+	read_t *read;
+
+	while ((read = g_queue_pop_head(&replica->reads))) {
+		token = read->token;
+		g_free(read);
+		replica->ops->read_done(replica->data, token, QL_E_NOT_LEADER);
+	}
+}
--- a/src/control/rpc/replica.h
+++ b/src/control/rpc/replication.h
@@ -3,8 +3,8 @@
  * It was generated using rpcgen.
  */
 
-#ifndef _REPLICA_H_RPCGEN
-#define _REPLICA_H_RPCGEN
+#ifndef _REPLICATION_H_RPCGEN
+#define _REPLICATION_H_RPCGEN
 
 #include <rpc/rpc.h>
 
@@ -241,4 +241,4 @@
 }
 #endif
 
-#endif /* !_REPLICA_H_RPCGEN */
+#endif /* !_REPLICATION_H_RPCGEN */
--- a/src/control/rpc/replica_xdr.c
+++ b/src/control/rpc/replication_xdr.c
@@ -3,7 +3,7 @@
  * It was generated using rpcgen.
  */
 
-#include "replica.h"
+#include "replication.h"
 #include "control.h"
 
 bool_t
--- a/src/store/frame.c
+++ b/src/store/frame.c
@@ -44,11 +44,13 @@
 bool ql_frame_read(const guint8 **payload, size_t *length,
 		   const GByteArray *file, const ql_frame_place_t *place)
 {
-	const guint8 *frame = file->data + place->offset;
 	uint64_t room = file->len - place->offset;
+	const guint8 *frame;
 
-	if (room < QL_FRAME_HEADER_BYTES ||
-	    memcmp(frame, magic, sizeof(magic)) != 0)
+	if (room < QL_FRAME_HEADER_BYTES)
+		return false;
+	frame = file->data + place->offset;
+	if (memcmp(frame, magic, sizeof(magic)) != 0)
 		return false;
 	*length = read_number(frame + LENGTH_OFFSET);
 	if (*length > room - QL_FRAME_HEADER_BYTES)
--- a/src/store/journal.c
+++ b/src/store/journal.c
@@ -281,6 +281,7 @@
 		g_array_set_size(journal->entries, 0);
 		journal->base_index = journal->snapshot.index;
 		journal->base_term = journal->snapshot.term;
+		journal->detached = true;
 	}
 	journal->state.commit =
 		MAX(journal->state.commit, journal->snapshot.index);
@@ -367,7 +368,7 @@
 		     GError **error)
 {
 	ql_journal_frame_t frame = {
-		.restart = !journal->segment,
+		.restart = !journal->segment || journal->detached,
 		.base_index = journal->base_index,
 		.base_term = journal->base_term,
 		.state = *state,
@@ -383,6 +384,7 @@
 		ret = append_frame(journal, &frame, error);
 	g_array_unref(frame.entries);
 	journal->failed = ret != 0;
+	journal->detached = false;
 	journal->state = *state;
 	if (!journal->first_segment)
 		journal->first_segment = journal->segment;
@@ -455,6 +457,7 @@
 		ret = remove_old_segments(journal, error);
 	g_array_unref(frame.entries);
 	journal->failed = ret != 0;
+	journal->detached = false;
 	journal->state = *state;
 	journal->base_index = base->base_index;
 	journal->base_term = base->base_term;
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -70,6 +70,8 @@
  * @segment_bytes: length of that file
  * @bytes_read: read by ql_journal_open()
  * @bytes_cut: length of the torn tail that ql_journal_open() cut
+ * @detached: the last file ends before the snapshot, so that the next write
+ *            has to begin a new one
  * @failed: a write failed, so that only a restart can tell what is on the disk
  */
 typedef struct ql_journal {
@@ -84,6 +86,7 @@
 	uint64_t segment_bytes;
 	uint64_t bytes_read;
 	uint64_t bytes_cut;
+	bool detached;
 	bool failed;
 } ql_journal_t;
 
--- /dev/null
+++ b/tests/control/replica_world.cc
@@ -0,0 +1,832 @@
+#include "control/replica_world.h"
+#include "control/replica_private.h"
+#include "quetzalloft/error.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace
+{
+
+const size_t SPARES = 2;
+const size_t BAG_MAX = 400;
+const size_t SETTLE_ROUNDS = 400;
+/* Enough for the first election. */
+const size_t FIRST_TICKS = 20;
+
+/* How often random bytes choose each operation, of 256. */
+const std::pair<WorldOp, unsigned int> WEIGHTS[] = {
+	{OP_TICK, 22},	    {OP_TICK_ALL, 6},  {OP_DELIVER, 46},
+	{OP_DROP, 7},	    {OP_REPEAT, 7},    {OP_WRITE, 30},
+	{OP_ROUNDS, 26},    {OP_ISOLATE, 6},   {OP_CUT, 4},
+	{OP_HEAL, 8},	    {OP_CRASH, 7},     {OP_RESTART, 14},
+	{OP_DISK_FAILS, 3}, {OP_LOSE_DISK, 3}, {OP_PATCH, 22},
+	{OP_RESEND, 9},	    {OP_CHANGE, 12},   {OP_READ, 10},
+	{OP_RUN, 14},
+};
+
+WorldOp choose(uint8_t byte)
+{
+	unsigned int left = byte;
+
+	for (const auto &weight : WEIGHTS) {
+		if (left < weight.second)
+			return weight.first;
+		left -= weight.second;
+	}
+	return OP_TICK;
+}
+
+void send_message(void *data, ql_rpc_replica_message *message)
+{
+	WorldNode *node = static_cast<WorldNode *>(data);
+
+	node->world->on_send(node, message);
+}
+
+void read_done(void *data, uint64_t token, int status)
+{
+	WorldNode *node = static_cast<WorldNode *>(data);
+
+	node->world->on_read_done(node, token, status);
+}
+
+void answered(void *, const ql_patch_t *, const ql_patch_answer_t *)
+{
+}
+
+void changed(void *, const ql_config_change_t *)
+{
+}
+
+const ql_replicated_config_ops_t CONFIG_OPS = {send_message, read_done,
+					       answered, changed};
+
+/* Watches what is applied; set in place of the operations of the replica. */
+const ql_replica_ops_t *watched_ops;
+
+void watch_apply(void *data, const ql_journal_entry_t *entry)
+{
+	ql_replicated_config_t *config =
+		static_cast<ql_replicated_config_t *>(data);
+	WorldNode *node = static_cast<WorldNode *>(config->data);
+
+	node->world->on_apply(node, entry);
+	watched_ops->apply(data, entry);
+}
+
+const ql_replica_ops_t *watching(const ql_replica_ops_t *ops)
+{
+	static ql_replica_ops_t with_watch;
+
+	watched_ops = ops;
+	with_watch = *ops;
+	with_watch.apply = watch_apply;
+	return &with_watch;
+}
+
+bool always(const ql_replica_t *, uint64_t)
+{
+	return true;
+}
+
+bool always_settled(const ql_replica_t *)
+{
+	return true;
+}
+
+ql_rpc_replica_message *copy_message(ql_rpc_replica_message *message)
+{
+	xdrproc_t routine = (xdrproc_t)xdr_ql_rpc_replica_message;
+	std::vector<char> bytes(xdr_sizeof(routine, message));
+	auto *copy = static_cast<ql_rpc_replica_message *>(
+		calloc(1, sizeof(*message)));
+	XDR xdr;
+
+	xdrmem_create(&xdr, bytes.data(), (u_int)bytes.size(), XDR_ENCODE);
+	xdr_ql_rpc_replica_message(&xdr, message);
+	xdrmem_create(&xdr, bytes.data(), (u_int)bytes.size(), XDR_DECODE);
+	xdr_ql_rpc_replica_message(&xdr, copy);
+	return copy;
+}
+
+} // namespace
+
+const char *fault_name(Fault fault)
+{
+	switch (fault) {
+	case Fault::SYNC_LEFT_OUT:
+		return "SyncLeftOut";
+	case Fault::VOTE_NOT_STORED:
+		return "VoteNotStored";
+	case Fault::COMMIT_OF_AN_OLD_TERM_BY_COUNT:
+		return "CommitOfAnOldTermByCount";
+	case Fault::EMPTY_DISK_VOTES:
+		return "EmptyDiskVotes";
+	case Fault::SECOND_CHANGE_BEFORE_THE_FIRST_SETTLED:
+		return "SecondChangeBeforeTheFirstSettled";
+	default:
+		return "None";
+	}
+}
+
+Schedule make_schedule(const std::vector<WorldStep> &steps)
+{
+	Schedule schedule;
+
+	for (const auto &step : steps) {
+		unsigned int byte = 0;
+
+		for (const auto &weight : WEIGHTS) {
+			if (weight.first == step.op)
+				break;
+			byte += weight.second;
+		}
+		schedule.push_back((uint8_t)byte);
+		schedule.push_back(step.first);
+		schedule.push_back(step.second);
+	}
+	return schedule;
+}
+
+Schedule random_schedule(uint32_t seed, size_t length)
+{
+	GRand *random = g_rand_new_with_seed(seed);
+	Schedule schedule(length);
+
+	for (auto &byte : schedule)
+		byte = (uint8_t)g_rand_int_range(random, 0, 256);
+	g_rand_free(random);
+	return schedule;
+}
+
+World::World(size_t n_replicas, Fault fault_) : fault(fault_)
+{
+	std::vector<ql_rpc_replica_member> list;
+	ql_rpc_replica_members members;
+
+	rules = ql_replica_rules;
+	if (fault == Fault::COMMIT_OF_AN_OLD_TERM_BY_COUNT)
+		rules.may_commit = always;
+	if (fault == Fault::SECOND_CHANGE_BEFORE_THE_FIRST_SETTLED)
+		rules.members_settled = always_settled;
+	opts = {&rules, nullptr, 6, 2, 8, 3, 1, 4, 64};
+	for (size_t i = 0; i < n_replicas + SPARES; i++) {
+		nodes.push_back(std::make_unique<WorldNode>());
+		nodes[i]->world = this;
+		nodes[i]->slot = i;
+		nodes[i]->address = "127.0.0.1:" + std::to_string(i + 1);
+		nodes[i]->disk.skip_sync = fault == Fault::SYNC_LEFT_OUT;
+		start(*nodes[i]);
+		write(*nodes[i]);
+	}
+	for (size_t i = 0; i < n_replicas; i++)
+		list.push_back({nodes[i]->id,
+				const_cast<char *>(nodes[i]->address.c_str()),
+				TRUE});
+	members.members.members_len = (u_int)list.size();
+	members.members.members_val = list.data();
+	ql_replica_bootstrap(&nodes[0]->config.replica, &members);
+	write(*nodes[0]);
+}
+
+World::~World()
+{
+	for (auto &node : nodes)
+		if (node->up)
+			stop(*node, 0);
+	while (!bag.empty())
+		drop(0);
+}
+
+void World::break_promise(const std::string &what)
+{
+	if (violation.empty())
+		violation = "step " + std::to_string(n_steps) + ": " + what;
+}
+
+void World::start(WorldNode &node)
+{
+	ql_disk_t disk = node.disk.disk();
+	ql_replicated_config_source_t source;
+	GError *error = nullptr;
+
+	if (ql_journal_open(&node.journal, &disk, &error)) {
+		break_promise(std::string("journal: ") + error->message);
+		g_error_free(error);
+		node.broken = true;
+		return;
+	}
+	if (node.synced && !node.journal.state.identity)
+		break_promise("replica " + std::to_string(node.id) +
+			      " comes back without what it had synced");
+	if (!node.journal.state.identity && fault != Fault::EMPTY_DISK_VOTES)
+		node.id = 0;
+	if (!node.id)
+		node.id = next_id++;
+	node.random = g_rand_new_with_seed((guint32)node.id);
+	ql_config_state_init(&node.state);
+	opts.random = node.random;
+	source = {&node.journal, node.id, &node.state};
+	if (ql_replicated_config_init(&node.config, &opts, &source, &CONFIG_OPS,
+				      &node, &error)) {
+		break_promise(std::string("start: ") + error->message);
+		g_error_free(error);
+	}
+	node.config.replica.ops = watching(node.config.replica.ops);
+	node.up = true;
+}
+
+void World::stop(WorldNode &node, unsigned int choice)
+{
+	ql_replicated_config_finish(&node.config);
+	ql_config_state_finish(&node.state);
+	ql_journal_finish(&node.journal);
+	g_rand_free(node.random);
+	node.disk.crash(choice);
+	node.up = false;
+	for (auto read = reads.begin(); read != reads.end();)
+		read = read->second.slot == node.slot ? reads.erase(read)
+						      : std::next(read);
+}
+
+/* Whether a majority of the voters have their disks, without one of them. */
+bool World::majority_is_intact(const WorldNode *without) const
+{
+	VoterSet intact;
+
+	for (const auto &node : nodes)
+		if (node.get() != without)
+			intact.insert(node->id);
+	for (const auto &config : voters) {
+		size_t left = 0;
+
+		for (uint64_t id : config.second)
+			left += intact.count(id);
+		if (left < config.second.size() / 2 + 1)
+			return false;
+	}
+	return true;
+}
+
+/* Before the first members are committed the cluster would start anew. */
+bool World::may_lose_disk(const WorldNode &node) const
+{
+	return !log.empty() && majority_is_intact(&node);
+}
+
+void World::lose_disk(WorldNode &node)
+{
+	if (node.broken || !may_lose_disk(node))
+		return;
+	if (node.up)
+		stop(node, 0);
+	node.disk.wipe();
+	node.synced = false;
+	if (fault != Fault::EMPTY_DISK_VOTES) {
+		node.id = 0;
+	} else {
+		shown.erase(node.id);
+	}
+	start(node);
+}
+
+void World::write(WorldNode &node)
+{
+	ql_replica_write_t todo;
+	int ret;
+
+	if (!node.up || !ql_replica_take_write(&node.config.replica, &todo))
+		return;
+	if (fault == Fault::VOTE_NOT_STORED)
+		todo.state.vote = 0;
+	ret = ql_replica_write_run(&todo, &node.journal, nullptr);
+	ql_replica_write_finish(&todo);
+	if (ret)
+		stop(node, (unsigned int)n_steps * 7);
+	else
+		ql_replica_write_done(&node.config.replica, todo.sequence);
+	node.synced |= !ret;
+}
+
+void World::tick(WorldNode &node)
+{
+	if (node.up)
+		ql_replica_tick(&node.config.replica);
+}
+
+void World::on_send(WorldNode *, ql_rpc_replica_message *message)
+{
+	if (bag.size() >= BAG_MAX)
+		drop(0);
+	bag.push_back(message);
+}
+
+void World::drop(size_t position)
+{
+	ql_replica_message_free(bag[position]);
+	bag.erase(bag.begin() + (ptrdiff_t)position);
+}
+
+void World::deliver(size_t position, bool keep)
+{
+	ql_rpc_replica_message *message = copy_message(bag[position]);
+	WorldNode *from = nullptr, *to = nullptr;
+
+	if (!keep)
+		drop(position);
+	for (auto &node : nodes) {
+		if (node->id == message->from)
+			from = node.get();
+		if (node->id == message->to)
+			to = node.get();
+	}
+	if (to && to->up && !(from && cuts.count({from->slot, to->slot})))
+		ql_replica_deliver(&to->config.replica, message);
+	ql_replica_message_free(message);
+}
+
+/* All disks write, then all messages of that moment are delivered. */
+void World::rounds(size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		size_t waiting;
+
+		for (auto &node : nodes)
+			write(*node);
+		for (waiting = bag.size(); waiting && !bag.empty(); waiting--)
+			deliver(0, false);
+	}
+}
+
+void World::cut(size_t a, size_t b, bool is_cut)
+{
+	if (is_cut) {
+		cuts.insert({a, b});
+		cuts.insert({b, a});
+	} else {
+		cuts.erase({a, b});
+		cuts.erase({b, a});
+	}
+}
+
+void World::heal()
+{
+	cuts.clear();
+}
+
+void World::take_answer(WorldPatch &patch, const ql_patch_answer_t &answer)
+{
+	switch (answer.status) {
+	case QL_E_PENDING:
+	case QL_E_NOT_LEADER:
+	case QL_E_UNAVAILABLE:
+	case QL_E_FULL:
+		return;
+	default:
+		break;
+	}
+	if (patch.answered &&
+	    (patch.status != answer.status || patch.version != answer.version))
+		break_promise("patch " + patch.id + " is answered " +
+			      ql_error_name(answer.status) + " " +
+			      std::to_string(answer.version) + " after " +
+			      ql_error_name(patch.status) + " " +
+			      std::to_string(patch.version));
+	if (patch.answered)
+		return;
+	patch.answered = true;
+	patch.status = answer.status;
+	patch.version = answer.version;
+	if (answer.status)
+		return;
+	n_accepted++;
+	newest_accepted = std::max(newest_accepted, answer.version);
+	if (!accepted_bases.emplace(patch.base, patch.id).second)
+		break_promise("two patches were accepted against version " +
+			      std::to_string(patch.base));
+	if (answer.version != patch.base + 1)
+		break_promise("patch " + patch.id + " became version " +
+			      std::to_string(answer.version));
+}
+
+void World::submit(WorldNode &node, WorldPatch &patch)
+{
+	ql_patch_t submitted = {};
+	ql_patch_answer_t answer;
+
+	if (!node.up)
+		return;
+	g_strlcpy(submitted.id, patch.id.c_str(), sizeof(submitted.id));
+	submitted.base_version = patch.base;
+	submitted.text = patch.text.c_str();
+	submitted.length = patch.text.size();
+	ql_replicated_config_submit(&node.config, &submitted, &answer);
+	ql_replica_flush(&node.config.replica);
+	take_answer(patch, answer);
+}
+
+/* A new patch, mostly against what this node takes for the newest version. */
+void World::race(WorldNode &node, uint8_t choice)
+{
+	auto patch = std::make_unique<WorldPatch>();
+	std::string number = std::to_string(patches.size());
+
+	if (!node.up)
+		return;
+	patch->id = "p" + number;
+	patch->base = node.state.doc->version;
+	if (choice % 8 == 0 && patch->base)
+		patch->base--;
+	patch->text = "{\"site\":\"s" + number +
+		      "\",\"attempts\":3,\"classes\":{},\"services\":{},"
+		      "\"routes\":{}}";
+	patches.push_back(std::move(patch));
+	submit(node, *patches.back());
+}
+
+void World::read(WorldNode &node)
+{
+	uint64_t token = next_read++;
+
+	if (!node.up)
+		return;
+	reads[token] = {node.slot, newest_accepted};
+	if (ql_replica_read(&node.config.replica, token))
+		reads.erase(token);
+}
+
+void World::on_read_done(WorldNode *node, uint64_t token, int status)
+{
+	auto found = reads.find(token);
+
+	if (found == reads.end())
+		return;
+	if (!status) {
+		n_reads++;
+		if (node->state.doc->version < found->second.least_version)
+			break_promise(
+				"a read is answered as current with "
+				"version " +
+				std::to_string(node->state.doc->version) +
+				" after version " +
+				std::to_string(found->second.least_version) +
+				" was accepted");
+	}
+	reads.erase(found);
+}
+
+/* The change that is next for a replica: learner, voter, out. */
+void World::change(WorldNode &node, uint8_t choice)
+{
+	WorldNode &other = *nodes[choice % nodes.size()];
+	ql_replica_change_t wish = {};
+	const ql_replica_peer_t *peer;
+
+	/* An identity that is not on the disk yet is no identity. */
+	if (!node.up || !other.up || !other.config.replica.done)
+		return;
+	peer = ql_replica_find(&node.config.replica, other.id);
+	wish.kind = !peer	  ? QL_REPLICA_ADD_LEARNER
+		    : peer->voter ? QL_REPLICA_REMOVE
+				  : QL_REPLICA_PROMOTE;
+	wish.id = other.id;
+	wish.address = other.address.c_str();
+	ql_replica_change_members(&node.config.replica, &wish, nullptr);
+	ql_replica_flush(&node.config.replica);
+}
+
+/* Half of the choices mean the leader. */
+WorldNode &World::pick(uint8_t choice)
+{
+	WorldNode *found = choice >= 128 ? leader() : nullptr;
+
+	return found ? *found : *nodes[choice % nodes.size()];
+}
+
+/* Time passes for all, and what was sent arrives. */
+void World::run_for(size_t n_ticks)
+{
+	for (size_t i = 0; i < n_ticks; i++) {
+		for (auto &node : nodes)
+			tick(*node);
+		rounds(2);
+		check();
+	}
+}
+
+void World::step_message(uint8_t op, uint8_t first)
+{
+	size_t position;
+
+	if (bag.empty())
+		return;
+	position = first % bag.size();
+	if (op == OP_DROP)
+		drop(position);
+	else
+		deliver(position, op == OP_REPEAT);
+}
+
+void World::step_failure(uint8_t op, uint8_t first, uint8_t second)
+{
+	WorldNode &node = pick(first);
+	size_t other = second % nodes.size();
+
+	switch (op) {
+	case OP_ISOLATE:
+		for (size_t i = 0; i < nodes.size(); i++)
+			if (i != node.slot)
+				cut(node.slot, i, true);
+		break;
+	case OP_CUT:
+		if (other != node.slot)
+			cut(node.slot, other, second < 128);
+		break;
+	case OP_HEAL:
+		heal();
+		break;
+	case OP_CRASH:
+		if (node.up)
+			stop(node, second);
+		break;
+	case OP_RESTART:
+		if (!node.up && !node.broken)
+			start(node);
+		break;
+	case OP_DISK_FAILS:
+		if (node.up)
+			node.disk.calls_until_failure = second % 8;
+		break;
+	default:
+		lose_disk(node);
+		break;
+	}
+}
+
+void World::step_operator(uint8_t op, uint8_t first, uint8_t second)
+{
+	WorldNode &node = pick(first);
+
+	switch (op) {
+	case OP_PATCH:
+		race(node, second);
+		break;
+	case OP_RESEND:
+		if (!patches.empty())
+			submit(node, *patches[second % patches.size()]);
+		break;
+	case OP_READ:
+		read(node);
+		break;
+	default:
+		change(node, second);
+		break;
+	}
+}
+
+void World::step(uint8_t op, uint8_t first, uint8_t second)
+{
+	switch (op) {
+	case OP_TICK:
+		for (int i = 0; i <= second % 12; i++)
+			tick(pick(first));
+		break;
+	case OP_TICK_ALL:
+		for (auto &node : nodes)
+			for (int i = 0; i <= first % 4; i++)
+				tick(*node);
+		break;
+	case OP_DELIVER:
+	case OP_DROP:
+	case OP_REPEAT:
+		step_message(op, first);
+		break;
+	case OP_WRITE:
+		write(pick(first));
+		break;
+	case OP_ROUNDS:
+		rounds(1 + first % 6);
+		break;
+	case OP_RUN:
+		run_for(1 + first % 16);
+		break;
+	case OP_PATCH:
+	case OP_RESEND:
+	case OP_READ:
+	case OP_CHANGE:
+		step_operator(op, first, second);
+		break;
+	default:
+		step_failure(op, first, second);
+		break;
+	}
+}
+
+void World::on_apply(WorldNode *node, const ql_journal_entry_t *entry)
+{
+	gsize length;
+	const char *data = static_cast<const char *>(
+		g_bytes_get_data(entry->payload, &length));
+	std::pair<uint64_t, std::string> seen = {entry->term,
+						 std::string(data, length)};
+	auto found = log.emplace(entry->index, seen);
+
+	if (!found.second && found.first->second != seen)
+		break_promise("replica " + std::to_string(node->id) +
+			      " applies another entry " +
+			      std::to_string(entry->index));
+}
+
+void World::check_leader(const WorldNode &node)
+{
+	const ql_replica_t &replica = node.config.replica;
+
+	if (replica.role != QL_REPLICA_LEADER)
+		return;
+	auto found = leaders.emplace(replica.state.term, node.id);
+
+	if (found.first->second != node.id)
+		break_promise("two leaders in term " +
+			      std::to_string(replica.state.term));
+}
+
+void World::check_versions(const WorldNode &node)
+{
+	uint64_t version = node.state.doc->version;
+	auto digest = digests.emplace(version, node.state.doc->digest);
+	auto newest = shown.emplace(node.id, version);
+
+	if (digest.first->second != node.state.doc->digest)
+		break_promise("two documents of version " +
+			      std::to_string(version));
+	if (version < newest.first->second)
+		break_promise("replica " + std::to_string(node.id) +
+			      " falls from version " +
+			      std::to_string(newest.first->second) + " to " +
+			      std::to_string(version));
+	newest.first->second = version;
+}
+
+/* Members older than those that a replica has applied count no more. */
+void World::note_members(const WorldNode &node)
+{
+	const ql_replica_t &replica = node.config.replica;
+	uint64_t index = replica.members_index;
+	VoterSet set;
+
+	for (size_t i = 0; i < replica.n_peers; i++)
+		if (replica.peers[i].voter)
+			set.insert(replica.peers[i].id);
+	if (set.empty())
+		return;
+	voters[{index, ql_replica__term_at(&replica, index)}] = set;
+	if (index <= replica.applied)
+		voters.erase(voters.begin(), voters.lower_bound({index, 0}));
+}
+
+void World::check()
+{
+	for (auto &node : nodes) {
+		if (!node->up)
+			continue;
+		check_leader(*node);
+		check_versions(*node);
+		note_members(*node);
+	}
+}
+
+WorldNode *World::leader()
+{
+	WorldNode *newest = nullptr;
+
+	for (auto &node : nodes) {
+		const ql_replica_t &replica = node->config.replica;
+
+		if (node->up && replica.role == QL_REPLICA_LEADER &&
+		    (!newest ||
+		     newest->config.replica.state.term < replica.state.term))
+			newest = node.get();
+	}
+	return newest;
+}
+
+/* Submits one more patch, or asks again for its answer. */
+bool World::settle_patch()
+{
+	WorldNode *node = leader();
+
+	if (!node)
+		return false;
+	if (!last || (last->answered && last->status)) {
+		auto patch = std::make_unique<WorldPatch>();
+
+		patch->id = "last" + std::to_string(patches.size());
+		patch->base = node->state.doc->version;
+		patch->text = "{\"site\":\"last\",\"attempts\":4,"
+			      "\"classes\":{},\"services\":{},"
+			      "\"routes\":{}}";
+		last = patch.get();
+		patches.push_back(std::move(patch));
+	}
+	if (!last->answered)
+		submit(*node, *last);
+	return last->answered && !last->status;
+}
+
+bool World::voters_hold_newest()
+{
+	const WorldNode *first = leader();
+	const ql_replica_peer_t *peer;
+
+	for (const auto &node : nodes) {
+		peer = ql_replica_find(&first->config.replica, node->id);
+		if (node->up && peer && peer->voter &&
+		    node->state.doc->version < newest_accepted)
+			return false;
+	}
+	return true;
+}
+
+/* Whether a last patch gets its answer and all voters hold it. */
+bool World::settle()
+{
+	for (size_t i = 0; i < SETTLE_ROUNDS && violation.empty(); i++) {
+		for (auto &node : nodes)
+			tick(*node);
+		rounds(2);
+		check();
+		if (settle_patch() && voters_hold_newest())
+			return true;
+	}
+	return false;
+}
+
+std::string World::describe() const
+{
+	std::string text;
+
+	for (const auto &node : nodes) {
+		const ql_replica_t &replica = node->config.replica;
+		char line[256];
+
+		g_snprintf(line, sizeof(line),
+			   "\n%zu: id %u %s term %u leader %u log %u..%u "
+			   "commit %u applied %u synced %u/%u snapshot %u "
+			   "version %u members %u:",
+			   node->slot, (unsigned int)node->id,
+			   node->up ? ql_replica_role_name(&replica) : "down",
+			   (unsigned int)replica.state.term,
+			   (unsigned int)replica.leader,
+			   (unsigned int)replica.base_index,
+			   (unsigned int)ql_replica_last_index(&replica),
+			   (unsigned int)replica.state.commit,
+			   (unsigned int)replica.applied,
+			   (unsigned int)replica.synced_index,
+			   (unsigned int)replica.synced_commit,
+			   (unsigned int)replica.snapshot.index,
+			   (unsigned int)node->state.doc->version,
+			   (unsigned int)replica.members_index);
+		text += line;
+		for (size_t i = 0; i < replica.n_peers; i++)
+			text += (replica.peers[i].voter ? " v" : " l") +
+				std::to_string(replica.peers[i].id);
+	}
+	return text;
+}
+
+void World::finish()
+{
+	heal();
+	for (auto &node : nodes) {
+		node->disk.calls_until_failure = FakeDisk::NEVER;
+		if (!node->up && !node->broken)
+			start(*node);
+	}
+	check();
+	/* A voter may have been removed just after another had lost its disk.
+	 */
+	if (!majority_is_intact(nullptr))
+		return;
+	if (!settle())
+		break_promise("no progress after all was healed" + describe());
+	if (!violation.empty())
+		return;
+	for (auto &patch : patches)
+		if (patch->answered)
+			submit(*leader(), *patch);
+}
+
+void World::run(const Schedule &schedule)
+{
+	size_t i;
+
+	run_for(FIRST_TICKS);
+	for (i = 0; i + 2 < schedule.size() && violation.empty(); i += 3) {
+		n_steps++;
+		step(choose(schedule[i]), schedule[i + 1], schedule[i + 2]);
+		check();
+	}
+	if (violation.empty())
+		finish();
+}
--- /dev/null
+++ b/tests/control/replica_world.h
@@ -0,0 +1,184 @@
+#ifndef QL_TESTS_CONTROL_REPLICA_WORLD_H
+#define QL_TESTS_CONTROL_REPLICA_WORLD_H
+
+/*
+ * Replicas, a bag of messages and fake disks, driven by a schedule that is a
+ * string of bytes. What must always hold is checked after each step.
+ */
+
+#include "control/replicated_config.h"
+#include "store/fake_disk.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+/* Known faults, to show that the checks find them. */
+enum class Fault {
+	NONE,
+	SYNC_LEFT_OUT,
+	VOTE_NOT_STORED,
+	COMMIT_OF_AN_OLD_TERM_BY_COUNT,
+	EMPTY_DISK_VOTES,
+	SECOND_CHANGE_BEFORE_THE_FIRST_SETTLED,
+};
+
+const char *fault_name(Fault fault);
+
+using Schedule = std::vector<uint8_t>;
+
+/* Operations of a schedule; each is followed by two bytes. */
+enum WorldOp : uint8_t {
+	OP_TICK,
+	OP_TICK_ALL,
+	OP_DELIVER,
+	OP_DROP,
+	OP_REPEAT,
+	OP_WRITE,
+	OP_ROUNDS,
+	OP_ISOLATE,
+	OP_CUT,
+	OP_HEAL,
+	OP_CRASH,
+	OP_RESTART,
+	OP_DISK_FAILS,
+	OP_LOSE_DISK,
+	OP_PATCH,
+	OP_RESEND,
+	OP_CHANGE,
+	OP_READ,
+	OP_RUN,
+};
+
+struct WorldStep {
+	WorldOp op;
+	uint8_t first;
+	uint8_t second;
+};
+
+/* A schedule of chosen steps. */
+Schedule make_schedule(const std::vector<WorldStep> &steps);
+
+/* A schedule of random bytes. */
+Schedule random_schedule(uint32_t seed, size_t length);
+
+class World;
+
+struct WorldNode {
+	World *world;
+	size_t slot;
+	uint64_t id = 0;
+	std::string address;
+	FakeDisk disk;
+	bool up = false;
+	bool broken = false;
+	/* Something was synced on this disk. */
+	bool synced = false;
+	ql_journal_t journal;
+	ql_config_state_t state;
+	ql_replicated_config_t config;
+	GRand *random = nullptr;
+};
+
+struct WorldPatch {
+	std::string id;
+	uint64_t base;
+	std::string text;
+	bool answered = false;
+	int status = 0;
+	uint64_t version = 0;
+};
+
+class World
+{
+      public:
+	World(size_t n_replicas, Fault fault = Fault::NONE);
+	~World();
+
+	/* Runs a schedule, then heals all and looks for progress. */
+	void run(const Schedule &schedule);
+
+	/* The first broken promise, or "". */
+	std::string violation;
+	size_t n_steps = 0;
+	size_t n_accepted = 0;
+	size_t n_reads = 0;
+
+	/* The state of all replicas, for people. */
+	std::string describe() const;
+
+	/* Called by the replicas. */
+	void on_send(WorldNode *node, ql_rpc_replica_message *message);
+	void on_read_done(WorldNode *node, uint64_t token, int status);
+	void on_apply(WorldNode *node, const ql_journal_entry_t *entry);
+
+      private:
+	struct Read {
+		size_t slot;
+		uint64_t least_version;
+	};
+
+	using VoterSet = std::set<uint64_t>;
+
+	void step(uint8_t op, uint8_t first, uint8_t second);
+	void step_message(uint8_t op, uint8_t first);
+	void step_failure(uint8_t op, uint8_t first, uint8_t second);
+	void step_operator(uint8_t op, uint8_t first, uint8_t second);
+	void finish();
+	bool settle();
+	bool settle_patch();
+	bool voters_hold_newest();
+
+	void start(WorldNode &node);
+	void stop(WorldNode &node, unsigned int choice);
+	void lose_disk(WorldNode &node);
+	bool may_lose_disk(const WorldNode &node) const;
+	bool majority_is_intact(const WorldNode *without) const;
+	void write(WorldNode &node);
+	void tick(WorldNode &node);
+	void deliver(size_t position, bool keep);
+	void drop(size_t position);
+	void rounds(size_t n);
+	void cut(size_t a, size_t b, bool is_cut);
+	void heal();
+	void submit(WorldNode &node, WorldPatch &patch);
+	void race(WorldNode &node, uint8_t choice);
+	void change(WorldNode &node, uint8_t choice);
+	WorldNode &pick(uint8_t choice);
+	void run_for(size_t n_ticks);
+	void read(WorldNode &node);
+	void take_answer(WorldPatch &patch, const ql_patch_answer_t &answer);
+
+	void check();
+	void check_leader(const WorldNode &node);
+	void check_versions(const WorldNode &node);
+	void note_members(const WorldNode &node);
+	void break_promise(const std::string &what);
+	WorldNode *leader();
+
+	Fault fault;
+	ql_replica_opts_t opts;
+	ql_replica_rules_t rules;
+	uint64_t next_id = 1;
+	std::vector<std::unique_ptr<WorldNode>> nodes;
+	std::vector<ql_rpc_replica_message *> bag;
+	std::set<std::pair<size_t, size_t>> cuts;
+	std::vector<std::unique_ptr<WorldPatch>> patches;
+	WorldPatch *last = nullptr;
+	std::map<uint64_t, Read> reads;
+	uint64_t next_read = 1;
+
+	/* What has been seen. */
+	std::map<uint64_t, uint64_t> leaders;
+	std::map<uint64_t, std::pair<uint64_t, std::string>> log;
+	std::map<uint64_t, uint64_t> digests;
+	std::map<uint64_t, uint64_t> shown;
+	std::map<uint64_t, std::string> accepted_bases;
+	std::map<std::pair<uint64_t, uint64_t>, VoterSet> voters;
+	uint64_t newest_accepted = 0;
+};
+
+#endif
--- a/tests/store/journal_test.cc
+++ b/tests/store/journal_test.cc
@@ -134,6 +134,9 @@
 	{"snapshot s", "c"},
 	{"snapshot t"},
 	{"snapshot t", "d"},
+	/* A snapshot that another replica sent, far ahead of the log. */
+	{"snapshot u"},
+	{"snapshot u", "e"},
 };
 
 int run_step(ql_journal_t *journal, size_t step)
@@ -149,8 +152,12 @@
 		return write_entry(journal, 3, 1, "c");
 	case 5:
 		return restart_at(journal, 3, "t");
-	default:
+	case 6:
 		return write_entry(journal, 4, 1, "d");
+	case 7:
+		return restart_at(journal, 9, "u");
+	default:
+		return write_entry(journal, 10, 1, "e");
 	}
 }
 
@@ -169,6 +176,19 @@
 	return step;
 }
 
+/* Opens a journal and appends one entry behind all others. */
+void append_one(FakeDisk *fake, const std::string &text)
+{
+	ql_disk_t disk = fake->disk();
+	ql_journal_t journal;
+
+	ASSERT_EQ(0, ql_journal_open(&journal, &disk, nullptr));
+	EXPECT_EQ(0, write_entry(&journal,
+				 journal.base_index + journal.entries->len + 1,
+				 1, text));
+	ql_journal_finish(&journal);
+}
+
 /* The step that a crash cut short is there as a whole or not at all. */
 bool is_between(const Log &log, size_t done)
 {
@@ -178,7 +198,7 @@
 
 TEST(Journal, EveryCrashLeavesWhatWasAnswered)
 {
-	for (unsigned int calls = 0; calls < 60; calls++) {
+	for (unsigned int calls = 0; calls < 80; calls++) {
 		for (unsigned int choice = 0; choice < 64; choice++) {
 			SCOPED_TRACE("calls " + std::to_string(calls) +
 				     " choice " + std::to_string(choice));
@@ -196,6 +216,10 @@
 			/* Opening again changes nothing. */
 			fake.crash(choice + 1);
 			ASSERT_EQ(log, reopened(&fake));
+			append_one(&fake, "next");
+			fake.crash(choice + 1);
+			log.push_back("next");
+			ASSERT_EQ(log, reopened(&fake));
 		}
 	}
 }
@@ -313,7 +337,7 @@
 		  ql_folder_disk_ops.remove(&folder_disk, "snapshot", nullptr));
 	EXPECT_EQ(0,
 		  ql_folder_disk_ops.remove(&folder_disk,
-					    "log-0000000000000003", nullptr));
+					    "log-0000000000000004", nullptr));
 	ql_folder_disk_finish(&folder_disk);
 	EXPECT_EQ(0, rmdir(folder));
 }
