--- a/bench/path.sh
+++ b/bench/path.sh
@@ -7,7 +7,7 @@
 . "$root/examples/demo/town.sh"
 seconds=${2:-4}
 rate=${3:-100}
-town_init "$1" 28000
+town_init "$1" 19000
 
 field() { # field NAME < JSON
 	sed "s/.*\"$1\":\([0-9]*\).*/\1/"
--- /dev/null
+++ b/src/node/attempt.c
@@ -0,0 +1,201 @@
+#include "node/attempt.h"
+#include "quetzalloft/error.h"
+
+#include <string.h>
+
+static struct curl_slist *attempt_headers(const ql_attempt_t *attempt,
+					  uint64_t timeout_ms)
+{
+	const ql_router_request_t *request = attempt->request;
+	ql_metadata_t metadata;
+
+	ql_metadata_init(&metadata);
+	metadata.has = QL_HAS_TIMEOUT | QL_HAS_ATTEMPTS | QL_HAS_ATTEMPT |
+		       QL_HAS_VERSION | QL_HAS_CLASS | QL_HAS_SERVICE |
+		       QL_HAS_UNDER_WAY | QL_HAS_CLOCK | QL_HAS_IDEMPOTENT;
+	metadata.timeout_ms = timeout_ms;
+	metadata.attempts = attempt->lent;
+	metadata.attempt = attempt->id;
+	metadata.version = request->config_version;
+	metadata.under_way = request->under_way;
+	metadata.idempotent = request->idempotent;
+	metadata.clock = ql_context_tick(attempt->context);
+	g_strlcpy(metadata.class_name, request->call->class_name, QL_NAME_MAX);
+	g_strlcpy(metadata.service, request->service->name, QL_NAME_MAX);
+	return ql_headers_add_metadata(ql_headers_forward(request->request),
+				       &metadata);
+}
+
+static ql_reason_t failure_reason(int ret, bool sent)
+{
+	switch (ret) {
+	case QL_E_TIMEOUT:
+		return QL_REASON_DEADLINE;
+	case QL_E_CANCELLED:
+		return QL_REASON_CANCELLED;
+	case QL_E_TOO_LARGE:
+		return QL_REASON_TOO_LARGE;
+	case QL_E_PROTOCOL:
+		return QL_REASON_BAD_ANSWER;
+	default:
+		return sent ? QL_REASON_CONNECTION_LOST
+			    : QL_REASON_CONNECT_FAILED;
+	}
+}
+
+static ql_event_t failure_event(ql_reason_t reason)
+{
+	switch (reason) {
+	case QL_REASON_CANCELLED:
+		return QL_EVENT_ATTEMPT_CANCELLED;
+	case QL_REASON_TOO_LARGE:
+	case QL_REASON_BAD_ANSWER:
+		return QL_EVENT_ATTEMPT_DROPPED;
+	default:
+		return QL_EVENT_ATTEMPT_LOST;
+	}
+}
+
+static uint64_t retry_after_us(const ql_http_answer_t *answer)
+{
+	const char *value =
+		ql_http_answer_header(answer, QL_HEADER_RETRY_AFTER);
+
+	return value ? g_ascii_strtoull(value, NULL, 10) * QL_US_PER_S : 0;
+}
+
+static bool answers_attempt(const ql_metadata_t *metadata,
+			    const ql_attempt_id_t *id)
+{
+	return metadata->has & QL_HAS_ATTEMPT &&
+	       metadata->has & QL_HAS_OUTCOME &&
+	       metadata->attempt.attempt == id->attempt &&
+	       metadata->attempt.request == id->request;
+}
+
+static ql_event_t outcome_event(ql_outcome_t outcome)
+{
+	switch (outcome) {
+	case QL_OUTCOME_ANSWERED:
+		return QL_EVENT_ATTEMPT_ANSWERED;
+	case QL_OUTCOME_NOT_RUN:
+	case QL_OUTCOME_REFUSED:
+		return QL_EVENT_ATTEMPT_REFUSED;
+	default:
+		return QL_EVENT_ATTEMPT_LOST;
+	}
+}
+
+/* Reads a whole answer of a gate; one of another attempt is dropped. */
+static ql_event_t read_answer(const ql_attempt_t *attempt,
+			      const ql_http_answer_t *answer,
+			      ql_attempt_end_t *end)
+{
+	ql_attempt_result_t *result = &end->result;
+	ql_metadata_t metadata;
+
+	if (ql_answer_metadata(&metadata, answer) ||
+	    !answers_attempt(&metadata, &attempt->id)) {
+		ql_count(&attempt->context->counters, QL_COUNT_BAD_ANSWERS);
+		result->outcome = QL_OUTCOME_UNKNOWN;
+		result->reason = QL_REASON_BAD_ANSWER;
+		return QL_EVENT_ATTEMPT_DROPPED;
+	}
+	ql_context_take_metadata(attempt->context, &metadata);
+	result->outcome = metadata.outcome;
+	result->reason =
+		metadata.has & QL_HAS_REASON ? metadata.reason : QL_REASON_NONE;
+	result->has_level = metadata.has & QL_HAS_LEVEL;
+	result->level = (uint32_t)metadata.level;
+	end->unused =
+		metadata.has & QL_HAS_UNUSED ? (uint32_t)metadata.unused : 0;
+	if (metadata.outcome != QL_OUTCOME_ANSWERED)
+		result->retry_after_us = retry_after_us(answer);
+	return outcome_event(metadata.outcome);
+}
+
+static void record(const ql_attempt_t *attempt, ql_event_t event,
+		   const ql_attempt_end_t *end)
+{
+	ql_timeline_event_t entry = {
+		.event = event,
+		.id = attempt->id,
+		.parent = attempt->request->call->id.attempt,
+		.version = attempt->request->config_version,
+		.service = attempt->request->service->name,
+		.endpoint = attempt->gate,
+		.class_name = attempt->request->call->class_name,
+	};
+
+	if (end) {
+		entry.has_outcome = true;
+		entry.outcome = end->result.outcome;
+		entry.reason = end->result.reason;
+	}
+	ql_timeline_record(&attempt->context->timeline, &entry);
+}
+
+/* Steps the chart; the final state says what is known of the attempt. */
+static void finish(const ql_attempt_t *attempt, bool sent, ql_event_t event,
+		   ql_attempt_end_t *end)
+{
+	static const ql_outcome_t outcomes[QL_N_ATTEMPT_STATES] = {
+		[QL_ATTEMPT_CHOSEN] = QL_OUTCOME_UNKNOWN,
+		[QL_ATTEMPT_SENT] = QL_OUTCOME_UNKNOWN,
+		[QL_ATTEMPT_ANSWERED] = QL_OUTCOME_ANSWERED,
+		[QL_ATTEMPT_NOT_RUN] = QL_OUTCOME_NOT_RUN,
+		[QL_ATTEMPT_UNKNOWN] = QL_OUTCOME_UNKNOWN,
+	};
+	const ql_life_cycles_t *cycles = &attempt->context->cycles;
+	ql_attempt_state_t state = QL_ATTEMPT_CHOSEN;
+
+	if (sent)
+		ql_attempt_step(cycles, &state, QL_EVENT_ATTEMPT_SENT);
+	ql_attempt_step(cycles, &state, event);
+	/* A refusal that says nothing of other copies stays one. */
+	if (state != QL_ATTEMPT_NOT_RUN ||
+	    end->result.outcome != QL_OUTCOME_REFUSED)
+		end->result.outcome = outcomes[state];
+	record(attempt, event, end);
+}
+
+void ql_attempt_make(const ql_attempt_t *attempt, ql_http_answer_t *answer,
+		     ql_attempt_end_t *end)
+{
+	const ql_router_request_t *request = attempt->request;
+	uint64_t start_us = ql_clock_now_us();
+	uint64_t timeout_ms =
+		(request->deadline_us - start_us) / QL_US_PER_MS + 1;
+	ql_http_request_t http = {
+		.address = attempt->gate,
+		.method = request->request->http_verb,
+		.target = request->request->http_url,
+		.body = request->request->binary_body,
+		.body_bytes = request->request->binary_body_length,
+		.timeout_ms = timeout_ms,
+		.body_limit_bytes = request->service->body_limit_bytes,
+		.is_cancelled = request->is_cancelled,
+		.cancel_data = request->cancel_data,
+	};
+	ql_event_t event;
+	bool sent;
+	int ret;
+
+	memset(end, 0, sizeof(*end));
+	record(attempt, QL_EVENT_ATTEMPT_SENT, NULL);
+	http.headers = attempt_headers(attempt, timeout_ms);
+	ret = ql_http_client_exchange(attempt->client, &http, answer, &sent,
+				      NULL);
+	curl_slist_free_all(http.headers);
+	if (ret) {
+		end->result.reason = failure_reason(ret, sent);
+		end->unused = sent ? 0 : attempt->lent - 1;
+		event = failure_event(end->result.reason);
+	} else {
+		event = read_answer(attempt, answer, end);
+	}
+	end->result.latency_us = ql_clock_now_us() - start_us;
+	ql_count_latency(&attempt->context->counters, QL_LATENCY_ATTEMPT,
+			 end->result.latency_us);
+	finish(attempt, sent, event, end);
+}
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -46,6 +46,23 @@
 	pthread_mutex_unlock(&call->lock);
 }
 
+void ql_call_note_level(ql_call_t *call, uint32_t level)
+{
+	pthread_mutex_lock(&call->lock);
+	call->level = MAX(call->level, level);
+	pthread_mutex_unlock(&call->lock);
+}
+
+uint32_t ql_call_level(ql_call_t *call)
+{
+	uint32_t level;
+
+	pthread_mutex_lock(&call->lock);
+	level = call->level;
+	pthread_mutex_unlock(&call->lock);
+	return level;
+}
+
 void ql_call_cancel(ql_call_t *call)
 {
 	__atomic_store_n(&call->cancelled, 1, __ATOMIC_RELEASE);
--- a/src/node/calls.h
+++ b/src/node/calls.h
@@ -22,6 +22,7 @@
  * @lock: guards what follows
  * @allowance: attempts that may still be spent below it
  * @ended: no new call may be made for it
+ * @level: highest load level that calls below it met
  * @cancelled: its caller gave up; calls below it are given up too
  */
 typedef struct ql_call {
@@ -33,6 +34,7 @@
 	pthread_mutex_t lock;
 	ql_allowance_t allowance;
 	bool ended;
+	uint32_t level;
 	int cancelled;
 } ql_call_t;
 
@@ -63,6 +65,21 @@
  */
 void ql_call_return(ql_call_t *call, uint32_t lent, uint32_t unused);
 
+/**
+ * ql_call_note_level() - Note the load level that a call below met.
+ * @call: the call
+ * @level: the level
+ */
+void ql_call_note_level(ql_call_t *call, uint32_t level);
+
+/**
+ * ql_call_level() - The highest load level met so far.
+ * @call: the call
+ *
+ * Return: the level.
+ */
+uint32_t ql_call_level(ql_call_t *call);
+
 /**
  * ql_call_cancel() - Note that the caller gave up.
  * @call: the call
--- a/src/node/client_service.c
+++ b/src/node/client_service.c
@@ -2,6 +2,26 @@
 
 #include <string.h>
 
+void ql_client_service_init(ql_client_service_t *service, ql_context_t *context,
+			    ql_http_server_t *server, ql_router_t *router)
+{
+	memset(service, 0, sizeof(*service));
+	service->context = context;
+	service->server = server;
+	service->router = router;
+	pthread_mutex_init(&service->lock, NULL);
+	service->random = g_rand_new();
+	ql_level_init(&service->level, 0, service->random);
+}
+
+void ql_client_service_finish(ql_client_service_t *service)
+{
+	ql_level_finish(&service->level);
+	ql_document_unref(service->level_doc);
+	g_rand_free(service->random);
+	pthread_mutex_destroy(&service->lock);
+}
+
 static uint64_t random_identity(void)
 {
 	return (uint64_t)g_random_int() << 32 | g_random_int();
@@ -75,34 +95,146 @@
 	return ql_http_server_peer_gone(client->server, client->request);
 }
 
-/* Serves a request whose route is known. */
-static bool serve_route(ql_client_service_t *service, const ql_document_t *doc,
-			const ql_route_t *route,
-			const struct _u_request *request,
-			ql_http_answer_t *answer, ql_failure_t *failure)
+/* A client request whose route is known. */
+typedef struct {
+	const ql_document_t *doc;
+	const ql_route_t *route;
+	const struct _u_request *request;
+	ql_call_t *call;
+} client_request_t;
+
+static bool same_routes(const ql_document_t *a, const ql_document_t *b)
+{
+	size_t i;
+
+	if (!a || a->n_routes != b->n_routes)
+		return false;
+	for (i = 0; i < a->n_routes; i++)
+		if (strcmp(a->routes[i].name, b->routes[i].name) != 0)
+			return false;
+	return true;
+}
+
+/* Forgets what was learned when a document has other routes. */
+static void follow_routes(ql_client_service_t *service,
+			  const ql_document_t *doc)
 {
-	const ql_service_t *callee = &doc->services[route->service];
-	waiting_client_t client = {service->server, request};
+	if (service->level_doc && service->level_doc->version >= doc->version)
+		return;
+	if (!same_routes(service->level_doc, doc))
+		ql_level_reset(&service->level, doc->n_routes);
+	ql_document_unref(service->level_doc);
+	service->level_doc = ql_document_ref((ql_document_t *)doc);
+}
+
+static size_t route_index(const client_request_t *cr)
+{
+	return (size_t)(cr->route - cr->doc->routes);
+}
+
+static bool refuse_early(ql_client_service_t *service,
+			 const client_request_t *cr, ql_failure_t *failure)
+{
+	ql_level_decision_t decision;
+
+	pthread_mutex_lock(&service->lock);
+	follow_routes(service, cr->doc);
+	decision = ql_level_offer(&service->level, route_index(cr),
+				  ql_clock_now_us());
+	pthread_mutex_unlock(&service->lock);
+	if (!decision.refuse)
+		return false;
+	ql_count(&service->context->counters, QL_COUNT_EARLY_REFUSALS);
+	refuse(failure, decision.reason, "the services below are overloaded");
+	failure->retry_after_ms = decision.retry_after_ms;
+	return true;
+}
+
+static ql_level_end_t level_end(const ql_failure_t *failure, bool is_free)
+{
+	return failure->reason == QL_REASON_OVERLOAD ||
+			       failure->reason == QL_REASON_DEADLINE || !is_free
+		       ? QL_LEVEL_SHED
+		       : QL_LEVEL_OTHER;
+}
+
+static void learn_level(ql_client_service_t *service,
+			const client_request_t *cr, bool answered,
+			const ql_failure_t *failure)
+{
+	bool is_free = ql_call_level(cr->call) <= cr->call->shed_order;
+
+	pthread_mutex_lock(&service->lock);
+	ql_level_done(&service->level, route_index(cr),
+		      answered ? QL_LEVEL_SERVED : level_end(failure, is_free),
+		      is_free, ql_clock_now_us());
+	pthread_mutex_unlock(&service->lock);
+}
+
+static void record(ql_client_service_t *service, const client_request_t *cr,
+		   ql_event_t event, const ql_failure_t *end)
+{
+	ql_timeline_event_t entry = {
+		.event = event,
+		.id = cr->call->id,
+		.version = cr->doc->version,
+		.service = cr->doc->services[cr->route->service].name,
+		.class_name = cr->call->class_name,
+	};
+
+	if (end) {
+		entry.has_outcome = true;
+		entry.outcome = end->outcome;
+		entry.reason = end->reason;
+	}
+	ql_timeline_record(&service->context->timeline, &entry);
+}
+
+static bool call_service(ql_client_service_t *service, client_request_t *cr,
+			 ql_http_answer_t *answer, ql_failure_t *failure)
+{
+	waiting_client_t client = {service->server, cr->request};
 	ql_router_request_t call = {
-		.service = callee,
-		.idempotent = route->idempotent,
-		.config_version = doc->version,
-		.request = request,
+		.call = cr->call,
+		.service = &cr->doc->services[cr->route->service],
+		.idempotent = cr->route->idempotent,
+		.deadline_us = cr->call->deadline_us,
+		.config_version = cr->doc->version,
+		.request = cr->request,
 		.is_cancelled = client_gone,
 		.cancel_data = &client,
 	};
 	bool answered;
 
-	if (request->binary_body_length > callee->body_limit_bytes) {
-		ql_count(service->counters, QL_COUNT_TOO_LARGE);
+	if (refuse_early(service, cr, failure))
+		return false;
+	answered = ql_router_call(service->router, &call, answer, failure);
+	learn_level(service, cr, answered, failure);
+	if (!answered && failure->reason == QL_REASON_NO_ENDPOINT &&
+	    service->want)
+		service->want(service->want_data, call.service->name);
+	return answered;
+}
+
+static bool serve_route(ql_client_service_t *service, client_request_t *cr,
+			ql_http_answer_t *answer, ql_failure_t *failure)
+{
+	static const ql_failure_t no_failure = {.outcome = QL_OUTCOME_ANSWERED};
+	const ql_service_t *callee = &cr->doc->services[cr->route->service];
+	bool answered;
+
+	if (cr->request->binary_body_length > callee->body_limit_bytes) {
+		ql_count(&service->context->counters, QL_COUNT_TOO_LARGE);
 		return refuse(failure, QL_REASON_TOO_LARGE,
 			      "the body is over the limit of the service");
 	}
-	call.call = start_call(doc, route);
-	call.deadline_us = call.call->deadline_us;
-	answered = ql_router_call(service->router, &call, answer, failure);
-	ql_call_end(call.call);
-	ql_call_unref(call.call);
+	cr->call = start_call(cr->doc, cr->route);
+	record(service, cr, QL_EVENT_REQUEST_RECEIVED, NULL);
+	answered = call_service(service, cr, answer, failure);
+	record(service, cr, QL_EVENT_REQUEST_DONE,
+	       answered ? &no_failure : failure);
+	ql_call_end(cr->call);
+	ql_call_unref(cr->call);
 	return answered;
 }
 
@@ -110,55 +242,68 @@
 		  const struct _u_request *request, ql_http_answer_t *answer,
 		  ql_failure_t *failure)
 {
-	const ql_route_t *route;
+	client_request_t cr = {.request = request};
 	ql_metadata_t metadata;
 	ql_document_t *doc;
 	bool answered;
 
 	if (__atomic_load_n(&service->draining, __ATOMIC_ACQUIRE))
 		return refuse(failure, QL_REASON_DRAINING, NULL);
-	if (!service->is_ready(service->data))
+	if (!ql_context_is_ready(service->context))
 		return refuse(failure, QL_REASON_NOT_READY,
 			      "the node has not heard from its failure "
 			      "domain yet");
 	/* A client has no say in the metadata but for its key. */
 	if (ql_request_metadata(&metadata, request, NULL)) {
-		ql_count(service->counters, QL_COUNT_BAD_METADATA);
+		ql_count(&service->context->counters, QL_COUNT_BAD_METADATA);
 		return refuse(failure, QL_REASON_BAD_REQUEST,
 			      "a header of the protocol is malformed");
 	}
-	doc = service->document(service->data);
-	route = match(doc, request);
-	answered = route ? serve_route(service, doc, route, request, answer,
-				       failure)
-			 : refuse(failure, QL_REASON_NO_ROUTE,
-				  "no route matches this method and path");
+	doc = ql_context_document(service->context);
+	cr.doc = doc;
+	cr.route = match(doc, request);
+	answered = cr.route ? serve_route(service, &cr, answer, failure)
+			    : refuse(failure, QL_REASON_NO_ROUTE,
+				     "no route matches this method and path");
 	ql_document_unref(doc);
 	return answered;
 }
 
+static void respond(ql_client_service_t *service, bool answered,
+		    ql_http_answer_t *answer, const ql_failure_t *failure,
+		    struct _u_response *response)
+{
+	ql_counters_t *counters = &service->context->counters;
+	ql_metadata_t metadata;
+
+	if (!answered) {
+		ql_answer_fail(response, failure);
+		count_outcome(counters, failure->outcome);
+		return;
+	}
+	ql_answer_pass(response, answer);
+	ql_metadata_init(&metadata);
+	metadata.has = QL_HAS_OUTCOME;
+	metadata.outcome = QL_OUTCOME_ANSWERED;
+	ql_answer_add_metadata(response, &metadata);
+	count_outcome(counters, QL_OUTCOME_ANSWERED);
+}
+
 void ql_client_service_handle(void *data, const struct _u_request *request,
 			      struct _u_response *response)
 {
 	ql_client_service_t *service = data;
-	ql_metadata_t metadata;
+	ql_counters_t *counters = &service->context->counters;
+	uint64_t start_us = ql_clock_now_us();
 	ql_failure_t failure = {0};
 	ql_http_answer_t answer;
+	bool answered;
 
-	__atomic_add_fetch(&service->in_progress, 1, __ATOMIC_ACQ_REL);
-	ql_count(service->counters, QL_COUNT_CLIENT_REQUESTS);
+	ql_count(counters, QL_COUNT_CLIENT_REQUESTS);
 	ql_http_answer_init(&answer);
-	if (serve(service, request, &answer, &failure)) {
-		ql_answer_pass(response, &answer);
-		ql_metadata_init(&metadata);
-		metadata.has = QL_HAS_OUTCOME;
-		metadata.outcome = QL_OUTCOME_ANSWERED;
-		ql_answer_add_metadata(response, &metadata);
-		count_outcome(service->counters, QL_OUTCOME_ANSWERED);
-	} else {
-		ql_answer_fail(response, &failure);
-		count_outcome(service->counters, failure.outcome);
-	}
+	answered = serve(service, request, &answer, &failure);
+	respond(service, answered, &answer, &failure, response);
 	ql_http_answer_finish(&answer);
-	__atomic_sub_fetch(&service->in_progress, 1, __ATOMIC_ACQ_REL);
+	ql_count_latency(counters, QL_LATENCY_CLIENT,
+			 ql_clock_now_us() - start_us);
 }
--- a/src/node/client_service.h
+++ b/src/node/client_service.h
@@ -7,31 +7,41 @@
 
 #include "node/http_server.h"
 #include "node/router.h"
+#include "quetzalloft/level.h"
 
 G_BEGIN_DECLS
 
 /**
- * struct ql_client_service - What it needs.
+ * struct ql_client_service - The listener and what it learned of the load.
+ * @context: borrowed
  * @server: the listener; borrowed
  * @router: borrowed
- * @counters: borrowed
- * @document: gives the document in force with a new reference
- * @is_ready: whether this node has asked its failure domain since its start
- * @data: passed to both
+ * @want: told of the service of each request that this node has no endpoint
+ *        of; may be NULL
+ * @want_data: passed to it
  * @draining: new requests are refused
- * @in_progress: requests that are served at present
+ * @lock: guards what follows
+ * @level: what is known of the load below each route
+ * @level_doc: the document whose routes @level counts
+ * @random: source of its choices
  */
 typedef struct ql_client_service {
+	ql_context_t *context;
 	ql_http_server_t *server;
 	ql_router_t *router;
-	ql_counters_t *counters;
-	ql_document_t *(*document)(void *data);
-	bool (*is_ready)(void *data);
-	void *data;
+	void (*want)(void *data, const char *service);
+	void *want_data;
 	int draining;
-	int in_progress;
+	pthread_mutex_t lock;
+	ql_level_t level;
+	ql_document_t *level_doc;
+	GRand *random;
 } ql_client_service_t;
 
+void ql_client_service_init(ql_client_service_t *service, ql_context_t *context,
+			    ql_http_server_t *server, ql_router_t *router);
+void ql_client_service_finish(ql_client_service_t *service);
+
 void ql_client_service_handle(void *data, const struct _u_request *request,
 			      struct _u_response *response);
 
--- a/src/node/gate_handler.c
+++ b/src/node/gate_handler.c
@@ -51,12 +51,12 @@
 	const ql_class_t *class;
 	int index;
 
-	if (!service->opts.is_ready(service->opts.data)) {
+	if (!ql_context_is_ready(service->context)) {
 		not_run(failure, QL_REASON_NOT_READY,
 			"the node has not heard from its failure domain yet");
 		return false;
 	}
-	gc->doc = service->opts.document(service->opts.data);
+	gc->doc = ql_context_document(service->context);
 	index = ql_document_find_service(gc->doc, gc->metadata.service);
 	class = find_class(gc->doc, gc->metadata.class_name);
 	gc->endpoint = ql_gate_service_find(service, gc->metadata.service);
@@ -67,7 +67,7 @@
 	}
 	gc->service = &gc->doc->services[index];
 	if (gc->request->binary_body_length > gc->service->body_limit_bytes) {
-		ql_count(service->opts.counters, QL_COUNT_TOO_LARGE);
+		ql_count(&service->context->counters, QL_COUNT_TOO_LARGE);
 		not_run(failure, QL_REASON_TOO_LARGE,
 			"the body is over the limit of the service");
 		return false;
@@ -148,8 +148,8 @@
 	timeout_ms = (gc->call->deadline_us - now_us) / QL_US_PER_MS + 1;
 	http.timeout_ms = timeout_ms;
 	http.headers = endpoint_headers(gc, timeout_ms);
-	ret = ql_http_client_exchange(service->opts.client, &http, answer,
-				      &sent, NULL);
+	ret = ql_http_client_exchange(service->client, &http, answer, &sent,
+				      NULL);
 	curl_slist_free_all(http.headers);
 	if (!ret)
 		return true;
@@ -162,6 +162,42 @@
 	return false;
 }
 
+static void record(ql_gate_service_t *service, const gate_call_t *gc,
+		   ql_event_t event, ql_outcome_t outcome, ql_reason_t reason)
+{
+	ql_timeline_event_t entry = {
+		.event = event,
+		.id = gc->metadata.attempt,
+		.version = gc->doc->version,
+		.has_outcome = event != QL_EVENT_GATE_ADMITTED,
+		.outcome = outcome,
+		.reason = reason,
+		.service = gc->service->name,
+		.endpoint = gc->endpoint->announcement.address,
+		.class_name = gc->call->class_name,
+	};
+
+	ql_timeline_record(&service->context->timeline, &entry);
+}
+
+/* Runs an admitted call and measures it. */
+static bool run_measured(ql_gate_service_t *service, gate_call_t *gc,
+			 ql_http_answer_t *answer, ql_failure_t *failure)
+{
+	uint64_t start_us = ql_clock_now_us();
+	bool answered;
+
+	record(service, gc, QL_EVENT_GATE_ADMITTED, QL_OUTCOME_ANSWERED,
+	       QL_REASON_NONE);
+	answered = run(service, gc, answer, failure);
+	ql_count_latency(&service->context->counters, QL_LATENCY_ENDPOINT,
+			 ql_clock_now_us() - start_us);
+	record(service, gc, QL_EVENT_GATE_DONE,
+	       answered ? QL_OUTCOME_ANSWERED : failure->outcome,
+	       answered ? QL_REASON_NONE : failure->reason);
+	return answered;
+}
+
 /* Admits, runs and answers a call that was resolved. */
 static bool admit_and_run(ql_gate_service_t *service, gate_call_t *gc,
 			  ql_http_answer_t *answer, ql_failure_t *failure)
@@ -173,17 +209,23 @@
 		.is_gone = caller_gone,
 		.data = gc,
 	};
+	uint64_t start_us = ql_clock_now_us();
 	ql_gate_decision_t decision =
 		ql_local_endpoint_enter(gc->endpoint, &admission, &gc->level);
 	bool answered;
 
+	ql_count_latency(&service->context->counters, QL_LATENCY_GATE_WAIT,
+			 ql_clock_now_us() - start_us);
+
 	if (decision.verdict == QL_GATE_REFUSE) {
-		ql_count(service->opts.counters, QL_COUNT_GATE_REFUSED);
+		ql_count(&service->context->counters, QL_COUNT_GATE_REFUSED);
 		not_run(failure, decision.reason, NULL);
 		failure->retry_after_ms = decision.retry_after_ms;
+		record(service, gc, QL_EVENT_GATE_REFUSED, QL_OUTCOME_NOT_RUN,
+		       decision.reason);
 		return false;
 	}
-	ql_count(service->opts.counters, QL_COUNT_GATE_ADMITTED);
+	ql_count(&service->context->counters, QL_COUNT_GATE_ADMITTED);
 	if (ql_calls_add(&service->calls, gc->call)) {
 		ql_local_endpoint_leave(gc->endpoint, decision.ticket, false,
 					&gc->level);
@@ -192,7 +234,7 @@
 		failure->detail = "this attempt was received already";
 		return false;
 	}
-	answered = run(service, gc, answer, failure);
+	answered = run_measured(service, gc, answer, failure);
 	ql_calls_remove(&service->calls, gc->call);
 	ql_local_endpoint_leave(gc->endpoint, decision.ticket,
 				!answered &&
@@ -224,10 +266,11 @@
 	metadata.attempt = gc->metadata.attempt;
 	metadata.unused =
 		gc->call ? ql_call_end(gc->call) : gc->metadata.attempts - 1;
-	metadata.level = gc->level;
+	metadata.level =
+		gc->call ? MAX(gc->level, ql_call_level(gc->call)) : gc->level;
 	metadata.outcome = outcome;
 	metadata.version = gc->doc ? gc->doc->version : 0;
-	metadata.clock = ql_hlc_tick(service->opts.hlc, ql_clock_wall_ms());
+	metadata.clock = ql_context_tick(service->context);
 	ql_answer_add_metadata(response, &metadata);
 }
 
@@ -241,7 +284,7 @@
 	    (gc->metadata.has & REQUIRED_METADATA) == REQUIRED_METADATA &&
 	    gc->metadata.attempts)
 		return true;
-	ql_count(service->opts.counters, QL_COUNT_BAD_METADATA);
+	ql_count(&service->context->counters, QL_COUNT_BAD_METADATA);
 	not_run(&failure, QL_REASON_BAD_REQUEST,
 		error ? error->message : "a required header is missing");
 	ql_answer_fail(response, &failure);
@@ -253,16 +296,14 @@
 			    struct _u_response *response)
 {
 	ql_gate_service_t *service = data;
-	gate_call_t gc = {.server = service->opts.server, .request = request};
+	gate_call_t gc = {.server = service->server, .request = request};
 	ql_failure_t failure = {0};
 	ql_http_answer_t answer;
 	ql_outcome_t outcome;
 
 	if (!parse_call(service, &gc, response))
 		return;
-	if (gc.metadata.has & QL_HAS_CLOCK)
-		ql_hlc_observe(service->opts.hlc, gc.metadata.clock,
-			       ql_clock_wall_ms());
+	ql_context_take_metadata(service->context, &gc.metadata);
 	ql_http_answer_init(&answer);
 	if (resolve(service, &gc, &failure) &&
 	    admit_and_run(service, &gc, &answer, &failure)) {
--- a/src/node/gate_service.c
+++ b/src/node/gate_service.c
@@ -6,11 +6,13 @@
 
 #define QUEUE_DEFAULT_MS 50
 
-void ql_gate_service_init(ql_gate_service_t *service,
-			  const ql_gate_service_opts_t *opts)
+void ql_gate_service_init(ql_gate_service_t *service, ql_context_t *context,
+			  ql_http_server_t *server, ql_http_client_t *client)
 {
 	memset(service, 0, sizeof(*service));
-	service->opts = *opts;
+	service->context = context;
+	service->server = server;
+	service->client = client;
 	pthread_mutex_init(&service->lock, NULL);
 	ql_calls_init(&service->calls);
 }
@@ -31,10 +33,11 @@
 		      const ql_announcement_t *announcement,
 		      ql_gate_opts_t *opts)
 {
-	ql_document_t *doc = service->opts.document(service->opts.data);
+	const ql_settings_t *settings = service->context->settings;
+	ql_document_t *doc = ql_context_document(service->context);
 	int index = ql_document_find_service(doc, announcement->service);
 	const ql_service_t *known = index < 0 ? NULL : &doc->services[index];
-	const char *name = service->opts.limiter;
+	const char *name = settings->limiter;
 
 	memset(opts, 0, sizeof(*opts));
 	opts->seed = g_random_int();
@@ -44,7 +47,7 @@
 	if (!opts->limiter)
 		opts->limiter = &ql_limiter_gradient;
 	opts->slots = (uint32_t)announcement->slots;
-	opts->queue_max = service->opts.queue_max;
+	opts->queue_max = (uint32_t)settings->queue;
 	opts->queue_us =
 		(known ? known->queue_ms : QUEUE_DEFAULT_MS) * QL_US_PER_MS;
 	ql_document_unref(doc);
@@ -139,6 +142,19 @@
 	return (u_int)i;
 }
 
+void ql_gate_service_reconfigure(ql_gate_service_t *service)
+{
+	ql_gate_opts_t opts;
+	size_t i;
+
+	pthread_mutex_lock(&service->lock);
+	for (i = 0; i < service->n_endpoints; i++) {
+		gate_opts(service, &service->endpoints[i]->announcement, &opts);
+		ql_local_endpoint_configure(service->endpoints[i], &opts);
+	}
+	pthread_mutex_unlock(&service->lock);
+}
+
 void ql_gate_service_drain(ql_gate_service_t *service)
 {
 	size_t i;
--- a/src/node/gate_service.h
+++ b/src/node/gate_service.h
@@ -8,11 +8,9 @@
 
 #include "node/answer.h"
 #include "node/calls.h"
-#include "node/counters.h"
+#include "node/context.h"
 #include "node/http_server.h"
 #include "node/local_endpoint.h"
-#include "quetzalloft/clock.h"
-#include "quetzalloft/document.h"
 
 #include "control.h"
 
@@ -23,37 +21,18 @@
 #define QL_LOCAL_ENDPOINTS_MAX QL_RPC_LOCAL_ENDPOINTS_MAX
 
 /**
- * struct ql_gate_service_opts - What the gates share.
+ * struct ql_gate_service - The gates.
+ * @context: borrowed
  * @server: the listener; borrowed
  * @client: for calls to the endpoints; borrowed
- * @counters: borrowed
- * @hlc: borrowed
- * @limiter: name of the limiter that overrides the configuration's, or empty
- * @queue_max: requests that may wait at one gate
- * @document: gives the document in force with a new reference
- * @is_ready: whether this node has asked its failure domain since its start
- * @data: passed to both
- */
-typedef struct ql_gate_service_opts {
-	ql_http_server_t *server;
-	ql_http_client_t *client;
-	ql_counters_t *counters;
-	ql_hlc_t *hlc;
-	const char *limiter;
-	uint32_t queue_max;
-	ql_document_t *(*document)(void *data);
-	bool (*is_ready)(void *data);
-	void *data;
-} ql_gate_service_opts_t;
-
-/**
- * struct ql_gate_service - The gates.
  * @lock: guards @endpoints
  * @endpoints: gates by service; they live as long as the process
  * @calls: calls that run at the endpoints
  */
 typedef struct ql_gate_service {
-	ql_gate_service_opts_t opts;
+	ql_context_t *context;
+	ql_http_server_t *server;
+	ql_http_client_t *client;
 	pthread_mutex_t lock;
 	ql_local_endpoint_t *endpoints[QL_LOCAL_ENDPOINTS_MAX];
 	size_t n_endpoints;
@@ -61,8 +40,8 @@
 	ql_calls_t calls;
 } ql_gate_service_t;
 
-void ql_gate_service_init(ql_gate_service_t *service,
-			  const ql_gate_service_opts_t *opts);
+void ql_gate_service_init(ql_gate_service_t *service, ql_context_t *context,
+			  ql_http_server_t *server, ql_http_client_t *client);
 void ql_gate_service_finish(ql_gate_service_t *service);
 
 /**
@@ -108,6 +87,12 @@
 			       const char *failure_domain, const char *gate,
 			       ql_rpc_endpoint *out);
 
+/**
+ * ql_gate_service_reconfigure() - Apply the document in force to every gate.
+ * @service: the gates
+ */
+void ql_gate_service_reconfigure(ql_gate_service_t *service);
+
 /**
  * ql_gate_service_drain() - Refuse every new request from now on.
  * @service: the gates
--- a/src/node/http_server.c
+++ b/src/node/http_server.c
@@ -91,6 +91,28 @@
 	__atomic_store_n(&server->closing, 1, __ATOMIC_RELEASE);
 }
 
+static void *on_first_line(void *data, const char *uri)
+{
+	ql_http_server_t *server = data;
+
+	__atomic_add_fetch(&server->active, 1, __ATOMIC_ACQ_REL);
+	return ulfius_uri_logger(NULL, uri);
+}
+
+static void on_completed(void *data, struct MHD_Connection *connection,
+			 void **context, enum MHD_RequestTerminationCode code)
+{
+	ql_http_server_t *server = data;
+
+	mhd_request_completed(NULL, connection, context, code);
+	__atomic_sub_fetch(&server->active, 1, __ATOMIC_ACQ_REL);
+}
+
+int ql_http_server_active(ql_http_server_t *server)
+{
+	return __atomic_load_n(&server->active, __ATOMIC_ACQUIRE);
+}
+
 static int add_routes(ql_http_server_t *server)
 {
 	size_t i;
@@ -109,10 +131,8 @@
 static int start_framework(ql_http_server_t *server)
 {
 	struct MHD_OptionItem options[] = {
-		{MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed,
-		 NULL},
-		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger,
-		 NULL},
+		{MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)on_completed, server},
+		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)on_first_line, server},
 		{MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)on_connection, server},
 		{MHD_OPTION_SOCK_ADDR, 0, &server->bind_address},
 		{MHD_OPTION_CONNECTION_LIMIT, server->opts.connections, NULL},
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -40,6 +40,7 @@
  * struct ql_http_server - The listener.
  * @lock: guards @sockets
  * @sockets: socket of each open connection by the peer's address
+ * @active: requests received and not answered in whole yet
  * @closing: answers tell the peer to close its connection
  */
 typedef struct ql_http_server {
@@ -48,6 +49,7 @@
 	ql_http_server_opts_t opts;
 	pthread_mutex_t lock;
 	GHashTable *sockets;
+	int active;
 	int closing;
 	bool running;
 } ql_http_server_t;
@@ -73,6 +75,15 @@
 bool ql_http_server_peer_gone(ql_http_server_t *server,
 			      const struct _u_request *request);
 
+/**
+ * ql_http_server_active() - Requests that are not answered in whole yet.
+ * @server: the listener
+ *
+ * Return: requests whose first line was read and whose answer was not written
+ * to its end.
+ */
+int ql_http_server_active(ql_http_server_t *server);
+
 /**
  * ql_http_server_begin_close() - Ask every peer to close with its next answer.
  * @server: the listener
--- a/src/node/local_endpoint.c
+++ b/src/node/local_endpoint.c
@@ -60,6 +60,18 @@
 	wake_waiters(endpoint);
 }
 
+/* An endpoint may come back with another number of slots. */
+static void apply_slots(ql_local_endpoint_t *endpoint,
+			const ql_announcement_t *announcement)
+{
+	ql_gate_opts_t opts = endpoint->gate.opts;
+
+	if (opts.slots == (uint32_t)announcement->slots)
+		return;
+	opts.slots = (uint32_t)announcement->slots;
+	ql_gate_configure(&endpoint->gate, &opts, ql_clock_now_us());
+}
+
 bool ql_local_endpoint_renew(ql_local_endpoint_t *endpoint,
 			     const ql_announcement_t *announcement)
 {
@@ -74,6 +86,7 @@
 		  endpoint->announcement.draining != announcement->draining;
 	if (returned)
 		endpoint->incarnation = (uint64_t)g_get_real_time();
+	apply_slots(endpoint, announcement);
 	endpoint->announcement = *announcement;
 	endpoint->expires_us = now_us + announcement->lease_ms * QL_US_PER_MS;
 	update_draining(endpoint);
@@ -81,6 +94,18 @@
 	return changed;
 }
 
+void ql_local_endpoint_configure(ql_local_endpoint_t *endpoint,
+				 const ql_gate_opts_t *opts)
+{
+	ql_gate_opts_t now = *opts;
+
+	pthread_mutex_lock(&endpoint->lock);
+	now.slots = (uint32_t)endpoint->announcement.slots;
+	ql_gate_configure(&endpoint->gate, &now, ql_clock_now_us());
+	wake_waiters(endpoint);
+	pthread_mutex_unlock(&endpoint->lock);
+}
+
 void ql_local_endpoint_drain(ql_local_endpoint_t *endpoint)
 {
 	pthread_mutex_lock(&endpoint->lock);
--- a/src/node/local_endpoint.h
+++ b/src/node/local_endpoint.h
@@ -71,6 +71,14 @@
 bool ql_local_endpoint_renew(ql_local_endpoint_t *endpoint,
 			     const ql_announcement_t *announcement);
 
+/**
+ * ql_local_endpoint_configure() - Change the settings of the gate.
+ * @endpoint: the endpoint
+ * @opts: the settings; the slots are those that the endpoint announced last
+ */
+void ql_local_endpoint_configure(ql_local_endpoint_t *endpoint,
+				 const ql_gate_opts_t *opts);
+
 /**
  * ql_local_endpoint_drain() - Admit nothing more, since the node leaves.
  * @endpoint: the endpoint
--- a/src/node/local_service.c
+++ b/src/node/local_service.c
@@ -49,7 +49,7 @@
 		return ret;
 	memset(out, 0, sizeof(*out));
 	memcpy(out->service, source.service, sizeof(out->service));
-	ql_address_format(out->address, service->address,
+	ql_address_format(out->address, service->context->settings->address,
 			  (unsigned int)source.port);
 	out->slots = source.slots;
 	out->connections = source.connections;
@@ -120,7 +120,7 @@
 	if (!strcmp(name, "endpoint") && !strcmp(request->http_verb, "PUT")) {
 		announce(service, request, response);
 	} else if (!strcmp(name, "metrics")) {
-		text = ql_counters_text(service->counters);
+		text = ql_counters_text(&service->context->counters);
 		ql_answer_text(response, 200, "text/plain; version=0.0.4",
 			       text);
 		g_free(text);
@@ -194,7 +194,7 @@
 	if (ql_request_metadata(&metadata, request, NULL) ||
 	    !(metadata.has & QL_HAS_ATTEMPT) ||
 	    !(metadata.has & QL_HAS_SERVICE)) {
-		ql_count(service->counters, QL_COUNT_BAD_METADATA);
+		ql_count(&service->context->counters, QL_COUNT_BAD_METADATA);
 		return refuse(failure, QL_REASON_BAD_REQUEST,
 			      "allowed one " QL_HEADER_ATTEMPT_ID
 			      " and one " QL_HEADER_SERVICE " header");
@@ -203,7 +203,7 @@
 	if (!parent)
 		return refuse(failure, QL_REASON_CANCELLED,
 			      "this attempt is not in progress here");
-	doc = service->document(service->data);
+	doc = ql_context_document(service->context);
 	callee = ql_document_find_service(doc, metadata.service);
 	answered = callee < 0 ? refuse(failure, QL_REASON_NO_ROUTE,
 				       "the service is not known")
@@ -227,7 +227,7 @@
 			 request, response);
 		return;
 	}
-	ql_count(service->counters, QL_COUNT_LOCAL_CALLS);
+	ql_count(&service->context->counters, QL_COUNT_LOCAL_CALLS);
 	ql_http_answer_init(&answer);
 	if (call_out(service, request, &answer, &failure)) {
 		ql_answer_pass(response, &answer);
--- a/src/node/local_service.h
+++ b/src/node/local_service.h
@@ -17,18 +17,16 @@
 
 /**
  * struct ql_local_service - What it needs; all borrowed.
+ * @context: the shared parts
  * @server: the listener
- * @address: IP number of this VM, where its endpoints listen
  * @report: gives a report as JSON, or NULL when the topic is unknown
  * @announced: called when the registrar is to hear of a change at once
  */
 typedef struct ql_local_service {
+	ql_context_t *context;
 	ql_http_server_t *server;
-	const char *address;
 	ql_router_t *router;
 	ql_gate_service_t *gates;
-	ql_counters_t *counters;
-	ql_document_t *(*document)(void *data);
 	json_t *(*report)(void *data, const char *topic, const char *filter);
 	void (*announced)(void *data);
 	void *data;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,23 +7,40 @@
 #define BODY_LIMIT_BYTES (256u << 20)
 #define DRAIN_POLL_US (10 * QL_US_PER_MS)
 
-static ql_document_t *node_document(void *data)
+/* Steps the life cycle of the node and records the event. */
+static void note_event(ql_node_t *node, ql_event_t event, uint64_t version)
 {
-	ql_node_t *node = data;
-	ql_document_t *doc;
+	ql_timeline_event_t entry = {.event = event, .version = version};
+
+	pthread_mutex_lock(&node->state_lock);
+	ql_shutdown_step(&node->context.cycles, &node->state, event);
+	pthread_mutex_unlock(&node->state_lock);
+	ql_timeline_record(&node->context.timeline, &entry);
+	ql_log(LOG_NOTICE, ql_event_name(event),
+	       QL_STR("node", node->context.settings->node),
+	       QL_UINT("version", version));
+}
+
+static const char *state_name(ql_node_t *node)
+{
+	ql_shutdown_state_t state;
 
-	pthread_mutex_lock(&node->doc_lock);
-	doc = ql_document_ref(node->doc);
-	pthread_mutex_unlock(&node->doc_lock);
-	return doc;
+	pthread_mutex_lock(&node->state_lock);
+	state = node->state;
+	pthread_mutex_unlock(&node->state_lock);
+	return node->context.cycles.shutdown.states[state];
 }
 
-static bool node_is_ready(void *data)
+static void note_endpoint(ql_node_t *node, ql_event_t event,
+			  const char *service, const char *gate)
 {
-	ql_node_t *node = data;
+	ql_timeline_event_t entry = {
+		.event = event,
+		.service = service,
+		.endpoint = gate,
+	};
 
-	return __atomic_load_n(&node->asked, __ATOMIC_ACQUIRE) &&
-	       __atomic_load_n(&node->configured, __ATOMIC_ACQUIRE);
+	ql_timeline_record(&node->context.timeline, &entry);
 }
 
 static void endpoint_up(void *data, const char *service,
@@ -32,6 +49,7 @@
 	ql_node_t *node = data;
 
 	ql_router_endpoint_up(&node->router, service, info);
+	note_endpoint(node, QL_EVENT_ENDPOINT_UP, service, info->gate);
 }
 
 static void endpoint_gone(void *data, const char *service, const char *gate)
@@ -41,30 +59,26 @@
 	ql_log(LOG_INFO, "endpoint_gone", QL_STR("service", service),
 	       QL_STR("gate", gate));
 	ql_router_endpoint_gone(&node->router, service, gate);
+	note_endpoint(node, QL_EVENT_ENDPOINT_GONE, service, gate);
 }
 
 static void config_changed(void *data, ql_document_t *doc)
 {
 	ql_node_t *node = data;
-	ql_document_t *old;
-
-	pthread_mutex_lock(&node->doc_lock);
-	old = node->doc;
-	node->doc = ql_document_ref(doc);
-	pthread_mutex_unlock(&node->doc_lock);
-	ql_document_unref(old);
-	ql_count(&node->counters, QL_COUNT_CONFIG_CHANGES);
-	__atomic_store_n(&node->configured, 1, __ATOMIC_RELEASE);
-	ql_log(LOG_NOTICE, "config_in_force", QL_UINT("version", doc->version));
+
+	ql_context_set_document(&node->context, doc);
+	ql_gate_service_reconfigure(&node->gates);
+	ql_count(&node->context.counters, QL_COUNT_CONFIG_CHANGES);
+	note_event(node, QL_EVENT_CONFIG_IN_FORCE, doc->version);
 }
 
 static void asked(void *data)
 {
 	ql_node_t *node = data;
 
-	__atomic_store_n(&node->asked, 1, __ATOMIC_RELEASE);
+	ql_context_set_asked(&node->context);
 	ql_log(LOG_NOTICE, "domain_asked",
-	       QL_STR("node", node->settings->node));
+	       QL_STR("node", node->context.settings->node));
 }
 
 static const ql_member_ops_t member_ops = {
@@ -76,33 +90,35 @@
 
 static json_t *report_status(ql_node_t *node)
 {
-	ql_document_t *doc = node_document(node);
-	json_t *json =
-		json_pack("{s:s, s:s, s:s, s:I, s:b, s:i}", "node",
-			  node->settings->node, "cluster",
-			  node->settings->cluster, "failure_domain",
-			  node->settings->failure_domain, "config_version",
-			  (json_int_t)doc->version, "ready",
-			  node_is_ready(node), "calls_in_progress",
-			  (int)ql_calls_count(&node->gates.calls));
+	const ql_settings_t *settings = node->context.settings;
+	ql_document_t *doc = ql_context_document(&node->context);
+	json_t *json = json_pack("{s:s, s:s, s:s, s:s, s:I, s:b, s:i}", "node",
+				 settings->node, "cluster", settings->cluster,
+				 "failure_domain", settings->failure_domain,
+				 "state", state_name(node), "config_version",
+				 (json_int_t)doc->version, "ready",
+				 ql_context_is_ready(&node->context),
+				 "calls_in_progress",
+				 (int)ql_calls_count(&node->gates.calls));
 
 	ql_document_unref(doc);
 	return json;
 }
 
-static json_t *report(void *data, const char *topic,
-		      const char *filter G_GNUC_UNUSED)
+static json_t *report(void *data, const char *topic, const char *filter)
 {
 	ql_node_t *node = data;
 
 	if (!strcmp(topic, "status"))
 		return report_status(node);
 	if (!strcmp(topic, "counters"))
-		return ql_counters_report(&node->counters);
+		return ql_counters_report(&node->context.counters);
 	if (!strcmp(topic, "members"))
 		return ql_registrar_service_report(&node->control.registrar);
 	if (!strcmp(topic, "membership"))
 		return ql_lease_service_report(&node->control.lease);
+	if (!strcmp(topic, "timeline"))
+		return ql_timeline_report(&node->context.timeline, filter);
 	return NULL;
 }
 
@@ -113,47 +129,37 @@
 	ql_lease_service_wake(&node->control.lease);
 }
 
+static void saw_version(void *data, uint64_t version)
+{
+	ql_node_t *node = data;
+
+	ql_lease_service_saw_version(&node->control.lease, version);
+}
+
+static void want(void *data, const char *service)
+{
+	ql_node_t *node = data;
+
+	ql_lease_service_want(&node->control.lease, service);
+}
+
 static void init_data_path(ql_node_t *node)
 {
-	const ql_settings_t *settings = node->settings;
-	ql_gate_service_opts_t gate_opts = {
-		.server = &node->gate_server,
-		.client = &node->client,
-		.counters = &node->counters,
-		.hlc = &node->hlc,
-		.limiter = settings->limiter,
-		.queue_max = (uint32_t)settings->queue,
-		.document = node_document,
-		.is_ready = node_is_ready,
-		.data = node,
-	};
+	ql_context_t *context = &node->context;
 
-	ql_hlc_init(&node->hlc);
 	ql_http_client_init(&node->client);
-	node->router.client = &node->client;
-	node->router.counters = &node->counters;
-	node->router.hlc = &node->hlc;
-	ql_router_init(&node->router,
-		       strcmp(settings->balancer, "random") != 0
-			       ? &ql_balancer_two_choices
-			       : &ql_balancer_random,
-		       settings->failure_domain);
-	ql_gate_service_init(&node->gates, &gate_opts);
-	node->clients = (ql_client_service_t){
-		.server = &node->client_server,
-		.router = &node->router,
-		.counters = &node->counters,
-		.document = node_document,
-		.is_ready = node_is_ready,
-		.data = node,
-	};
+	ql_router_init(&node->router, context, &node->client);
+	ql_gate_service_init(&node->gates, context, &node->gate_server,
+			     &node->client);
+	ql_client_service_init(&node->clients, context, &node->client_server,
+			       &node->router);
+	node->clients.want = want;
+	node->clients.want_data = node;
 	node->locals = (ql_local_service_t){
+		.context = context,
 		.server = &node->local_server,
-		.address = settings->address,
 		.router = &node->router,
 		.gates = &node->gates,
-		.counters = &node->counters,
-		.document = node_document,
 		.report = report,
 		.announced = announced,
 		.data = node,
@@ -165,9 +171,10 @@
 			GError **error)
 {
 	ql_http_server_opts_t opts = {
-		.address = node->settings->address,
+		.address = node->context.settings->address,
 		.port = (unsigned int)port,
-		.connections = (unsigned int)node->settings->connections,
+		.connections =
+			(unsigned int)node->context.settings->connections,
 		.body_limit_bytes = BODY_LIMIT_BYTES,
 		.handle = handle,
 		.data = data,
@@ -180,16 +187,17 @@
 {
 	int ret;
 
-	ret = start_server(node, &node->gate_server, node->settings->gate_port,
+	ret = start_server(node, &node->gate_server,
+			   node->context.settings->gate_port,
 			   ql_gate_service_handle, &node->gates, error);
 	if (!ret)
 		ret = start_server(node, &node->local_server,
-				   node->settings->local_port,
+				   node->context.settings->local_port,
 				   ql_local_service_handle, &node->locals,
 				   error);
 	if (!ret)
 		ret = start_server(node, &node->client_server,
-				   node->settings->client_port,
+				   node->context.settings->client_port,
 				   ql_client_service_handle, &node->clients,
 				   error);
 	return ret;
@@ -204,22 +212,24 @@
 
 static void finish_data_path(ql_node_t *node)
 {
+	ql_client_service_finish(&node->clients);
 	ql_gate_service_finish(&node->gates);
 	ql_router_finish(&node->router);
 	ql_http_client_finish(&node->client);
-	ql_document_unref(node->doc);
-	pthread_mutex_destroy(&node->doc_lock);
+	ql_context_finish(&node->context);
+	pthread_mutex_destroy(&node->state_lock);
 }
 
-static ql_document_t *empty_document(void)
+static int start_control(ql_node_t *node, GError **error)
 {
-	json_t *json = json_object();
-	ql_document_t *doc = NULL;
-
-	if (ql_document_compile(&doc, json, 0, NULL))
-		g_assert_not_reached();
-	json_decref(json);
-	return doc;
+	node->control.settings = node->context.settings;
+	node->control.gates = &node->gates;
+	node->control.counters = &node->context.counters;
+	node->control.hlc = &node->context.hlc;
+	node->control.report = report;
+	node->control.data = node;
+	return ql_control_service_start(&node->control, &member_ops, node,
+					error);
 }
 
 int ql_node_start(ql_node_t *node, const ql_settings_t *settings,
@@ -228,44 +238,42 @@
 	int ret;
 
 	memset(node, 0, sizeof(*node));
-	node->settings = settings;
-	pthread_mutex_init(&node->doc_lock, NULL);
-	node->doc = empty_document();
+	ret = ql_context_init(&node->context, settings, error);
+	if (ret)
+		return ret;
+	pthread_mutex_init(&node->state_lock, NULL);
 	init_data_path(node);
-	ret = start_servers(node, error);
+	ret = start_control(node, error);
 	if (!ret) {
-		node->control.settings = settings;
-		node->control.gates = &node->gates;
-		node->control.counters = &node->counters;
-		node->control.hlc = &node->hlc;
-		node->control.report = report;
-		node->control.data = node;
-		ret = ql_control_service_start(&node->control, &member_ops,
-					       node, error);
+		node->context.saw_data = node;
+		node->context.saw_version = saw_version;
+		ret = start_servers(node, error);
+		if (ret)
+			ql_control_service_stop(&node->control);
 	}
 	if (ret) {
 		stop_servers(node);
 		finish_data_path(node);
 		return ret;
 	}
-	ql_log(LOG_NOTICE, "node_started", QL_STR("node", settings->node),
-	       QL_STR("failure_domain", settings->failure_domain));
+	note_event(node, QL_EVENT_NODE_STARTED, 0);
 	return 0;
 }
 
+/* Requests that were received and not answered in whole yet. */
 static bool is_busy(ql_node_t *node)
 {
-	return ql_calls_count(&node->gates.calls) ||
-	       __atomic_load_n(&node->clients.in_progress, __ATOMIC_ACQUIRE);
+	return ql_http_server_active(&node->gate_server) ||
+	       ql_http_server_active(&node->client_server) ||
+	       ql_http_server_active(&node->local_server);
 }
 
 void ql_node_drain(ql_node_t *node)
 {
-	uint64_t earliest_us =
-		ql_clock_now_us() + node->settings->drain_ms * QL_US_PER_MS;
+	uint64_t earliest_us = ql_clock_now_us() +
+			       node->context.settings->drain_ms * QL_US_PER_MS;
 
-	ql_log(LOG_NOTICE, "drain_started",
-	       QL_STR("node", node->settings->node));
+	note_event(node, QL_EVENT_STOP_REQUESTED, 0);
 	__atomic_store_n(&node->clients.draining, 1, __ATOMIC_RELEASE);
 	ql_gate_service_drain(&node->gates);
 	ql_http_server_begin_close(&node->client_server);
@@ -273,15 +281,14 @@
 	ql_lease_service_leave(&node->control.lease);
 	while (ql_clock_now_us() < earliest_us || is_busy(node))
 		g_usleep(DRAIN_POLL_US);
-	ql_log(LOG_NOTICE, "drain_finished",
-	       QL_STR("node", node->settings->node));
+	note_event(node, QL_EVENT_DRAIN_FINISHED, 0);
 }
 
 void ql_node_stop(ql_node_t *node)
 {
 	stop_servers(node);
+	node->context.saw_version = NULL;
 	ql_control_service_stop(&node->control);
+	note_event(node, QL_EVENT_NODE_STOPPED, 0);
 	finish_data_path(node);
-	ql_log(LOG_NOTICE, "node_stopped",
-	       QL_STR("node", node->settings->node));
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,11 +16,11 @@
 
 /**
  * struct ql_node - The node.
+ * @state_lock: guards @state
+ * @state: state of chart "shutdown"
  */
 typedef struct ql_node {
-	const ql_settings_t *settings;
-	ql_counters_t counters;
-	ql_hlc_t hlc;
+	ql_context_t context;
 	ql_http_client_t client;
 	ql_router_t router;
 	ql_gate_service_t gates;
@@ -30,10 +30,8 @@
 	ql_http_server_t client_server;
 	ql_http_server_t gate_server;
 	ql_http_server_t local_server;
-	pthread_mutex_t doc_lock;
-	ql_document_t *doc;
-	int asked;
-	int configured;
+	pthread_mutex_t state_lock;
+	ql_shutdown_state_t state;
 } ql_node_t;
 
 /**
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -27,6 +27,7 @@
 	QL_MEMBER_BOOL(ql_settings_t, replica, false),
 	QL_MEMBER_STRING(ql_settings_t, balancer, false, 1),
 	QL_MEMBER_STRING(ql_settings_t, limiter, false, 1),
+	QL_MEMBER_STRING(ql_settings_t, charts, false, 1),
 	QL_MEMBER_UINT(ql_settings_t, connections, false, 1, 65535),
 	QL_MEMBER_UINT(ql_settings_t, queue, false, 0, 65535),
 	QL_MEMBER_UINT(ql_settings_t, lease_ms, false, 100, 60000),
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -34,6 +34,7 @@
  *              which are asked when no registrar answers at the start
  * @balancer: name of the policy that chooses endpoints
  * @limiter: name of a limiter that overrides the configuration's; may be empty
+ * @charts: folder of the state charts; empty for the installed one
  * @connections: connections that a listener takes
  * @queue: requests that may wait at a gate
  * @lease_ms: how long a registrar keeps a node that is silent
@@ -62,6 +63,7 @@
 	size_t n_neighbours;
 	char balancer[QL_NAME_MAX];
 	char limiter[QL_NAME_MAX];
+	char charts[QL_FOLDER_MAX];
 	uint64_t connections;
 	uint64_t queue;
 	uint64_t lease_ms;
