Make the demonstration overload a service and report in seven lines

Cause: the demonstration's overload shed nothing (27,393 of 27,393 lookups answered), so it could not show who is shed, and it printed raw JSON.

Change: stock slows down ten times under a surge of 200 connections of lookups while orders go on at 40/s; the report gives goodput, recovery time, attempts a request, duplicates and the version on each node. It fails when an order is not answered in whole while lookups are, when goodput is not back within 5 s, or when a planned stop, a repeat, a patch or a bound breaks a promise.

--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -1,13 +1,23 @@
 #!/bin/bash
-# Shows the main job on loopback: calls through the nodes, an overload, patches
-# accepted and refused, a node stopped gracefully and one killed.
-# Usage: run.sh BUILD_FOLDER
+# Shows the main job on loopback: calls through the nodes, patches accepted and
+# refused, an overload, a node stopped gracefully and one killed; then a report.
+# Exits with 1 if a promise was broken. Usage: run.sh BUILD_FOLDER
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/town.sh"
 town_init "${1:-build}" 21000
 failures=0
 
+LOOKUP_RATE=300
+ORDER_RATE=40
+ATTEMPTS_BOUND=14
+STOCK_US=2000
+SLOW_STOCK_US=20000
+# Share of the normal goodput, in percent, at which it counts as recovered.
+RECOVERED_PERCENT=90
+WINDOW_S=0.5
+WINDOWS=10
+
 check() { # check DESCRIPTION COMMAND...
 	description=$1
 	shift
@@ -19,52 +29,175 @@
 	fi
 }
 
-echo "starting four nodes and their endpoints"
+# value NAME FILE: a number of the JSON object in the file.
+value() {
+	sed -nE "s/.*\"$1\":([0-9.]+).*/\1/p" "$2"
+}
+
+# load_to FILE NODE TARGET [OPTIONS...]
+load_to() {
+	file=$TOWN_DIR/$1
+	shift
+	town_load "$@" >"$file"
+}
+
+lookups() { # lookups FILE OPTIONS...
+	file=$1
+	shift
+	load_to "$file" 2 /parts/7 "$@"
+}
+
+orders() { # orders FILE NODE SECONDS
+	load_to "$1" "$2" /orders --method POST --key "$1" --connections 8 \
+		--rate "$ORDER_RATE" --seconds "$3"
+}
+
+# stock_time MICROSECONDS: the mean service time of both endpoints of stock.
+stock_time() {
+	for index in 2 3; do
+		curl -s -o /dev/null -X PUT \
+			"http://127.0.0.1:$(town_port $index 4)/fake/latency-us/$1"
+	done
+}
+
+# metric NAME NODES...: its sum over nodes.
+metric() {
+	name=$1
+	shift
+	for index in "$@"; do
+		curl -s "http://127.0.0.1:$(town_port "$index" 2)/quetzalloft/metrics"
+	done | awk -v name="quetzalloft_${name}_total" \
+		'$1 == name { sum += $2 } END { print sum + 0 }'
+}
+
+# row NAME TEXT
+row() {
+	printf '  %-24s %s\n' "$1" "$2"
+}
+
+# goodput FILE
+goodput() {
+	echo "$(value ok_per_s "$TOWN_DIR/$1")/s"
+}
+
+# sent FILE: requests that got any answer, and those that got none.
+sent() {
+	total=0
+	for name in answered not-run refused unknown lost; do
+		total=$((total + $(value "$name" "$TOWN_DIR/$1")))
+	done
+	echo "$total"
+}
+
+# whole FILE: how many of the requests were answered in whole.
+whole() {
+	echo "$(value ok "$TOWN_DIR/$1") of $(sent "$1")"
+}
+
+# Prints the seconds until goodput is back, or "over 5".
+recovery_time() {
+	need=$(awk -v rate="$(value ok_per_s "$TOWN_DIR/normal")" \
+		-v part="$RECOVERED_PERCENT" 'BEGIN { print rate * part / 100 }')
+	for window in $(seq 1 "$WINDOWS"); do
+		lookups window --rate "$LOOKUP_RATE" --connections 8 \
+			--seconds "$WINDOW_S"
+		awk -v found="$(value ok_per_s "$TOWN_DIR/window")" \
+			-v need="$need" 'BEGIN { exit !(found >= need) }' &&
+			break
+		window=over
+	done
+	[ "$window" = over ] && echo "over 5" && return 1
+	awk -v n="$window" -v s="$WINDOW_S" 'BEGIN { printf "%.1f", n * s }'
+}
+
+echo "four nodes in two failure domains, endpoints of three services"
 town_node 0 ee-north-1 '"registrar": true, "replica": true'
 town_node 1 ee-north-1
 town_node 2 ee-north-2
 town_node 3 ee-north-2
-town_endpoint 0 orders --slots 30 --latency-us 2000 \
+town_endpoint 0 orders --slots 60 --latency-us 2000 \
 	--call stock:/stock/7 --call catalogue:/parts/7
 town_endpoint 1 catalogue --slots 35 --latency-us 1000 --call stock:/stock/7
-town_endpoint 2 stock --slots 15 --latency-us 2000
-town_endpoint 3 stock --slots 15 --latency-us 2000
+town_endpoint 2 stock --slots 15 --latency-us "$STOCK_US"
+town_endpoint 3 stock --slots 15 --latency-us "$STOCK_US"
 town_wait "http://127.0.0.1:$(town_port 0 2)/quetzalloft/status"
 
-echo "configuration"
-check "the first patch is accepted" \
-	town_patch first 0 "$here/../kask-pojad.json"
-printf '{"attempts": 14}' >"$TOWN_DIR/patch.json"
+echo "patches"
+town_patch first 0 "$here/../kask-pojad.json" >/dev/null
+check "the first patch is accepted" [ $? -eq 0 ]
+printf '{"attempts": %s}' "$ATTEMPTS_BOUND" >"$TOWN_DIR/patch.json"
 town_patch late 0 "$TOWN_DIR/patch.json" 2>"$TOWN_DIR/stale"
 check "a patch against an old version is refused" [ $? -eq 4 ]
-check "a resent patch gets its first answer" \
-	town_patch first 0 "$here/../kask-pojad.json"
-town_wait "http://127.0.0.1:$(town_port 0 0)/parts/7"
-
-echo "calls"
-town_wait "http://127.0.0.1:$(town_port 2 0)/parts/7"
-echo "  light load:  $(town_load 0 /parts/7 --connections 4 --seconds 3)"
-echo "  overload:    $(town_load 0 /parts/7 --connections 200 --seconds 5)"
-town_load 1 /orders --method POST --connections 8 --key demo --seconds 4 \
-	>"$TOWN_DIR/orders" &
-orders=$!
+town_patch second 1 "$TOWN_DIR/patch.json" >"$TOWN_DIR/answer"
+town_patch second 1 "$TOWN_DIR/patch.json" >"$TOWN_DIR/again"
+check "a patch sent twice gets one answer" \
+	cmp -s "$TOWN_DIR/answer" "$TOWN_DIR/again"
+for node in 0 1 2; do
+	town_wait "http://127.0.0.1:$(town_port $node 0)/parts/7"
+done
+
+echo "normal load, then stock ten times slower under a surge of lookups"
+orders normal_orders 1 3 &
+normal_orders=$!
+lookups normal --rate "$LOOKUP_RATE" --connections 8 --seconds 3
+wait "$normal_orders"
+stock_time "$SLOW_STOCK_US"
+orders surge_orders 1 5 &
+surge_orders=$!
+lookups surge --connections 200 --seconds 5
+wait "$surge_orders"
+stock_time "$STOCK_US"
+recovered_after=$(recovery_time)
+check "goodput is back within 5 s of the overload's end" [ $? -eq 0 ]
+check "lookups are shed" \
+	[ "$(value not-run "$TOWN_DIR/surge")" -gt 0 ]
+check "no order is shed while lookups are served" \
+	[ "$(value ok "$TOWN_DIR/surge_orders")" -eq "$(sent surge_orders)" ]
+
+echo "a node stops gracefully under orders, another is killed"
+orders stop_orders 1 4 &
+stop_orders=$!
 sleep 1
 kill -TERM "$TOWN_NODE_3"
 wait "$TOWN_NODE_3"
-check "a node stops gracefully" [ $? -eq 0 ]
-wait "$orders"
-echo "  orders:      $(cat "$TOWN_DIR/orders")"
-check "no order was cut by the stop" grep -q '"unknown":0,"lost":0' \
-	"$TOWN_DIR/orders"
-check "no order ran twice" sh -c \
-	"curl -s http://127.0.0.1:$(town_port 0 4)/fake/stats |
-	 grep -q '\"duplicates\":0'"
+check "the stopped node exits with 0" [ $? -eq 0 ]
+wait "$stop_orders"
+check "the stop cut no order" grep -q '"unknown":0,"lost":0' \
+	"$TOWN_DIR/stop_orders"
+requests=$(metric client_requests 0 1 2)
+attempts=$(metric attempts 0 1 2)
+check "attempts stay within the bound of $ATTEMPTS_BOUND a request" \
+	[ "$attempts" -le $((requests * ATTEMPTS_BOUND)) ]
+curl -s "http://127.0.0.1:$(town_port 0 4)/fake/stats" >"$TOWN_DIR/ran"
+check "no order ran twice" [ "$(value duplicates "$TOWN_DIR/ran")" -eq 0 ]
+"$TOWN_BUILD/src/cli/quetzalloft" status --cluster "$TOWN_CLUSTER" \
+	--server "127.0.0.1:$(town_port 0 3)" \
+	--server "127.0.0.1:$(town_port 1 3)" \
+	--server "127.0.0.1:$(town_port 2 3)" >"$TOWN_DIR/status"
+check "version 2 is in force on every node" \
+	[ "$(awk 'NR > 1 && $4 == 2' "$TOWN_DIR/status" | wc -l)" -eq 3 ]
 kill -KILL "$TOWN_NODE_2"
+wait "$TOWN_NODE_2" 2>/dev/null
 sleep 4
-answer=$(curl -s "http://127.0.0.1:$(town_port 0 0)/stock/7")
-check "a killed node is not called any more" \
-	sh -c "echo '$answer' | grep -q no-endpoint"
+check "a killed node is called no more" grep -q no-endpoint <<<"$(
+	curl -s "http://127.0.0.1:$(town_port 0 0)/stock/7"
+)"
 
+echo
+echo "report"
+row "goodput of lookups" "$(goodput normal) normal, $(goodput surge) overload"
+row "goodput of orders" \
+	"$(goodput normal_orders) normal, $(goodput surge_orders) overload"
+row "whole in the overload" \
+	"lookups $(whole surge), orders $(whole surge_orders)"
+row "recovery time" "$recovered_after s"
+row "attempts a request" "$(awk -v a="$attempts" -v r="$requests" \
+	'BEGIN { printf "%.2f", a / r }') (bound $ATTEMPTS_BOUND)"
+row "duplicates" "$(value duplicates "$TOWN_DIR/ran") of \
+$(value keys "$TOWN_DIR/ran") orders that ran"
+row "version in force" "$(awk 'NR > 1 { printf "%s: %s  ", $2, $4 }' \
+	"$TOWN_DIR/status")"
+echo
 if [ "$failures" -ne 0 ]; then
 	echo "$failures promises broken"
 	exit 1
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -41,7 +41,7 @@
 enum ql_exit {
 	QL_EXIT_REFUSED = 3,
 	QL_EXIT_STALE = 4,
-	QL_EXIT_PARTIAL = 5,
+	QL_EXIT_PARTIAL = 6,
 };
 
 /**
--- a/src/cli/config_status_command.c
+++ b/src/cli/config_status_command.c
@@ -10,7 +10,7 @@
 	"Shows which version each node has in force and which nodes lag.\n"  \
 	"Nodes report their version with each renewal of their lease; the "  \
 	"registrars among\nthe servers are asked: name one of each failure " \
-	"domain. Exits with 5 when a node\nlags or a server does not answer."
+	"domain. Exits with 6 when a node\nlags or a server does not answer."
 
 static void take(void *data, const char *address G_GNUC_UNUSED, json_t *report)
 {
--- a/tests/cli/commands.sh
+++ b/tests/cli/commands.sh
@@ -56,7 +56,7 @@
 expect 3 "denied" config get --cluster another
 expect 75 "Connection refused" config get --server "$nobody"
 expect 0 "node1" status --server "$QUETZALLOFT_SERVERS" --server "$other"
-expect 5 "$nobody" status --server "$nobody" --server "$other"
+expect 6 "$nobody" status --server "$nobody" --server "$other"
 expect 0 "client_requests" metrics
 expect 0 '"p99_us"' metrics --json
 expect 64 "exactly one" drain --server "$nobody" --server "$other"
