--- a/src/node/node.c
+++ b/src/node/node.c
@@ -22,7 +22,8 @@
 {
 	ql_node_t *node = data;
 
-	return __atomic_load_n(&node->ready, __ATOMIC_ACQUIRE);
+	return __atomic_load_n(&node->asked, __ATOMIC_ACQUIRE) &&
+	       __atomic_load_n(&node->configured, __ATOMIC_ACQUIRE);
 }
 
 static void endpoint_up(void *data, const char *service,
@@ -53,14 +54,24 @@
 	pthread_mutex_unlock(&node->doc_lock);
 	ql_document_unref(old);
 	ql_count(&node->counters, QL_COUNT_CONFIG_CHANGES);
-	__atomic_store_n(&node->ready, 1, __ATOMIC_RELEASE);
+	__atomic_store_n(&node->configured, 1, __ATOMIC_RELEASE);
 	ql_log(LOG_NOTICE, "config_in_force", QL_UINT("version", doc->version));
 }
 
+static void asked(void *data)
+{
+	ql_node_t *node = data;
+
+	__atomic_store_n(&node->asked, 1, __ATOMIC_RELEASE);
+	ql_log(LOG_NOTICE, "domain_asked",
+	       QL_STR("node", node->settings->node));
+}
+
 static const ql_member_ops_t member_ops = {
 	.endpoint_up = endpoint_up,
 	.endpoint_gone = endpoint_gone,
 	.config_changed = config_changed,
+	.asked = asked,
 };
 
 static json_t *report_status(ql_node_t *node)
@@ -88,6 +99,10 @@
 		return report_status(node);
 	if (!strcmp(topic, "counters"))
 		return ql_counters_report(&node->counters);
+	if (!strcmp(topic, "members"))
+		return ql_registrar_service_report(&node->control.registrar);
+	if (!strcmp(topic, "membership"))
+		return ql_lease_service_report(&node->control.lease);
 	return NULL;
 }
 
@@ -95,13 +110,14 @@
 {
 	ql_node_t *node = data;
 
-	ql_control_service_wake(&node->control);
+	ql_lease_service_wake(&node->control.lease);
 }
 
 static void init_data_path(ql_node_t *node)
 {
 	const ql_settings_t *settings = node->settings;
 	ql_gate_service_opts_t gate_opts = {
+		.server = &node->gate_server,
 		.client = &node->client,
 		.counters = &node->counters,
 		.hlc = &node->hlc,
@@ -124,6 +140,7 @@
 		       settings->failure_domain);
 	ql_gate_service_init(&node->gates, &gate_opts);
 	node->clients = (ql_client_service_t){
+		.server = &node->client_server,
 		.router = &node->router,
 		.counters = &node->counters,
 		.document = node_document,
@@ -131,6 +148,7 @@
 		.data = node,
 	};
 	node->locals = (ql_local_service_t){
+		.server = &node->local_server,
 		.address = settings->address,
 		.router = &node->router,
 		.gates = &node->gates,
@@ -250,7 +268,9 @@
 	       QL_STR("node", node->settings->node));
 	__atomic_store_n(&node->clients.draining, 1, __ATOMIC_RELEASE);
 	ql_gate_service_drain(&node->gates);
-	ql_control_service_leave(&node->control);
+	ql_http_server_begin_close(&node->client_server);
+	ql_http_server_begin_close(&node->gate_server);
+	ql_lease_service_leave(&node->control.lease);
 	while (ql_clock_now_us() < earliest_us || is_busy(node))
 		g_usleep(DRAIN_POLL_US);
 	ql_log(LOG_NOTICE, "drain_finished",
