Give the demonstration's second failure domain its own registrar

Cause: a registrar now grants leases in its own failure domain only, so the demonstration's nodes in ee-north-2 never heard of a configuration; and with a goodput of 0 before the overload "goodput is back" held.

Change: node 1 is the registrar of ee-north-2 and exchanges with node 0; town_node takes the index of the registrar. The demonstration ends at once when a node does not answer.

--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -111,16 +111,19 @@
 }
 
 echo "four nodes in two failure domains, endpoints of three services"
-town_node 0 ee-north-1 '"registrar": true, "replica": true'
-town_node 1 ee-north-1
-town_node 2 ee-north-2
-town_node 3 ee-north-2
+town_node 0 ee-north-1 "\"registrar\": true, \"replica\": true,
+	\"peers\": [\"$(town_control 1)\"]"
+town_node 1 ee-north-2 "\"registrar\": true,
+	\"replicas\": [\"$(town_control 0)\"],
+	\"peers\": [\"$(town_control 0)\"]" 1
+town_node 2 ee-north-1
+town_node 3 ee-north-1
 town_endpoint 0 orders --slots 60 --latency-us 2000 \
 	--call stock:/stock/7 --call catalogue:/parts/7
 town_endpoint 1 catalogue --slots 35 --latency-us 1000 --call stock:/stock/7
 town_endpoint 2 stock --slots 15 --latency-us "$STOCK_US"
 town_endpoint 3 stock --slots 15 --latency-us "$STOCK_US"
-town_wait "http://127.0.0.1:$(town_port 0 2)/quetzalloft/status"
+town_wait "http://127.0.0.1:$(town_port 0 2)/quetzalloft/status" || exit 1
 
 echo "patches"
 town_patch first 0 "$here/../kask-pojad.json" >/dev/null
@@ -133,7 +136,7 @@
 check "a patch sent twice gets one answer" \
 	cmp -s "$TOWN_DIR/answer" "$TOWN_DIR/again"
 for node in 0 1 2; do
-	town_wait "http://127.0.0.1:$(town_port $node 0)/parts/7"
+	town_wait "http://127.0.0.1:$(town_port $node 0)/parts/7" || exit 1
 done
 
 echo "normal load, then stock ten times slower under a surge of lookups"
@@ -171,9 +174,8 @@
 curl -s "http://127.0.0.1:$(town_port 0 4)/fake/stats" >"$TOWN_DIR/ran"
 check "no order ran twice" [ "$(value duplicates "$TOWN_DIR/ran")" -eq 0 ]
 "$TOWN_BUILD/src/cli/quetzalloft" status --cluster "$TOWN_CLUSTER" \
-	--server "127.0.0.1:$(town_port 0 3)" \
-	--server "127.0.0.1:$(town_port 1 3)" \
-	--server "127.0.0.1:$(town_port 2 3)" >"$TOWN_DIR/status"
+	--server "$(town_control 0)" --server "$(town_control 1)" \
+	--server "$(town_control 2)" >"$TOWN_DIR/status"
 check "version 2 is in force on every node" \
 	[ "$(awk 'NR > 1 && $4 == 2' "$TOWN_DIR/status" | wc -l)" -eq 3 ]
 kill -KILL "$TOWN_NODE_2"
--- a/examples/demo/town.sh
+++ b/examples/demo/town.sh
@@ -26,7 +26,13 @@
 	echo $((TOWN_PORT + $1 * 10 + $2))
 }
 
-# town_node INDEX DOMAIN [EXTRA_JSON]
+# Address of the control port of node INDEX.
+town_control() {
+	echo "127.0.0.1:$(town_port "$1" 3)"
+}
+
+# town_node INDEX DOMAIN [EXTRA_JSON [REGISTRAR]]: REGISTRAR is the index of a
+# registrar of the failure domain, 0 unless given.
 town_node() {
 	mkdir -p "$TOWN_DIR/data$1"
 	cat >"$TOWN_DIR/node$1.json" <<-EOF
@@ -36,7 +42,7 @@
 	 "local_port": $(town_port "$1" 2),
 	 "control_port": $(town_port "$1" 3),
 	 "data_folder": "$TOWN_DIR/data$1",
-	 "registrars": ["127.0.0.1:$(town_port 0 3)"]${3:+, $3}}
+	 "registrars": ["$(town_control "${4:-0}")"]${3:+, $3}}
 	EOF
 	"$TOWN_BUILD/src/node/quetzalloftd" --config "$TOWN_DIR/node$1.json" \
 		2>>"$TOWN_DIR/node$1.log" &
--- a/tests/docs/check_pages.sh
+++ b/tests/docs/check_pages.sh
@@ -34,8 +34,8 @@
 {
 	grep -oE 'QL_MEMBER_[A-Z]+\(ql_settings_t, [a-z_]+' \
 		src/node/settings.c | sed 's/.* //'
-	grep -oE 'json_object_get\(json, "[a-z_]+"' src/node/settings.c |
-		sed -E 's/.*"([a-z_]+)"/\1/'
+	grep -oE '\{"[a-z_]+", settings->' src/node/settings.c |
+		sed -E 's/.*"([a-z_]+)".*/\1/'
 } | in_page docs/OPERATORS.md setting
 grep -rhoE 'ql_log(_error)?\([A-Z_]+,[[:space:]]*"[a-z_]+"' src |
 	grep -oE '"[a-z_]+"' | tr -d '"' | sort -u |
