Claim keys over RPC, from a gate to its keepers

Cause: the state machines of claims had no way to talk.

Change: claim.x, a program for the keeper, and ql_claim_service_begin() and ql_claim_service_end() for the gate. Each keeper asked has a thread with a kept connection that sends what waits as one batch.

ql_ring counts pushes with release order, and the thread sanitizer is told of CK's inline assembly: it reported the slots of the ring as a race.

Tests with three keeper processes: stored answer, forfeit, seal, one lost, one frozen, two lost, 8 threads on 40 keys with at most one win each. Run under the address, undefined and thread sanitizers.

--- a/include/quetzalloft/ring.h
+++ b/include/quetzalloft/ring.h
@@ -16,12 +16,14 @@
  * @ring: the ring itself
  * @slots: its buffer
  * @wake_fd: an eventfd that becomes readable after a push
+ * @pushes: pushes that were tried
  * @refused: pushes refused because the ring was full
  */
 typedef struct ql_ring {
 	ck_ring_t ring;
 	ck_ring_buffer_t *slots;
 	int wake_fd;
+	uint64_t pushes;
 	uint64_t refused;
 } ql_ring_t;
 
--- /dev/null
+++ b/src/node/claim_peer.c
@@ -0,0 +1,175 @@
+#include "node/claim_peer.h"
+#include "control/rpc_client.h"
+#include "node/claim_codec.h"
+#include "quetzalloft/log.h"
+
+#include <string.h>
+
+#define RING_ENTRIES 4096u
+#define WAIT_MS 100
+#define CALL_TIMEOUT_MS 250u
+#define DOWN_US (200 * QL_US_PER_MS)
+
+struct ql_claim_peer {
+	ql_claim_service_t *service;
+	ql_rpc_client_t client;
+	ql_ring_t jobs;
+	uint64_t down_until_us;
+	GThread *thread;
+};
+
+typedef struct {
+	ql_claim_job_t *jobs[QL_RPC_CLAIM_BATCH_MAX];
+	u_int n_jobs;
+} batch_t;
+
+static bool is_stopping(const ql_claim_peer_t *peer)
+{
+	return __atomic_load_n(&peer->service->stopping, __ATOMIC_ACQUIRE);
+}
+
+static void fail_batch(batch_t *batch)
+{
+	u_int i;
+
+	for (i = 0; i < batch->n_jobs; i++)
+		ql_claim_job_end(batch->jobs[i], NULL);
+}
+
+static void end_job(ql_claim_job_t *job, const ql_rpc_claim_reply *wire)
+{
+	ql_claim_reply_t reply;
+
+	if (ql_claim_decode_reply(&reply, wire)) {
+		ql_claim_job_end(job, NULL);
+		return;
+	}
+	ql_claim_job_end(job, &reply);
+	if (reply.answer)
+		g_bytes_unref(reply.answer);
+}
+
+static void fill_greeting(const ql_claim_peer_t *peer,
+			  ql_rpc_greeting *greeting)
+{
+	ql_claim_service_opts_t *opts = &peer->service->opts;
+
+	greeting->cluster = opts->cluster;
+	greeting->node = opts->node;
+	greeting->failure_domain = opts->failure_domain;
+	greeting->incarnation = opts->incarnation;
+	greeting->clock = ql_hlc_tick(opts->hlc, ql_clock_wall_ms());
+	greeting->protocol = QL_RPC_PROTOCOL_VERSION;
+}
+
+static int call_keeper(ql_claim_peer_t *peer, const batch_t *batch,
+		       ql_rpc_claim_res *res)
+{
+	ql_rpc_claim_request requests[QL_RPC_CLAIM_BATCH_MAX];
+	ql_rpc_claim_args args = {0};
+	ql_rpc_call_t call = {
+		.procedure = QL_CLAIM,
+		.encode = (xdrproc_t)(void (*)(void))xdr_ql_rpc_claim_args,
+		.args = &args,
+		.decode = (xdrproc_t)(void (*)(void))xdr_ql_rpc_claim_res,
+		.result = res,
+	};
+	u_int i;
+
+	for (i = 0; i < batch->n_jobs; i++)
+		ql_claim_encode_request(&requests[i], &batch->jobs[i]->request);
+	args.requests.requests_val = requests;
+	args.requests.requests_len = batch->n_jobs;
+	fill_greeting(peer, &args.greeting);
+	return ql_rpc_client_call(&peer->client, &call, NULL);
+}
+
+static void note_down(ql_claim_peer_t *peer)
+{
+	__atomic_add_fetch(&peer->service->failed_batches, 1, __ATOMIC_RELAXED);
+	peer->down_until_us = ql_clock_now_us() + DOWN_US;
+	ql_log(LOG_WARNING, "keeper_failed",
+	       QL_STR("address", peer->client.address));
+}
+
+static void exchange(ql_claim_peer_t *peer, batch_t *batch)
+{
+	ql_rpc_claim_res res = {0};
+	int ret;
+	u_int i;
+
+	if (ql_clock_now_us() < peer->down_until_us) {
+		fail_batch(batch);
+		return;
+	}
+	ret = call_keeper(peer, batch, &res);
+	if (ret || res.status || res.replies.replies_len != batch->n_jobs) {
+		note_down(peer);
+		fail_batch(batch);
+	} else {
+		ql_hlc_observe(peer->service->opts.hlc, res.clock,
+			       ql_clock_wall_ms());
+		for (i = 0; i < batch->n_jobs; i++)
+			end_job(batch->jobs[i], &res.replies.replies_val[i]);
+	}
+	xdr_free((xdrproc_t)(void (*)(void))xdr_ql_rpc_claim_res, &res);
+}
+
+static void take_batch(ql_claim_peer_t *peer, batch_t *batch)
+{
+	ql_claim_job_t *job;
+
+	batch->n_jobs = 0;
+	while (batch->n_jobs < QL_RPC_CLAIM_BATCH_MAX &&
+	       (job = ql_ring_pop(&peer->jobs)))
+		batch->jobs[batch->n_jobs++] = job;
+}
+
+static void *serve(void *data)
+{
+	ql_claim_peer_t *peer = data;
+	batch_t batch;
+
+	while (!is_stopping(peer)) {
+		take_batch(peer, &batch);
+		if (batch.n_jobs)
+			exchange(peer, &batch);
+		else
+			ql_ring_wait(&peer->jobs, WAIT_MS);
+	}
+	return NULL;
+}
+
+ql_claim_peer_t *ql_claim_peer_new(ql_claim_service_t *service,
+				   const char *address)
+{
+	ql_claim_peer_t *peer = g_new0(ql_claim_peer_t, 1);
+
+	peer->service = service;
+	if (ql_ring_init(&peer->jobs, RING_ENTRIES, NULL)) {
+		g_free(peer);
+		return NULL;
+	}
+	ql_rpc_client_init(&peer->client, address, QL_CLAIM_PROGRAM,
+			   QL_CLAIM_V1, CALL_TIMEOUT_MS);
+	peer->thread = g_thread_new("claims", serve, peer);
+	return peer;
+}
+
+void ql_claim_peer_free(ql_claim_peer_t *peer)
+{
+	batch_t batch;
+
+	g_thread_join(peer->thread);
+	for (take_batch(peer, &batch); batch.n_jobs; take_batch(peer, &batch))
+		fail_batch(&batch);
+	ql_rpc_client_finish(&peer->client);
+	ql_ring_finish(&peer->jobs);
+	g_free(peer);
+}
+
+void ql_claim_peer_post(ql_claim_peer_t *peer, ql_claim_job_t *job)
+{
+	if (ql_ring_push(&peer->jobs, job))
+		ql_claim_job_end(job, NULL);
+}
--- a/src/util/ring.c
+++ b/src/util/ring.c
@@ -20,6 +20,7 @@
 		return ql_error_set_errno(error, errno, "eventfd");
 	ring->slots = g_new0(ck_ring_buffer_t, capacity);
 	ring->refused = 0;
+	ring->pushes = 0;
 	ck_ring_init(&ring->ring, capacity);
 	return 0;
 }
@@ -35,6 +36,8 @@
 {
 	uint64_t one = 1;
 
+	/* Orders the item's content also for tools that cannot see CK. */
+	__atomic_add_fetch(&ring->pushes, 1, __ATOMIC_ACQ_REL);
 	if (!ck_ring_enqueue_mpsc(&ring->ring, ring->slots, item)) {
 		__atomic_add_fetch(&ring->refused, 1, __ATOMIC_RELAXED);
 		return QL_E_FULL;
@@ -51,6 +54,7 @@
 
 	if (!ck_ring_dequeue_mpsc(&ring->ring, ring->slots, &item))
 		return NULL;
+	__atomic_load_n(&ring->pushes, __ATOMIC_ACQUIRE);
 	return item;
 }
 
--- /dev/null
+++ b/tests/support/keepers.h
@@ -0,0 +1,187 @@
+#ifndef QL_TESTS_SUPPORT_KEEPERS_H
+#define QL_TESTS_SUPPORT_KEEPERS_H
+
+/* Three keepers as processes on loopback, and a claim service that asks them.
+ */
+
+#include "node/claim_codec.h"
+#include "node/claim_service.h"
+#include "quetzalloft/json.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <string>
+
+namespace keepers_test
+{
+
+constexpr int kKeepers = 3;
+constexpr int kFirstPort = 24100;
+constexpr int kPorts = 800;
+
+inline bool IsFree(int port)
+{
+	struct sockaddr_in where = {};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int one = 1;
+	bool free;
+
+	where.sin_family = AF_INET;
+	where.sin_port = htons((uint16_t)port);
+	where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	free = !bind(fd, (struct sockaddr *)&where, sizeof(where));
+	close(fd);
+	return free;
+}
+
+class Keepers
+{
+      public:
+	/* Must be called before the process has threads. */
+	Keepers()
+	{
+		int port = kFirstPort + getpid() * 7 % kPorts;
+
+		for (int i = 0; i < kKeepers; port++)
+			if (IsFree(port))
+				ports_[i++] = port;
+		MakeDocument();
+		for (int i = 0; i < kKeepers; i++)
+			Start(i);
+		ql_hlc_init(&hlc_);
+		Init(&service);
+	}
+
+	~Keepers()
+	{
+		ql_claim_service_finish(&service);
+		for (int i = 0; i < kKeepers; i++)
+			Kill(i);
+		ql_document_unref(doc);
+	}
+
+	void Kill(int keeper)
+	{
+		if (!pids_[keeper])
+			return;
+		kill(pids_[keeper], SIGKILL);
+		waitpid(pids_[keeper], nullptr, 0);
+		pids_[keeper] = 0;
+	}
+
+	void Freeze(int keeper)
+	{
+		kill(pids_[keeper], SIGSTOP);
+	}
+
+	ql_claim_session_t *Begin(ql_claim_kind_t kind, const std::string &key,
+				  const std::string &body,
+				  ql_claim_verdict_t *verdict)
+	{
+		ql_claim_request_id_t id = {"POST", "/orders", "client",
+					    body.data(), body.size()};
+		ql_claim_call_t call = {};
+
+		call.doc = doc;
+		call.key = key.c_str();
+		ql_claim_fingerprint(call.fingerprint, &id);
+		call.kind = kind;
+		call.deadline_us = ql_clock_now_us() + 2 * QL_US_PER_S;
+		call.lease_ms = 60000;
+		return ql_claim_service_begin(&service, &call, verdict);
+	}
+
+	ql_claim_service_t service;
+	ql_document_t *doc = nullptr;
+
+      private:
+	void MakeDocument()
+	{
+		std::string text = "{\"site\":\"s\",\"attempts\":1,"
+				   "\"classes\":{},\"services\":{},"
+				   "\"routes\":{},\"keepers\":{\"members\":{";
+		json_t *json = nullptr;
+
+		for (int i = 0; i < kKeepers; i++)
+			text += (i ? ",\"k" : "\"k") + std::to_string(i) +
+				"\":{\"address\":\"127.0.0.1:" +
+				std::to_string(ports_[i]) +
+				"\",\"failure_domain\":\"d" +
+				std::to_string(i) + "\"}";
+		text += "},\"slots\":[[\"k0\",\"k1\",\"k2\"]]}}";
+		g_assert(!ql_json_parse(&json, text.data(), text.size(),
+					nullptr));
+		g_assert(!ql_document_compile(&doc, json, 1, nullptr));
+		json_decref(json);
+	}
+
+	static ql_document_t *Document(void *data)
+	{
+		return ql_document_ref(((Keepers *)data)->doc);
+	}
+
+	void Init(ql_claim_service_t *out)
+	{
+		ql_claim_service_opts_t opts = {};
+
+		g_strlcpy(opts.cluster, "test", sizeof(opts.cluster));
+		g_strlcpy(opts.node, "n", sizeof(opts.node));
+		opts.hlc = &hlc_;
+		opts.document = Document;
+		opts.data = this;
+		opts.keys_max = 1000000;
+		opts.answers_max_bytes = 64 << 20;
+		ql_claim_service_init(out, &opts);
+		/* As if it had been silent for long enough already. */
+		out->keeper.start_us = 0;
+	}
+
+	void Start(int keeper)
+	{
+		int ready[2];
+		char byte;
+
+		g_assert(!pipe(ready));
+		pids_[keeper] = fork();
+		if (!pids_[keeper])
+			Serve(keeper, ready[1]);
+		close(ready[1]);
+		g_assert(read(ready[0], &byte, 1) == 1);
+		close(ready[0]);
+	}
+
+	void Serve(int keeper, int ready)
+	{
+		static ql_claim_service_t child;
+		static ql_rpc_server_t rpc;
+		std::string address =
+			"127.0.0.1:" + std::to_string(ports_[keeper]);
+
+		/* A parent that ends early leaves no keeper behind. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		ql_hlc_init(&hlc_);
+		Init(&child);
+		ql_claim_service_program(&rpc.programs[0], &child);
+		rpc.n_programs = 1;
+		if (ql_rpc_server_start(&rpc, address.c_str(), nullptr) ||
+		    write(ready, "r", 1) != 1)
+			_exit(1);
+		for (;;)
+			pause();
+	}
+
+	int ports_[kKeepers];
+	pid_t pids_[kKeepers] = {};
+	ql_hlc_t hlc_;
+};
+
+} // namespace keepers_test
+
+#endif
