--- a/tests/node/settings_test.cc
+++ b/tests/node/settings_test.cc
@@ -52,6 +52,14 @@
 			     "settings.registrars[0]"},
 		SettingsCase{",\"registrar\":true,\"replica\":true",
 			     QL_E_MISSING_KEY, "settings.data_folder"},
+		SettingsCase{",\"registrar\":true,\"replica\":true,"
+			     "\"data_folder\":\"d\","
+			     "\"replicas\":[\"127.0.0.1:4\"]",
+			     0, nullptr},
+		SettingsCase{",\"registrar\":true,\"replica\":true,"
+			     "\"data_folder\":\"d\","
+			     "\"replicas\":[\"127.0.0.1:5\"]",
+			     QL_E_NOT_FOUND, "settings.replicas"},
 		SettingsCase{",\"registrar\":true,\"colour\":1",
 			     QL_E_UNKNOWN_KEY, "colour"},
 		SettingsCase{",\"registrar\":true,\"renew_ms\":2000",
