Test 500 patches and the restart of one, a majority and all

Cause: nothing counted what a restart reads, or showed that a replica comes back to the latest version before it hears from another one. Change: a small cluster in one thread over disks of the caller; the test kills one, two and three of three replicas after 500 patches and asks for version, first answers, files and bytes read.

--- /dev/null
+++ b/tests/control/replica_restart_test.cc
@@ -0,0 +1,77 @@
+#include "control/replica_cluster.h"
+#include "quetzalloft/error.h"
+#include "store/fake_disk.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+const uint64_t N_PATCHES = 500;
+const uint32_t SNAPSHOT_ENTRIES = 128;
+
+std::string text_of(uint64_t number)
+{
+	return "{\"site\":\"s" + std::to_string(number) +
+	       "\",\"attempts\":3,\"classes\":{},\"services\":{},"
+	       "\"routes\":{}}";
+}
+
+class Restart : public testing::TestWithParam<std::vector<size_t>>
+{
+};
+
+/* Back to the latest version, with the first answers. */
+TEST_P(Restart, ComesBackToTheLatestVersion)
+{
+	FakeDisk disks[3];
+	Cluster cluster({disks[0].disk(), disks[1].disk(), disks[2].disk()},
+			SNAPSHOT_ENTRIES);
+
+	for (uint64_t i = 0; i < N_PATCHES; i++) {
+		cluster.submit("p" + std::to_string(i), i, text_of(i));
+		ql_replica_flush(&cluster.leader()->config.replica);
+		cluster.settle();
+	}
+	for (size_t index : GetParam()) {
+		cluster.kill(index);
+		disks[index].crash(1);
+	}
+	for (size_t index : GetParam()) {
+		uint64_t on_disk = 0;
+
+		cluster.start(index);
+		for (const auto &file : disks[index].files)
+			on_disk += file.second->content.size();
+		/* What was shown is there before any other replica is heard. */
+		EXPECT_EQ(N_PATCHES, cluster.nodes[index]->state.doc->version);
+		/* Each byte is read once, and the log is bounded. */
+		EXPECT_GE(on_disk, cluster.nodes[index]->bytes_read);
+		EXPECT_GE(2u, disks[index].files.size());
+		EXPECT_GT(2 * SNAPSHOT_ENTRIES,
+			  cluster.nodes[index]->journal.entries->len);
+	}
+	cluster.elect();
+	for (size_t i = 0; i < 3; i++) {
+		EXPECT_EQ(N_PATCHES, cluster.nodes[i]->state.doc->version);
+		ql_patch_answer_t first =
+			cluster.answer(i, "p7", 7, text_of(7));
+
+		EXPECT_EQ(0, first.status);
+		EXPECT_EQ(8u, first.version);
+	}
+	cluster.submit("next", N_PATCHES, text_of(N_PATCHES));
+	ql_replica_flush(&cluster.leader()->config.replica);
+	cluster.settle();
+	EXPECT_EQ(N_PATCHES + 1, cluster.leader()->state.doc->version);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	After500Patches, Restart,
+	testing::Values(std::vector<size_t>{1}, std::vector<size_t>{0, 1},
+			std::vector<size_t>{0, 1, 2}),
+	[](const testing::TestParamInfo<std::vector<size_t>> &test) {
+		return "Of" + std::to_string(test.param.size());
+	});
+
+} // namespace
