Measure membership without a network (program only)

Change: a program that drives one registrar and its members; no figure yet. Ruled out: members that all follow every patch; each compiles the document, so 750 of them say nothing that four do not.

--- /dev/null
+++ b/bench/membership.c
@@ -0,0 +1,459 @@
+/*
+ * Measures the decisions of membership and configuration without a network:
+ * one registrar among all endpoints of a fleet, its nodes, and the document.
+ * Prints one JSON object.
+ */
+
+#include "control/exchange.h"
+#include "quetzalloft/clock.h"
+#include "quetzalloft/json.h"
+#include "quetzalloft/member.h"
+#include "quetzalloft/registrar.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RENEW_MS 500u
+#define LEASE_MS 3000u
+#define ROUNDS 40u
+/* Members that also follow patches, since each compiles the document. */
+#define FOLLOWERS 4u
+#define PATCHES 200u
+/* Ethernet, IP and TCP headers of a segment, and of its acknowledgement. */
+#define SEGMENT_BYTES 66u
+#define RPC_CALL_BYTES 44u
+#define RPC_REPLY_BYTES 28u
+
+typedef struct {
+	uint32_t nodes;
+	uint32_t services;
+	uint32_t domains;
+	uint32_t calls;
+} fleet_opts_t;
+
+typedef struct {
+	fleet_opts_t opts;
+	ql_config_state_t config;
+	ql_registrar_t registrar;
+	ql_member_t *members;
+	uint32_t n_members;
+	GRand *random;
+	uint64_t now_ms;
+	uint64_t request_bytes;
+	uint64_t answer_bytes;
+	uint64_t messages;
+	uint64_t endpoints_up;
+	uint64_t registrar_us;
+	uint64_t member_us;
+} fleet_t;
+
+static void endpoint_up(void *data, const char *service G_GNUC_UNUSED,
+			const ql_target_info_t *info G_GNUC_UNUSED)
+{
+	fleet_t *fleet = data;
+
+	fleet->endpoints_up++;
+}
+
+static void endpoint_gone(void *data G_GNUC_UNUSED,
+			  const char *service G_GNUC_UNUSED,
+			  const char *gate G_GNUC_UNUSED)
+{
+}
+
+static void config_changed(void *data G_GNUC_UNUSED,
+			   ql_document_t *doc G_GNUC_UNUSED)
+{
+}
+
+static const ql_member_ops_t ops = {
+	.endpoint_up = endpoint_up,
+	.endpoint_gone = endpoint_gone,
+	.config_changed = config_changed,
+};
+
+#define LAYERS 9u
+
+/* A call goes to the next layer, the others to the last one. */
+static json_t *make_calls(const fleet_opts_t *opts, uint32_t service)
+{
+	json_t *calls = json_array();
+	uint32_t layer_size = MAX(opts->services / LAYERS, 1);
+	uint32_t last = MIN(opts->services / layer_size, LAYERS) - 1;
+	uint32_t layer = MIN(service / layer_size, last);
+	char name[QL_NAME_MAX];
+	uint32_t i, n, callee;
+
+	n = layer < last ? MIN(opts->calls, layer_size) : 0;
+	for (i = 0; i < n; i++) {
+		callee = (i ? last : layer + 1) * layer_size +
+			 (service * 7 + i) % layer_size;
+		g_snprintf(name, sizeof(name), "service-%u", callee);
+		if (i != 1 || layer + 1 != last || n == 1)
+			json_array_append_new(calls, json_string(name));
+	}
+	return calls;
+}
+
+static json_t *make_document(const fleet_opts_t *opts)
+{
+	json_t *services = json_object();
+	json_t *routes = json_object();
+	char name[QL_NAME_MAX], path[QL_PATH_MAX];
+	uint32_t i;
+
+	for (i = 0; i < opts->services; i++) {
+		g_snprintf(name, sizeof(name), "service-%u", i);
+		g_snprintf(path, sizeof(path), "/%s", name);
+		json_object_set_new(services, name,
+				    json_pack("{s:o}", "calls",
+					      make_calls(opts, i)));
+		json_object_set_new(routes, name,
+				    json_pack("{s:s, s:s, s:s, s:s, s:b, s:i}",
+					      "service", name, "method", "GET",
+					      "path", path, "class", "lookup",
+					      "idempotent", 1, "deadline_ms",
+					      1000));
+	}
+	return json_pack("{s:s, s:i, s:{s:{s:i}}, s:o, s:o}", "site", "bench",
+			 "attempts", 200, "classes", "lookup", "shed_order", 1,
+			 "services", services, "routes", routes);
+}
+
+static void submit(ql_config_state_t *config, const char *text)
+{
+	ql_patch_t patch = {.base_version = config->doc->version,
+			    .text = text,
+			    .length = strlen(text)};
+	ql_patch_answer_t answer;
+
+	g_snprintf(patch.id, sizeof(patch.id), "p%u",
+		   (unsigned int)config->doc->version);
+	ql_config_state_apply(config, &patch, &answer);
+	if (answer.status)
+		g_error("patch refused: %s", answer.detail);
+}
+
+/* Describes the endpoint of a node; the service comes by turns. */
+static void describe(const fleet_t *fleet, uint32_t node, ql_rpc_endpoint *out)
+{
+	char text[QL_NAME_MAX];
+
+	g_snprintf(text, sizeof(text), "service-%u",
+		   node / fleet->opts.domains % fleet->opts.services);
+	out->service = strdup(text);
+	g_snprintf(text, sizeof(text), "10.%u.%u.%u:8080", node >> 16 & 255,
+		   node >> 8 & 255, node & 255);
+	out->gate = strdup(text);
+	g_snprintf(text, sizeof(text), "node-%u", node);
+	out->node = strdup(text);
+	g_snprintf(text, sizeof(text), "region-domain-%u",
+		   node % fleet->opts.domains);
+	out->failure_domain = strdup(text);
+	out->incarnation = 1700000000000000ULL + node;
+	out->slots = 60;
+	out->connections = 450;
+	out->epoch = 1;
+}
+
+static void init_fleet(fleet_t *fleet, const fleet_opts_t *opts)
+{
+	ql_registrar_opts_t registrar_opts = {
+		.cluster = "bench",
+		.failure_domain = "region-domain-0",
+		.incarnation = 1,
+		.lease_ms = LEASE_MS,
+	};
+	json_t *json = make_document(opts);
+	char *text = ql_json_text(json);
+
+	memset(fleet, 0, sizeof(*fleet));
+	fleet->opts = *opts;
+	fleet->now_ms = 1000000;
+	registrar_opts.started_ms = fleet->now_ms - LEASE_MS;
+	fleet->random = g_rand_new_with_seed(1);
+	ql_config_state_init(&fleet->config);
+	submit(&fleet->config, text);
+	free(text);
+	json_decref(json);
+	ql_registrar_init(&fleet->registrar, &registrar_opts, &fleet->config);
+}
+
+static void finish_fleet(fleet_t *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->n_members; i++)
+		ql_member_finish(&fleet->members[i]);
+	g_free(fleet->members);
+	ql_registrar_finish(&fleet->registrar);
+	ql_config_state_finish(&fleet->config);
+	g_rand_free(fleet->random);
+}
+
+/* Takes the endpoints of the other domains as one exchange would bring them. */
+static void learn_remote(fleet_t *fleet)
+{
+	ql_rpc_exchange_res res = {.detail = (char *)"",
+				   .registrar_incarnation = 2};
+	ql_rpc_domain domain = {.covered = TRUE};
+	ql_rpc_endpoint endpoint;
+	char name[QL_NAME_MAX];
+	ql_exchange_t exchange;
+	uint32_t i;
+
+	ql_exchange_init(&exchange, &fleet->registrar, "r", 1, fleet->random);
+	res.endpoints.endpoints_val = &endpoint;
+	res.endpoints.endpoints_len = 1;
+	res.domains.domains_val = &domain;
+	res.domains.domains_len = 1;
+	domain.name = name;
+	for (i = 0; i < fleet->opts.nodes; i++) {
+		if (i % fleet->opts.domains == 0)
+			continue;
+		memset(&endpoint, 0, sizeof(endpoint));
+		describe(fleet, i, &endpoint);
+		g_strlcpy(name, endpoint.failure_domain, sizeof(name));
+		ql_exchange_take(&exchange, 0, &res, fleet->now_ms, NULL);
+		xdr_free((xdrproc_t)xdr_ql_rpc_endpoint, &endpoint);
+	}
+}
+
+static void init_members(fleet_t *fleet)
+{
+	ql_member_opts_t opts = {
+		.cluster = "bench",
+		.failure_domain = "region-domain-0",
+		.n_registrars = 1,
+		.renew_ms = RENEW_MS,
+	};
+	uint32_t i, node;
+
+	fleet->n_members = (fleet->opts.nodes + fleet->opts.domains - 1) /
+			   fleet->opts.domains;
+	fleet->members = g_new0(ql_member_t, fleet->n_members);
+	for (i = 0; i < fleet->n_members; i++) {
+		node = i * fleet->opts.domains;
+		g_snprintf(opts.node, sizeof(opts.node), "node-%u", node);
+		opts.incarnation = 1700000000000000ULL + node;
+		opts.started_ms = fleet->now_ms;
+		ql_member_init(&fleet->members[i], &opts, &ops, fleet,
+			       fleet->random);
+	}
+}
+
+/* One renewal with its encoding and decoding on both sides. */
+static void renew(fleet_t *fleet, uint32_t index)
+{
+	ql_member_t *member = &fleet->members[index];
+	ql_rpc_lease_args args = {0};
+	ql_rpc_lease_res res = {0};
+	uint64_t start_us, asked_us, end_us;
+
+	start_us = ql_clock_now_us();
+	args.endpoints.endpoints_val = calloc(1, sizeof(ql_rpc_endpoint));
+	args.endpoints.endpoints_len = 1;
+	describe(fleet, index * fleet->opts.domains,
+		 args.endpoints.endpoints_val);
+	ql_member_fill_lease(member, 0, &args);
+	fleet->member_us += ql_clock_now_us() - start_us;
+	fleet->request_bytes +=
+		xdr_sizeof((xdrproc_t)xdr_ql_rpc_lease_args, &args) +
+		RPC_CALL_BYTES;
+	asked_us = ql_clock_now_us();
+	ql_registrar_lease(&fleet->registrar, &args, &res, fleet->now_ms);
+	fleet->registrar_us += ql_clock_now_us() - asked_us;
+	fleet->answer_bytes +=
+		xdr_sizeof((xdrproc_t)xdr_ql_rpc_lease_res, &res) +
+		RPC_REPLY_BYTES;
+	end_us = ql_clock_now_us();
+	if (ql_member_take_lease(member, 0, &res, fleet->now_ms, NULL))
+		g_error("renewal refused: %d %s", res.status, res.detail);
+	fleet->member_us += ql_clock_now_us() - end_us;
+	fleet->messages++;
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_res, &res);
+}
+
+static void renew_all(fleet_t *fleet, uint32_t rounds)
+{
+	uint32_t i;
+
+	while (rounds--) {
+		for (i = 0; i < fleet->n_members; i++)
+			renew(fleet, i);
+		fleet->now_ms += RENEW_MS;
+		ql_registrar_tick(&fleet->registrar, fleet->now_ms);
+	}
+}
+
+static void reset_sums(fleet_t *fleet)
+{
+	fleet->request_bytes = 0;
+	fleet->answer_bytes = 0;
+	fleet->messages = 0;
+	fleet->endpoints_up = 0;
+	fleet->registrar_us = 0;
+	fleet->member_us = 0;
+}
+
+static uint64_t allocated_bytes(void)
+{
+	return mallinfo2().uordblks + mallinfo2().hblkhd;
+}
+
+static json_t *report_renewals(const fleet_t *fleet)
+{
+	double n = (double)fleet->messages;
+
+	return json_pack("{s:f, s:f, s:f, s:f, s:f}", "request_bytes",
+			 (double)fleet->request_bytes / n, "answer_bytes",
+			 (double)fleet->answer_bytes / n, "wire_bytes",
+			 (double)(fleet->request_bytes + fleet->answer_bytes) /
+					 n +
+				 3 * SEGMENT_BYTES,
+			 "registrar_us", (double)fleet->registrar_us / n,
+			 "member_us", (double)fleet->member_us / n);
+}
+
+/* Restarts one remote endpoint for every node that is counted. */
+static void restart_remote(fleet_t *fleet, uint32_t count)
+{
+	ql_exchange_t exchange;
+	ql_rpc_endpoint endpoint;
+	ql_rpc_exchange_res res = {.detail = (char *)"",
+				   .registrar_incarnation = 2};
+	uint32_t i;
+
+	ql_exchange_init(&exchange, &fleet->registrar, "r", 1, fleet->random);
+	res.endpoints.endpoints_val = &endpoint;
+	res.endpoints.endpoints_len = 1;
+	for (i = 0; i < count; i++) {
+		memset(&endpoint, 0, sizeof(endpoint));
+		describe(fleet, i * fleet->opts.domains + 1, &endpoint);
+		endpoint.epoch = 2;
+		ql_exchange_take(&exchange, 0, &res, fleet->now_ms, NULL);
+		xdr_free((xdrproc_t)xdr_ql_rpc_endpoint, &endpoint);
+	}
+}
+
+static json_t *measure_fleet(const fleet_opts_t *opts)
+{
+	json_t *out = json_pack("{s:i, s:i, s:i, s:i}", "nodes", opts->nodes,
+				"services", opts->services, "domains",
+				opts->domains, "calls", opts->calls);
+	uint64_t before = allocated_bytes(), after;
+	uint32_t changes = MAX(opts->nodes / opts->domains / 10, 1);
+	fleet_t fleet;
+	uint32_t i, j;
+
+	init_fleet(&fleet, opts);
+	learn_remote(&fleet);
+	after = allocated_bytes();
+	json_object_set_new(out, "registrar_bytes",
+			    json_integer((json_int_t)(after - before)));
+	init_members(&fleet);
+	before = allocated_bytes();
+	renew_all(&fleet, 3);
+	after = allocated_bytes();
+	json_object_set_new(out, "first_renewals", report_renewals(&fleet));
+	json_object_set_new(out, "bytes_per_node",
+			    json_integer((json_int_t)((after - before) /
+						      fleet.n_members)));
+	json_object_set_new(out, "endpoints_per_node",
+			    json_integer((json_int_t)(fleet.endpoints_up /
+						      fleet.n_members)));
+	reset_sums(&fleet);
+	renew_all(&fleet, ROUNDS);
+	json_object_set_new(out, "quiet_renewals", report_renewals(&fleet));
+	reset_sums(&fleet);
+	restart_remote(&fleet, changes);
+	renew_all(&fleet, 1);
+	json_object_set_new(out, "restarts", json_integer(changes));
+	json_object_set_new(out, "renewals_after_restarts",
+			    report_renewals(&fleet));
+	reset_sums(&fleet);
+	for (i = 0; i < ROUNDS / 4; i++) {
+		char text[32];
+
+		g_snprintf(text, sizeof(text), "{\"attempts\":%u}", 201 + i);
+		submit(&fleet.config, text);
+		for (j = 0; j < MIN(FOLLOWERS, fleet.n_members); j++)
+			renew(&fleet, j);
+	}
+	json_object_set_new(out, "renewals_with_patch",
+			    report_renewals(&fleet));
+	finish_fleet(&fleet);
+	return out;
+}
+
+/* Cost of one followed patch at a size of the document. */
+static json_t *measure_follow(uint32_t services)
+{
+	fleet_opts_t opts = {.services = services, .calls = 3};
+	json_t *json = make_document(&opts);
+	char *text = ql_json_text(json);
+	ql_config_state_t leader, follower;
+	size_t length = strlen(text);
+	uint64_t start_us, spent_us = 0, before;
+	uint32_t i;
+
+	ql_config_state_init(&leader);
+	submit(&leader, text);
+	before = allocated_bytes();
+	ql_config_state_init(&follower);
+	ql_config_state_replace(&follower, 1, text, length, NULL);
+	before = allocated_bytes() - before;
+	for (i = 0; i < PATCHES; i++) {
+		char patch[96];
+
+		g_snprintf(patch, sizeof(patch),
+			   "{\"services\":{\"service-%u\":{\"queue_ms\":%u}}}",
+			   i % services, 10 + i);
+		submit(&leader, patch);
+		start_us = ql_clock_now_us();
+		if (ql_config_state_follow(&follower,
+					   g_queue_peek_tail(&leader.changes),
+					   NULL))
+			g_error("the change does not apply");
+		spent_us += ql_clock_now_us() - start_us;
+	}
+	ql_config_state_finish(&leader);
+	ql_config_state_finish(&follower);
+	free(text);
+	json_decref(json);
+	return json_pack("{s:i, s:i, s:f, s:i}", "services", services,
+			 "document_bytes", (int)length, "follow_us",
+			 (double)spent_us / PATCHES, "memory_bytes",
+			 (int)before);
+}
+
+static json_t *measure_all(void)
+{
+	static const fleet_opts_t fleets[] = {
+		{25, 4, 3, 3},	      {100, 8, 4, 3},	   {1000, 50, 8, 3},
+		{4500, 212, 24, 3},   {9000, 425, 24, 3},  {18000, 850, 24, 3},
+		{18000, 850, 24, 10}, {18000, 100, 24, 3},
+	};
+	static const uint32_t sizes[] = {4, 100, 850};
+	json_t *measured = json_array(), *follow = json_array();
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(fleets); i++)
+		json_array_append_new(measured, measure_fleet(&fleets[i]));
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
+		json_array_append_new(follow, measure_follow(sizes[i]));
+	return json_pack("{s:o, s:o}", "fleets", measured, "follow", follow);
+}
+
+int main(void)
+{
+	json_t *json = measure_all();
+
+	json_dumpf(json, stdout, JSON_INDENT(2) | JSON_REAL_PRECISION(5));
+	putchar('\n');
+	json_decref(json);
+	return 0;
+}
