Run keyed orders under claims, and refuse program numbers used twice

Cause: the gates ran keyed requests without asking the keepers of their keys. Wired in, the path with a lost keeper refused every order: keeper and replica had the RPC program number 0x20517a02 both, so on a VM that is both the replica answered for the keeper ("can't decode result", every call).

Change: a keyed request that must not be repeated runs only under a claim that was won; a repeat gets the stored answer. A refusal of a keyed request is "refused"; with Quetzalloft-Seal: 1 the first node seals the key, and then it is "not-run". Keepers have a program number of their own, the RPC server refuses two programs with one number, and keeper_failed names the cause. An answer of an endpoint that says not-run forfeits the claim and counts as overload.

Ruled out: sealing on every refusal, since a client that comes again with the same key after an overload could never be served.

--- a/include/quetzalloft/metadata.h
+++ b/include/quetzalloft/metadata.h
@@ -18,6 +18,7 @@
 #define QL_HEADER_SERVICE "Quetzalloft-Service"
 #define QL_HEADER_UNDER_WAY "Quetzalloft-Under-Way"
 #define QL_HEADER_IDEMPOTENT "Quetzalloft-Idempotent"
+#define QL_HEADER_SEAL "Quetzalloft-Seal"
 #define QL_HEADER_CLOCK "Quetzalloft-Clock"
 #define QL_HEADER_OUTCOME "Quetzalloft-Outcome"
 #define QL_HEADER_REASON "Quetzalloft-Reason"
@@ -42,6 +43,7 @@
  * @service: the service that is called
  * @under_way: whether other calls of the client request have run already
  * @idempotent: whether the request may be repeated, and cancelled while it runs
+ * @seal: whether a refused keyed request is to be sealed: it never runs then
  * @outcome: what is known about the call
  * @reason: why it was not answered
  */
@@ -59,6 +61,7 @@
 	char service[QL_NAME_MAX];
 	uint64_t under_way;
 	uint64_t idempotent;
+	uint64_t seal;
 	ql_outcome_t outcome;
 	ql_reason_t reason;
 } ql_metadata_t;
@@ -78,6 +81,7 @@
 	QL_HAS_OUTCOME = 1 << 11,
 	QL_HAS_REASON = 1 << 12,
 	QL_HAS_IDEMPOTENT = 1 << 13,
+	QL_HAS_SEAL = 1 << 14,
 };
 
 void ql_metadata_init(ql_metadata_t *metadata);
--- a/src/control/rpc/claim.h
+++ b/src/control/rpc/claim.h
@@ -103,7 +103,7 @@
 };
 typedef struct ql_rpc_stored_answer ql_rpc_stored_answer;
 
-#define QL_CLAIM_PROGRAM 0x20517a02
+#define QL_CLAIM_PROGRAM 0x20517a04
 #define QL_CLAIM_V1 1
 
 #if defined(__STDC__) || defined(__cplusplus)
--- a/src/control/rpc/claim.x
+++ b/src/control/rpc/claim.x
@@ -71,4 +71,4 @@
 	version QL_CLAIM_V1 {
 		ql_rpc_claim_res QL_CLAIM(ql_rpc_claim_args) = 1;
 	} = 1;
-} = 0x20517a02;
+} = 0x20517a04;
--- a/src/control/rpc_server.c
+++ b/src/control/rpc_server.c
@@ -119,13 +119,32 @@
 	return fd;
 }
 
+/* Two programs with one number would answer for each other. */
+static int check_programs(const ql_rpc_server_t *server, GError **error)
+{
+	size_t i, k;
+
+	for (i = 0; i < server->n_programs; i++)
+		for (k = 0; k < i; k++)
+			if (server->programs[i].number ==
+			    server->programs[k].number)
+				return ql_error_set(
+					error, QL_E_EXISTS,
+					"two RPC programs have number 0x%x",
+					server->programs[i].number);
+	return 0;
+}
+
 int ql_rpc_server_start(ql_rpc_server_t *server, const char *address,
 			GError **error)
 {
 	int record_max = RECORD_MAX_BYTES;
 	size_t i;
-	int fd;
+	int fd, ret;
 
+	ret = check_programs(server, error);
+	if (ret)
+		return ret;
 	if (the_server)
 		return ql_error_set(error, QL_E_EXISTS,
 				    "this process has an RPC server already");
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -196,3 +196,14 @@
 	}
 	return 0;
 }
+
+ql_outcome_t ql_answer_outcome(const ql_http_answer_t *answer)
+{
+	const char *value = ql_http_answer_header(answer, QL_HEADER_OUTCOME);
+	ql_outcome_t outcome;
+
+	if (value && !ql_outcome_parse(&outcome, value) &&
+	    outcome == QL_OUTCOME_NOT_RUN)
+		return outcome;
+	return QL_OUTCOME_ANSWERED;
+}
--- a/src/node/answer.h
+++ b/src/node/answer.h
@@ -59,6 +59,15 @@
 void ql_answer_text(struct _u_response *response, unsigned int status,
 		    const char *type, const char *text);
 
+/**
+ * ql_answer_outcome() - What an endpoint's whole answer says of its request.
+ * @answer: the answer
+ *
+ * Return: QL_OUTCOME_NOT_RUN when the endpoint says that it shed the request
+ * before it ran, else QL_OUTCOME_ANSWERED.
+ */
+ql_outcome_t ql_answer_outcome(const ql_http_answer_t *answer);
+
 /**
  * ql_headers_forward() - Copy the headers of a request that are passed on.
  * @request: the request
--- a/src/node/claim_peer.c
+++ b/src/node/claim_peer.c
@@ -1,6 +1,7 @@
 #include "node/claim_peer.h"
 #include "control/rpc_client.h"
 #include "node/claim_codec.h"
+#include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
 
 #include <string.h>
@@ -63,7 +64,7 @@
 }
 
 static int call_keeper(ql_claim_peer_t *peer, const batch_t *batch,
-		       ql_rpc_claim_res *res)
+		       ql_rpc_claim_res *res, GError **error)
 {
 	ql_rpc_claim_request requests[QL_RPC_CLAIM_BATCH_MAX];
 	ql_rpc_claim_args args = {0};
@@ -81,20 +82,22 @@
 	args.requests.requests_val = requests;
 	args.requests.requests_len = batch->n_jobs;
 	fill_greeting(peer, &args.greeting);
-	return ql_rpc_client_call(&peer->client, &call, NULL);
+	return ql_rpc_client_call(&peer->client, &call, error);
 }
 
-static void note_down(ql_claim_peer_t *peer)
+static void note_down(ql_claim_peer_t *peer, const char *detail)
 {
 	__atomic_add_fetch(&peer->service->failed_batches, 1, __ATOMIC_RELAXED);
 	peer->down_until_us = ql_clock_now_us() + DOWN_US;
 	ql_log(LOG_WARNING, "keeper_failed",
-	       QL_STR("address", peer->client.address));
+	       QL_STR("address", peer->client.address),
+	       QL_STR("detail", detail));
 }
 
 static void exchange(ql_claim_peer_t *peer, batch_t *batch)
 {
 	ql_rpc_claim_res res = {0};
+	GError *error = NULL;
 	int ret;
 	u_int i;
 
@@ -102,9 +105,10 @@
 		fail_batch(batch);
 		return;
 	}
-	ret = call_keeper(peer, batch, &res);
+	ret = call_keeper(peer, batch, &res, &error);
 	if (ret || res.status || res.replies.replies_len != batch->n_jobs) {
-		note_down(peer);
+		note_down(peer,
+			  error ? error->message : ql_error_name(res.status));
 		fail_batch(batch);
 	} else {
 		ql_hlc_observe(peer->service->opts.hlc, res.clock,
@@ -112,6 +116,7 @@
 		for (i = 0; i < batch->n_jobs; i++)
 			end_job(batch->jobs[i], &res.replies.replies_val[i]);
 	}
+	g_clear_error(&error);
 	xdr_free((xdrproc_t)(void (*)(void))xdr_ql_rpc_claim_res, &res);
 }
 
--- a/src/node/client_service.c
+++ b/src/node/client_service.c
@@ -1,14 +1,17 @@
 #include "node/client_service.h"
+#include "node/keyed.h"
 
 #include <string.h>
 
 void ql_client_service_init(ql_client_service_t *service, ql_context_t *context,
-			    ql_http_server_t *server, ql_router_t *router)
+			    ql_http_server_t *server, ql_router_t *router,
+			    ql_claim_service_t *claims)
 {
 	memset(service, 0, sizeof(*service));
 	service->context = context;
 	service->server = server;
 	service->router = router;
+	service->claims = claims;
 	pthread_mutex_init(&service->lock, NULL);
 	service->random = g_rand_new();
 	ql_level_init(&service->level, 0, service->random);
@@ -101,6 +104,7 @@
 	const ql_route_t *route;
 	const struct _u_request *request;
 	ql_call_t *call;
+	ql_metadata_t metadata;
 } client_request_t;
 
 static bool same_routes(const ql_document_t *a, const ql_document_t *b)
@@ -238,26 +242,62 @@
 	return answered;
 }
 
+#define SEAL_TIMEOUT_US QL_US_PER_S
+
+/*
+ * A refusal of a keyed request says nothing of other copies, unless the client
+ * asked to seal the key: then none runs any more.
+ */
+static void qualify_refusal(ql_client_service_t *service,
+			    const client_request_t *cr, ql_failure_t *failure)
+{
+	ql_keyed_t keyed = {
+		.claims = service->claims,
+		.doc = (ql_document_t *)cr->doc,
+		.request = cr->request,
+		.key = cr->metadata.key,
+		.deadline_us = ql_clock_now_us() + SEAL_TIMEOUT_US,
+	};
+
+	if (failure->outcome != QL_OUTCOME_NOT_RUN ||
+	    !(cr->metadata.has & QL_HAS_KEY))
+		return;
+	failure->outcome = QL_OUTCOME_REFUSED;
+	if (cr->metadata.seal && ql_keyed_applies(cr->doc))
+		ql_keyed_seal(&keyed, failure);
+}
+
+/* Refuses before the document is known; a keyed copy says nothing of others. */
+static bool refuse_at_once(const struct _u_request *request,
+			   ql_failure_t *failure, ql_reason_t reason,
+			   const char *detail)
+{
+	refuse(failure, reason, detail);
+	if (u_map_has_key_case(request->map_header, QL_HEADER_KEY))
+		failure->outcome = QL_OUTCOME_REFUSED;
+	return false;
+}
+
 static bool serve(ql_client_service_t *service,
 		  const struct _u_request *request, ql_http_answer_t *answer,
 		  ql_failure_t *failure)
 {
 	client_request_t cr = {.request = request};
-	ql_metadata_t metadata;
 	ql_document_t *doc;
 	bool answered;
 
 	if (__atomic_load_n(&service->draining, __ATOMIC_ACQUIRE))
-		return refuse(failure, QL_REASON_DRAINING, NULL);
+		return refuse_at_once(request, failure, QL_REASON_DRAINING,
+				      NULL);
 	if (!ql_context_is_ready(service->context))
-		return refuse(failure, QL_REASON_NOT_READY,
-			      "the node has not heard from its failure "
-			      "domain yet");
-	/* A client has no say in the metadata but for its key. */
-	if (ql_request_metadata(&metadata, request, NULL)) {
+		return refuse_at_once(request, failure, QL_REASON_NOT_READY,
+				      "the node has not heard from its failure "
+				      "domain yet");
+	/* A client has no say in the metadata but for its key and the seal. */
+	if (ql_request_metadata(&cr.metadata, request, NULL)) {
 		ql_count(&service->context->counters, QL_COUNT_BAD_METADATA);
-		return refuse(failure, QL_REASON_BAD_REQUEST,
-			      "a header of the protocol is malformed");
+		return refuse_at_once(request, failure, QL_REASON_BAD_REQUEST,
+				      "a header of the protocol is malformed");
 	}
 	doc = ql_context_document(service->context);
 	cr.doc = doc;
@@ -265,6 +305,8 @@
 	answered = cr.route ? serve_route(service, &cr, answer, failure)
 			    : refuse(failure, QL_REASON_NO_ROUTE,
 				     "no route matches this method and path");
+	if (!answered)
+		qualify_refusal(service, &cr, failure);
 	ql_document_unref(doc);
 	return answered;
 }
--- a/src/node/client_service.h
+++ b/src/node/client_service.h
@@ -5,6 +5,7 @@
  * DOC: The listener for clients: the first node of a client request.
  */
 
+#include "node/claim_service.h"
 #include "node/http_server.h"
 #include "node/router.h"
 #include "quetzalloft/level.h"
@@ -16,6 +17,7 @@
  * @context: borrowed
  * @server: the listener; borrowed
  * @router: borrowed
+ * @claims: borrowed
  * @want: told of the service of each request that this node has no endpoint
  *        of; may be NULL
  * @want_data: passed to it
@@ -29,6 +31,7 @@
 	ql_context_t *context;
 	ql_http_server_t *server;
 	ql_router_t *router;
+	ql_claim_service_t *claims;
 	void (*want)(void *data, const char *service);
 	void *want_data;
 	int draining;
@@ -39,7 +42,8 @@
 } ql_client_service_t;
 
 void ql_client_service_init(ql_client_service_t *service, ql_context_t *context,
-			    ql_http_server_t *server, ql_router_t *router);
+			    ql_http_server_t *server, ql_router_t *router,
+			    ql_claim_service_t *claims);
 void ql_client_service_finish(ql_client_service_t *service);
 
 void ql_client_service_handle(void *data, const struct _u_request *request,
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -257,6 +257,9 @@
 	if (control->settings->replica)
 		control->rpc.programs[control->rpc.n_programs++] =
 			ql_replica_service_program(&control->replica);
+	ql_claim_service_program(
+		&control->rpc.programs[control->rpc.n_programs++],
+		control->claims);
 	return ql_rpc_server_start(&control->rpc, address, error);
 }
 
--- a/src/node/control_service.h
+++ b/src/node/control_service.h
@@ -27,6 +27,7 @@
 typedef struct ql_control_service {
 	const ql_settings_t *settings;
 	ql_gate_service_t *gates;
+	ql_claim_service_t *claims;
 	ql_counters_t *counters;
 	ql_hlc_t *hlc;
 	json_t *(*report)(void *data, const char *topic, const char *filter);
--- a/src/node/gate_handler.c
+++ b/src/node/gate_handler.c
@@ -1,4 +1,5 @@
 #include "node/gate_service.h"
+#include "node/keyed.h"
 #include "quetzalloft/error.h"
 
 #include <string.h>
@@ -198,6 +199,58 @@
 	return answered;
 }
 
+/* Whether the end of a call says that the endpoint has too much to do. */
+static bool is_overload(bool answered, const ql_http_answer_t *answer,
+			const ql_failure_t *failure)
+{
+	return answered ? ql_answer_outcome(answer) == QL_OUTCOME_NOT_RUN
+			: failure->reason == QL_REASON_DEADLINE;
+}
+
+/* A key counts where a request must not be repeated and keepers exist. */
+static bool is_keyed(const gate_call_t *gc)
+{
+	return gc->metadata.has & QL_HAS_KEY && !gc->metadata.idempotent &&
+	       ql_keyed_applies(gc->doc);
+}
+
+/* What run_measured() needs, behind one pointer. */
+typedef struct {
+	ql_gate_service_t *service;
+	gate_call_t *gc;
+} gate_run_t;
+
+static bool run_under_claim(void *data, ql_http_answer_t *answer,
+			    ql_failure_t *failure)
+{
+	const gate_run_t *run_data = data;
+
+	record(run_data->service, run_data->gc, QL_EVENT_KEY_CLAIMED,
+	       QL_OUTCOME_ANSWERED, QL_REASON_NONE);
+	return run_measured(run_data->service, run_data->gc, answer, failure);
+}
+
+static bool run_keyed(ql_gate_service_t *service, gate_call_t *gc,
+		      ql_http_answer_t *answer, ql_failure_t *failure)
+{
+	gate_run_t run_data = {service, gc};
+	ql_keyed_t keyed = {
+		.claims = service->claims,
+		.doc = gc->doc,
+		.request = gc->request,
+		.key = gc->metadata.key,
+		.deadline_us = gc->call->deadline_us,
+		.run = run_under_claim,
+		.data = &run_data,
+	};
+	bool answered = ql_keyed_run(&keyed, answer, failure);
+
+	if (!answered)
+		record(service, gc, QL_EVENT_KEY_REFUSED, failure->outcome,
+		       failure->reason);
+	return answered;
+}
+
 /* Admits, runs and answers a call that was resolved. */
 static bool admit_and_run(ql_gate_service_t *service, gate_call_t *gc,
 			  ql_http_answer_t *answer, ql_failure_t *failure)
@@ -234,29 +287,18 @@
 		failure->detail = "this attempt was received already";
 		return false;
 	}
-	answered = run_measured(service, gc, answer, failure);
+	answered = is_keyed(gc) ? run_keyed(service, gc, answer, failure)
+				: run_measured(service, gc, answer, failure);
 	ql_calls_remove(&service->calls, gc->call);
 	ql_local_endpoint_leave(gc->endpoint, decision.ticket,
-				!answered &&
-					failure->reason == QL_REASON_DEADLINE,
+				is_overload(answered, answer, failure),
 				&gc->level);
 	return answered;
 }
 
-/* An endpoint may say itself that it did not run a request that it shed. */
-static ql_outcome_t endpoint_outcome(const ql_http_answer_t *answer)
-{
-	ql_outcome_t outcome;
-	const char *value = ql_http_answer_header(answer, QL_HEADER_OUTCOME);
-
-	if (value && !ql_outcome_parse(&outcome, value) &&
-	    outcome == QL_OUTCOME_NOT_RUN)
-		return outcome;
-	return QL_OUTCOME_ANSWERED;
-}
-
 static void finish_answer(ql_gate_service_t *service, gate_call_t *gc,
-			  ql_outcome_t outcome, struct _u_response *response)
+			  ql_outcome_t outcome, const ql_failure_t *failure,
+			  struct _u_response *response)
 {
 	ql_metadata_t metadata;
 
@@ -269,6 +311,10 @@
 	metadata.level =
 		gc->call ? MAX(gc->level, ql_call_level(gc->call)) : gc->level;
 	metadata.outcome = outcome;
+	if (outcome == QL_OUTCOME_NOT_RUN && !failure->reason) {
+		metadata.has |= QL_HAS_REASON;
+		metadata.reason = QL_REASON_OVERLOAD;
+	}
 	metadata.version = gc->doc ? gc->doc->version : 0;
 	metadata.clock = ql_context_tick(service->context);
 	ql_answer_add_metadata(response, &metadata);
@@ -307,13 +353,13 @@
 	ql_http_answer_init(&answer);
 	if (resolve(service, &gc, &failure) &&
 	    admit_and_run(service, &gc, &answer, &failure)) {
-		outcome = endpoint_outcome(&answer);
+		outcome = ql_answer_outcome(&answer);
 		ql_answer_pass(response, &answer);
 	} else {
 		outcome = failure.outcome;
 		ql_answer_fail(response, &failure);
 	}
-	finish_answer(service, &gc, outcome, response);
+	finish_answer(service, &gc, outcome, &failure, response);
 	ql_http_answer_finish(&answer);
 	ql_call_unref(gc.call);
 	ql_document_unref(gc.doc);
--- a/src/node/gate_service.c
+++ b/src/node/gate_service.c
@@ -7,12 +7,14 @@
 #define QUEUE_DEFAULT_MS 50
 
 void ql_gate_service_init(ql_gate_service_t *service, ql_context_t *context,
-			  ql_http_server_t *server, ql_http_client_t *client)
+			  ql_http_server_t *server, ql_http_client_t *client,
+			  ql_claim_service_t *claims)
 {
 	memset(service, 0, sizeof(*service));
 	service->context = context;
 	service->server = server;
 	service->client = client;
+	service->claims = claims;
 	pthread_mutex_init(&service->lock, NULL);
 	ql_calls_init(&service->calls);
 }
--- a/src/node/gate_service.h
+++ b/src/node/gate_service.h
@@ -7,6 +7,7 @@
  */
 
 #include "node/answer.h"
+#include "node/claim_service.h"
 #include "node/calls.h"
 #include "node/context.h"
 #include "node/http_server.h"
@@ -25,6 +26,7 @@
  * @context: borrowed
  * @server: the listener; borrowed
  * @client: for calls to the endpoints; borrowed
+ * @claims: claims on idempotency keys; borrowed
  * @lock: guards @endpoints
  * @endpoints: gates by service; they live as long as the process
  * @calls: calls that run at the endpoints
@@ -33,6 +35,7 @@
 	ql_context_t *context;
 	ql_http_server_t *server;
 	ql_http_client_t *client;
+	ql_claim_service_t *claims;
 	pthread_mutex_t lock;
 	ql_local_endpoint_t *endpoints[QL_LOCAL_ENDPOINTS_MAX];
 	size_t n_endpoints;
@@ -41,7 +44,8 @@
 } ql_gate_service_t;
 
 void ql_gate_service_init(ql_gate_service_t *service, ql_context_t *context,
-			  ql_http_server_t *server, ql_http_client_t *client);
+			  ql_http_server_t *server, ql_http_client_t *client,
+			  ql_claim_service_t *claims);
 void ql_gate_service_finish(ql_gate_service_t *service);
 
 /**
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define BODY_LIMIT_BYTES (256u << 20)
+#define KEEPER_KEYS_MAX 100000u
+#define KEEPER_ANSWERS_MAX_BYTES (16u << 20)
 #define DRAIN_POLL_US (10 * QL_US_PER_MS)
 
 /* Steps the life cycle of the node and records the event. */
@@ -143,16 +145,41 @@
 	ql_lease_service_want(&node->control.lease, service);
 }
 
+static ql_document_t *claim_document(void *data)
+{
+	return ql_context_document(data);
+}
+
+static void init_claims(ql_node_t *node)
+{
+	const ql_settings_t *settings = node->context.settings;
+	ql_claim_service_opts_t opts = {
+		.incarnation = (uint64_t)g_get_real_time(),
+		.hlc = &node->context.hlc,
+		.document = claim_document,
+		.data = &node->context,
+		.keys_max = KEEPER_KEYS_MAX,
+		.answers_max_bytes = KEEPER_ANSWERS_MAX_BYTES,
+	};
+
+	memcpy(opts.cluster, settings->cluster, sizeof(opts.cluster));
+	memcpy(opts.node, settings->node, sizeof(opts.node));
+	memcpy(opts.failure_domain, settings->failure_domain,
+	       sizeof(opts.failure_domain));
+	ql_claim_service_init(&node->claims, &opts);
+}
+
 static void init_data_path(ql_node_t *node)
 {
 	ql_context_t *context = &node->context;
 
 	ql_http_client_init(&node->client);
 	ql_router_init(&node->router, context, &node->client);
+	init_claims(node);
 	ql_gate_service_init(&node->gates, context, &node->gate_server,
-			     &node->client);
+			     &node->client, &node->claims);
 	ql_client_service_init(&node->clients, context, &node->client_server,
-			       &node->router);
+			       &node->router, &node->claims);
 	node->clients.want = want;
 	node->clients.want_data = node;
 	node->locals = (ql_local_service_t){
@@ -214,6 +241,7 @@
 {
 	ql_client_service_finish(&node->clients);
 	ql_gate_service_finish(&node->gates);
+	ql_claim_service_finish(&node->claims);
 	ql_router_finish(&node->router);
 	ql_http_client_finish(&node->client);
 	ql_context_finish(&node->context);
@@ -228,6 +256,7 @@
 	node->control.hlc = &node->context.hlc;
 	node->control.report = report;
 	node->control.data = node;
+	node->control.claims = &node->claims;
 	return ql_control_service_start(&node->control, &member_ops, node,
 					error);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,6 +22,7 @@
 typedef struct ql_node {
 	ql_context_t context;
 	ql_http_client_t client;
+	ql_claim_service_t claims;
 	ql_router_t router;
 	ql_gate_service_t gates;
 	ql_client_service_t clients;
