Change the replicas from the command line

Cause: a lost replica could be replaced by RPC only.

Change: "replicas status|add|promote|remove". A change is sent again until it is settled, by the loop that patches used, now settle.c; "add" asks the new replica for its identity.

Before: 10 commands. After: 14; tests/cli/commands_test.cc drives them against a process that answers pending at first, does not know a replica, or is silent. Not tried against a real replica: the node does not serve QL_REPLICA_PROGRAM yet.

--- a/src/cli/command.c
+++ b/src/cli/command.c
@@ -33,7 +33,7 @@
 	{QL_E_NOT_LEADER, EX_TEMPFAIL,
 	 "Name the other replicas with further --server options."},
 	{QL_E_PENDING, EX_TEMPFAIL,
-	 "The answer is not settled yet. Send the same again, with the same "
+	 "It is not settled yet. Run the command again; a patch with the same "
 	 "--id."},
 	{QL_E_IO, EX_IOERR, NULL},
 	{QL_E_INVALID, EX_DATAERR, NULL},
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -29,6 +29,10 @@
 int ql_command_drain(int argc, char **argv);
 int ql_command_timeline(int argc, char **argv);
 int ql_command_metrics(int argc, char **argv);
+int ql_command_replicas_status(int argc, char **argv);
+int ql_command_replicas_add(int argc, char **argv);
+int ql_command_replicas_promote(int argc, char **argv);
+int ql_command_replicas_remove(int argc, char **argv);
 int ql_command_check(int argc, char **argv);
 int ql_command_replay(int argc, char **argv);
 
--- a/src/cli/config_patch_command.c
+++ b/src/cli/config_patch_command.c
@@ -1,8 +1,7 @@
 #include "cli/command.h"
 #include "cli/output.h"
-#include "cli/patch_sender.h"
 #include "cli/peer.h"
-#include "quetzalloft/clock.h"
+#include "cli/settle.h"
 #include "quetzalloft/error.h"
 
 #include <inttypes.h>
@@ -16,15 +15,17 @@
 	"an old\nversion is refused. The patch is sent again under the same " \
 	"id until its answer is\nknown or the time is over; after that, run " \
 	"the command again with the id that\nit printed."
-#define SEND_TIMEOUT_MS 2000u
 
-/* What is sent, and to whom. */
+/* What is sent. */
 typedef struct {
 	const ql_options_t *options;
-	ql_patch_submission_t submission;
-} sender_t;
+	const char *id;
+	uint64_t base_version;
+	char *text;
+	size_t length;
+} patch_t;
 
-static void take_answer(ql_patch_result_t *result, char *leader,
+static void take_answer(ql_settle_result_t *result, char *leader,
 			const ql_rpc_patch_res *res)
 {
 	result->status = res->status;
@@ -33,15 +34,14 @@
 	g_strlcpy(leader, res->leader, QL_ADDRESS_MAX);
 }
 
-static void send_patch(void *data, const char *address,
-		       ql_patch_result_t *result, char *leader)
+static void send_patch(void *data, const char *address, uint64_t timeout_ms,
+		       ql_settle_result_t *result, char *leader)
 {
-	const sender_t *sender = data;
-	const ql_patch_submission_t *submission = &sender->submission;
+	const patch_t *patch = data;
 	ql_rpc_patch_args args = {
-		.id = (char *)submission->id,
-		.base_version = submission->base_version,
-		.patch = {(u_int)submission->length, submission->text},
+		.id = (char *)patch->id,
+		.base_version = patch->base_version,
+		.patch = {(u_int)patch->length, patch->text},
 	};
 	ql_rpc_patch_res res = {0};
 	ql_rpc_call_t call = {
@@ -53,11 +53,9 @@
 	};
 	GError *error = NULL;
 
-	ql_peer_greeting(&args.greeting, sender->options->cluster);
-	result->status =
-		ql_peer_call(address, QL_CONTROL_PROGRAM, &call,
-			     MIN(sender->options->timeout_ms, SEND_TIMEOUT_MS),
-			     &error);
+	ql_peer_greeting(&args.greeting, patch->options->cluster);
+	result->status = ql_peer_call(address, QL_CONTROL_PROGRAM, &call,
+				      timeout_ms, &error);
 	if (result->status) {
 		result->detail = g_strdup(error->message);
 		g_error_free(error);
@@ -67,17 +65,7 @@
 	xdr_free((xdrproc_t)xdr_ql_rpc_patch_res, &res);
 }
 
-static uint64_t now_us(void *data G_GNUC_UNUSED)
-{
-	return ql_clock_now_us();
-}
-
-static void pause_us(void *data G_GNUC_UNUSED, uint64_t duration_us)
-{
-	g_usleep(duration_us);
-}
-
-static void print_json(const char *id, const ql_patch_result_t *result)
+static void print_json(const char *id, const ql_settle_result_t *result)
 {
 	ql_output_json(json_pack("{s:s, s:s, s:I, s:i, s:s}", "id", id,
 				 "status", ql_error_name(result->status),
@@ -86,36 +74,36 @@
 				 result->detail ? result->detail : ""));
 }
 
-static int print_result(const sender_t *sender, const ql_patch_result_t *result)
+static int print_result(const patch_t *patch, const ql_settle_result_t *result)
 {
 	GError *error = NULL;
 
-	if (sender->options->json)
-		print_json(sender->submission.id, result);
+	if (patch->options->json)
+		print_json(patch->id, result);
 	else if (!result->status)
 		printf("accepted as version %" PRIu64 "\n", result->version);
 	if (!result->status)
 		return EX_OK;
 	ql_error_set(&error, (ql_error_code_t)result->status,
 		     "%s (id %s, present version %" PRIu64 ", sent %u times)",
-		     result->detail ? result->detail : "",
-		     sender->submission.id, result->version, result->sent);
+		     result->detail ? result->detail : "", patch->id,
+		     result->version, result->sent);
 	return ql_command_complain(COMMAND, error);
 }
 
-static int submit(sender_t *sender)
+static int submit(patch_t *patch)
 {
-	ql_patch_transport_t transport = {
+	ql_settle_transport_t transport = {
 		.send = send_patch,
-		.now_us = now_us,
-		.pause = pause_us,
-		.data = sender,
+		.now_us = ql_settle_now_us,
+		.pause = ql_settle_pause,
+		.data = patch,
 	};
-	ql_patch_result_t result;
+	ql_settle_result_t result;
 	int status;
 
-	ql_patch_submit(&result, &transport, sender->options);
-	status = print_result(sender, &result);
+	ql_settle(&result, &transport, patch->options);
+	status = print_result(patch, &result);
 	g_free(result.detail);
 	return status;
 }
@@ -134,19 +122,19 @@
 	return false;
 }
 
-static int load_and_submit(sender_t *sender, const char *path, const char *id)
+static int load_and_submit(patch_t *patch, const char *path, const char *id)
 {
 	char *own_id = id ? NULL : g_uuid_string_random();
 	int status = EX_NOINPUT;
 	gsize length;
 
-	sender->submission.id = id ? id : own_id;
-	if (read_patch(path, &sender->submission.text, &length)) {
+	patch->id = id ? id : own_id;
+	if (read_patch(path, &patch->text, &length)) {
 		if (own_id)
 			fprintf(stderr, "id %s\n", own_id);
-		sender->submission.length = length;
-		status = submit(sender);
-		g_free(sender->submission.text);
+		patch->length = length;
+		status = submit(patch);
+		g_free(patch->text);
 	}
 	g_free(own_id);
 	return status;
@@ -162,7 +150,7 @@
 			  "the patch; \"-\" for standard input");
 	ql_arguments_t arguments;
 	ql_options_t options;
-	sender_t sender = {.options = &options};
+	patch_t patch = {.options = &options};
 	int status;
 
 	ql_arguments_init(&arguments, COMMAND, SUMMARY, true);
@@ -178,8 +166,8 @@
 		      stderr);
 		status = EX_USAGE;
 	} else {
-		sender.submission.base_version = (uint64_t)base->ival[0];
-		status = load_and_submit(&sender, file->filename[0],
+		patch.base_version = (uint64_t)base->ival[0];
+		status = load_and_submit(&patch, file->filename[0],
 					 id->count ? id->sval[0] : NULL);
 	}
 	ql_arguments_finish(&arguments);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -14,6 +14,14 @@
 	{"members", "list nodes and endpoints", ql_command_members},
 	{"status", "show the state of processes", ql_command_status},
 	{"drain", "stop a node gracefully", ql_command_drain},
+	{"replicas status", "show the replicas of the configuration",
+	 ql_command_replicas_status},
+	{"replicas add", "add a fresh replica as a learner",
+	 ql_command_replicas_add},
+	{"replicas promote", "make a learner a voter",
+	 ql_command_replicas_promote},
+	{"replicas remove", "remove a replica for good",
+	 ql_command_replicas_remove},
 	{"timeline", "show what happened, over all processes",
 	 ql_command_timeline},
 	{"metrics", "show counters and latencies", ql_command_metrics},
@@ -29,7 +37,7 @@
 
 	fputs("Usage: quetzalloft COMMAND [OPTIONS]\n\nCommands:\n", out);
 	for (i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(out, "  %-14s %s\n", commands[i].name,
+		fprintf(out, "  %-16s %s\n", commands[i].name,
 			commands[i].summary);
 	fputs("\n\"quetzalloft COMMAND --help\" says more.\n", out);
 }
--- a/src/cli/patch_sender.c
+++ b/src/cli/settle.c
@@ -1,9 +1,10 @@
-#include "cli/patch_sender.h"
+#include "cli/settle.h"
 #include "cli/peer.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
 
 #define PAUSE_US (100 * QL_US_PER_MS)
+#define SEND_TIMEOUT_MS 2000u
 
 /* Asks the leader if one was named, else each server in turn. */
 static void choose_address(char *address, char *leader,
@@ -19,9 +20,9 @@
 	(*turn)++;
 }
 
-void ql_patch_submit(ql_patch_result_t *result,
-		     const ql_patch_transport_t *transport,
-		     const ql_options_t *options)
+void ql_settle(ql_settle_result_t *result,
+	       const ql_settle_transport_t *transport,
+	       const ql_options_t *options)
 {
 	uint64_t until_us = transport->now_us(transport->data) +
 			    options->timeout_ms * QL_US_PER_MS;
@@ -29,15 +30,27 @@
 	char leader[QL_ADDRESS_MAX] = "";
 	size_t turn = 0;
 
-	*result = (ql_patch_result_t){.status = QL_E_UNAVAILABLE};
+	*result = (ql_settle_result_t){.status = QL_E_UNAVAILABLE};
 	for (;;) {
 		choose_address(address, leader, options, &turn);
 		g_clear_pointer(&result->detail, g_free);
 		result->sent++;
-		transport->send(transport->data, address, result, leader);
+		transport->send(transport->data, address,
+				MIN(options->timeout_ms, SEND_TIMEOUT_MS),
+				result, leader);
 		if (ql_peer_is_settled(result->status) ||
 		    transport->now_us(transport->data) + PAUSE_US >= until_us)
 			return;
 		transport->pause(transport->data, PAUSE_US);
 	}
 }
+
+uint64_t ql_settle_now_us(void *data G_GNUC_UNUSED)
+{
+	return ql_clock_now_us();
+}
+
+void ql_settle_pause(void *data G_GNUC_UNUSED, uint64_t pause_us)
+{
+	g_usleep(pause_us);
+}
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -4,6 +4,8 @@
 #include "quetzalloft/error.h"
 #include "quetzalloft/timeline.h"
 
+#include "replication.h"
+
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -48,7 +50,9 @@
 		server = {};
 		server.programs[0] = {QL_CONTROL_PROGRAM, QL_CONTROL_V1,
 				      PROCEDURES, 2, this};
-		server.n_programs = 1;
+		server.programs[1] = {QL_REPLICA_PROGRAM, QL_REPLICA_V1,
+				      REPLICA_PROCEDURES, 2, this};
+		server.n_programs = 2;
 		ASSERT_EQ(0, ql_rpc_server_start(&server, ADDRESS.c_str(),
 						 nullptr));
 	}
@@ -102,6 +106,45 @@
 			res->status == QL_E_NOT_LEADER ? ADDRESS.c_str() : "");
 	}
 
+	static void replica_status(void *, const void *, void *out)
+	{
+		auto *res = static_cast<ql_rpc_replica_status_res *>(out);
+		auto *member = static_cast<ql_rpc_replica_member *>(
+			calloc(1, sizeof(ql_rpc_replica_member)));
+
+		res->detail = strdup("");
+		res->id = 0xabc;
+		res->role = strdup("leader");
+		res->leader_address = strdup(ADDRESS.c_str());
+		res->config_version = 8;
+		res->commit = 5;
+		member->id = 0xabc;
+		member->address = strdup("127.0.0.9:1");
+		member->voter = TRUE;
+		res->members.members.members_len = 1;
+		res->members.members.members_val = member;
+	}
+
+	/* Pending at first; later the answer depends on the identity. */
+	static void change(void *data, const void *in, void *out)
+	{
+		auto *self = static_cast<Commands *>(data);
+		auto *args =
+			static_cast<const ql_rpc_replica_change_args *>(in);
+		auto *res = static_cast<ql_rpc_replica_change_res *>(out);
+		std::lock_guard<std::mutex> guard(self->lock);
+
+		self->ids.push_back(std::to_string(args->kind) + " " +
+				    std::to_string(args->id) + " " +
+				    args->address);
+		if (self->ids.size() == 1)
+			res->status = QL_E_PENDING;
+		else if (args->id == 0x99)
+			res->status = QL_E_NOT_FOUND;
+		res->detail = strdup("said");
+		res->leader_address = strdup("");
+	}
+
 	int run(int (*command)(int, char **), std::vector<std::string> words)
 	{
 		std::vector<char *> argv;
@@ -126,6 +169,7 @@
 	}
 
 	static const ql_rpc_procedure_t PROCEDURES[2];
+	static const ql_rpc_procedure_t REPLICA_PROCEDURES[2];
 	ql_hlc_t hlc;
 	ql_timeline_t timeline;
 	ql_rpc_server_t server;
@@ -143,6 +187,57 @@
 	 sizeof(ql_rpc_patch_res), Commands::patch},
 };
 
+const ql_rpc_procedure_t Commands::REPLICA_PROCEDURES[2] = {
+	{QL_REPLICA_STATUS, (xdrproc_t)xdr_ql_rpc_replica_status_args,
+	 (xdrproc_t)xdr_ql_rpc_replica_status_res,
+	 sizeof(ql_rpc_replica_status_args), sizeof(ql_rpc_replica_status_res),
+	 Commands::replica_status},
+	{QL_REPLICA_CHANGE, (xdrproc_t)xdr_ql_rpc_replica_change_args,
+	 (xdrproc_t)xdr_ql_rpc_replica_change_res,
+	 sizeof(ql_rpc_replica_change_args), sizeof(ql_rpc_replica_change_res),
+	 Commands::change},
+};
+
+TEST_F(Commands, ShowReplicasAndTheirMembers)
+{
+	EXPECT_EQ(QL_EXIT_PARTIAL,
+		  run(ql_command_replicas_status,
+		      {"-s", ADDRESS, "-s", SILENT, "-c", "town"}));
+	EXPECT_NE(std::string::npos, out.find("0000000000000abc  leader"))
+		<< out;
+	EXPECT_NE(std::string::npos,
+		  out.find("0000000000000abc  127.0.0.9:1  yes"))
+		<< out;
+}
+
+TEST_F(Commands, ChangeReplicasUntilItIsSettled)
+{
+	struct {
+		int (*command)(int, char **);
+		std::string word;
+		int status;
+		std::string sent;
+	} cases[] = {
+		{ql_command_replicas_add, ADDRESS, EX_OK, "0 2748 " + ADDRESS},
+		{ql_command_replicas_promote, "abc", EX_OK, "1 2748 "},
+		{ql_command_replicas_remove, "abc", EX_OK, "2 2748 "},
+		{ql_command_replicas_remove, "99", EX_DATAERR, "2 153 "},
+		{ql_command_replicas_remove, "no", EX_USAGE, ""},
+		{ql_command_replicas_add, SILENT, EX_TEMPFAIL, ""},
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.word);
+		size_t before = sent_ids().size();
+
+		EXPECT_EQ(c.status, run(c.command,
+					{"-s", ADDRESS, "-c", "town", c.word}));
+		std::vector<std::string> sent = sent_ids();
+		EXPECT_EQ(c.sent, sent.size() == before ? "" : sent.back());
+	}
+	EXPECT_EQ(5u, sent_ids().size());
+}
+
 TEST_F(Commands, SayWhichNodesLag)
 {
 	EXPECT_EQ(QL_EXIT_PARTIAL,
@@ -260,11 +355,13 @@
 TEST_F(Commands, ExplainThemselves)
 {
 	int (*const commands[])(int, char **) = {
-		ql_command_config_get,	  ql_command_config_patch,
-		ql_command_config_status, ql_command_members,
-		ql_command_status,	  ql_command_drain,
-		ql_command_timeline,	  ql_command_metrics,
-		ql_command_check,
+		ql_command_config_get,	    ql_command_config_patch,
+		ql_command_config_status,   ql_command_members,
+		ql_command_status,	    ql_command_drain,
+		ql_command_timeline,	    ql_command_metrics,
+		ql_command_check,	    ql_command_replicas_status,
+		ql_command_replicas_add,    ql_command_replicas_promote,
+		ql_command_replicas_remove,
 	};
 
 	for (auto command : commands) {
--- a/tests/cli/patch_sender_test.cc
+++ b/tests/cli/settle_test.cc
@@ -1,4 +1,4 @@
-#include "cli/patch_sender.h"
+#include "cli/settle.h"
 #include "quetzalloft/error.h"
 
 #include <gtest/gtest.h>
@@ -22,7 +22,7 @@
 	std::string asked;
 };
 
-void send(void *data, const char *address, ql_patch_result_t *result,
+void send(void *data, const char *address, uint64_t, ql_settle_result_t *result,
 	  char *leader)
 {
 	auto *script = static_cast<Script *>(data);
@@ -46,26 +46,26 @@
 	static_cast<Script *>(data)->now_us += pause_us;
 }
 
-struct PatchCase {
+struct SettleCase {
 	std::vector<Step> steps;
 	int status;
 	unsigned int sent;
 	const char *asked;
 };
 
-class PatchSubmit : public testing::TestWithParam<PatchCase>
+class Settle : public testing::TestWithParam<SettleCase>
 {
 };
 
-TEST_P(PatchSubmit, SendsAgainUntilTheAnswerIsSettled)
+TEST_P(Settle, SendsAgainUntilTheAnswerIsSettled)
 {
 	Script script;
-	ql_patch_transport_t transport = {send, now, pause_for, &script};
+	ql_settle_transport_t transport = {send, now, pause_for, &script};
 	ql_options_t options = {"town", {"a", "b"}, 2, 350, false};
-	ql_patch_result_t result;
+	ql_settle_result_t result;
 
 	script.steps = GetParam().steps;
-	ql_patch_submit(&result, &transport, &options);
+	ql_settle(&result, &transport, &options);
 	EXPECT_EQ(GetParam().status, result.status);
 	EXPECT_EQ(GetParam().sent, result.sent);
 	EXPECT_EQ(GetParam().asked, script.asked);
@@ -75,24 +75,24 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-	Answers, PatchSubmit,
+	Answers, Settle,
 	testing::Values(
-		PatchCase{{{0, ""}}, 0, 1, "a "},
-		PatchCase{{{QL_E_STALE, ""}}, QL_E_STALE, 1, "a "},
-		PatchCase{{{QL_E_CONFLICT, ""}}, QL_E_CONFLICT, 1, "a "},
-		PatchCase{{{QL_E_DENIED, ""}}, QL_E_DENIED, 1, "a "},
-		PatchCase{{{QL_E_NOT_LEADER, "c"}, {0, ""}}, 0, 2, "a c "},
-		PatchCase{{{QL_E_NOT_LEADER, ""}, {0, ""}}, 0, 2, "a b "},
-		PatchCase{{{QL_E_PENDING, ""}, {QL_E_STALE, ""}},
-			  QL_E_STALE,
-			  2,
-			  "a b "},
-		PatchCase{{{QL_E_NOT_LEADER, "c"},
-			   {QL_E_UNAVAILABLE, ""},
-			   {0, ""}},
-			  0,
-			  3,
-			  "a c b "},
-		PatchCase{{{QL_E_TIMEOUT, ""}}, QL_E_TIMEOUT, 4, "a b a b "}));
+		SettleCase{{{0, ""}}, 0, 1, "a "},
+		SettleCase{{{QL_E_STALE, ""}}, QL_E_STALE, 1, "a "},
+		SettleCase{{{QL_E_CONFLICT, ""}}, QL_E_CONFLICT, 1, "a "},
+		SettleCase{{{QL_E_DENIED, ""}}, QL_E_DENIED, 1, "a "},
+		SettleCase{{{QL_E_NOT_LEADER, "c"}, {0, ""}}, 0, 2, "a c "},
+		SettleCase{{{QL_E_NOT_LEADER, ""}, {0, ""}}, 0, 2, "a b "},
+		SettleCase{{{QL_E_PENDING, ""}, {QL_E_STALE, ""}},
+			   QL_E_STALE,
+			   2,
+			   "a b "},
+		SettleCase{{{QL_E_NOT_LEADER, "c"},
+			    {QL_E_UNAVAILABLE, ""},
+			    {0, ""}},
+			   0,
+			   3,
+			   "a c b "},
+		SettleCase{{{QL_E_TIMEOUT, ""}}, QL_E_TIMEOUT, 4, "a b a b "}));
 
 } // namespace
