--- a/tests/cli/commands.sh
+++ b/tests/cli/commands.sh
@@ -59,6 +59,25 @@
 expect 5 "$nobody" status --server "$nobody" --server "$other"
 expect 0 "client_requests" metrics
 expect 0 '"p99_us"' metrics --json
+# until_prints TEXT COMMAND...: for 10 seconds at most.
+until_prints() {
+	text=$1
+	shift
+	tries=0
+	until "$TOWN_BUILD/src/cli/quetzalloft" "$@" 2>/dev/null |
+		grep -q -- "$text"; do
+		tries=$((tries + 1))
+		[ "$tries" -lt 100 ] || fail "$*: no \"$text\" after 10 s"
+		sleep 0.1
+	done
+}
+
+until_prints "node1" members
+until_prints "nodes known: 2; nodes behind: 0" config status
+expect 0 "node0" members
+expect 0 '"failure_domain": "d1"' members --json
+expect 5 "$nobody" members --server "$QUETZALLOFT_SERVERS" --server "$nobody"
+expect 0 "nodes behind: 0" config status
 expect 64 "exactly one" drain --server "$nobody" --server "$other"
 expect 0 "has stopped" drain --server "$other"
 wait "$TOWN_NODE_1" || fail "the drained node did not exit with status 0"
