Try the time line on real nodes and bound attempts by request

Cause: nodes record the time line now, and no test gathered it from them; the demonstration compared sums of attempts and requests, which no single request over its bound would have moved.

The demonstration takes the most attempts of any request from the time line, and gives the mean for each answer.

--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -94,6 +94,20 @@
 	echo "$(value ok "$TOWN_DIR/$1") of $(sent "$1")"
 }
 
+# ask COMMAND...: over the nodes that are left.
+ask() {
+	"$TOWN_BUILD/src/cli/quetzalloft" "$@" --cluster "$TOWN_CLUSTER" \
+		--server "$(town_control 0)" --server "$(town_control 1)" \
+		--server "$(town_control 2)"
+}
+
+# most_attempts_of FILE: of any client request whose events are in the file.
+most_attempts_of() {
+	sed -nE '/"event":"attempt_sent"/s/.*"request":"([0-9a-f]+)".*/\1/p' \
+		"$1" | sort | uniq -c | sort -n | awk '{ most = $1 }
+			END { print most + 0 }'
+}
+
 # Prints the seconds until goodput is back, or "over 5".
 recovery_time() {
 	need=$(awk -v rate="$(value ok_per_s "$TOWN_DIR/normal")" \
@@ -167,15 +181,15 @@
 wait "$stop_orders"
 check "the stop cut no order" grep -q '"unknown":0,"lost":0' \
 	"$TOWN_DIR/stop_orders"
-requests=$(metric client_requests 0 1 2)
+requests=$(metric client_answered 0 1 2)
 attempts=$(metric attempts 0 1 2)
-check "attempts stay within the bound of $ATTEMPTS_BOUND a request" \
-	[ "$attempts" -le $((requests * ATTEMPTS_BOUND)) ]
+ask timeline --json >"$TOWN_DIR/events" 2>/dev/null
+most_attempts=$(most_attempts_of "$TOWN_DIR/events")
+check "no request has more attempts than its bound" \
+	[ "$most_attempts" -gt 0 -a "$most_attempts" -le "$ATTEMPTS_BOUND" ]
 curl -s "http://127.0.0.1:$(town_port 0 4)/fake/stats" >"$TOWN_DIR/ran"
 check "no order ran twice" [ "$(value duplicates "$TOWN_DIR/ran")" -eq 0 ]
-"$TOWN_BUILD/src/cli/quetzalloft" status --cluster "$TOWN_CLUSTER" \
-	--server "$(town_control 0)" --server "$(town_control 1)" \
-	--server "$(town_control 2)" >"$TOWN_DIR/status"
+ask status >"$TOWN_DIR/status"
 check "version 2 is in force on every node" \
 	[ "$(awk 'NR > 1 && $4 == 2' "$TOWN_DIR/status" | wc -l)" -eq 3 ]
 kill -KILL "$TOWN_NODE_2"
@@ -193,8 +207,9 @@
 row "whole in the overload" \
 	"lookups $(whole surge), orders $(whole surge_orders)"
 row "recovery time" "$recovered_after s"
-row "attempts a request" "$(awk -v a="$attempts" -v r="$requests" \
-	'BEGIN { printf "%.2f", a / r }') (bound $ATTEMPTS_BOUND)"
+row "attempts an answer" "$(awk -v a="$attempts" -v r="$requests" \
+	'BEGIN { printf "%.2f", a / r }') mean, $most_attempts most, \
+bound $ATTEMPTS_BOUND"
 row "duplicates" "$(value duplicates "$TOWN_DIR/ran") of \
 $(value keys "$TOWN_DIR/ran") orders that ran"
 row "version in force" "$(awk 'NR > 1 { printf "%s: %s  ", $2, $4 }' \
