--- a/include/quetzalloft/replica.h
+++ b/include/quetzalloft/replica.h
@@ -155,6 +155,7 @@
  * @applied: last entry applied
  * @synced_index: last entry on the disk
  * @synced_commit: commit index on the disk
+ * @synced_identity: the identity is on the disk
  * @unwritten: first entry that no write has taken
  * @writing_last: last entry of the write in progress
  * @writing_commit: commit index of the write in progress
@@ -189,6 +190,7 @@
 	uint64_t applied;
 	uint64_t synced_index;
 	uint64_t synced_commit;
+	bool synced_identity;
 	uint64_t unwritten;
 	uint64_t writing_last;
 	uint64_t writing_commit;
--- a/src/cli/peer.c
+++ b/src/cli/peer.c
@@ -8,6 +8,7 @@
 
 #define PROGRAM_VERSION 1u
 #define SENDER "operator"
+#define PAUSE_US (100 * QL_US_PER_MS)
 
 void ql_peer_greeting(ql_rpc_greeting *greeting, const char *cluster)
 {
@@ -59,15 +60,14 @@
 	}
 }
 
-int ql_peer_try_all(const ql_options_t *options, ql_peer_try_t ask, void *data,
-		    GError **error)
+/* Asks each server in turn, until one settles the matter. */
+static int try_round(const ql_options_t *options, ql_peer_try_t ask, void *data,
+		     uint64_t until_us, GString *said)
 {
-	uint64_t until_us =
-		ql_clock_now_us() + options->timeout_ms * QL_US_PER_MS;
-	GString *said = g_string_new(NULL);
 	int ret = QL_E_UNAVAILABLE;
 	size_t i;
 
+	g_string_truncate(said, 0);
 	for (i = 0; i < options->n_servers; i++) {
 		GError *cause = NULL;
 
@@ -81,6 +81,23 @@
 		if (ql_peer_is_settled(ret))
 			break;
 	}
+	return ret;
+}
+
+int ql_peer_try_all(const ql_options_t *options, ql_peer_try_t ask, void *data,
+		    GError **error)
+{
+	uint64_t until_us =
+		ql_clock_now_us() + options->timeout_ms * QL_US_PER_MS;
+	GString *said = g_string_new(NULL);
+	int ret = try_round(options, ask, data, until_us, said);
+
+	/* An election may be in progress. */
+	while (!ql_peer_is_settled(ret) &&
+	       ql_clock_now_us() + PAUSE_US < until_us) {
+		g_usleep(PAUSE_US);
+		ret = try_round(options, ask, data, until_us, said);
+	}
 	if (ret)
 		ql_error_set(error, (ql_error_code_t)ret, "%s", said->str);
 	g_string_free(said, TRUE);
--- a/src/control/rpc/claim.h
+++ b/src/control/rpc/claim.h
@@ -26,21 +26,21 @@
 typedef struct ql_rpc_claim_ballot ql_rpc_claim_ballot;
 
 struct ql_rpc_claim_value {
-	u_int kind;
 	u_quad_t request;
 	u_quad_t attempt;
 	u_quad_t fingerprint[2];
+	u_int kind;
 	u_int lease_ms;
 };
 typedef struct ql_rpc_claim_value ql_rpc_claim_value;
 
 struct ql_rpc_claim_request {
 	u_int op;
-	char *key;
+	u_int note;
 	u_int generation;
+	char *key;
 	ql_rpc_claim_ballot ballot;
 	ql_rpc_claim_value value;
-	u_int note;
 	struct {
 		u_int answer_len;
 		char *answer_val;
@@ -50,11 +50,11 @@
 
 struct ql_rpc_claim_reply {
 	u_int status;
+	u_int note;
 	u_int generation;
 	ql_rpc_claim_ballot promised;
 	ql_rpc_claim_ballot accepted;
 	ql_rpc_claim_value value;
-	u_int note;
 	u_quad_t age_ms;
 	bool_t has_answer;
 	struct {
--- a/src/control/rpc/claim_xdr.c
+++ b/src/control/rpc/claim_xdr.c
@@ -24,8 +24,6 @@
 	register int32_t *buf;
 
 	int i;
-	 if (!xdr_u_int (xdrs, &objp->kind))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->request))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->attempt))
@@ -33,6 +31,8 @@
 	 if (!xdr_vector (xdrs, (char *)objp->fingerprint, 2,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->lease_ms))
 		 return FALSE;
 	return TRUE;
@@ -43,18 +43,69 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->op))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->note))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->generation))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->op);
+		IXDR_PUT_U_LONG(buf, objp->note);
+		IXDR_PUT_U_LONG(buf, objp->generation);
+		}
+		 if (!xdr_string (xdrs, &objp->key, QL_RPC_KEY_MAX))
+			 return FALSE;
+		 if (!xdr_ql_rpc_claim_ballot (xdrs, &objp->ballot))
+			 return FALSE;
+		 if (!xdr_ql_rpc_claim_value (xdrs, &objp->value))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, QL_RPC_CLAIM_ANSWER_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->op))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->note))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->generation))
+				 return FALSE;
+
+		} else {
+		objp->op = IXDR_GET_U_LONG(buf);
+		objp->note = IXDR_GET_U_LONG(buf);
+		objp->generation = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->key, QL_RPC_KEY_MAX))
+			 return FALSE;
+		 if (!xdr_ql_rpc_claim_ballot (xdrs, &objp->ballot))
+			 return FALSE;
+		 if (!xdr_ql_rpc_claim_value (xdrs, &objp->value))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, QL_RPC_CLAIM_ANSWER_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->op))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->key, QL_RPC_KEY_MAX))
+	 if (!xdr_u_int (xdrs, &objp->note))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->generation))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->key, QL_RPC_KEY_MAX))
+		 return FALSE;
 	 if (!xdr_ql_rpc_claim_ballot (xdrs, &objp->ballot))
 		 return FALSE;
 	 if (!xdr_ql_rpc_claim_value (xdrs, &objp->value))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->note))
-		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, QL_RPC_CLAIM_ANSWER_MAX))
 		 return FALSE;
 	return TRUE;
@@ -65,8 +116,69 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->note))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->generation))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->status);
+		IXDR_PUT_U_LONG(buf, objp->note);
+		IXDR_PUT_U_LONG(buf, objp->generation);
+		}
+		 if (!xdr_ql_rpc_claim_ballot (xdrs, &objp->promised))
+			 return FALSE;
+		 if (!xdr_ql_rpc_claim_ballot (xdrs, &objp->accepted))
+			 return FALSE;
+		 if (!xdr_ql_rpc_claim_value (xdrs, &objp->value))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->has_answer))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, QL_RPC_CLAIM_ANSWER_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->note))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->generation))
+				 return FALSE;
+
+		} else {
+		objp->status = IXDR_GET_U_LONG(buf);
+		objp->note = IXDR_GET_U_LONG(buf);
+		objp->generation = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_ql_rpc_claim_ballot (xdrs, &objp->promised))
+			 return FALSE;
+		 if (!xdr_ql_rpc_claim_ballot (xdrs, &objp->accepted))
+			 return FALSE;
+		 if (!xdr_ql_rpc_claim_value (xdrs, &objp->value))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->has_answer))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, QL_RPC_CLAIM_ANSWER_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->status))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->note))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->generation))
 		 return FALSE;
 	 if (!xdr_ql_rpc_claim_ballot (xdrs, &objp->promised))
@@ -75,8 +187,6 @@
 		 return FALSE;
 	 if (!xdr_ql_rpc_claim_value (xdrs, &objp->value))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->note))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_answer))
--- a/src/control/rpc/control.h
+++ b/src/control/rpc/control.h
@@ -27,7 +27,7 @@
 #define QL_RPC_DOMAINS_MAX 64
 #define QL_RPC_SERVICES_MAX 1024
 #define QL_RPC_EXCHANGE_MAX 256
-#define QL_RPC_PROTOCOL_VERSION 2
+#define QL_RPC_PROTOCOL_VERSION 3
 
 struct ql_rpc_greeting {
 	char *cluster;
@@ -218,6 +218,7 @@
 	ql_rpc_greeting greeting;
 	u_quad_t known_version;
 	bool_t must_be_current;
+	u_quad_t read_token;
 };
 typedef struct ql_rpc_document_args ql_rpc_document_args;
 
@@ -235,6 +236,7 @@
 		u_int changes_len;
 		ql_rpc_change *changes_val;
 	} changes;
+	u_quad_t read_token;
 };
 typedef struct ql_rpc_document_res ql_rpc_document_res;
 
--- a/src/control/rpc/control.x
+++ b/src/control/rpc/control.x
@@ -16,7 +16,7 @@
 const QL_RPC_DOMAINS_MAX = 64;
 const QL_RPC_SERVICES_MAX = 1024;
 const QL_RPC_EXCHANGE_MAX = 256;
-const QL_RPC_PROTOCOL_VERSION = 2;
+const QL_RPC_PROTOCOL_VERSION = 3;
 
 struct ql_rpc_greeting {
 	string cluster<QL_RPC_NAME_MAX>;
@@ -176,11 +176,16 @@
 	string leader<QL_RPC_ADDRESS_MAX>;
 };
 
-/* Anyone asks for the document, or for what changed since a version. */
+/*
+ * Anyone asks for the document, or for what changed since a version. With
+ * must_be_current the leader has a quorum confirm that it leads: it answers
+ * QL_E_PENDING with a token, with which the same is asked again.
+ */
 struct ql_rpc_document_args {
 	ql_rpc_greeting greeting;
 	unsigned hyper known_version;
 	bool must_be_current;
+	unsigned hyper read_token;
 };
 
 struct ql_rpc_document_res {
@@ -191,6 +196,7 @@
 	bool whole_document;
 	opaque document<QL_RPC_DOCUMENT_MAX>;
 	ql_rpc_change changes<QL_RPC_CHANGES_MAX>;
+	unsigned hyper read_token;
 };
 
 /* An operator asks a process for a report as JSON text. */
--- a/src/control/rpc/control_xdr.c
+++ b/src/control/rpc/control_xdr.c
@@ -417,6 +417,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->must_be_current))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->read_token))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -440,6 +442,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, QL_RPC_CHANGES_MAX,
 		sizeof (ql_rpc_change), (xdrproc_t) xdr_ql_rpc_change))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->read_token))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/control/rpc/record.h
+++ b/src/control/rpc/journal_record.h
@@ -3,8 +3,8 @@
  * It was generated using rpcgen.
  */
 
-#ifndef _RECORD_H_RPCGEN
-#define _RECORD_H_RPCGEN
+#ifndef _JOURNAL_RECORD_H_RPCGEN
+#define _JOURNAL_RECORD_H_RPCGEN
 
 #include <rpc/rpc.h>
 
@@ -79,4 +79,4 @@
 }
 #endif
 
-#endif /* !_RECORD_H_RPCGEN */
+#endif /* !_JOURNAL_RECORD_H_RPCGEN */
--- a/src/control/rpc/record_xdr.c
+++ b/src/control/rpc/journal_record_xdr.c
@@ -3,7 +3,7 @@
  * It was generated using rpcgen.
  */
 
-#include "record.h"
+#include "journal_record.h"
 
 bool_t
 xdr_ql_rpc_journal_state (XDR *xdrs, ql_rpc_journal_state *objp)
--- a/src/node/control_service.h
+++ b/src/node/control_service.h
@@ -7,9 +7,9 @@
  */
 
 #include "control/rpc_server.h"
-#include "node/config_store.h"
 #include "node/lease_service.h"
 #include "node/registrar_service.h"
+#include "node/replica_service.h"
 
 #include <pthread.h>
 
@@ -18,8 +18,9 @@
 /**
  * struct ql_control_service - The control side.
  * @settings: borrowed
- * @lock: guards @store and the registrar
- * @store: the configuration of a replica, or the one that a registrar follows
+ * @lock: guards @state and the registrar
+ * @state: the configuration of a replica, or the one that a registrar follows
+ * @replica: the replica of this process
  * @registrar: the registrar of this process
  * @lease: the lease of this node
  */
@@ -32,7 +33,8 @@
 	void *data;
 	uint64_t incarnation;
 	pthread_mutex_t lock;
-	ql_config_store_t store;
+	ql_config_state_t state;
+	ql_replica_service_t replica;
 	ql_rpc_server_t rpc;
 	ql_registrar_service_t registrar;
 	ql_lease_service_t lease;
--- /dev/null
+++ b/src/node/replica_service.c
@@ -0,0 +1,446 @@
+#include "node/replica_service.h"
+#include "quetzalloft/address.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define RING_ENTRIES 4096u
+#define TICK_US (50 * QL_US_PER_MS)
+#define ELECTION_TICKS 20u
+#define HEARTBEAT_TICKS 4u
+#define SNAPSHOT_ENTRIES 2048u
+#define KEPT_ENTRIES 512u
+#define WINDOW_ENTRIES 4096u
+#define PIECE_BYTES 262144u
+/* After a pause of the process time passes slowly, so that the messages that
+ * wait are seen before an election. */
+#define CATCH_UP_TICKS 2
+
+static bool is_stopping(const ql_replica_service_t *service)
+{
+	return __atomic_load_n(&service->stopping, __ATOMIC_ACQUIRE);
+}
+
+void ql_replica_service__own_address(const ql_replica_service_t *service,
+				     char *out)
+{
+	ql_address_format(out, service->settings->address,
+			  (unsigned int)service->settings->control_port);
+}
+
+static void input_free(ql_replica_input_t *input)
+{
+	u_int i;
+
+	for (i = 0; i < input->n_messages; i++)
+		xdr_free((xdrproc_t)xdr_ql_rpc_replica_message,
+			 &input->messages[i]);
+	free(input->messages);
+	g_free(input->patch_text);
+	xdr_free((xdrproc_t)xdr_ql_rpc_replica_members, &input->members);
+	g_free(input);
+}
+
+int ql_replica_service__push(ql_replica_service_t *service,
+			     ql_replica_input_t *input)
+{
+	int ret = ql_ring_push(&service->inputs, input);
+
+	if (ret)
+		input_free(input);
+	return ret;
+}
+
+static const char *address_of(const ql_replica_service_t *service, uint64_t id)
+{
+	const ql_replica_peer_t *peer =
+		ql_replica_find(&service->config.replica, id);
+
+	if (peer)
+		return peer->address;
+	return g_hash_table_lookup(service->addresses, &id);
+}
+
+static void send_message(void *data, ql_rpc_replica_message *message)
+{
+	ql_replica_service_t *service = data;
+	const char *address = address_of(service, message->to);
+
+	if (address)
+		ql_replica_peers_send(&service->peers, address, message);
+	else
+		ql_replica_message_free(message);
+}
+
+static void set_read(ql_replica_service_t *service, uint64_t token, int status)
+{
+	ql_replica_read_slot_t *slot =
+		&service->reads[token % QL_REPLICA_READS_MAX];
+
+	pthread_mutex_lock(&service->view_lock);
+	if (slot->token == token)
+		slot->status = status;
+	pthread_mutex_unlock(&service->view_lock);
+}
+
+static void read_done(void *data, uint64_t token, int status)
+{
+	set_read(data, token, status);
+}
+
+static void answered(void *data G_GNUC_UNUSED, const ql_patch_t *patch,
+		     const ql_patch_answer_t *answer)
+{
+	ql_log(LOG_NOTICE, answer->status ? "patch_refused" : "patch_accepted",
+	       QL_STR("id", patch->id), QL_UINT("base", patch->base_version),
+	       QL_UINT("version", answer->version),
+	       QL_STR("error", ql_error_name(answer->status)));
+}
+
+static void changed(void *data, const ql_config_change_t *change)
+{
+	ql_replica_service_t *service = data;
+
+	if (service->applied)
+		service->applied(service->data, change);
+}
+
+static const ql_replicated_config_ops_t config_ops = {
+	.send = send_message,
+	.read_done = read_done,
+	.answered = answered,
+	.changed = changed,
+};
+
+static void log_role(const ql_replica_service_t *service, const char *role)
+{
+	const ql_replica_t *replica = &service->config.replica;
+
+	ql_log(LOG_NOTICE, "replica_role", QL_STR("role", role),
+	       QL_UINT("term", replica->state.term),
+	       QL_STR("leader", ql_replica_leader_address(replica)),
+	       QL_UINT("commit", replica->state.commit));
+}
+
+static void fill_view(const ql_replica_service_t *service,
+		      ql_replica_view_t *view)
+{
+	const ql_replica_t *replica = &service->config.replica;
+
+	view->identity_synced = replica->synced_identity;
+	view->failed = service->failed || replica->failed;
+	view->is_leader = replica->role == QL_REPLICA_LEADER && !view->failed;
+	view->settled = replica->members_index <= replica->state.commit;
+	g_strlcpy(view->leader_address, ql_replica_leader_address(replica),
+		  sizeof(view->leader_address));
+	view->role = ql_replica_role_name(replica);
+	view->state = replica->state;
+	view->leader = replica->leader;
+	view->log_index = ql_replica_last_index(replica);
+	view->applied = replica->applied;
+	view->n_members = replica->n_peers;
+	memcpy(view->members, replica->peers,
+	       replica->n_peers * sizeof(*view->members));
+}
+
+static void publish(ql_replica_service_t *service)
+{
+	const char *role = ql_replica_role_name(&service->config.replica);
+	bool is_new;
+
+	pthread_mutex_lock(&service->view_lock);
+	is_new = service->view.role != role;
+	fill_view(service, &service->view);
+	pthread_mutex_unlock(&service->view_lock);
+	if (is_new)
+		log_role(service, role);
+}
+
+static void take_messages(ql_replica_service_t *service,
+			  const ql_replica_input_t *input)
+{
+	u_int i;
+
+	for (i = 0; i < input->n_messages; i++) {
+		uint64_t from = input->messages[i].from;
+
+		if (!ql_replica_find(&service->config.replica, from))
+			g_hash_table_replace(service->addresses,
+					     g_memdup2(&from, sizeof(from)),
+					     g_strdup(input->address));
+		ql_replica_deliver(&service->config.replica,
+				   &input->messages[i]);
+	}
+}
+
+static void take_change(ql_replica_service_t *service,
+			const ql_replica_input_t *input)
+{
+	ql_replica_change_t change = {input->change_kind, input->change_id,
+				      input->address};
+	ql_replica_change_slot_t slot = {
+		.kind = input->change_kind,
+		.id = input->change_id,
+		.is_fresh = true,
+	};
+	GError *error = NULL;
+
+	slot.status = ql_replica_change_members(&service->config.replica,
+						&change, &error);
+	g_strlcpy(slot.address, input->address, sizeof(slot.address));
+	g_strlcpy(slot.detail, error ? error->message : "",
+		  sizeof(slot.detail));
+	g_clear_error(&error);
+	ql_log(LOG_NOTICE, "members_change", QL_UINT("kind", slot.kind),
+	       QL_UINT("id", slot.id), QL_STR("address", slot.address),
+	       QL_STR("error", ql_error_name(slot.status)),
+	       QL_STR("detail", slot.detail));
+	pthread_mutex_lock(&service->view_lock);
+	service->change = slot;
+	pthread_mutex_unlock(&service->view_lock);
+}
+
+static void take_read(ql_replica_service_t *service, uint64_t token)
+{
+	int ret = ql_replica_read(&service->config.replica, token);
+
+	/* A new leader that has committed nothing yet is to be asked again. */
+	if (ret)
+		set_read(service, token,
+			 ret == QL_E_PENDING ? QL_E_UNAVAILABLE : ret);
+}
+
+static void take_input(ql_replica_service_t *service,
+		       const ql_replica_input_t *input)
+{
+	ql_patch_answer_t unused;
+
+	switch (input->kind) {
+	case QL_REPLICA_INPUT_MESSAGES:
+		take_messages(service, input);
+		break;
+	case QL_REPLICA_INPUT_PATCH:
+		ql_replicated_config_submit(&service->config, &input->patch,
+					    &unused);
+		break;
+	case QL_REPLICA_INPUT_CHANGE:
+		take_change(service, input);
+		break;
+	case QL_REPLICA_INPUT_READ:
+		take_read(service, input->token);
+		break;
+	case QL_REPLICA_INPUT_BOOTSTRAP:
+	default:
+		ql_replica_bootstrap(&service->config.replica, &input->members);
+		break;
+	}
+}
+
+static void take_inputs(ql_replica_service_t *service)
+{
+	void *item;
+
+	while ((item = ql_ring_pop(&service->inputs))) {
+		/* The disk only wakes the thread. */
+		if (item == &service->disk)
+			continue;
+		if (!service->failed)
+			take_input(service, item);
+		input_free(item);
+	}
+}
+
+static void take_written(ql_replica_service_t *service)
+{
+	uint64_t done;
+
+	if (ql_replica_disk_poll(&service->disk, &done)) {
+		service->failed = true;
+		return;
+	}
+	if (done == service->done)
+		return;
+	service->done = done;
+	/* Applies entries, so that others must not read meanwhile. */
+	pthread_mutex_lock(service->lock);
+	ql_replica_write_done(&service->config.replica, done);
+	pthread_mutex_unlock(service->lock);
+}
+
+static void write_news(ql_replica_service_t *service)
+{
+	ql_replica_write_t write;
+
+	if (ql_replica_take_write(&service->config.replica, &write))
+		ql_replica_disk_write(&service->disk, &write);
+}
+
+static void tick(ql_replica_service_t *service)
+{
+	uint64_t now_us = ql_clock_now_us();
+	int i;
+
+	for (i = 0; i < CATCH_UP_TICKS; i++) {
+		if (now_us - service->ticked_us < TICK_US)
+			return;
+		service->ticked_us += TICK_US;
+		ql_replica_tick(&service->config.replica);
+	}
+	service->ticked_us = now_us;
+}
+
+static int wait_ms(const ql_replica_service_t *service)
+{
+	uint64_t due_us = service->ticked_us + TICK_US;
+	uint64_t now_us = ql_clock_now_us();
+
+	return now_us >= due_us ? 0
+				: (int)((due_us - now_us) / QL_US_PER_MS) + 1;
+}
+
+static void *run(void *data)
+{
+	ql_replica_service_t *service = data;
+
+	service->ticked_us = ql_clock_now_us();
+	while (!is_stopping(service)) {
+		take_written(service);
+		take_inputs(service);
+		if (!service->failed) {
+			tick(service);
+			ql_replica_flush(&service->config.replica);
+			write_news(service);
+		}
+		publish(service);
+		ql_ring_wait(&service->inputs, wait_ms(service));
+	}
+	return NULL;
+}
+
+static uint64_t new_identity(void)
+{
+	uint64_t id;
+
+	do {
+		id = ((uint64_t)g_random_int() << 32) | g_random_int();
+	} while (!id);
+	return id;
+}
+
+static int init_config(ql_replica_service_t *service, GError **error)
+{
+	ql_replica_opts_t opts = {
+		.rules = &ql_replica_rules,
+		.random = service->random,
+		.election_ticks = ELECTION_TICKS,
+		.heartbeat_ticks = HEARTBEAT_TICKS,
+		.snapshot_entries = SNAPSHOT_ENTRIES,
+		.kept_entries = KEPT_ENTRIES,
+		.message_entries = QL_REPLICA_ENTRIES_MAX,
+		.window_entries = WINDOW_ENTRIES,
+		.piece_bytes = PIECE_BYTES,
+	};
+	ql_replicated_config_source_t source = {
+		.journal = &service->disk.journal,
+		.identity = new_identity(),
+		.state = service->state,
+	};
+	int ret = ql_replicated_config_init(&service->config, &opts, &source,
+					    &config_ops, service, error);
+
+	if (ret)
+		return ret;
+	/* The replica holds them from here on. */
+	g_array_set_size(service->disk.journal.entries, 0);
+	g_clear_pointer(&service->disk.journal.snapshot.data, g_bytes_unref);
+	ql_log(LOG_NOTICE, "replica_loaded",
+	       QL_UINT("id", service->config.replica.state.identity),
+	       QL_UINT("term", service->config.replica.state.term),
+	       QL_UINT("version", service->state->doc->version),
+	       QL_UINT("bytes", service->disk.journal.bytes_read));
+	return 0;
+}
+
+static void init_parts(ql_replica_service_t *service)
+{
+	service->random = g_rand_new();
+	service->addresses = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   g_free, g_free);
+	service->next_read = 1;
+	pthread_mutex_init(&service->view_lock, NULL);
+	service->peers = (ql_replica_peers_t){
+		.settings = service->settings,
+		.hlc = service->hlc,
+		.incarnation = service->incarnation,
+	};
+	ql_replica_service__own_address(service, service->peers.own_address);
+}
+
+static void finish_parts(ql_replica_service_t *service)
+{
+	g_rand_free(service->random);
+	g_hash_table_destroy(service->addresses);
+	pthread_mutex_destroy(&service->view_lock);
+}
+
+int ql_replica_service_init(ql_replica_service_t *service, GError **error)
+{
+	int ret = ql_ring_init(&service->inputs, RING_ENTRIES, error);
+
+	if (ret)
+		return ret;
+	ret = ql_replica_disk_init(&service->disk,
+				   service->settings->data_folder,
+				   &service->inputs, error);
+	if (ret) {
+		ql_ring_finish(&service->inputs);
+		return ret;
+	}
+	init_parts(service);
+	ret = init_config(service, error);
+	if (ret) {
+		finish_parts(service);
+		ql_replica_disk_finish(&service->disk);
+		ql_ring_finish(&service->inputs);
+		return ret;
+	}
+	publish(service);
+	return 0;
+}
+
+void ql_replica_service_start(ql_replica_service_t *service)
+{
+	bool is_empty = ql_replica_is_empty(&service->config.replica);
+
+	ql_replica_disk_start(&service->disk);
+	service->thread = g_thread_new("replica", run, service);
+	if (is_empty)
+		service->bootstrap =
+			g_thread_new("bootstrap", ql_replica_service__bootstrap,
+				     service);
+}
+
+void ql_replica_service_stop(ql_replica_service_t *service)
+{
+	__atomic_store_n(&service->stopping, 1, __ATOMIC_RELEASE);
+	if (service->bootstrap)
+		g_thread_join(service->bootstrap);
+	if (service->thread)
+		g_thread_join(service->thread);
+	ql_replica_peers_finish(&service->peers);
+}
+
+void ql_replica_service_finish(ql_replica_service_t *service)
+{
+	void *item;
+
+	while ((item = ql_ring_pop(&service->inputs)))
+		if (item != &service->disk)
+			input_free(item);
+	ql_replica_disk_finish(&service->disk);
+	ql_replicated_config_finish(&service->config);
+	finish_parts(service);
+	ql_ring_finish(&service->inputs);
+}
--- a/src/store/journal_codec.c
+++ b/src/store/journal_codec.c
@@ -1,6 +1,6 @@
 #include "store/journal_codec.h"
 
-#include "record.h"
+#include "journal_record.h"
 
 #include <rpc/xdr.h>
 #include <stdlib.h>
