--- a/tests/docs/check_pages.sh
+++ b/tests/docs/check_pages.sh
@@ -45,6 +45,16 @@
 		grep -qE "^\.(B|BR|BI) \"?$command" man/quetzalloft.1 ||
 			missing "man/quetzalloft.1: command $command"
 	done
+# What the glossary says of the code is there.
+grep -oE '`(ql|QL)_[A-Za-z_]+' docs/GLOSSARY.md | tr -d '`' | sort -u |
+	while IFS= read -r name; do
+		grep -rqw -- "$name" include src ||
+			missing "docs/GLOSSARY.md: no $name in the code"
+	done
+grep -oE '`(src|include)/[a-z_/.]+`' docs/GLOSSARY.md | tr -d '`' |
+	while IFS= read -r name; do
+		[ -e "$name" ] || missing "docs/GLOSSARY.md: $name"
+	done
 for page in docs/design/*.md; do
 	grep -qF "(design/${page##*/})" docs/DESIGN.md ||
 		missing "docs/DESIGN.md: link to $page"
