--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -132,9 +132,14 @@
 	view->identity_synced = replica->synced_identity;
 	view->failed = service->failed || replica->failed;
 	view->is_leader = replica->role == QL_REPLICA_LEADER && !view->failed;
+	/* After a failure nobody is to be sent here. */
+	if (!view->failed)
+		g_strlcpy(view->leader_address,
+			  ql_replica_leader_address(replica),
+			  sizeof(view->leader_address));
+	else
+		view->leader_address[0] = '\0';
 	view->settled = replica->members_index <= replica->state.commit;
-	g_strlcpy(view->leader_address, ql_replica_leader_address(replica),
-		  sizeof(view->leader_address));
 	view->role = ql_replica_role_name(replica);
 	view->state = replica->state;
 	view->leader = replica->leader;
