--- a/src/control/rpc/claim.x
+++ b/src/control/rpc/claim.x
@@ -14,30 +14,30 @@
 };
 
 struct ql_rpc_claim_value {
-	unsigned int kind;
 	unsigned hyper request;
 	unsigned hyper attempt;
 	unsigned hyper fingerprint[2];
+	unsigned int kind;
 	unsigned int lease_ms;
 };
 
 struct ql_rpc_claim_request {
 	unsigned int op;
-	string key<QL_RPC_KEY_MAX>;
+	unsigned int note;
 	unsigned int generation;
+	string key<QL_RPC_KEY_MAX>;
 	ql_rpc_claim_ballot ballot;
 	ql_rpc_claim_value value;
-	unsigned int note;
 	opaque answer<QL_RPC_CLAIM_ANSWER_MAX>;
 };
 
 struct ql_rpc_claim_reply {
 	unsigned int status;
+	unsigned int note;
 	unsigned int generation;
 	ql_rpc_claim_ballot promised;
 	ql_rpc_claim_ballot accepted;
 	ql_rpc_claim_value value;
-	unsigned int note;
 	unsigned hyper age_ms;
 	bool has_answer;
 	opaque answer<QL_RPC_CLAIM_ANSWER_MAX>;
