--- a/include/quetzalloft/replica.h
+++ b/include/quetzalloft/replica.h
@@ -18,7 +18,8 @@
  * the commit index is synced first.
  */
 
-#include "quetzalloft/types.h"
+#include "quetzalloft/chart.h"
+#include "quetzalloft/timeline.h"
 #include "store/journal.h"
 
 #include "replication.h"
@@ -30,13 +31,30 @@
 /** Entries that may wait for a commit; more proposals are refused. */
 #define QL_REPLICA_UNCOMMITTED_MAX 8192u
 
+/**
+ * enum ql_replica_role - States of chart "replica".
+ */
 typedef enum ql_replica_role {
+	QL_REPLICA_LEARNER,
 	QL_REPLICA_FOLLOWER,
 	QL_REPLICA_PRE_CANDIDATE,
 	QL_REPLICA_CANDIDATE,
 	QL_REPLICA_LEADER,
+	QL_REPLICA_REMOVED,
+	QL_N_REPLICA_ROLES,
 } ql_replica_role_t;
 
+/**
+ * ql_replica_chart_load() - Read and check the chart of the role.
+ * @chart: where to store it
+ * @folder: where to look; NULL or empty for ql_chart_folder()
+ * @error: detail of a failure
+ *
+ * Return: 0 or a failure of ql_chart_load().
+ */
+int ql_replica_chart_load(ql_chart_t *chart, const char *folder,
+			  GError **error);
+
 typedef struct ql_replica ql_replica_t;
 
 /**
@@ -48,6 +66,7 @@
  * @restore: replace the applied state by a saved one
  * @read_done: a read that ql_replica_read() began is confirmed (0) or not
  *             (QL_E_NOT_LEADER)
+ * @role_changed: an event of chart "replica" has led to another role
  * @leadership_lost: proposals in progress may or may not be committed later
  */
 typedef struct ql_replica_ops {
@@ -56,6 +75,7 @@
 	GBytes *(*save)(void *data);
 	int (*restore)(void *data, GBytes *saved, GError **error);
 	void (*read_done)(void *data, uint64_t token, int status);
+	void (*role_changed)(void *data, ql_event_t event);
 	void (*leadership_lost)(void *data);
 } ql_replica_ops_t;
 
@@ -77,6 +97,7 @@
 /**
  * struct ql_replica_opts - How a replica behaves.
  * @rules: &ql_replica_rules
+ * @chart: of the role; borrowed
  * @random: spreads election timeouts; borrowed
  * @election_ticks: least time without a leader before an election
  * @heartbeat_ticks: time between messages of a leader
@@ -88,6 +109,7 @@
  */
 typedef struct ql_replica_opts {
 	const ql_replica_rules_t *rules;
+	const ql_chart_t *chart;
 	GRand *random;
 	uint32_t election_ticks;
 	uint32_t heartbeat_ticks;
@@ -150,6 +172,8 @@
  * @peers: all members, this replica included when it is one
  * @n_peers: their number
  * @members_index: entry that the members come from
+ * @role: state of chart "replica"
+ * @was_member: a committed list of members has named this replica
  * @leader: the leader of the term, or 0
  * @term_start: first entry of a leader's own term
  * @applied: last entry applied
@@ -182,6 +206,7 @@
 	size_t n_peers;
 	uint64_t members_index;
 	ql_replica_role_t role;
+	bool was_member;
 	uint64_t leader;
 	uint64_t term_start;
 	uint32_t election_elapsed;
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -54,6 +54,7 @@
 	g_array_set_clear_func(replica->entries, clear_entry);
 	g_queue_init(&replica->held);
 	g_queue_init(&replica->reads);
+	replica->role = (ql_replica_role_t)opts->chart->start;
 	take_journal(replica, journal, identity);
 	ql_replica__load_members(replica);
 	ql_replica__reset_election(replica);
@@ -107,21 +108,6 @@
 	return 0;
 }
 
-const char *ql_replica_role_name(const ql_replica_t *replica)
-{
-	static const char *const names[] = {
-		[QL_REPLICA_FOLLOWER] = "follower",
-		[QL_REPLICA_PRE_CANDIDATE] = "pre-candidate",
-		[QL_REPLICA_CANDIDATE] = "candidate",
-		[QL_REPLICA_LEADER] = "leader",
-	};
-
-	if (replica->role == QL_REPLICA_FOLLOWER &&
-	    !ql_replica__is_voter(replica))
-		return "learner";
-	return names[replica->role];
-}
-
 size_t ql_replica__quorum(const ql_replica_t *replica)
 {
 	size_t voters = 0, i;
@@ -142,17 +128,12 @@
 						   (gint32)least);
 }
 
-void ql_replica__become_follower(ql_replica_t *replica, uint64_t term,
+void ql_replica__become_follower(ql_replica_t *replica, ql_event_t event,
 				 uint64_t leader)
 {
 	bool led = replica->role == QL_REPLICA_LEADER;
 
-	if (term > replica->state.term) {
-		replica->state.term = term;
-		replica->state.vote = 0;
-		ql_replica__require_write(replica);
-	}
-	replica->role = QL_REPLICA_FOLLOWER;
+	ql_replica__step(replica, event);
 	replica->leader = leader;
 	ql_replica__reset_election(replica);
 	if (!led)
@@ -161,6 +142,16 @@
 	replica->ops->leadership_lost(replica->data);
 }
 
+void ql_replica__take_term(ql_replica_t *replica, uint64_t term)
+{
+	if (term <= replica->state.term)
+		return;
+	replica->state.term = term;
+	replica->state.vote = 0;
+	ql_replica__require_write(replica);
+	ql_replica__become_follower(replica, QL_EVENT_REPLICA_HIGHER_TERM, 0);
+}
+
 /* Nobody else can lead, so that there is nothing to wait for. */
 static bool is_only_voter(const ql_replica_t *replica)
 {
@@ -219,11 +210,11 @@
 	if (from_leader && replica->role == QL_REPLICA_LEADER &&
 	    message->term == replica->state.term)
 		return false;
+	ql_replica__take_term(replica, message->term);
 	if (from_leader)
-		ql_replica__become_follower(replica, message->term,
+		ql_replica__become_follower(replica,
+					    QL_EVENT_REPLICA_LEADER_HEARD,
 					    message->from);
-	else if (message->term > replica->state.term)
-		ql_replica__become_follower(replica, message->term, 0);
 	return true;
 }
 
--- a/src/control/replica_disk.c
+++ b/src/control/replica_disk.c
@@ -92,6 +92,7 @@
 		entry = ql_replica__entry(replica, ++replica->applied);
 		replica->ops->apply(replica->data, entry);
 	}
+	ql_replica__note_removal(replica);
 	if (replica->applied >=
 	    replica->snapshot.index + replica->opts.snapshot_entries)
 		ql_replica__take_snapshot(replica);
--- a/src/control/replica_election.c
+++ b/src/control/replica_election.c
@@ -46,7 +46,7 @@
 /* Its own vote counts once it is on the disk. */
 static void become_candidate(ql_replica_t *replica)
 {
-	replica->role = QL_REPLICA_CANDIDATE;
+	ql_replica__step(replica, QL_EVENT_REPLICA_PRE_VOTE_WON);
 	replica->state.term++;
 	replica->state.vote = replica->state.identity;
 	ql_replica__require_write(replica);
@@ -56,9 +56,11 @@
 
 void ql_replica__campaign(ql_replica_t *replica)
 {
-	replica->role = QL_REPLICA_PRE_CANDIDATE;
+	ql_replica__step(replica, QL_EVENT_REPLICA_ELECTION_TIMEOUT);
 	replica->leader = 0;
 	ql_replica__reset_election(replica);
+	if (replica->role != QL_REPLICA_PRE_CANDIDATE)
+		return;
 	ask_for_votes(replica, QL_REPLICA_PRE_VOTE, replica->state.term + 1);
 	ql_replica__vote_for_self(replica);
 }
@@ -110,8 +112,7 @@
 	ql_replica_peer_t *peer = ql_replica__peer(replica, message->from);
 
 	if (!message->granted) {
-		if (message->term > replica->state.term)
-			ql_replica__become_follower(replica, message->term, 0);
+		ql_replica__take_term(replica, message->term);
 		return;
 	}
 	if (replica->role != QL_REPLICA_PRE_CANDIDATE || !peer ||
--- a/src/control/replica_leader.c
+++ b/src/control/replica_leader.c
@@ -18,7 +18,7 @@
 	ql_replica_peer_t *peer;
 	size_t i;
 
-	replica->role = QL_REPLICA_LEADER;
+	ql_replica__step(replica, QL_EVENT_REPLICA_VOTE_WON);
 	replica->leader = replica->state.identity;
 	replica->heartbeat_elapsed = 0;
 	replica->round++;
@@ -139,7 +139,8 @@
 	for (i = 0; i < replica->n_peers; i++)
 		replica->peers[i].silent_ticks++;
 	if (!hears_quorum(replica)) {
-		ql_replica__become_follower(replica, replica->state.term, 0);
+		ql_replica__become_follower(replica,
+					    QL_EVENT_REPLICA_QUORUM_LOST, 0);
 		return;
 	}
 	if (++replica->heartbeat_elapsed >= replica->opts.heartbeat_ticks)
@@ -187,7 +188,8 @@
 	ql_replica__broadcast(replica);
 	if (replica->members_index <= index &&
 	    !ql_replica_find(replica, replica->state.identity))
-		ql_replica__become_follower(replica, replica->state.term, 0);
+		ql_replica__become_follower(replica, QL_EVENT_REPLICA_REMOVED,
+					    0);
 }
 
 /* Sends what was not sent yet, as far as the window allows. */
--- a/src/control/replica_members.c
+++ b/src/control/replica_members.c
@@ -157,6 +157,7 @@
 		take_peer(replica, old, n_old, &members.members.members_val[i]);
 	clear_peers(old, n_old);
 	replica->members_index = entry ? entry->index : replica->snapshot.index;
+	ql_replica__note_voter(replica);
 	xdr_free((xdrproc_t)xdr_ql_rpc_replica_members, &members);
 }
 
--- a/src/control/replica_private.h
+++ b/src/control/replica_private.h
@@ -9,8 +9,19 @@
 
 G_BEGIN_DECLS
 
+/* replica_role.c */
+/* Takes an event of the chart; the role may change. */
+void ql_replica__step(ql_replica_t *replica, ql_event_t event);
+/* Steps when this replica is a voter until another list is committed. */
+void ql_replica__note_voter(ql_replica_t *replica);
+/* Steps when the committed members name this replica no more. */
+void ql_replica__note_removal(ql_replica_t *replica);
+
 /* replica.c */
-void ql_replica__become_follower(ql_replica_t *replica, uint64_t term,
+/* Takes over a term that is higher. */
+void ql_replica__take_term(ql_replica_t *replica, uint64_t term);
+/* Follows a leader, or nobody yet, after an event of the chart. */
+void ql_replica__become_follower(ql_replica_t *replica, ql_event_t event,
 				 uint64_t leader);
 void ql_replica__reset_election(ql_replica_t *replica);
 size_t ql_replica__quorum(const ql_replica_t *replica);
--- a/src/control/replicated_config.c
+++ b/src/control/replicated_config.c
@@ -20,6 +20,13 @@
 	config->ops->read_done(config->data, token, status);
 }
 
+static void role_changed(void *data, ql_event_t event)
+{
+	ql_replicated_config_t *config = data;
+
+	config->ops->role_changed(config->data, event);
+}
+
 static void leadership_lost(void *data)
 {
 	ql_replicated_config_t *config = data;
@@ -93,6 +100,7 @@
 	.save = save,
 	.restore = restore,
 	.read_done = read_done,
+	.role_changed = role_changed,
 	.leadership_lost = leadership_lost,
 };
 
--- a/src/control/replicated_config.h
+++ b/src/control/replicated_config.h
@@ -15,12 +15,14 @@
  * struct ql_replicated_config_ops - What it does to its surroundings.
  * @send: see &struct ql_replica_ops
  * @read_done: see &struct ql_replica_ops
+ * @role_changed: see &struct ql_replica_ops
  * @answered: a patch was decided on for the first time
  * @changed: the document changed; @change is NULL when a snapshot replaced it
  */
 typedef struct ql_replicated_config_ops {
 	void (*send)(void *data, ql_rpc_replica_message *message);
 	void (*read_done)(void *data, uint64_t token, int status);
+	void (*role_changed)(void *data, ql_event_t event);
 	void (*answered)(void *data, const ql_patch_t *patch,
 			 const ql_patch_answer_t *answer);
 	void (*changed)(void *data, const ql_config_change_t *change);
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -207,6 +207,7 @@
 		return 0;
 	replica->settings = control->settings;
 	replica->hlc = control->hlc;
+	replica->timeline = control->timeline;
 	replica->lock = &control->lock;
 	replica->state = &control->state;
 	replica->incarnation = control->incarnation;
--- a/src/node/control_service.h
+++ b/src/node/control_service.h
@@ -29,6 +29,7 @@
 	ql_gate_service_t *gates;
 	ql_counters_t *counters;
 	ql_hlc_t *hlc;
+	ql_timeline_t *timeline;
 	json_t *(*report)(void *data, const char *topic, const char *filter);
 	void *data;
 	uint64_t incarnation;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -226,6 +226,7 @@
 	node->control.gates = &node->gates;
 	node->control.counters = &node->context.counters;
 	node->control.hlc = &node->context.hlc;
+	node->control.timeline = &node->context.timeline;
 	node->control.report = report;
 	node->control.data = node;
 	return ql_control_service_start(&node->control, &member_ops, node,
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -90,6 +90,17 @@
 	set_read(data, token, status);
 }
 
+static void role_changed(void *data, ql_event_t event)
+{
+	ql_replica_service_t *service = data;
+	ql_timeline_event_t entry = {
+		.event = event,
+		.version = service->state->doc->version,
+	};
+
+	ql_timeline_record(service->timeline, &entry);
+}
+
 static void answered(void *data G_GNUC_UNUSED, const ql_patch_t *patch,
 		     const ql_patch_answer_t *answer)
 {
@@ -110,6 +121,7 @@
 static const ql_replicated_config_ops_t config_ops = {
 	.send = send_message,
 	.read_done = read_done,
+	.role_changed = role_changed,
 	.answered = answered,
 	.changed = changed,
 };
@@ -338,6 +350,7 @@
 {
 	ql_replica_opts_t opts = {
 		.rules = &ql_replica_rules,
+		.chart = &service->chart,
 		.random = service->random,
 		.election_ticks = ELECTION_TICKS,
 		.heartbeat_ticks = HEARTBEAT_TICKS,
@@ -392,8 +405,11 @@
 
 int ql_replica_service_init(ql_replica_service_t *service, GError **error)
 {
-	int ret = ql_ring_init(&service->inputs, RING_ENTRIES, error);
+	int ret = ql_replica_chart_load(&service->chart,
+					service->settings->charts, error);
 
+	if (!ret)
+		ret = ql_ring_init(&service->inputs, RING_ENTRIES, error);
 	if (ret)
 		return ret;
 	ret = ql_replica_disk_init(&service->disk,
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -79,6 +79,7 @@
  * struct ql_replica_service - The replica of this process.
  * @settings: borrowed
  * @hlc: borrowed
+ * @timeline: borrowed; NULL records nothing
  * @lock: guards @state; borrowed
  * @state: the committed configuration; borrowed
  * @incarnation: start of this process
@@ -86,6 +87,7 @@
  *           @change is NULL when a snapshot replaced the document
  * @data: passed to @applied
  * @inputs: what arrives
+ * @chart: of the role
  * @view_lock: guards the members below
  * @view: what the thread publishes
  * @reads: reads in progress
@@ -95,6 +97,7 @@
 typedef struct ql_replica_service {
 	const ql_settings_t *settings;
 	ql_hlc_t *hlc;
+	ql_timeline_t *timeline;
 	pthread_mutex_t *lock;
 	ql_config_state_t *state;
 	uint64_t incarnation;
@@ -103,6 +106,7 @@
 	ql_ring_t inputs;
 	ql_replica_disk_t disk;
 	ql_replica_peers_t peers;
+	ql_chart_t chart;
 	ql_replicated_config_t config;
 	GRand *random;
 	GHashTable *addresses;
--- a/tests/control/replica_cluster.cc
+++ b/tests/control/replica_cluster.cc
@@ -14,6 +14,10 @@
 {
 }
 
+void role_changed(void *, ql_event_t)
+{
+}
+
 void answered(void *, const ql_patch_t *, const ql_patch_answer_t *)
 {
 }
@@ -23,7 +27,7 @@
 }
 
 const ql_replicated_config_ops_t CONFIG_OPS = {send_message, read_done,
-					       answered, changed};
+					       role_changed, answered, changed};
 
 ql_patch_t make_patch(const std::string &id, uint64_t base,
 		      const std::string &text)
@@ -39,6 +43,18 @@
 
 } // namespace
 
+const ql_chart_t *replica_chart()
+{
+	static ql_chart_t chart;
+	static bool loaded;
+
+	if (!loaded &&
+	    ql_replica_chart_load(&chart, QL_SOURCE_DIR "/charts", nullptr))
+		g_error("the chart cannot be loaded");
+	loaded = true;
+	return &chart;
+}
+
 Cluster::Cluster(const std::vector<ql_disk_t> &disks, uint32_t snapshot_entries)
 {
 	std::vector<ql_rpc_replica_member> list;
@@ -46,6 +62,7 @@
 
 	opts = {};
 	opts.rules = &ql_replica_rules;
+	opts.chart = replica_chart();
 	opts.election_ticks = 20;
 	opts.heartbeat_ticks = 4;
 	opts.snapshot_entries = snapshot_entries;
--- a/tests/control/replica_cluster.h
+++ b/tests/control/replica_cluster.h
@@ -13,6 +13,9 @@
 #include <string>
 #include <vector>
 
+/* The chart of the role, as it is shipped. */
+const ql_chart_t *replica_chart();
+
 class Cluster;
 
 struct ClusterNode {
--- a/tests/control/replica_test.cc
+++ b/tests/control/replica_test.cc
@@ -219,7 +219,10 @@
 		/* A crash between a snapshot far ahead of the log and the file
 		 * behind it left a log with a gap. */
 		FormerFailure{"SnapshotAheadOfTheLog", 5,
-			      random_schedule(934, SCHEDULE_BYTES)}),
+			      random_schedule(934, SCHEDULE_BYTES)},
+		/* After a restart the same leader took itself for a learner. */
+		FormerFailure{"RemovedLeaderIsElectedAfterARestart", 3,
+			      random_schedule(254, SCHEDULE_BYTES)}),
 	[](const testing::TestParamInfo<FormerFailure> &test) {
 		return std::string(test.param.name);
 	});
--- a/tests/control/replica_world.cc
+++ b/tests/control/replica_world.cc
@@ -1,4 +1,5 @@
 #include "control/replica_world.h"
+#include "control/replica_cluster.h"
 #include "control/replica_private.h"
 #include "quetzalloft/error.h"
 
@@ -51,6 +52,10 @@
 	node->world->on_read_done(node, token, status);
 }
 
+void role_changed(void *, ql_event_t)
+{
+}
+
 void answered(void *, const ql_patch_t *, const ql_patch_answer_t *)
 {
 }
@@ -60,7 +65,7 @@
 }
 
 const ql_replicated_config_ops_t CONFIG_OPS = {send_message, read_done,
-					       answered, changed};
+					       role_changed, answered, changed};
 
 /* Watches what is applied; set in place of the operations of the replica. */
 const ql_replica_ops_t *watched_ops;
@@ -170,7 +175,7 @@
 		rules.may_commit = always;
 	if (fault == Fault::SECOND_CHANGE_BEFORE_THE_FIRST_SETTLED)
 		rules.members_settled = always_settled;
-	opts = {&rules, nullptr, 6, 2, 8, 3, 1, 4, 64};
+	opts = {&rules, replica_chart(), nullptr, 6, 2, 8, 3, 1, 4, 64};
 	for (size_t i = 0; i < n_replicas + SPARES; i++) {
 		nodes.push_back(std::make_unique<WorldNode>());
 		nodes[i]->world = this;
