--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -32,7 +32,8 @@
 	replica->unwritten = replica->synced_index + 1;
 	replica->synced_commit = replica->state.commit;
 	replica->writing_commit = replica->state.commit;
-	if (!replica->state.identity) {
+	replica->synced_identity = replica->state.identity != 0;
+	if (!replica->synced_identity) {
 		replica->state.identity = identity;
 		ql_replica__require_write(replica);
 	}
@@ -160,6 +161,14 @@
 	replica->ops->leadership_lost(replica->data);
 }
 
+/* Nobody else can lead, so that there is nothing to wait for. */
+static bool is_only_voter(const ql_replica_t *replica)
+{
+	return ql_replica__is_voter(replica) &&
+	       ql_replica__quorum(replica) == 1 &&
+	       replica->role == QL_REPLICA_FOLLOWER;
+}
+
 void ql_replica_tick(ql_replica_t *replica)
 {
 	if (replica->failed)
@@ -168,7 +177,8 @@
 		ql_replica__tick_leader(replica);
 		return;
 	}
-	if (++replica->election_elapsed < replica->election_timeout)
+	if (++replica->election_elapsed < replica->election_timeout &&
+	    !is_only_voter(replica))
 		return;
 	if (ql_replica__may_campaign(replica)) {
 		ql_replica__campaign(replica);
--- a/tests/control/replica_world.cc
+++ b/tests/control/replica_world.cc
@@ -484,7 +484,7 @@
 	const ql_replica_peer_t *peer;
 
 	/* An identity that is not on the disk yet is no identity. */
-	if (!node.up || !other.up || !other.config.replica.done)
+	if (!node.up || !other.up || !other.config.replica.synced_identity)
 		return;
 	peer = ql_replica_find(&node.config.replica, other.id);
 	wish.kind = !peer	  ? QL_REPLICA_ADD_LEARNER
