Retry above the failure only, and wait when all were asked to

Cause: a call that a lower layer had given up on for lack of allowance or retry budget was retried again above, and Retry-After was only heeded by the choice of the next endpoint.

Change: these two reasons are not retried; when every endpoint was tried, the wait is what the last one asked for, if the deadline allows. The router lends with the reserve of the calls not begun and takes back loans of which nothing was sent.

--- a/include/quetzalloft/retry.h
+++ b/include/quetzalloft/retry.h
@@ -34,6 +34,7 @@
  * @attempts_made: attempts of this call so far
  * @remaining_us: time until the deadline
  * @retry_after_us: what the callee asked for; 0 when nothing
+ * @all_tried: no other endpoint is left, so what was asked for is waited for
  */
 typedef struct ql_retry_failure {
 	ql_outcome_t outcome;
@@ -42,6 +43,7 @@
 	uint32_t attempts_made;
 	uint64_t remaining_us;
 	uint64_t retry_after_us;
+	bool all_tried;
 } ql_retry_failure_t;
 
 /**
@@ -62,7 +64,8 @@
  * @failure: the failed attempt
  * @random: source of the jitter
  *
- * A call whose outcome is unknown is repeated only when it is idempotent.
+ * A call whose outcome is unknown is repeated only when it is idempotent. One
+ * for which a layer below has retried already is not repeated here.
  *
  * Return: the decision.
  */
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -16,6 +16,7 @@
  * struct ql_router_request - A call to make.
  * @call: on whose behalf; its allowance is spent
  * @service: the service that is called
+ * @reserve: attempts that other calls on the same behalf still need
  * @idempotent: whether it may be repeated
  * @under_way: whether work for its client request was done already
  * @deadline_us: when its time is over
@@ -27,6 +28,7 @@
 typedef struct ql_router_request {
 	ql_call_t *call;
 	const ql_service_t *service;
+	uint32_t reserve;
 	bool idempotent;
 	bool under_way;
 	uint64_t deadline_us;
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -26,17 +26,44 @@
 	g_free(call);
 }
 
-uint32_t ql_call_lend(ql_call_t *call, uint32_t need)
+uint32_t ql_call_begin(ql_call_t *call, const ql_document_t *doc,
+		       uint16_t callee)
+{
+	int holder = ql_document_find_service(doc, call->service);
+	uint32_t reserve;
+	uint16_t i;
+
+	if (holder < 0)
+		return 0;
+	pthread_mutex_lock(&call->lock);
+	for (i = 0; i < doc->services[holder].n_calls; i++)
+		if (doc->services[holder].calls[i] == callee)
+			call->begun |= 1ULL << i;
+	reserve = ql_allowance_reserve(doc, (uint16_t)holder, call->begun,
+				       callee);
+	pthread_mutex_unlock(&call->lock);
+	return reserve;
+}
+
+uint32_t ql_call_lend(ql_call_t *call, uint32_t need, uint32_t reserve)
 {
 	uint32_t lent = 0;
 
 	pthread_mutex_lock(&call->lock);
 	if (!call->ended)
-		lent = ql_allowance_lend(&call->allowance, need, 0);
+		lent = ql_allowance_lend(&call->allowance, need, reserve);
 	pthread_mutex_unlock(&call->lock);
 	return lent;
 }
 
+void ql_call_take_back(ql_call_t *call, uint32_t lent)
+{
+	pthread_mutex_lock(&call->lock);
+	if (!call->ended)
+		ql_allowance_cancel(&call->allowance, lent);
+	pthread_mutex_unlock(&call->lock);
+}
+
 void ql_call_return(ql_call_t *call, uint32_t lent, uint32_t unused)
 {
 	pthread_mutex_lock(&call->lock);
--- a/src/node/calls.h
+++ b/src/node/calls.h
@@ -20,7 +20,9 @@
  * @shed_order: of the class
  * @deadline_us: when its time is over
  * @lock: guards what follows
+ * @service: the service that it runs at; empty for a client request
  * @allowance: attempts that may still be spent below it
+ * @begun: bits of the calls of @service that were begun
  * @ended: no new call may be made for it
  * @level: highest load level that calls below it met
  * @cancelled: its caller gave up; calls below it are given up too
@@ -32,7 +34,9 @@
 	uint32_t shed_order;
 	uint64_t deadline_us;
 	pthread_mutex_t lock;
+	char service[QL_NAME_MAX];
 	ql_allowance_t allowance;
+	uint64_t begun;
 	bool ended;
 	uint32_t level;
 	int cancelled;
@@ -48,14 +52,33 @@
 ql_call_t *ql_call_new(const ql_attempt_id_t *id, uint32_t attempts);
 void ql_call_unref(ql_call_t *call);
 
+/**
+ * ql_call_begin() - Begin a call to another service below this call.
+ * @call: the call
+ * @doc: the configuration
+ * @callee: index of the service that is called
+ *
+ * Return: attempts that the calls not begun yet need.
+ */
+uint32_t ql_call_begin(ql_call_t *call, const ql_document_t *doc,
+		       uint16_t callee);
+
 /**
  * ql_call_lend() - Take attempts for one attempt below this call.
  * @call: the call
  * @need: see ql_allowance_lend()
+ * @reserve: see ql_call_begin()
  *
  * Return: attempts lent, 0 when none can be lent or the call has ended.
  */
-uint32_t ql_call_lend(ql_call_t *call, uint32_t need);
+uint32_t ql_call_lend(ql_call_t *call, uint32_t need, uint32_t reserve);
+
+/**
+ * ql_call_take_back() - Put back an attempt of which nothing was sent.
+ * @call: the call
+ * @lent: what it was lent
+ */
+void ql_call_take_back(ql_call_t *call, uint32_t lent);
 
 /**
  * ql_call_return() - Put back what an attempt did not use.
--- a/src/node/gate_handler.c
+++ b/src/node/gate_handler.c
@@ -78,6 +78,7 @@
 		ql_clock_now_us() + gc->metadata.timeout_ms * QL_US_PER_MS;
 	gc->call->shed_order = (uint32_t) class->shed_order;
 	g_strlcpy(gc->call->class_name, class->name, QL_NAME_MAX);
+	g_strlcpy(gc->call->service, gc->service->name, QL_NAME_MAX);
 	return true;
 }
 
--- a/src/node/local_service.c
+++ b/src/node/local_service.c
@@ -167,6 +167,7 @@
 	ql_router_request_t call = {
 		.call = parent,
 		.service = &doc->services[callee],
+		.reserve = ql_call_begin(parent, doc, (uint16_t)callee),
 		/* What no route describes is not repeated. */
 		.idempotent = route && route->idempotent,
 		.under_way = true,
--- a/src/node/router.c
+++ b/src/node/router.c
@@ -168,6 +168,7 @@
 	ql_retry_decision_t decision;
 
 	pthread_mutex_lock(&pool->lock);
+	failure.all_tried = pending->n_tried >= pool->balancer.targets.count;
 	decision = ql_retry_decide(&pool->budget, &failure, pool->random);
 	pthread_mutex_unlock(&pool->lock);
 	return decision;
@@ -211,14 +212,15 @@
 		return true;
 	}
 	attempt.lent =
-		ql_call_lend(request->call, request->service->subtree_attempts);
+		ql_call_lend(request->call, request->service->subtree_attempts,
+			     request->reserve);
 	if (!attempt.lent) {
 		fail_result(result, QL_REASON_ATTEMPTS);
 		return true;
 	}
 	handle = choose(pending, &attempt);
 	if (handle == QL_HANDLE_NONE) {
-		ql_call_return(request->call, attempt.lent + 1, attempt.lent);
+		ql_call_take_back(request->call, attempt.lent);
 		fail_result(result, QL_REASON_NO_ENDPOINT);
 		return true;
 	}
--- a/src/policy/replay_call.c
+++ b/src/policy/replay_call.c
@@ -193,7 +193,7 @@
 	target = ql_balancer_pick(balancer, call->tried, call->n_tried,
 				  sim->now_us);
 	if (target == QL_HANDLE_NONE) {
-		ql_allowance_return(holder_of(call), lent + 1, lent);
+		ql_allowance_cancel(holder_of(call), lent);
 		call_fail_not_run(sim, call, QL_REASON_NO_ENDPOINT);
 		return;
 	}
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -32,6 +32,8 @@
 		return failure->reason != QL_REASON_BAD_REQUEST &&
 		       failure->reason != QL_REASON_TOO_LARGE &&
 		       failure->reason != QL_REASON_NO_ROUTE &&
+		       failure->reason != QL_REASON_ATTEMPTS &&
+		       failure->reason != QL_REASON_RETRY_BUDGET &&
 		       failure->reason != QL_REASON_DEADLINE &&
 		       failure->reason != QL_REASON_CANCELLED;
 	case QL_OUTCOME_UNKNOWN:
@@ -62,6 +64,8 @@
 	if (!may_repeat(failure))
 		return decision;
 	decision.backoff_us = backoff_us(failure, random);
+	if (failure->all_tried)
+		decision.backoff_us += failure->retry_after_us;
 	if (decision.backoff_us >= failure->remaining_us) {
 		decision.reason = QL_REASON_DEADLINE;
 		return decision;
