--- a/tests/control/membership_test.cc
+++ b/tests/control/membership_test.cc
@@ -235,6 +235,38 @@
 		EXPECT_EQ(0, node->fallen);
 }
 
+/* Renewals in the fullest tenth of a second since a time. */
+int peak_renewals(const World &world, uint64_t since_ms)
+{
+	int peak = 0;
+
+	for (auto &entry : world.renewals_at)
+		if (entry.first * 100 >= since_ms)
+			peak = MAX(peak, entry.second);
+	return peak;
+}
+
+/* All registrars return after a long time: the nodes come one by one. */
+TEST(MembershipStorm, RenewalsStaySpread)
+{
+	constexpr int MANY = 120;
+	World world(1, 1, PER_DOMAIN, MANY);
+	uint64_t healed_ms;
+
+	start_all(world);
+	world.kill_registrar(0);
+	world.kill_registrar(1);
+	world.run(60000);
+	healed_ms = world.now;
+	world.start_registrar(0);
+	world.start_registrar(1);
+	world.run(HEALED_MS);
+	RecordProperty("peak_renewals", peak_renewals(world, healed_ms));
+	/* Without jitter, all of them would come in one tenth of a second. */
+	EXPECT_LE(peak_renewals(world, healed_ms), MANY / 2);
+	EXPECT_TRUE(is_settled(world));
+}
+
 struct Scenario {
 	const char *name;
 	void (*run)(World &world);
