--- a/src/control/replica_disk.c
+++ b/src/control/replica_disk.c
@@ -104,6 +104,7 @@
 	replica->done = sequence;
 	replica->synced_index = replica->writing_last;
 	replica->synced_commit = replica->writing_commit;
+	replica->synced_identity = true;
 	ql_replica__release_held(replica);
 	if (replica->role == QL_REPLICA_CANDIDATE &&
 	    replica->required <= replica->done)
--- a/src/control/rpc/replication.h
+++ b/src/control/rpc/replication.h
@@ -87,6 +87,7 @@
 
 struct ql_rpc_replica_message {
 	ql_replica_message_type type;
+	bool_t granted;
 	u_quad_t from;
 	u_quad_t to;
 	u_quad_t term;
@@ -94,7 +95,6 @@
 	u_quad_t index_term;
 	u_quad_t commit;
 	u_quad_t round;
-	bool_t granted;
 	struct {
 		u_int entries_len;
 		ql_rpc_replica_entry *entries_val;
--- a/src/control/rpc/replication.x
+++ b/src/control/rpc/replication.x
@@ -65,6 +65,7 @@
  */
 struct ql_rpc_replica_message {
 	ql_replica_message_type type;
+	bool granted;
 	unsigned hyper from;
 	unsigned hyper to;
 	unsigned hyper term;
@@ -72,7 +73,6 @@
 	unsigned hyper index_term;
 	unsigned hyper commit;
 	unsigned hyper round;
-	bool granted;
 	ql_rpc_replica_entry entries<QL_REPLICA_ENTRIES_MAX>;
 	unsigned hyper offset;
 	unsigned hyper total;
--- a/src/node/claim_service.c
+++ b/src/node/claim_service.c
@@ -153,17 +153,21 @@
 		pthread_cond_signal(&session->changed);
 }
 
+static void take_reply(ql_claim_session_t *session, uint32_t step,
+		       uint32_t keeper, const ql_claim_reply_t *reply)
+{
+	pthread_mutex_lock(&session->lock);
+	note_action(session, ql_claim_take(&session->claim, step, keeper, reply,
+					   ql_clock_now_us()));
+	pthread_mutex_unlock(&session->lock);
+}
+
 void ql_claim_job_end(ql_claim_job_t *job, const ql_claim_reply_t *reply)
 {
 	ql_claim_session_t *session = job->session;
 
-	if (job->request.op != QL_CLAIM_OP_NOTE) {
-		pthread_mutex_lock(&session->lock);
-		note_action(session, ql_claim_take(&session->claim, job->step,
-						   job->keeper, reply,
-						   ql_clock_now_us()));
-		pthread_mutex_unlock(&session->lock);
-	}
+	if (job->request.op != QL_CLAIM_OP_NOTE)
+		take_reply(session, job->step, job->keeper, reply);
 	if (job->request.answer)
 		g_bytes_unref(job->request.answer);
 	session_unref(session);
@@ -187,31 +191,39 @@
 	return peer;
 }
 
+static ql_claim_job_t *job_new(ql_claim_session_t *session, uint32_t step,
+			       uint32_t keeper,
+			       const ql_claim_request_t *request)
+{
+	ql_claim_job_t *job = g_new0(ql_claim_job_t, 1);
+
+	__atomic_add_fetch(&session->references, 1, __ATOMIC_RELAXED);
+	job->session = session;
+	job->step = step;
+	job->keeper = keeper;
+	job->request = *request;
+	if (request->answer)
+		g_bytes_ref(request->answer);
+	return job;
+}
+
 /* Sends a message to every keeper of the key. */
 static void broadcast(ql_claim_service_t *service, ql_claim_session_t *session,
 		      const ql_claim_request_t *request, uint32_t step)
 {
+	const ql_keeper_choice_t *keepers = &session->keepers;
 	const ql_keeper_member_t *member;
 	ql_claim_peer_t *peer;
-	ql_claim_job_t *job;
 	uint32_t i;
 
-	for (i = 0; i < session->keepers.n_members; i++) {
-		member = &session->doc->keepers
-				  .members[session->keepers.members[i]];
-		job = g_new0(ql_claim_job_t, 1);
-		job->session = session;
-		job->step = step;
-		job->keeper = i;
-		job->request = *request;
-		if (request->answer)
-			g_bytes_ref(request->answer);
-		__atomic_add_fetch(&session->references, 1, __ATOMIC_RELAXED);
+	for (i = 0; i < keepers->n_members; i++) {
+		member = &session->doc->keepers.members[keepers->members[i]];
 		peer = get_peer(service, member->address);
 		if (peer)
-			ql_claim_peer_post(peer, job);
-		else
-			ql_claim_job_end(job, NULL);
+			ql_claim_peer_post(peer,
+					   job_new(session, step, i, request));
+		else if (request->op != QL_CLAIM_OP_NOTE)
+			take_reply(session, step, i, NULL);
 	}
 }
 
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -74,18 +74,14 @@
 		.length = args->patch.patch_len,
 	};
 	ql_patch_answer_t answer;
+	char leader[QL_ADDRESS_MAX];
 
 	g_strlcpy(patch.id, args->id, sizeof(patch.id));
-	pthread_mutex_lock(&control->lock);
-	ql_config_store_submit(&control->store, &patch, &answer);
-	pthread_mutex_unlock(&control->lock);
+	ql_replica_service_submit(&control->replica, &patch, &answer, leader);
 	res->status = answer.status;
 	res->config_version = answer.version;
 	res->detail = copy_text(answer.detail);
-	ql_log(LOG_NOTICE, answer.status ? "patch_refused" : "patch_accepted",
-	       QL_STR("id", patch.id), QL_UINT("base", patch.base_version),
-	       QL_UINT("version", answer.version),
-	       QL_STR("error", ql_error_name(answer.status)));
+	res->leader = copy_text(leader);
 }
 
 static void handle_patch(void *data, const void *in, void *out)
@@ -95,15 +91,16 @@
 	ql_rpc_patch_res *res = out;
 
 	res->clock = take_clock(control, args->greeting.clock);
-	res->leader = copy_text("");
-	if (refuse_sender(control, &args->greeting, &res->status, &res->detail))
-		return;
-	if (!control->settings->replica) {
+	if (refuse_sender(control, &args->greeting, &res->status,
+			  &res->detail)) {
+		res->leader = copy_text("");
+	} else if (!control->settings->replica) {
 		res->status = QL_E_UNAVAILABLE;
 		res->detail = copy_text("this process is no replica");
-		return;
+		res->leader = copy_text("");
+	} else {
+		submit_patch(control, args, res);
 	}
-	submit_patch(control, args, res);
 }
 
 static void fill_document(const ql_config_state_t *config,
@@ -121,6 +118,19 @@
 	ql_config_reply_fill(&reply, config, known_version);
 }
 
+/* Whether the state may be given as current. */
+static int confirm_current(ql_control_service_t *control,
+			   const ql_rpc_document_args *args,
+			   ql_rpc_document_res *res)
+{
+	if (!args->must_be_current)
+		return 0;
+	if (!control->settings->replica)
+		return QL_E_UNAVAILABLE;
+	res->read_token = args->read_token;
+	return ql_replica_service_read(&control->replica, &res->read_token);
+}
+
 static void handle_document(void *data, const void *in, void *out)
 {
 	ql_control_service_t *control = data;
@@ -130,10 +140,16 @@
 	res->clock = take_clock(control, args->greeting.clock);
 	if (refuse_sender(control, &args->greeting, &res->status, &res->detail))
 		return;
+	res->status = confirm_current(control, args, res);
+	if (res->status) {
+		res->detail = copy_text("a quorum of replicas has not "
+					"confirmed that this is current");
+		return;
+	}
 	res->detail = copy_text("");
 	if (control->settings->replica || control->settings->registrar) {
 		pthread_mutex_lock(&control->lock);
-		fill_document(&control->store.state, args->known_version, res);
+		fill_document(&control->state, args->known_version, res);
 		pthread_mutex_unlock(&control->lock);
 	} else {
 		pthread_mutex_lock(&control->lease.lock);
@@ -182,15 +198,19 @@
 	PROCEDURE(QL_EXCHANGE, exchange, handle_exchange),
 };
 
-static int init_store(ql_control_service_t *control, GError **error)
+static int init_replica(ql_control_service_t *control, GError **error)
 {
-	const ql_settings_t *settings = control->settings;
-
-	if (settings->replica)
-		return ql_config_store_init(&control->store,
-					    settings->data_folder, error);
-	ql_config_state_init(&control->store.state);
-	return 0;
+	ql_replica_service_t *replica = &control->replica;
+
+	ql_config_state_init(&control->state);
+	if (!control->settings->replica)
+		return 0;
+	replica->settings = control->settings;
+	replica->hlc = control->hlc;
+	replica->lock = &control->lock;
+	replica->state = &control->state;
+	replica->incarnation = control->incarnation;
+	return ql_replica_service_init(replica, error);
 }
 
 static int init_registrar(ql_control_service_t *control, GError **error)
@@ -201,8 +221,7 @@
 	registrar->hlc = control->hlc;
 	registrar->lock = &control->lock;
 	registrar->incarnation = control->incarnation;
-	return ql_registrar_service_init(registrar, &control->store.state,
-					 error);
+	return ql_registrar_service_init(registrar, &control->state, error);
 }
 
 static int init_lease(ql_control_service_t *control, const ql_member_ops_t *ops,
@@ -235,6 +254,9 @@
 	control->rpc.programs[0] = program;
 	control->rpc.programs[1] = ql_operator_program(control->settings);
 	control->rpc.n_programs = 2;
+	if (control->settings->replica)
+		control->rpc.programs[control->rpc.n_programs++] =
+			ql_replica_service_program(&control->replica);
 	return ql_rpc_server_start(&control->rpc, address, error);
 }
 
@@ -246,7 +268,7 @@
 
 	control->incarnation = (uint64_t)g_get_real_time();
 	pthread_mutex_init(&control->lock, NULL);
-	ret = init_store(control, error);
+	ret = init_replica(control, error);
 	if (!ret)
 		ret = init_registrar(control, error);
 	if (!ret)
@@ -255,6 +277,8 @@
 		ret = start_rpc(control, error);
 	if (ret)
 		return ret;
+	if (control->settings->replica)
+		ql_replica_service_start(&control->replica);
 	ql_registrar_service_start(&control->registrar);
 	ql_lease_service_start(&control->lease);
 	return 0;
@@ -264,9 +288,13 @@
 {
 	ql_lease_service_stop(&control->lease);
 	ql_registrar_service_stop(&control->registrar);
+	if (control->settings->replica)
+		ql_replica_service_stop(&control->replica);
 	ql_rpc_server_stop(&control->rpc);
 	ql_lease_service_finish(&control->lease);
 	ql_registrar_service_finish(&control->registrar);
-	ql_config_state_finish(&control->store.state);
+	if (control->settings->replica)
+		ql_replica_service_finish(&control->replica);
+	ql_config_state_finish(&control->state);
 	pthread_mutex_destroy(&control->lock);
 }
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -107,6 +107,25 @@
 	return 0;
 }
 
+/* The list may be left out by a replica that stays alone. */
+static int check_replicas(const ql_settings_t *settings, GError **error)
+{
+	char own[QL_ADDRESS_MAX];
+	size_t i;
+
+	ql_address_format(own, settings->address,
+			  (unsigned int)settings->control_port);
+	if (!settings->replica || !settings->n_replicas)
+		return 0;
+	for (i = 0; i < settings->n_replicas; i++)
+		if (!strcmp(settings->replicas[i], own))
+			return 0;
+	return ql_error_set(error, QL_E_NOT_FOUND,
+			    "settings.replicas: allowed a list with %s, the "
+			    "address and control_port of this replica",
+			    own);
+}
+
 static int check_relations(const ql_settings_t *settings, GError **error)
 {
 	char address[QL_ADDRESS_MAX * 2];
@@ -122,6 +141,8 @@
 		return ql_error_set(error, QL_E_MISSING_KEY,
 				    "settings.data_folder: required key is "
 				    "missing, since replica is true");
+	if (check_replicas(settings, error))
+		return QL_E_NOT_FOUND;
 	if (!settings->registrar && !settings->n_registrars)
 		return ql_error_set(error, QL_E_MISSING_KEY,
 				    "settings.registrars: required key is "
