Test that a cut-off domain finds the newest version that its VMs hold

Cause: the exploration had no offers, so the way by which a registrar without a disk gets the document from a node was only tested by parts.

--- a/tests/control/membership_test.cc
+++ b/tests/control/membership_test.cc
@@ -162,6 +162,35 @@
 	EXPECT_EQ(0, world.wrongly_gone);
 }
 
+/* All registrars of a cut-off domain restart, and a node too. */
+void finds_the_newest_version_when_cut_off(World &world)
+{
+	uint64_t newest = 0;
+
+	start_all(world);
+	world.patch();
+	world.run((uint64_t)world.random(1500));
+	world.cut_domains.insert(2);
+	world.run((uint64_t)world.random(8000));
+	for (auto &node : world.nodes)
+		if (node->domain == 2)
+			newest = MAX(newest, node->version);
+	world.kill_registrar(4);
+	world.kill_registrar(5);
+	/* The node that restarts is not the only one that has it. */
+	if (world.nodes[5]->version == newest)
+		world.kill_node(2);
+	world.start_registrar(4);
+	world.start_registrar(5);
+	world.start_node(2);
+	world.run(HEALED_MS);
+	for (auto &node : world.nodes)
+		if (node->domain == 2) {
+			EXPECT_EQ(newest, node->version);
+			EXPECT_TRUE(node->member.asked);
+		}
+}
+
 /* A random event of those that may come at any moment. */
 void disturb(World &world)
 {
@@ -285,6 +314,8 @@
 	{"ForgetsNothingWhenOneRegistrarIsLost",
 	 forgets_nothing_when_one_registrar_is_lost, 50},
 	{"KeepsACutOffDomain", keeps_a_cut_off_domain, 100},
+	{"FindsTheNewestVersionWhenCutOff",
+	 finds_the_newest_version_when_cut_off, 100},
 	{"ConvergesAfterAnything", explore, 500},
 };
 
--- a/tests/control/membership_world.cc
+++ b/tests/control/membership_world.cc
@@ -315,12 +315,32 @@
 			*done = true;
 			ql_member_take_lease(&asking.member, slot, res.get(),
 					     now, nullptr);
+			send_offer(asking);
 			at(now + ql_member_delay_ms(&asking.member, now),
 			   [this, index, life] { renew(index, life); });
 		});
 	});
 }
 
+/* Gives the document to a registrar that asked for it. */
+void World::send_offer(Node &node)
+{
+	auto args =
+		message<ql_rpc_offer_args>((xdrproc_t)xdr_ql_rpc_offer_args);
+	int slot = ql_member_fill_offer(&node.member, args.get());
+	int place = place_of(node, slot);
+
+	if (slot < 0)
+		return;
+	deliver([this, place, args] {
+		Registrar &registrar = *registrars[(size_t)place];
+
+		if (registrar.alive)
+			ql_registrar_offer(&registrar.registrar, args.get(),
+					   now, nullptr);
+	});
+}
+
 void World::stop_registrar(Registrar &registrar)
 {
 	if (!registrar.alive)
--- a/tests/control/membership_world.h
+++ b/tests/control/membership_world.h
@@ -106,6 +106,7 @@
 	void deliver(std::function<void()> act);
 	void renew(int index, uint64_t life);
 	void send_lease(Node &node, int registrar);
+	void send_offer(Node &node);
 	void tick(int index, uint64_t life);
 	void exchange(int index, uint64_t life);
 	void stop_node(Node &node);
