--- a/include/quetzalloft/gate.h
+++ b/include/quetzalloft/gate.h
@@ -33,6 +33,19 @@
 	uint32_t seed;
 } ql_gate_opts_t;
 
+/**
+ * enum ql_gate_end - How an admitted request ended, for the gate.
+ * @QL_GATE_SERVED: the endpoint served it
+ * @QL_GATE_OVERLOADED: the endpoint shed it, or it ran out of time
+ * @QL_GATE_FAILED: it failed in another way, such as a call below that was
+ *                  refused; how long that took says nothing of this endpoint
+ */
+typedef enum ql_gate_end {
+	QL_GATE_SERVED,
+	QL_GATE_OVERLOADED,
+	QL_GATE_FAILED,
+} ql_gate_end_t;
+
 typedef enum ql_gate_verdict {
 	QL_GATE_ADMIT,
 	QL_GATE_QUEUE,
@@ -134,11 +147,11 @@
  * ql_gate_finish_request() - Report that an admitted request ended.
  * @gate: the gate
  * @ticket: its handle
- * @overloaded: the endpoint shed it, or it ran out of time
+ * @end: how
  * @now_us: the time
  */
 void ql_gate_finish_request(ql_gate_t *gate, ql_handle_t ticket,
-			    bool overloaded, uint64_t now_us);
+			    ql_gate_end_t end, uint64_t now_us);
 
 /**
  * ql_gate_cancel() - Take a queued request back.
--- a/include/quetzalloft/limiter.h
+++ b/include/quetzalloft/limiter.h
@@ -26,11 +26,13 @@
  * @latency_us: time at the endpoint
  * @in_progress: requests in progress when it was admitted, itself included
  * @overloaded: the endpoint shed it, or it ran out of time
+ * @timed_out: it ran out of time, so the latency is cut short
  */
 typedef struct ql_limiter_sample {
 	uint64_t latency_us;
 	uint32_t in_progress;
 	bool overloaded;
+	bool timed_out;
 } ql_limiter_sample_t;
 
 typedef struct ql_limiter ql_limiter_t;
@@ -56,10 +58,15 @@
  * @base_latency_us: latency without queueing, as far as known
  * @mean_latency_us: mean latency of the last window, or a moving mean
  * @sum_latency_us: sum over the present window
- * @changed_us: when the limit last fell, or when the probe started
+ * @sum_in_progress: sum over the present window
+ * @changed_us: when the limit last fell, or when a probe started or ended
  * @samples: samples in the present window
  * @windows: windows since the last probe
- * @probing: the limit is halved to find the base latency
+ * @probe_gap: windows before a probe may follow another
+ * @verified: requests in progress that a probe showed to be really served at
+ *            a time, or 0
+ * @probe_limit: limit of a probe that goes on, or 0
+ * @probe_latency_us: mean latency in a probe that is to be judged, or 0
  */
 struct ql_limiter {
 	const ql_limiter_ops_t *ops;
@@ -68,10 +75,14 @@
 	double base_latency_us;
 	double mean_latency_us;
 	double sum_latency_us;
+	double sum_in_progress;
 	uint64_t changed_us;
 	uint32_t samples;
 	uint32_t windows;
-	bool probing;
+	uint32_t probe_gap;
+	double verified;
+	uint32_t probe_limit;
+	double probe_latency_us;
 };
 
 /** Always the slots. */
@@ -79,9 +90,10 @@
 /** Adds slowly, falls by a fifth when requests run out of time. */
 extern const ql_limiter_ops_t ql_limiter_aimd;
 /**
- * Falls while the latency is over the base latency. The base is measured by
- * probes at half the limit, so that neither a constant overload nor a service
- * that is slow by itself misleads it.
+ * Falls when a probe at half the requests in progress shows that fewer of them
+ * are served faster, and grows while the latency is near its base. So it is
+ * misled neither by a constant overload nor by a service, here or further
+ * down, that is slow by itself.
  */
 extern const ql_limiter_ops_t ql_limiter_gradient;
 /** The same without probes: the base is the least latency, drifting up. */
--- a/include/quetzalloft/replay.h
+++ b/include/quetzalloft/replay.h
@@ -180,7 +180,8 @@
  * enum ql_replay_measure - What a replay measures.
  * @QL_REPLAY_GOODPUT_SHARE: calls of the bottleneck that belong to whole
  *                           client requests during the trigger, by what it
- *                           can carry or, if less, by what was asked
+ *                           can carry or, if less, by what was asked, taken
+ *                           interval by interval
  * @QL_REPLAY_RECOVERY_S: from the end of the trigger until the part of client
  *                        requests that end whole is back at 95% of that
  *                        before, for good; the rest of the trace if never
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -11,6 +11,7 @@
 #define RETRY_AFTER_JITTER 0.5
 #define POSTPONE_US (10 * QL_US_PER_MS)
 #define RESERVE_DIVISOR 10u
+#define WAIT_SERVICE_TIMES 1.0
 #define SERVICE_TIME_SMOOTHING 0.1
 #define SERVICE_TIME_HOLD_US (1 * QL_US_PER_S)
 
@@ -192,6 +193,19 @@
 	return true;
 }
 
+/*
+ * A slow service frees its slots less often, so a wait that is short by the
+ * clock would refuse what the next free slot could have taken.
+ */
+static uint64_t longest_wait_us(const ql_gate_t *gate,
+				const ql_gate_request_t *request)
+{
+	double service_us = gate->service_times[order_of(request)].mean_us;
+
+	return MAX(gate->opts.queue_us,
+		   (uint64_t)(WAIT_SERVICE_TIMES * service_us));
+}
+
 static ql_handle_t new_ticket(ql_gate_t *gate, const ql_gate_request_t *request,
 			      uint64_t now_us)
 {
@@ -207,7 +221,7 @@
 	ticket->request = *request;
 	ticket->since_us = now_us;
 	ticket->expires_us = MIN(last_start_us(gate, request, now_us),
-				 now_us + gate->opts.queue_us);
+				 now_us + longest_wait_us(gate, request));
 	return handle;
 }
 
@@ -242,23 +256,33 @@
 	return decision;
 }
 
+static void observe(ql_gate_t *gate, const ql_gate_ticket_t *ticket,
+		    ql_gate_end_t end, uint64_t now_us)
+{
+	ql_limiter_sample_t sample = {
+		.latency_us = now_us - ticket->since_us,
+		.in_progress = ticket->in_progress,
+		.overloaded = end == QL_GATE_OVERLOADED,
+		.timed_out = end == QL_GATE_OVERLOADED &&
+			     now_us >= ticket->request.deadline_us,
+	};
+
+	ql_limiter_observe(&gate->limiter, &sample, now_us);
+	observe_service_time(gate, order_of(&ticket->request),
+			     (double)sample.latency_us, now_us);
+}
+
 void ql_gate_finish_request(ql_gate_t *gate, ql_handle_t handle,
-			    bool overloaded, uint64_t now_us)
+			    ql_gate_end_t end, uint64_t now_us)
 {
 	const ql_gate_ticket_t *ticket = get_ticket(gate, handle);
-	ql_limiter_sample_t sample;
-	uint32_t order;
 
 	g_assert(ticket && ticket->admitted);
-	sample.latency_us = now_us - ticket->since_us;
-	sample.in_progress = ticket->in_progress;
-	sample.overloaded = overloaded;
-	order = order_of(&ticket->request);
+	if (end != QL_GATE_FAILED)
+		observe(gate, ticket, end, now_us);
 	gate->in_progress--;
-	gate->running[order]--;
+	gate->running[order_of(&ticket->request)]--;
 	ql_table_remove(&gate->tickets, handle);
-	ql_limiter_observe(&gate->limiter, &sample, now_us);
-	observe_service_time(gate, order, (double)sample.latency_us, now_us);
 }
 
 bool ql_gate_cancel(ql_gate_t *gate, ql_handle_t handle)
--- a/src/policy/limiter.c
+++ b/src/policy/limiter.c
@@ -102,7 +102,7 @@
 {
 	uint32_t limit = (uint32_t)limiter->limit;
 
-	if (limiter->probing)
-		limit /= 2;
+	if (limiter->probe_limit)
+		limit = MIN(limit, limiter->probe_limit);
 	return MAX(limit, limiter->opts.min);
 }
--- a/src/policy/limiter_gradient.c
+++ b/src/policy/limiter_gradient.c
@@ -2,89 +2,159 @@
 
 /* A window has at least so many samples, and one for each request allowed. */
 #define WINDOW_SAMPLES 40u
-#define PROBE_SAMPLES 20u
-#define PROBE_MIN_LIMIT 4.0
+#define PROBE_SAMPLES 30u
+/* Fewer requests in progress than that cannot be halved with any effect. */
+#define PROBE_MIN_IN_PROGRESS 4.0
 /* Latencies until the requests from before the probe have ended. */
 #define PROBE_SETTLE 2.0
-/* Windows between two probes, at least and at most. */
-#define PROBE_MIN_WINDOWS 8u
-#define PROBE_MAX_WINDOWS 30u
 /* A probe helped if it lowered the latency to less than this part. */
-#define PROBE_HELPED 0.8
+#define PROBE_HELPED 0.75
+/* Down to this part, half the requests halved the latency: they still wait. */
+#define PROBE_QUEUED 0.6
+/* Over this part, half the requests made no difference. */
+#define PROBE_VERIFIED 0.9
+/* Windows between two probes: in doubt, at the start, and in the long run. */
+#define PROBE_GAP_DOUBT 4u
+#define PROBE_GAP_FIRST 8u
+#define PROBE_GAP_MAX 128u
+/* By how much more requests may be in progress than in the last probe. */
+#define VERIFIED_MARGIN 1.05
 #define TOLERANCE 1.5
-#define GRADIENT_MIN 0.5
+/* Where a probe that helped puts the limit, by the capacity that it shows. */
+#define CAPACITY_HEADROOM 1.25
 #define GROWTH_MIN 0.5
+#define GROWTH_MIN_SLACK 0.05
 #define GROWTH_MAX_PART 0.25
 #define BASE_SMOOTHING 0.2
+/* A mean that is not below this part of the base is noise. */
+#define BASE_NOISE 0.9
 
 static void gradient_init(ql_limiter_t *limiter)
 {
 	limiter->limit = limiter->opts.initial;
+	limiter->probe_gap = PROBE_GAP_FIRST;
 }
 
-static bool is_over_base(const ql_limiter_t *limiter)
+static double gradient_of(const ql_limiter_t *limiter)
 {
-	return limiter->mean_latency_us > TOLERANCE * limiter->base_latency_us;
+	return TOLERANCE * limiter->base_latency_us / limiter->mean_latency_us;
 }
 
-static void start_probe(ql_limiter_t *limiter, uint64_t now_us)
+static void start_probe(ql_limiter_t *limiter, double in_progress,
+			uint64_t now_us)
 {
-	limiter->probing = true;
+	limiter->probe_limit = MAX((uint32_t)(in_progress / 2), 1);
 	limiter->changed_us = now_us;
 	limiter->windows = 0;
 }
 
 /*
- * A probe that did not help shows that the service itself has become slower
- * or faster, and not the number of requests in progress.
+ * By Little's law, as many requests are really served at a time as are in
+ * progress, less the part of the latency that is waiting.
  */
-static void end_probe(ql_limiter_t *limiter, double latency_us)
+static void shrink(ql_limiter_t *limiter, double in_progress)
 {
-	limiter->probing = false;
-	if (latency_us < PROBE_HELPED * limiter->mean_latency_us)
-		limiter->base_latency_us =
-			MIN(limiter->base_latency_us, latency_us);
-	else
-		limiter->base_latency_us = latency_us;
+	double capacity = in_progress * limiter->base_latency_us /
+			  limiter->mean_latency_us;
+
+	limiter->limit = MIN(limiter->limit, CAPACITY_HEADROOM * capacity);
+	ql_limiter__clamp(limiter);
 }
 
-/* Grows in small steps when the latency is near to what is tolerated. */
-static double growth(const ql_limiter_t *limiter, double slack)
+static void end_probe(ql_limiter_t *limiter, double latency_us, uint64_t now_us)
 {
-	return MAX(GROWTH_MIN, limiter->limit * MIN(slack, GROWTH_MAX_PART));
+	limiter->probe_latency_us = latency_us;
+	limiter->probe_limit = 0;
+	limiter->changed_us = now_us;
 }
 
-static void move_limit(ql_limiter_t *limiter, const ql_limiter_sample_t *sample)
+/*
+ * Compares a probe with the window after it, or with the one before if that
+ * was faster: a service that became faster meanwhile does not mislead.
+ *
+ * Requests that wait for each other are served twice as fast when there are
+ * half as many. If the latency fell by less, the probe ran without waiting
+ * and shows how long the service takes by itself.
+ */
+static void judge_probe(ql_limiter_t *limiter, double in_progress)
 {
-	double gradient =
-		TOLERANCE * limiter->base_latency_us / limiter->mean_latency_us;
+	double latency_us = limiter->probe_latency_us;
+	double part = latency_us / limiter->mean_latency_us;
 
-	if (gradient < 1)
-		limiter->limit *= (1 + MAX(gradient, GRADIENT_MIN)) / 2;
-	else if (sample->in_progress * 2 >= (uint32_t)limiter->limit)
-		limiter->limit += growth(limiter, gradient - 1);
+	limiter->probe_latency_us = 0;
+	if (part > PROBE_QUEUED || latency_us < limiter->base_latency_us)
+		limiter->base_latency_us = latency_us;
+	if (part < PROBE_HELPED) {
+		limiter->verified = 0;
+		shrink(limiter, in_progress);
+	} else {
+		limiter->verified = part > PROBE_VERIFIED ? in_progress : 0;
+		limiter->probe_gap = MIN(2 * limiter->probe_gap, PROBE_GAP_MAX);
+	}
+}
+
+/* Grows in small steps, and no more, as the latency nears what is tolerated. */
+static void grow(ql_limiter_t *limiter)
+{
+	double slack =
+		CLAMP((gradient_of(limiter) - 1) / 2, 0, GROWTH_MAX_PART);
+
+	if (slack < GROWTH_MIN_SLACK)
+		return;
+	limiter->limit += MAX(GROWTH_MIN, limiter->limit * slack);
 	ql_limiter__clamp(limiter);
 }
 
-static void end_window(ql_limiter_t *limiter, const ql_limiter_sample_t *sample,
-		       double latency_us, uint64_t now_us)
+static void follow_base(ql_limiter_t *limiter, double latency_us)
+{
+	if (limiter->base_latency_us <= 0)
+		limiter->base_latency_us = latency_us;
+	limiter->base_latency_us +=
+		BASE_SMOOTHING * (latency_us - limiter->base_latency_us);
+}
+
+/*
+ * That so many are really served at a time was shown by a probe: a higher
+ * latency is that of the service itself, or of what it calls.
+ */
+static bool is_verified(const ql_limiter_t *limiter, double in_progress)
+{
+	return in_progress <= VERIFIED_MARGIN * limiter->verified;
+}
+
+static uint32_t probe_gap(const ql_limiter_t *limiter, double in_progress)
+{
+	return gradient_of(limiter) < 1 && !is_verified(limiter, in_progress)
+		       ? PROBE_GAP_DOUBT
+		       : limiter->probe_gap;
+}
+
+static void end_window(ql_limiter_t *limiter, double latency_us,
+		       double in_progress, uint64_t now_us)
 {
-	bool can_probe = limiter->limit >= PROBE_MIN_LIMIT;
+	bool in_use = 2 * in_progress >= limiter->limit;
+	bool is_judging = limiter->probe_latency_us > 0;
 
-	limiter->mean_latency_us = latency_us;
+	limiter->mean_latency_us =
+		is_judging ? MIN(limiter->mean_latency_us, latency_us)
+			   : latency_us;
 	limiter->windows++;
-	if (limiter->base_latency_us <= 0 || !can_probe)
-		limiter->base_latency_us = latency_us;
-	if (latency_us < limiter->base_latency_us)
-		limiter->base_latency_us +=
-			BASE_SMOOTHING *
-			(latency_us - limiter->base_latency_us);
-	if (can_probe &&
-	    (limiter->windows >= PROBE_MAX_WINDOWS ||
-	     (limiter->windows >= PROBE_MIN_WINDOWS && is_over_base(limiter))))
-		start_probe(limiter, now_us);
+	if (is_judging) {
+		judge_probe(limiter, in_progress);
+		return;
+	}
+	if (!in_use || in_progress < PROBE_MIN_IN_PROGRESS ||
+	    is_verified(limiter, in_progress) ||
+	    latency_us < BASE_NOISE * limiter->base_latency_us ||
+	    limiter->base_latency_us <= 0)
+		follow_base(limiter, latency_us);
+	if (!in_use)
+		return;
+	if (in_progress >= PROBE_MIN_IN_PROGRESS &&
+	    limiter->windows >= probe_gap(limiter, in_progress))
+		start_probe(limiter, in_progress, now_us);
 	else
-		move_limit(limiter, sample);
+		grow(limiter);
 }
 
 /*
@@ -93,37 +163,47 @@
  */
 static bool is_settling(const ql_limiter_t *limiter, uint64_t now_us)
 {
-	return limiter->probing &&
+	return (limiter->probe_limit || limiter->probe_latency_us > 0) &&
 	       (double)(now_us - limiter->changed_us) <
 		       PROBE_SETTLE * limiter->mean_latency_us;
 }
 
+static uint32_t needed_samples(const ql_limiter_t *limiter)
+{
+	if (limiter->probe_limit)
+		return PROBE_SAMPLES;
+	return MAX(WINDOW_SAMPLES, (uint32_t)limiter->limit);
+}
+
 static void gradient_sample(ql_limiter_t *limiter,
 			    const ql_limiter_sample_t *sample, uint64_t now_us)
 {
-	uint32_t needed = limiter->probing ? PROBE_SAMPLES
-					   : MAX(WINDOW_SAMPLES,
-						 (uint32_t)limiter->limit);
-	double latency_us;
+	double latency_us, in_progress;
 
 	/* Shed by the endpoint itself: there are too many in progress. */
-	if (sample->overloaded &&
-	    (double)sample->latency_us < limiter->base_latency_us) {
+	if (sample->overloaded && !sample->timed_out) {
 		ql_limiter__back_off(limiter, now_us);
 		return;
 	}
+	/* One that was admitted late says nothing about the service. */
+	if (sample->timed_out &&
+	    (double)sample->latency_us < limiter->base_latency_us)
+		return;
 	if (is_settling(limiter, now_us))
 		return;
 	limiter->sum_latency_us += (double)sample->latency_us;
-	if (++limiter->samples < needed)
+	limiter->sum_in_progress += sample->in_progress;
+	if (++limiter->samples < needed_samples(limiter))
 		return;
 	latency_us = limiter->sum_latency_us / limiter->samples;
+	in_progress = limiter->sum_in_progress / limiter->samples;
 	limiter->samples = 0;
 	limiter->sum_latency_us = 0;
-	if (limiter->probing)
-		end_probe(limiter, latency_us);
+	limiter->sum_in_progress = 0;
+	if (limiter->probe_limit)
+		end_probe(limiter, latency_us, now_us);
 	else
-		end_window(limiter, sample, latency_us, now_us);
+		end_window(limiter, latency_us, in_progress, now_us);
 }
 
 const ql_limiter_ops_t ql_limiter_gradient = {"gradient", gradient_init,
--- a/src/policy/replay.c
+++ b/src/policy/replay.c
@@ -222,16 +222,6 @@
 	g_rand_free(sim->random);
 }
 
-static double sum(const double *values, size_t from, size_t until)
-{
-	double total = 0;
-	size_t i;
-
-	for (i = from; i < until; i++)
-		total += values[i];
-	return total;
-}
-
 static double whole_part(const ql_replay__sim_t *sim, size_t from, size_t until)
 {
 	uint64_t whole = 0, offered = 0;
@@ -276,14 +266,15 @@
 	size_t until =
 		ql_replay__bucket(sim,
 				  microseconds(sim->trace->trigger_until_s));
-	double asked = sum(sim->asked, from, until);
-	double carried = sum(sim->carried, from, until);
 	double scale = (double)QL_US_PER_S / (double)QL_REPLAY_BUCKET_US;
-	double goodput = 0;
+	double goodput = 0, useful = 0, possible = 0;
 	size_t i, n = sim->result->n_buckets;
 
-	values[QL_REPLAY_GOODPUT_SHARE] =
-		sum(sim->useful, from, until) / MAX(MIN(asked, carried), 1);
+	for (i = from; i < until; i++) {
+		useful += sim->useful[i];
+		possible += MIN(sim->asked[i], sim->carried[i]);
+	}
+	values[QL_REPLAY_GOODPUT_SHARE] = useful / MAX(possible, 1);
 	values[QL_REPLAY_WHOLE_SHARE] =
 		(double)sim->whole /
 		MAX((double)sim->result->client_requests, 1);
--- a/src/policy/replay_call.c
+++ b/src/policy/replay_call.c
@@ -51,6 +51,13 @@
 	return call->parent || call->submission->arrivals->calls;
 }
 
+/* Calls are made one after the other, so an earlier one has run. */
+static bool is_under_way(const ql_replay__call_t *call)
+{
+	return call->parent &&
+	       (call->parent->under_way || call->parent->next_callee > 1);
+}
+
 /* The endpoint gives up a request whose call below failed. */
 static void fail_parent(ql_replay__sim_t *sim, ql_replay__attempt_t *parent)
 {
@@ -59,7 +66,7 @@
 		.unused = parent->allowance.remaining,
 	};
 
-	ql_replay__endpoint_release(sim, parent, false);
+	ql_replay__endpoint_release(sim, parent, QL_GATE_FAILED);
 	ql_replay__attempt_end(sim, parent, &end);
 }
 
@@ -139,6 +146,7 @@
 	attempt->ticket = QL_HANDLE_NONE;
 	attempt->target = target;
 	attempt->lent = lent;
+	attempt->under_way = is_under_way(call);
 	attempt->is_root = !call->parent;
 	attempt->makes_calls = makes_calls(call);
 	if (lent)
@@ -298,7 +306,7 @@
 		return;
 	}
 	end.unused = attempt->allowance.remaining;
-	ql_replay__endpoint_release(sim, attempt, false);
+	ql_replay__endpoint_release(sim, attempt, QL_GATE_SERVED);
 	ql_replay__attempt_end(sim, attempt, &end);
 }
 
@@ -325,6 +333,6 @@
 		ql_replay__call_unref(attempt->call_below);
 		attempt->call_below = NULL;
 	}
-	ql_replay__endpoint_release(sim, attempt, true);
+	ql_replay__endpoint_release(sim, attempt, QL_GATE_OVERLOADED);
 	ql_replay__attempt_end(sim, attempt, &end);
 }
--- a/src/policy/replay_endpoint.c
+++ b/src/policy/replay_endpoint.c
@@ -152,21 +152,28 @@
 	}
 }
 
+static double mean_service_us(const ql_replay__sim_t *sim,
+			      const ql_replay__endpoint_t *endpoint)
+{
+	const ql_replay_endpoints_t *source = endpoint->source;
+	uint64_t age_us = sim->now_us - endpoint->started_us;
+	bool is_cold = endpoint->started_us &&
+		       age_us < source->cold_start_ms * QL_US_PER_MS;
+
+	return source->service_ms * (double)QL_US_PER_MS *
+	       sim->slowdown[endpoint->service] *
+	       (is_cold ? source->cold_factor : 1);
+}
+
 /* Time of own work: a constant part and an exponential one. */
 static uint64_t draw_service_us(ql_replay__sim_t *sim,
 				const ql_replay__endpoint_t *endpoint)
 {
-	const ql_replay_endpoints_t *source = endpoint->source;
-	uint64_t age_us = sim->now_us - endpoint->started_us;
-	double mean_us = source->service_ms * (double)QL_US_PER_MS *
-			 sim->slowdown[endpoint->service];
+	double spread = endpoint->source->spread;
 	double random = -log(1 - g_rand_double(sim->random));
 
-	if (endpoint->started_us &&
-	    age_us < source->cold_start_ms * QL_US_PER_MS)
-		mean_us *= source->cold_factor;
-	return (uint64_t)(mean_us *
-			  (1 - source->spread + source->spread * random));
+	return (uint64_t)(mean_service_us(sim, endpoint) *
+			  (1 - spread + spread * random));
 }
 
 double ql_replay__capacity(const ql_replay__sim_t *sim, uint16_t service)
@@ -178,9 +185,9 @@
 	for (i = 0; i < sim->n_endpoints; i++) {
 		endpoint = &sim->endpoints[i];
 		if (endpoint->service == service && endpoint->up)
-			capacity += (double)endpoint->source->slots * 1000 /
-				    (endpoint->source->service_ms *
-				     sim->slowdown[service]);
+			capacity += (double)endpoint->source->slots *
+				    (double)QL_US_PER_S /
+				    mean_service_us(sim, endpoint);
 	}
 	return capacity;
 }
@@ -328,7 +335,7 @@
 	bool guarded = sim->policy->guarded;
 	ql_gate_request_t request = {
 		.shed_order = guarded ? attempt->submission->shed_order : 0,
-		.under_way = attempt->call->parent && guarded,
+		.under_way = attempt->under_way && guarded,
 		.deadline_us = guarded ? attempt->deadline_us : NEVER_US,
 	};
 	ql_gate_decision_t decision =
@@ -379,7 +386,8 @@
 }
 
 void ql_replay__endpoint_release(ql_replay__sim_t *sim,
-				 ql_replay__attempt_t *attempt, bool overloaded)
+				 ql_replay__attempt_t *attempt,
+				 ql_gate_end_t end)
 {
 	ql_replay__endpoint_t *endpoint = endpoint_of(sim, attempt);
 
@@ -394,7 +402,7 @@
 	if (sim->policy->limiter) {
 		if (!ql_gate_cancel(&endpoint->gate, attempt->ticket))
 			ql_gate_finish_request(&endpoint->gate, attempt->ticket,
-					       overloaded, sim->now_us);
+					       end, sim->now_us);
 		attempt->level =
 			MAX(attempt->level,
 			    ql_gate_level(&endpoint->gate, sim->now_us));
--- a/src/policy/replay_model.h
+++ b/src/policy/replay_model.h
@@ -165,6 +165,7 @@
  * @target: handle of the endpoint in the caller's balancer
  * @allowance: attempts that it may spend below
  * @lent: what it was lent
+ * @under_way: another call of the client request has run already
  * @is_root: it serves the client's own call
  * @makes_calls: whether it calls other services
  * @next_callee: index of the call that it makes next
@@ -182,6 +183,7 @@
 	uint32_t lent;
 	uint64_t offered_us;
 	uint64_t deadline_us;
+	bool under_way;
 	bool is_root;
 	bool makes_calls;
 	uint16_t next_callee;
@@ -249,7 +251,7 @@
 /** Frees what a running or waiting attempt holds. */
 void ql_replay__endpoint_release(ql_replay__sim_t *sim,
 				 ql_replay__attempt_t *attempt,
-				 bool overloaded);
+				 ql_gate_end_t end);
 /** Acts on the decisions that are due at a gate. */
 void ql_replay__endpoint_pump(ql_replay__sim_t *sim, uint32_t index);
 void ql_replay__fault_start(ql_replay__sim_t *sim, uint32_t index);
