Lift early refusal soon after a storm of repeats

Cause: refused requests count as offered without bound.

Change: a request that is served on a free way halves what was offered.

The new test fails without the change.

--- a/src/policy/level.c
+++ b/src/policy/level.c
@@ -9,6 +9,8 @@
 #define HEADROOM 1.5
 /* Weight of a request whose way was free: lifts the refusal soon. */
 #define FREE_WEIGHT 2.0
+/* What was offered counts less by so much after a request with a free way. */
+#define FREE_RELIEF 2.0
 /* Refusals below that are borne before any is refused early. */
 #define TOLERATED 10.0
 /* One request is let through at least this often. */
@@ -90,6 +92,9 @@
 	route = &level->routes[index];
 	decay(route, now_us);
 	route->offered++;
-	if (end == QL_LEVEL_SERVED)
-		route->served += is_free ? FREE_WEIGHT : 1;
+	if (end != QL_LEVEL_SERVED)
+		return;
+	route->served += is_free ? FREE_WEIGHT : 1;
+	if (is_free)
+		route->offered /= FREE_RELIEF;
 }
--- a/tests/policy/level_test.cc
+++ b/tests/policy/level_test.cc
@@ -86,6 +86,22 @@
 	EXPECT_GE(run(0, 1000, 100), 0.99);
 }
 
+/* Clients that come again at once: 100 requests a ms while 10 are served. */
+TEST_F(Level, LiftsAsSoonAfterAStormOfRepeats)
+{
+	for (int ms = 0; ms < 5000; ms++) {
+		now_us += MS;
+		for (int i = 0; i < 100; i++)
+			if (!ql_level_offer(&level, 0, now_us).refuse)
+				ql_level_done(&level, 0,
+					      i < 10 ? QL_LEVEL_SERVED
+						     : QL_LEVEL_SHED,
+					      false, now_us);
+	}
+	run(0, 1000, 100);
+	EXPECT_GE(run(0, 1000, 100), 0.99);
+}
+
 TEST_F(Level, DoesNotRefuseARouteThatHearsOfNoOverload)
 {
 	for (int i = 0; i < 50; i++) {
