Measure connections with one each, and name gates alike in the time line

Cause: the load generator shared its connections among threads, so that a run with 1,900 of them opened some 260. Gate events named the endpoint's own address and router events the gate's, so a filter matched only one kind. Ruled out: fewer heaps of the C library for the many threads; the router held 175 MB at 1,900 connections with and without. Conclusion: the router's memory a connection is to be looked at.

--- a/src/node/gate_handler.c
+++ b/src/node/gate_handler.c
@@ -175,7 +175,7 @@
 		.outcome = outcome,
 		.reason = reason,
 		.service = gc->service->name,
-		.endpoint = gc->endpoint->announcement.address,
+		.endpoint = service->gate_address,
 		.class_name = gc->call->class_name,
 	};
 
--- a/src/node/gate_service.c
+++ b/src/node/gate_service.c
@@ -1,4 +1,5 @@
 #include "node/gate_service.h"
+#include "quetzalloft/address.h"
 #include "quetzalloft/error.h"
 
 #include <stdlib.h>
@@ -15,6 +16,8 @@
 	service->server = server;
 	service->client = client;
 	service->claims = claims;
+	ql_address_format(service->gate_address, context->settings->address,
+			  (unsigned int)context->settings->gate_port);
 	pthread_mutex_init(&service->lock, NULL);
 	ql_calls_init(&service->calls);
 }
--- a/src/node/gate_service.h
+++ b/src/node/gate_service.h
@@ -27,6 +27,7 @@
  * @server: the listener; borrowed
  * @client: for calls to the endpoints; borrowed
  * @claims: claims on idempotency keys; borrowed
+ * @gate_address: "IP:port" of the listener, as callers know it
  * @lock: guards @endpoints
  * @endpoints: gates by service; they live as long as the process
  * @calls: calls that run at the endpoints
@@ -36,6 +37,7 @@
 	ql_http_server_t *server;
 	ql_http_client_t *client;
 	ql_claim_service_t *claims;
+	char gate_address[QL_ADDRESS_MAX];
 	pthread_mutex_t lock;
 	ql_local_endpoint_t *endpoints[QL_LOCAL_ENDPOINTS_MAX];
 	size_t n_endpoints;
--- a/tests/support/load.c
+++ b/tests/support/load.c
@@ -29,7 +29,6 @@
 	uint64_t until_us;
 	uint32_t n_threads;
 	uint64_t next_key;
-	ql_http_client_t client;
 	uint64_t outcomes[QL_N_OUTCOMES];
 	uint64_t ok;
 	uint64_t lost;
@@ -67,7 +66,7 @@
 		load->samples_us[index] = (uint32_t)latency_us;
 }
 
-static void request_once(load_t *load)
+static void request_once(load_t *load, ql_http_client_t *client)
 {
 	struct curl_slist *headers = key_header(load);
 	ql_http_request_t http = {
@@ -83,7 +82,7 @@
 	bool sent;
 
 	ql_http_answer_init(&answer);
-	if (ql_http_client_exchange(&load->client, &http, &answer, &sent, NULL))
+	if (ql_http_client_exchange(client, &http, &answer, &sent, NULL))
 		__atomic_add_fetch(&load->lost, 1, __ATOMIC_RELAXED);
 	else
 		record(load, &answer, ql_clock_now_us() - start_us);
@@ -97,15 +96,19 @@
 	double interval_us =
 		load->rate > 0 ? 1e6 * load->n_threads / load->rate : 0;
 	double due_us = (double)ql_clock_now_us();
+	/* A client for each thread, so that each has its own connection. */
+	ql_http_client_t client;
 
+	ql_http_client_init(&client);
 	while (ql_clock_now_us() < load->until_us) {
-		request_once(load);
+		request_once(load, &client);
 		if (interval_us <= 0)
 			continue;
 		due_us += interval_us;
 		if (due_us > (double)ql_clock_now_us())
 			g_usleep((gulong)(due_us - (double)ql_clock_now_us()));
 	}
+	ql_http_client_finish(&client);
 	return NULL;
 }
 
@@ -194,7 +197,6 @@
 		return EX_USAGE;
 	}
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	ql_http_client_init(&load->client);
 	load->address = args.address->sval[0];
 	load->method = args.method->count ? args.method->sval[0] : "GET";
 	load->target = args.target->sval[0];
