--- a/src/node/replica_bootstrap.c
+++ b/src/node/replica_bootstrap.c
@@ -103,6 +103,7 @@
 {
 	ql_rpc_replica_members members = {{0}};
 	ql_replica_view_t view;
+	char id[QL_HEX64_MAX];
 	finding_t finding;
 
 	take_view(service, &view);
@@ -110,6 +111,7 @@
 		return true;
 	if (!view.identity_synced)
 		return false;
+	ql_hex64_format(id, view.state.identity);
 	finding = ask_all(service, &view, &members);
 	if (finding == ALL_EMPTY)
 		push_members(service, &members);
@@ -118,7 +120,7 @@
 		ql_log(LOG_WARNING, "replica_waits",
 		       QL_STR("detail", "a cluster exists; add this replica "
 					"as a learner"),
-		       QL_UINT("id", view.state.identity));
+		       QL_STR("id", id));
 	return finding != UNKNOWN;
 }
 
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -203,7 +203,9 @@
 		.is_fresh = true,
 	};
 	GError *error = NULL;
+	char id[QL_HEX64_MAX];
 
+	ql_hex64_format(id, slot.id);
 	slot.status = ql_replica_change_members(&service->config.replica,
 						&change, &error);
 	g_strlcpy(slot.address, input->address, sizeof(slot.address));
@@ -211,7 +213,7 @@
 		  sizeof(slot.detail));
 	g_clear_error(&error);
 	ql_log(LOG_NOTICE, "members_change", QL_UINT("kind", slot.kind),
-	       QL_UINT("id", slot.id), QL_STR("address", slot.address),
+	       QL_STR("id", id), QL_STR("address", slot.address),
 	       QL_STR("error", ql_error_name(slot.status)),
 	       QL_STR("detail", slot.detail));
 	pthread_mutex_lock(&service->view_lock);
@@ -365,16 +367,17 @@
 		.identity = new_identity(),
 		.state = service->state,
 	};
+	char id[QL_HEX64_MAX];
 	int ret = ql_replicated_config_init(&service->config, &opts, &source,
 					    &config_ops, service, error);
 
 	if (ret)
 		return ret;
+	ql_hex64_format(id, service->config.replica.state.identity);
 	/* The replica holds them from here on. */
 	g_array_set_size(service->disk.journal.entries, 0);
 	g_clear_pointer(&service->disk.journal.snapshot.data, g_bytes_unref);
-	ql_log(LOG_NOTICE, "replica_loaded",
-	       QL_UINT("id", service->config.replica.state.identity),
+	ql_log(LOG_NOTICE, "replica_loaded", QL_STR("id", id),
 	       QL_UINT("term", service->config.replica.state.term),
 	       QL_UINT("version", service->state->doc->version),
 	       QL_UINT("bytes", service->disk.journal.bytes_read));
