--- a/bench/replica_bench.cc
+++ b/bench/replica_bench.cc
@@ -6,7 +6,6 @@
  */
 #include "control/replica_cluster.h"
 #include "quetzalloft/json.h"
-#include "store/file.h"
 
 #include <benchmark/benchmark.h>
 
@@ -57,11 +56,6 @@
 		return list;
 	}
 
-	const char *path(size_t index) const
-	{
-		return folders[index].folder;
-	}
-
       private:
 	static void remove_files(const char *path)
 	{
@@ -160,6 +154,16 @@
 	state.counters["bytes_read"] = (double)bytes;
 }
 
+/* Replaces a file as a whole; it lasts when this returns. */
+void replace_file(const ql_disk_t &disk, const char *bytes, size_t length)
+{
+	if (disk.ops->append(disk.data, "state.new", bytes, length, nullptr) ||
+	    disk.ops->sync(disk.data, "state.new", nullptr) ||
+	    disk.ops->rename(disk.data, "state.new", "state", nullptr) ||
+	    disk.ops->sync_folder(disk.data, nullptr))
+		g_error("a write failed");
+}
+
 /* Compare and set without a log: each replica writes the whole state. */
 void register_patches(benchmark::State &state)
 {
@@ -184,9 +188,8 @@
 		json_t *json = ql_config_state_save(&config);
 		char *saved = ql_json_text(json);
 
-		for (size_t i = 0; i < N_REPLICAS; i++)
-			ql_file_replace(folders.path(i), "state", saved,
-					strlen(saved), nullptr);
+		for (const auto &disk : folders.disks())
+			replace_file(disk, saved, strlen(saved));
 		bytes += strlen(saved);
 		free(saved);
 		json_decref(json);
