Choose an endpoint without looking at all of them

A fresh endpoint counted as the fastest and drew every call; one that was slow once was never asked again; a call that had tried every endpoint gave up.

Change: lists of all endpoints and of those of the own failure domain, of which two are drawn; what is known of a latency halves every 5 s without an answer; an unknown latency is the service's mean; after an ejection one attempt at a time; connections are a bound; tried endpoints come last.

Ruled out: room by warm slots.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -32,24 +32,32 @@
  * struct ql_target - An endpoint as this node sees it.
  * @info: what membership says
  * @in_progress: attempts of this node that run there
- * @latency_us: moving mean
+ * @latency_us: moving mean; counts for less while nothing is heard
+ * @heard_us: when it answered last
  * @failures: failed attempts in a row
  * @added_us: when it was added, for slow start
  * @ejected_until_us: not chosen before, unless too many are ejected
+ * @ejections: ejections since its last answer
  * @refuse_until_us: it asked not to be called before
  * @level: the load level that its gate returned last
  * @level_us: when that was
+ * @position: in the list of all endpoints
+ * @near_position: in the list of those of the own failure domain
  */
 typedef struct ql_target {
 	ql_target_info_t info;
 	uint32_t in_progress;
 	double latency_us;
+	uint64_t heard_us;
 	uint32_t failures;
 	uint64_t added_us;
 	uint64_t ejected_until_us;
+	uint32_t ejections;
 	uint64_t refuse_until_us;
 	uint32_t level;
 	uint64_t level_us;
+	uint32_t position;
+	uint32_t near_position;
 } ql_target_t;
 
 typedef struct ql_balancer ql_balancer_t;
@@ -71,13 +79,28 @@
  * @ops: the policy
  * @failure_domain: of this node
  * @targets: table of &struct ql_target
+ * @by_gate: handles by address of the gate
+ * @all: handles of all endpoints
+ * @near: handles of those in the own failure domain
+ * @ejected: handles of those that were ejected and have not answered since
+ * @candidates: room for the choice
+ * @latency_us: moving mean over all endpoints
+ * @level: the least level at @level_us
+ * @level_us: when @level was found
  * @random: source of random choices; borrowed
  */
 struct ql_balancer {
 	const ql_balancer_ops_t *ops;
 	char failure_domain[QL_NAME_MAX];
 	ql_table_t targets;
+	GHashTable *by_gate;
+	GArray *all;
+	GArray *near;
+	GArray *ejected;
 	GArray *candidates;
+	double latency_us;
+	uint32_t level;
+	uint64_t level_us;
 	GRand *random;
 };
 
@@ -113,8 +136,10 @@
  * @n_tried: their number
  * @now_us: the time
  *
- * Return: its handle, or QL_HANDLE_NONE when every one was tried or none is
- * known.
+ * Endpoints that were not tried go first; then any but the last one tried.
+ *
+ * Return: its handle, or QL_HANDLE_NONE when none is known or all have as many
+ * attempts in progress as they take connections.
  */
 ql_handle_t ql_balancer_pick(ql_balancer_t *balancer, const ql_handle_t *tried,
 			     size_t n_tried, uint64_t now_us);
@@ -155,7 +180,7 @@
  * Return: a request whose shed order is below this level would be refused by
  * every endpoint; 0 when none is known to refuse.
  */
-uint32_t ql_balancer_level(const ql_balancer_t *balancer, uint64_t now_us);
+uint32_t ql_balancer_level(ql_balancer_t *balancer, uint64_t now_us);
 
 G_END_DECLS
 
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -1,6 +1,7 @@
 #include "quetzalloft/balancer.h"
 #include "quetzalloft/clock.h"
 
+#include <math.h>
 #include <string.h>
 
 #define TARGETS_MAX 4096u
@@ -11,8 +12,31 @@
 #define EJECT_MAX_PERCENT 50u
 #define SLOW_START_US (5 * QL_US_PER_S)
 #define SLOW_START_FLOOR 0.1
+/* Time without an answer that halves what is known of a latency. */
+#define HALF_LIFE_US (5 * QL_US_PER_S)
+#define EJECT_DOUBLINGS_MAX 5u
+/* Up to this many endpoints are all looked at; of more, some are drawn. */
+#define SCAN_MAX 16u
+#define DRAWS_MAX 16u
+#define LEVEL_FRESH_US (10 * QL_US_PER_MS)
 #define LEVEL_HOLD_US (200 * QL_US_PER_MS)
 
+static GArray *handles_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(ql_handle_t));
+}
+
+static ql_handle_t handle_at(const GArray *handles, guint i)
+{
+	return g_array_index(handles, ql_handle_t, i);
+}
+
+static ql_target_t *target_at(const ql_balancer_t *balancer,
+			      const GArray *handles, guint i)
+{
+	return ql_table_get(&balancer->targets, handle_at(handles, i));
+}
+
 void ql_balancer_init(ql_balancer_t *balancer, const ql_balancer_ops_t *ops,
 		      const char *failure_domain, GRand *random)
 {
@@ -22,26 +46,75 @@
 	g_strlcpy(balancer->failure_domain, failure_domain,
 		  sizeof(balancer->failure_domain));
 	ql_table_init(&balancer->targets, sizeof(ql_target_t), TARGETS_MAX);
-	balancer->candidates = g_array_new(FALSE, FALSE, sizeof(ql_handle_t));
+	balancer->by_gate =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	balancer->all = handles_new();
+	balancer->near = handles_new();
+	balancer->ejected = handles_new();
+	balancer->candidates = handles_new();
 }
 
 void ql_balancer_finish(ql_balancer_t *balancer)
 {
 	g_array_free(balancer->candidates, TRUE);
+	g_array_free(balancer->ejected, TRUE);
+	g_array_free(balancer->near, TRUE);
+	g_array_free(balancer->all, TRUE);
+	g_hash_table_destroy(balancer->by_gate);
 	ql_table_finish(&balancer->targets);
 }
 
 static ql_target_t *find_gate(const ql_balancer_t *balancer, const char *gate,
 			      ql_handle_t *handle)
 {
-	uint32_t cursor = 0;
-	ql_target_t *target;
+	void *value;
 
-	while ((target = ql_table_next(&balancer->targets, &cursor, handle)))
-		if (!strcmp(target->info.gate, gate))
-			return target;
 	*handle = QL_HANDLE_NONE;
-	return NULL;
+	if (!g_hash_table_lookup_extended(balancer->by_gate, gate, NULL,
+					  &value))
+		return NULL;
+	*handle = GPOINTER_TO_UINT(value);
+	return ql_table_get(&balancer->targets, *handle);
+}
+
+static bool is_near(const ql_balancer_t *balancer, const ql_target_info_t *info)
+{
+	return !strcmp(info->failure_domain, balancer->failure_domain);
+}
+
+static void list_target(ql_balancer_t *balancer, ql_target_t *target,
+			ql_handle_t handle)
+{
+	target->position = balancer->all->len;
+	g_array_append_val(balancer->all, handle);
+	target->near_position = UINT32_MAX;
+	if (!is_near(balancer, &target->info))
+		return;
+	target->near_position = balancer->near->len;
+	g_array_append_val(balancer->near, handle);
+}
+
+/* The last entry takes the place of the one that is removed. */
+static void unlist_target(ql_balancer_t *balancer, const ql_target_t *target)
+{
+	ql_target_t *last;
+
+	last = target_at(balancer, balancer->all, balancer->all->len - 1);
+	last->position = target->position;
+	g_array_remove_index_fast(balancer->all, target->position);
+	if (target->near_position == UINT32_MAX)
+		return;
+	last = target_at(balancer, balancer->near, balancer->near->len - 1);
+	last->near_position = target->near_position;
+	g_array_remove_index_fast(balancer->near, target->near_position);
+}
+
+static void forget(ql_balancer_t *balancer, ql_target_t *target,
+		   ql_handle_t handle)
+{
+	unlist_target(balancer, target);
+	g_hash_table_remove(balancer->by_gate, target->info.gate);
+	ql_table_remove(&balancer->targets, handle);
 }
 
 ql_handle_t ql_balancer_add(ql_balancer_t *balancer,
@@ -51,27 +124,33 @@
 	ql_target_t *target = find_gate(balancer, info->gate, &handle);
 	void *row;
 
-	if (target && target->info.incarnation == info->incarnation) {
+	if (target && target->info.incarnation == info->incarnation &&
+	    is_near(balancer, &target->info) == is_near(balancer, info)) {
 		target->info = *info;
 		return handle;
 	}
 	if (target)
-		ql_table_remove(&balancer->targets, handle);
+		forget(balancer, target, handle);
 	handle = ql_table_insert(&balancer->targets, &row);
 	if (handle == QL_HANDLE_NONE)
 		return handle;
 	target = row;
 	target->info = *info;
 	target->added_us = now_us;
+	g_hash_table_insert(balancer->by_gate, g_strdup(info->gate),
+			    GUINT_TO_POINTER(handle));
+	list_target(balancer, target, handle);
+	balancer->level = 0;
 	return handle;
 }
 
 void ql_balancer_remove(ql_balancer_t *balancer, const char *gate)
 {
 	ql_handle_t handle;
+	ql_target_t *target = find_gate(balancer, gate, &handle);
 
-	if (find_gate(balancer, gate, &handle))
-		ql_table_remove(&balancer->targets, handle);
+	if (target)
+		forget(balancer, target, handle);
 }
 
 static bool was_tried(ql_handle_t handle, const ql_handle_t *tried,
@@ -85,7 +164,7 @@
 	return false;
 }
 
-/* Which endpoints a pass over the table may take, best first. */
+/* Which endpoints a pass may take, best first. */
 typedef enum {
 	PASS_OWN_DOMAIN,
 	PASS_HEALTHY,
@@ -93,51 +172,132 @@
 	N_PASSES,
 } pass_t;
 
+/* What a pass looks for. */
+typedef struct {
+	pass_t pass;
+	const ql_handle_t *tried;
+	size_t n_tried;
+	uint64_t now_us;
+} search_t;
+
+/* Part of its work that an endpoint takes; less after a cold start. */
+static double warmth(const ql_target_t *target, uint64_t now_us)
+{
+	double age = (double)(now_us - target->added_us) / SLOW_START_US;
+
+	return CLAMP(age, SLOW_START_FLOOR, 1.0);
+}
+
 static bool has_room(const ql_target_t *target, uint64_t now_us)
 {
-	return target->refuse_until_us <= now_us &&
-	       target->in_progress < target->info.slots;
+	uint32_t slots = MAX(target->info.slots, 1);
+
+	return target->refuse_until_us <= now_us && target->in_progress < slots;
 }
 
-static bool is_candidate(const ql_balancer_t *balancer,
-			 const ql_target_t *target, pass_t pass,
-			 uint64_t now_us)
+static bool has_connection(const ql_target_t *target)
+{
+	return !target->info.connections ||
+	       target->in_progress < target->info.connections;
+}
+
+/* After an ejection one attempt at a time shows whether it answers again. */
+static bool is_healthy(const ql_target_t *target, uint64_t now_us)
 {
-	if (pass == PASS_ANY)
-		return true;
 	if (target->ejected_until_us > now_us)
 		return false;
-	if (pass == PASS_HEALTHY)
+	return !target->ejections || !target->in_progress;
+}
+
+static bool is_candidate(const ql_target_t *target, ql_handle_t handle,
+			 const search_t *search)
+{
+	if (!has_connection(target) ||
+	    was_tried(handle, search->tried, search->n_tried))
+		return false;
+	if (search->pass == PASS_ANY)
 		return true;
-	return has_room(target, now_us) &&
-	       !strcmp(target->info.failure_domain, balancer->failure_domain);
+	if (!is_healthy(target, search->now_us))
+		return false;
+	return search->pass == PASS_HEALTHY || has_room(target, search->now_us);
 }
 
-static void collect(ql_balancer_t *balancer, const ql_handle_t *tried,
-		    size_t n_tried, pass_t pass, uint64_t now_us)
+static void try_candidate(ql_balancer_t *balancer, ql_handle_t handle,
+			  const search_t *search)
+{
+	const ql_target_t *target = ql_table_get(&balancer->targets, handle);
+
+	if (is_candidate(target, handle, search))
+		g_array_append_val(balancer->candidates, handle);
+}
+
+/* Draws two candidates; no more are needed by any policy. */
+static void draw(ql_balancer_t *balancer, const GArray *handles,
+		 const search_t *search)
 {
-	uint32_t cursor = 0;
 	ql_handle_t handle;
-	ql_target_t *target;
+	guint i;
+
+	for (i = 0; i < DRAWS_MAX && balancer->candidates->len < 2; i++) {
+		handle = handle_at(
+			handles, (guint)g_rand_int_range(balancer->random, 0,
+							 (gint32)handles->len));
+		if (balancer->candidates->len &&
+		    handle_at(balancer->candidates, 0) == handle)
+			continue;
+		try_candidate(balancer, handle, search);
+	}
+}
+
+static void scan(ql_balancer_t *balancer, const GArray *handles,
+		 const search_t *search)
+{
+	guint i;
+
+	for (i = 0; i < handles->len; i++)
+		try_candidate(balancer, handle_at(handles, i), search);
+}
+
+static void collect(ql_balancer_t *balancer, const search_t *search)
+{
+	const GArray *handles = search->pass == PASS_OWN_DOMAIN ? balancer->near
+								: balancer->all;
 
 	g_array_set_size(balancer->candidates, 0);
-	while ((target = ql_table_next(&balancer->targets, &cursor, &handle)))
-		if (!was_tried(handle, tried, n_tried) &&
-		    is_candidate(balancer, target, pass, now_us))
-			g_array_append_val(balancer->candidates, handle);
+	if (handles->len > SCAN_MAX)
+		draw(balancer, handles, search);
+	if (!balancer->candidates->len)
+		scan(balancer, handles, search);
+}
+
+static void find_candidates(ql_balancer_t *balancer, search_t *search)
+{
+	int pass;
+
+	for (pass = PASS_OWN_DOMAIN; pass < N_PASSES; pass++) {
+		search->pass = (pass_t)pass;
+		collect(balancer, search);
+		if (balancer->candidates->len)
+			return;
+	}
 }
 
 ql_handle_t ql_balancer_pick(ql_balancer_t *balancer, const ql_handle_t *tried,
 			     size_t n_tried, uint64_t now_us)
 {
+	search_t search = {
+		.tried = tried,
+		.n_tried = n_tried,
+		.now_us = now_us,
+	};
 	ql_target_t *target;
 	ql_handle_t handle;
-	int pass;
 
-	for (pass = PASS_OWN_DOMAIN; pass < N_PASSES; pass++) {
-		collect(balancer, tried, n_tried, pass, now_us);
-		if (balancer->candidates->len)
-			break;
+	find_candidates(balancer, &search);
+	if (!balancer->candidates->len && n_tried) {
+		search.tried = tried + n_tried - 1;
+		search.n_tried = balancer->all->len > 1 ? 1 : 0;
+		find_candidates(balancer, &search);
 	}
 	if (!balancer->candidates->len)
 		return QL_HANDLE_NONE;
@@ -149,6 +309,18 @@
 	return handle;
 }
 
+/* What is known of its latency, and less the longer nothing was heard. */
+static double expected_latency_us(const ql_balancer_t *balancer,
+				  const ql_target_t *target, uint64_t now_us)
+{
+	double idle;
+
+	if (target->latency_us <= 0)
+		return MAX(balancer->latency_us, LATENCY_FLOOR_US);
+	idle = (double)(now_us - target->heard_us) / HALF_LIFE_US;
+	return MAX(target->latency_us * exp2(-idle), LATENCY_FLOOR_US);
+}
+
 static ql_handle_t pick_random(ql_balancer_t *balancer,
 			       const ql_handle_t *candidates,
 			       guint n_candidates,
@@ -159,16 +331,26 @@
 }
 
 /* Expected cost of one more request; an endpoint in slow start costs more. */
-static double cost(const ql_target_t *target, uint64_t now_us)
+static double cost(const ql_balancer_t *balancer, const ql_target_t *target,
+		   uint64_t now_us)
 {
-	double latency = MAX(target->latency_us, LATENCY_FLOOR_US);
-	double age = (double)(now_us - target->added_us) / SLOW_START_US;
-	double warmth = CLAMP(age, SLOW_START_FLOOR, 1.0);
-	double cost = latency * (target->in_progress + 1) / warmth;
+	double latency = expected_latency_us(balancer, target, now_us);
+	double cost =
+		latency * (target->in_progress + 1) / warmth(target, now_us);
+
+	return target->refuse_until_us > now_us ? cost * 100 : cost;
+}
+
+/* What an endpoint reports of itself breaks ties only. */
+static bool is_better(const ql_balancer_t *balancer, const ql_target_t *a,
+		      const ql_target_t *b, uint64_t now_us)
+{
+	double cost_a = cost(balancer, a, now_us);
+	double cost_b = cost(balancer, b, now_us);
 
-	return target->refuse_until_us > now_us || target->info.stale
-		       ? cost * 100
-		       : cost;
+	if (cost_a < cost_b || cost_a > cost_b)
+		return cost_a < cost_b;
+	return a->level <= b->level;
 }
 
 static ql_handle_t pick_two_choices(ql_balancer_t *balancer,
@@ -187,46 +369,69 @@
 		second++;
 	a = ql_table_get(&balancer->targets, candidates[first]);
 	b = ql_table_get(&balancer->targets, candidates[second]);
-	return cost(a, now_us) <= cost(b, now_us) ? candidates[first]
-						  : candidates[second];
+	return is_better(balancer, a, b, now_us) ? candidates[first]
+						 : candidates[second];
 }
 
 const ql_balancer_ops_t ql_balancer_random = {"random", pick_random};
 const ql_balancer_ops_t ql_balancer_two_choices = {"two_choices",
 						   pick_two_choices};
 
-static uint32_t count_ejected(const ql_balancer_t *balancer, uint64_t now_us)
+/* Drops from the list what has answered since or is gone. */
+static uint32_t count_ejected(ql_balancer_t *balancer)
 {
-	uint32_t cursor = 0, n_ejected = 0;
-	ql_handle_t handle;
 	const ql_target_t *target;
-
-	while ((target = ql_table_next(&balancer->targets, &cursor, &handle)))
-		if (target->ejected_until_us > now_us)
-			n_ejected++;
-	return n_ejected;
+	guint i = 0;
+
+	while (i < balancer->ejected->len) {
+		target = target_at(balancer, balancer->ejected, i);
+		if (target && target->ejections)
+			i++;
+		else
+			g_array_remove_index_fast(balancer->ejected, i);
+	}
+	return balancer->ejected->len;
 }
 
 static void note_failure(ql_balancer_t *balancer, ql_target_t *target,
-			 uint64_t now_us)
+			 ql_handle_t handle, uint64_t now_us)
 {
 	uint32_t n_allowed = balancer->targets.count * EJECT_MAX_PERCENT / 100;
+	uint32_t doublings;
 
-	if (++target->failures < EJECT_FAILURES)
-		return;
-	if (count_ejected(balancer, now_us) >= n_allowed)
+	if (++target->failures < EJECT_FAILURES && !target->ejections)
 		return;
-	target->ejected_until_us = now_us + EJECT_US;
+	if (!target->ejections) {
+		if (count_ejected(balancer) >= n_allowed)
+			return;
+		g_array_append_val(balancer->ejected, handle);
+	}
+	doublings = MIN(target->ejections, EJECT_DOUBLINGS_MAX);
+	target->ejections++;
+	target->ejected_until_us = now_us + ((uint64_t)EJECT_US << doublings);
 	target->failures = 0;
 }
 
-static void note_answer(ql_target_t *target, uint64_t latency_us)
+static double moved(double mean, uint64_t value)
 {
+	return mean <= 0 ? (double)value
+			 : mean + LATENCY_SMOOTHING * ((double)value - mean);
+}
+
+static void note_answer(ql_balancer_t *balancer, ql_target_t *target,
+			uint64_t latency_us, uint64_t now_us)
+{
+	double known_us =
+		target->latency_us > 0
+			? expected_latency_us(balancer, target, now_us)
+			: 0;
+
 	target->failures = 0;
-	if (target->latency_us <= 0)
-		target->latency_us = (double)latency_us;
-	target->latency_us +=
-		LATENCY_SMOOTHING * ((double)latency_us - target->latency_us);
+	target->ejections = 0;
+	target->ejected_until_us = 0;
+	target->latency_us = moved(known_us, latency_us);
+	target->heard_us = now_us;
+	balancer->latency_us = moved(balancer->latency_us, latency_us);
 }
 
 void ql_balancer_done(ql_balancer_t *balancer, ql_handle_t handle,
@@ -236,30 +441,45 @@
 
 	if (!target)
 		return;
-	target->in_progress--;
+	if (target->in_progress)
+		target->in_progress--;
 	if (result->has_level) {
 		target->level = result->level;
 		target->level_us = now_us;
+		balancer->level = MIN(balancer->level, result->level);
 	}
 	if (result->retry_after_us)
 		target->refuse_until_us = now_us + result->retry_after_us;
 	if (result->outcome == QL_OUTCOME_ANSWERED)
-		note_answer(target, result->latency_us);
+		note_answer(balancer, target, result->latency_us, now_us);
 	else if (result->reason == QL_REASON_CONNECT_FAILED ||
 		 result->reason == QL_REASON_CONNECTION_LOST ||
 		 result->reason == QL_REASON_BAD_ANSWER)
-		note_failure(balancer, target, now_us);
+		note_failure(balancer, target, handle, now_us);
 }
 
-uint32_t ql_balancer_level(const ql_balancer_t *balancer, uint64_t now_us)
+static uint32_t least_level(const ql_balancer_t *balancer, uint64_t now_us)
 {
-	uint32_t cursor = 0, level = UINT32_MAX;
-	ql_handle_t handle;
+	uint32_t level = UINT32_MAX;
 	const ql_target_t *target;
+	guint i;
 
-	while ((target = ql_table_next(&balancer->targets, &cursor, &handle)))
+	for (i = 0; i < balancer->all->len && level; i++) {
+		target = target_at(balancer, balancer->all, i);
 		level = MIN(level, now_us - target->level_us < LEVEL_HOLD_US
 					   ? target->level
 					   : 0);
+	}
 	return level == UINT32_MAX ? 0 : level;
 }
+
+uint32_t ql_balancer_level(ql_balancer_t *balancer, uint64_t now_us)
+{
+	bool is_large = balancer->all->len > SCAN_MAX;
+
+	if (is_large && now_us - balancer->level_us < LEVEL_FRESH_US)
+		return balancer->level;
+	balancer->level = least_level(balancer, now_us);
+	balancer->level_us = now_us;
+	return balancer->level;
+}
