--- /dev/null
+++ b/src/cli/config_patch_command.c
@@ -0,0 +1,175 @@
+#include "cli/command.h"
+#include "cli/output.h"
+#include "cli/peer.h"
+#include "cli/settle.h"
+#include "quetzalloft/error.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <sysexits.h>
+
+#define COMMAND "config patch"
+#define SUMMARY                                                               \
+	"Submits an RFC 7396 merge patch against a version. A patch against " \
+	"an old\nversion is refused. The patch is sent again under the same " \
+	"id until its answer is\nknown or the time is over; after that, run " \
+	"the command again with the id that\nit printed."
+
+/* What is sent. */
+typedef struct {
+	const ql_options_t *options;
+	const char *id;
+	uint64_t base_version;
+	char *text;
+	size_t length;
+} patch_t;
+
+static void take_answer(ql_settle_result_t *result, char *leader,
+			const ql_rpc_patch_res *res)
+{
+	result->status = res->status;
+	result->version = res->config_version;
+	result->detail = g_strdup(res->detail);
+	g_strlcpy(leader, res->leader, QL_ADDRESS_MAX);
+}
+
+static void send_patch(void *data, const char *address, uint64_t timeout_ms,
+		       ql_settle_result_t *result, char *leader)
+{
+	const patch_t *patch = data;
+	ql_rpc_patch_args args = {
+		.id = (char *)patch->id,
+		.base_version = patch->base_version,
+		.patch = {(u_int)patch->length, patch->text},
+	};
+	ql_rpc_patch_res res = {0};
+	ql_rpc_call_t call = {
+		.procedure = QL_PATCH,
+		.encode = (xdrproc_t)xdr_ql_rpc_patch_args,
+		.args = &args,
+		.decode = (xdrproc_t)xdr_ql_rpc_patch_res,
+		.result = &res,
+	};
+	GError *error = NULL;
+
+	ql_peer_greeting(&args.greeting, patch->options->cluster);
+	result->status = ql_peer_call(address, QL_CONTROL_PROGRAM, &call,
+				      timeout_ms, &error);
+	if (result->status) {
+		result->detail = g_strdup(error->message);
+		g_error_free(error);
+		return;
+	}
+	take_answer(result, leader, &res);
+	xdr_free((xdrproc_t)xdr_ql_rpc_patch_res, &res);
+}
+
+static void print_json(const char *id, const ql_settle_result_t *result)
+{
+	ql_output_json(json_pack("{s:s, s:s, s:I, s:i, s:s}", "id", id,
+				 "status", ql_error_name(result->status),
+				 "version", (json_int_t)result->version, "sent",
+				 (int)result->sent, "detail",
+				 result->detail ? result->detail : ""));
+}
+
+static int print_result(const patch_t *patch, const ql_settle_result_t *result)
+{
+	GError *error = NULL;
+
+	if (patch->options->json)
+		print_json(patch->id, result);
+	else if (!result->status)
+		printf("accepted as version %" PRIu64 "\n", result->version);
+	if (!result->status)
+		return EX_OK;
+	ql_error_set(&error, (ql_error_code_t)result->status,
+		     "%s (id %s, present version %" PRIu64 ", sent %u times)",
+		     result->detail ? result->detail : "", patch->id,
+		     result->version, result->sent);
+	return ql_command_complain(COMMAND, error);
+}
+
+static int submit(patch_t *patch)
+{
+	ql_settle_transport_t transport = {
+		.send = send_patch,
+		.now_us = ql_settle_now_us,
+		.pause = ql_settle_pause,
+		.data = patch,
+	};
+	ql_settle_result_t result;
+	int status;
+
+	ql_settle(&result, &transport, patch->options);
+	status = print_result(patch, &result);
+	g_free(result.detail);
+	return status;
+}
+
+/* Reads the file, or standard input for "-". */
+static bool read_patch(const char *path, char **text, gsize *length)
+{
+	GError *error = NULL;
+
+	if (!strcmp(path, "-"))
+		path = "/dev/stdin";
+	if (g_file_get_contents(path, text, length, &error))
+		return true;
+	fprintf(stderr, "quetzalloft " COMMAND ": %s\n", error->message);
+	g_error_free(error);
+	return false;
+}
+
+static int load_and_submit(patch_t *patch, const char *path, const char *id)
+{
+	char *own_id = id ? NULL : g_uuid_string_random();
+	int status = EX_NOINPUT;
+	gsize length;
+
+	patch->id = id ? id : own_id;
+	if (read_patch(path, &patch->text, &length)) {
+		if (own_id)
+			fprintf(stderr, "id %s\n", own_id);
+		patch->length = length;
+		status = submit(patch);
+		g_free(patch->text);
+	}
+	g_free(own_id);
+	return status;
+}
+
+int ql_command_config_patch(int argc, char **argv)
+{
+	struct arg_str *id = arg_str0("i", "id", "ID", "id of this patch");
+	struct arg_int *base =
+		arg_int1("b", "base", "N", "version it was written against");
+	struct arg_file *file =
+		arg_file1(NULL, NULL, "FILE",
+			  "the patch; \"-\" for standard input");
+	ql_arguments_t arguments;
+	ql_options_t options;
+	patch_t patch = {.options = &options};
+	int status;
+
+	ql_arguments_init(&arguments, COMMAND, SUMMARY, true);
+	ql_arguments_add(&arguments, id);
+	ql_arguments_add(&arguments, base);
+	ql_arguments_add(&arguments, file);
+	if (!ql_arguments_parse(&arguments, argc, argv, &options, &status)) {
+		ql_arguments_finish(&arguments);
+		return status;
+	}
+	if (base->ival[0] < 0) {
+		fputs("quetzalloft " COMMAND ": --base: allowed 0 and above\n",
+		      stderr);
+		status = EX_USAGE;
+	} else {
+		patch.base_version = (uint64_t)base->ival[0];
+		status = load_and_submit(&patch, file->filename[0],
+					 id->count ? id->sval[0] : NULL);
+	}
+	ql_arguments_finish(&arguments);
+	return status;
+}
--- a/src/node/gate_service.h
+++ b/src/node/gate_service.h
@@ -7,11 +7,11 @@
  */
 
 #include "node/answer.h"
+#include "node/claim_service.h"
 #include "node/calls.h"
-#include "node/counters.h"
-#include "quetzalloft/clock.h"
-#include "quetzalloft/document.h"
-#include "quetzalloft/gate.h"
+#include "node/context.h"
+#include "node/http_server.h"
+#include "node/local_endpoint.h"
 
 #include "control.h"
 
@@ -21,56 +21,21 @@
 
 #define QL_LOCAL_ENDPOINTS_MAX QL_RPC_LOCAL_ENDPOINTS_MAX
 
-typedef struct ql_local_endpoint ql_local_endpoint_t;
-
-/**
- * struct ql_announcement - What an endpoint says of itself.
- * @service: the service that it runs
- * @address: "IP:port" where it listens
- * @slots: requests that it can run at once
- * @connections: connections that it takes
- * @draining: it takes no new request
- * @lease_ms: how long this holds
- */
-typedef struct ql_announcement {
-	char service[QL_NAME_MAX];
-	char address[QL_ADDRESS_MAX];
-	uint64_t slots;
-	uint64_t connections;
-	bool draining;
-	uint64_t lease_ms;
-} ql_announcement_t;
-
-/**
- * struct ql_gate_service_opts - What the gates share.
- * @client: for calls to the endpoints; borrowed
- * @counters: borrowed
- * @hlc: borrowed
- * @limiter: name of the limiter that overrides the configuration's, or empty
- * @queue_max: requests that may wait at one gate
- * @document: gives the document in force with a new reference
- * @is_ready: whether this node has asked its failure domain since its start
- * @data: passed to both
- */
-typedef struct ql_gate_service_opts {
-	ql_http_client_t *client;
-	ql_counters_t *counters;
-	ql_hlc_t *hlc;
-	const char *limiter;
-	uint32_t queue_max;
-	ql_document_t *(*document)(void *data);
-	bool (*is_ready)(void *data);
-	void *data;
-} ql_gate_service_opts_t;
-
 /**
  * struct ql_gate_service - The gates.
+ * @context: borrowed
+ * @server: the listener; borrowed
+ * @client: for calls to the endpoints; borrowed
+ * @claims: claims on idempotency keys; borrowed
  * @lock: guards @endpoints
  * @endpoints: gates by service; they live as long as the process
  * @calls: calls that run at the endpoints
  */
 typedef struct ql_gate_service {
-	ql_gate_service_opts_t opts;
+	ql_context_t *context;
+	ql_http_server_t *server;
+	ql_http_client_t *client;
+	ql_claim_service_t *claims;
 	pthread_mutex_t lock;
 	ql_local_endpoint_t *endpoints[QL_LOCAL_ENDPOINTS_MAX];
 	size_t n_endpoints;
@@ -78,8 +43,9 @@
 	ql_calls_t calls;
 } ql_gate_service_t;
 
-void ql_gate_service_init(ql_gate_service_t *service,
-			  const ql_gate_service_opts_t *opts);
+void ql_gate_service_init(ql_gate_service_t *service, ql_context_t *context,
+			  ql_http_server_t *server, ql_http_client_t *client,
+			  ql_claim_service_t *claims);
 void ql_gate_service_finish(ql_gate_service_t *service);
 
 /**
@@ -95,6 +61,16 @@
 			     const ql_announcement_t *announcement,
 			     bool *changed, GError **error);
 
+/**
+ * ql_gate_service_find() - Find the local endpoint of a service.
+ * @service: the gates
+ * @name: name of the service
+ *
+ * Return: the endpoint, which lives as long as the gates, or NULL.
+ */
+ql_local_endpoint_t *ql_gate_service_find(ql_gate_service_t *service,
+					  const char *name);
+
 /**
  * ql_gate_service_handle() - Answer a call of another node.
  */
@@ -115,6 +91,12 @@
 			       const char *failure_domain, const char *gate,
 			       ql_rpc_endpoint *out);
 
+/**
+ * ql_gate_service_reconfigure() - Apply the document in force to every gate.
+ * @service: the gates
+ */
+void ql_gate_service_reconfigure(ql_gate_service_t *service);
+
 /**
  * ql_gate_service_drain() - Refuse every new request from now on.
  * @service: the gates
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,12 +16,13 @@
 
 /**
  * struct ql_node - The node.
+ * @state_lock: guards @state
+ * @state: state of chart "shutdown"
  */
 typedef struct ql_node {
-	const ql_settings_t *settings;
-	ql_counters_t counters;
-	ql_hlc_t hlc;
+	ql_context_t context;
 	ql_http_client_t client;
+	ql_claim_service_t claims;
 	ql_router_t router;
 	ql_gate_service_t gates;
 	ql_client_service_t clients;
@@ -30,9 +31,8 @@
 	ql_http_server_t client_server;
 	ql_http_server_t gate_server;
 	ql_http_server_t local_server;
-	pthread_mutex_t doc_lock;
-	ql_document_t *doc;
-	int ready;
+	pthread_mutex_t state_lock;
+	ql_shutdown_state_t state;
 } ql_node_t;
 
 /**
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -27,6 +27,7 @@
 	QL_MEMBER_BOOL(ql_settings_t, replica, false),
 	QL_MEMBER_STRING(ql_settings_t, balancer, false, 1),
 	QL_MEMBER_STRING(ql_settings_t, limiter, false, 1),
+	QL_MEMBER_STRING(ql_settings_t, charts, false, 1),
 	QL_MEMBER_UINT(ql_settings_t, connections, false, 1, 65535),
 	QL_MEMBER_UINT(ql_settings_t, queue, false, 0, 65535),
 	QL_MEMBER_UINT(ql_settings_t, lease_ms, false, 100, 60000),
@@ -68,24 +69,61 @@
 	return 0;
 }
 
+/* A member of the settings that is a list of addresses. */
+typedef struct {
+	const char *key;
+	char (*out)[QL_ADDRESS_MAX];
+	size_t *n_out;
+	size_t max;
+} address_list_t;
+
 /* Takes the lists of addresses out of the object before the rest is read. */
 static int read_lists(ql_settings_t *settings, json_t *json, GError **error)
 {
-	json_t *registrars = json_object_get(json, "registrars");
-	json_t *replicas = json_object_get(json, "replicas");
-	int ret = 0;
-
-	if (registrars)
-		ret = read_addresses(settings->registrars,
-				     &settings->n_registrars, QL_REGISTRARS_MAX,
-				     registrars, "registrars", error);
-	if (!ret && replicas)
-		ret = read_addresses(settings->replicas, &settings->n_replicas,
-				     QL_REPLICAS_MAX, replicas, "replicas",
-				     error);
-	json_object_del(json, "registrars");
-	json_object_del(json, "replicas");
-	return ret;
+	const address_list_t lists[] = {
+		{"registrars", settings->registrars, &settings->n_registrars,
+		 QL_REGISTRARS_MAX},
+		{"replicas", settings->replicas, &settings->n_replicas,
+		 QL_REPLICAS_MAX},
+		{"peers", settings->peers, &settings->n_peers,
+		 QL_REGISTRAR_PEERS_MAX},
+		{"neighbours", settings->neighbours, &settings->n_neighbours,
+		 QL_NEIGHBOURS_MAX},
+	};
+	json_t *value;
+	size_t i;
+	int ret;
+
+	for (i = 0; i < G_N_ELEMENTS(lists); i++) {
+		value = json_object_get(json, lists[i].key);
+		if (!value)
+			continue;
+		ret = read_addresses(lists[i].out, lists[i].n_out, lists[i].max,
+				     value, lists[i].key, error);
+		if (ret)
+			return ret;
+		json_object_del(json, lists[i].key);
+	}
+	return 0;
+}
+
+/* The list may be left out by a replica that stays alone. */
+static int check_replicas(const ql_settings_t *settings, GError **error)
+{
+	char own[QL_ADDRESS_MAX];
+	size_t i;
+
+	ql_address_format(own, settings->address,
+			  (unsigned int)settings->control_port);
+	if (!settings->replica || !settings->n_replicas)
+		return 0;
+	for (i = 0; i < settings->n_replicas; i++)
+		if (!strcmp(settings->replicas[i], own))
+			return 0;
+	return ql_error_set(error, QL_E_NOT_FOUND,
+			    "settings.replicas: allowed a list with %s, the "
+			    "address and control_port of this replica",
+			    own);
 }
 
 static int check_relations(const ql_settings_t *settings, GError **error)
@@ -103,6 +141,8 @@
 		return ql_error_set(error, QL_E_MISSING_KEY,
 				    "settings.data_folder: required key is "
 				    "missing, since replica is true");
+	if (check_replicas(settings, error))
+		return QL_E_NOT_FOUND;
 	if (!settings->registrar && !settings->n_registrars)
 		return ql_error_set(error, QL_E_MISSING_KEY,
 				    "settings.registrars: required key is "
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -11,6 +11,8 @@
 
 #define QL_FOLDER_MAX 256
 #define QL_REPLICAS_MAX 32
+#define QL_REGISTRAR_PEERS_MAX 128
+#define QL_NEIGHBOURS_MAX 8
 
 /**
  * struct ql_settings - The settings.
@@ -27,8 +29,12 @@
  * @replica: whether it is a replica of the configuration
  * @registrars: addresses of the registrars of the failure domain
  * @replicas: addresses of the replicas
+ * @peers: addresses of the other registrars, of all failure domains
+ * @neighbours: control addresses of some other nodes of the failure domain,
+ *              which are asked when no registrar answers at the start
  * @balancer: name of the policy that chooses endpoints
  * @limiter: name of a limiter that overrides the configuration's; may be empty
+ * @charts: folder of the state charts; empty for the installed one
  * @connections: connections that a listener takes
  * @queue: requests that may wait at a gate
  * @lease_ms: how long a registrar keeps a node that is silent
@@ -51,8 +57,13 @@
 	size_t n_registrars;
 	char replicas[QL_REPLICAS_MAX][QL_ADDRESS_MAX];
 	size_t n_replicas;
+	char peers[QL_REGISTRAR_PEERS_MAX][QL_ADDRESS_MAX];
+	size_t n_peers;
+	char neighbours[QL_NEIGHBOURS_MAX][QL_ADDRESS_MAX];
+	size_t n_neighbours;
 	char balancer[QL_NAME_MAX];
 	char limiter[QL_NAME_MAX];
+	char charts[QL_FOLDER_MAX];
 	uint64_t connections;
 	uint64_t queue;
 	uint64_t lease_ms;
