--- a/src/policy/replay_call.c
+++ b/src/policy/replay_call.c
@@ -46,6 +46,20 @@
 			    : &call->submission->allowance;
 }
 
+/* Attempts that later calls of the same holder still need. */
+static uint32_t reserve_of(const ql_replay__sim_t *sim,
+			   const ql_replay__call_t *call)
+{
+	const ql_replay__attempt_t *parent = call->parent;
+
+	if (!parent)
+		return 0;
+	return ql_allowance_reserve(sim->doc,
+				    sim->endpoints[parent->endpoint].service,
+				    (1ULL << parent->next_callee) - 1,
+				    call->service);
+}
+
 static bool makes_calls(const ql_replay__call_t *call)
 {
 	return call->parent || call->submission->arrivals->calls;
@@ -192,7 +206,8 @@
 			call_fail_not_run(sim, call, QL_REASON_DEADLINE);
 			return;
 		}
-		lent = ql_allowance_lend(holder_of(call), need, 0);
+		lent = ql_allowance_lend(holder_of(call), need,
+					 reserve_of(sim, call));
 		if (!lent) {
 			call_fail_not_run(sim, call, QL_REASON_ATTEMPTS);
 			return;
@@ -217,6 +232,8 @@
 static bool decide_retry(ql_replay__sim_t *sim, ql_replay__call_t *call,
 			 ql_attempt_result_t *result, uint64_t *backoff_us)
 {
+	const ql_balancer_t *balancer =
+		&sim->endpoints[call->node].balancers[call->service];
 	uint64_t deadline_us = call->submission->deadline_us;
 	ql_retry_failure_t failure = {
 		.outcome = result->outcome,
@@ -227,6 +244,7 @@
 					? deadline_us - sim->now_us
 					: 0,
 		.retry_after_us = result->retry_after_us,
+		.all_tried = call->n_tried >= balancer->targets.count,
 	};
 	ql_retry_decision_t decision;
 
