--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -207,6 +207,7 @@
 		return 0;
 	replica->settings = control->settings;
 	replica->hlc = control->hlc;
+	replica->timeline = control->timeline;
 	replica->lock = &control->lock;
 	replica->state = &control->state;
 	replica->incarnation = control->incarnation;
@@ -257,6 +258,9 @@
 	if (control->settings->replica)
 		control->rpc.programs[control->rpc.n_programs++] =
 			ql_replica_service_program(&control->replica);
+	ql_claim_service_program(
+		&control->rpc.programs[control->rpc.n_programs++],
+		control->claims);
 	return ql_rpc_server_start(&control->rpc, address, error);
 }
 
--- a/tests/control/membership_test.cc
+++ b/tests/control/membership_test.cc
@@ -162,6 +162,35 @@
 	EXPECT_EQ(0, world.wrongly_gone);
 }
 
+/* All registrars of a cut-off domain restart, and a node too. */
+void finds_the_newest_version_when_cut_off(World &world)
+{
+	uint64_t newest = 0;
+
+	start_all(world);
+	world.patch();
+	world.run((uint64_t)world.random(1500));
+	world.cut_domains.insert(2);
+	world.run((uint64_t)world.random(8000));
+	for (auto &node : world.nodes)
+		if (node->domain == 2)
+			newest = MAX(newest, node->version);
+	world.kill_registrar(4);
+	world.kill_registrar(5);
+	/* The node that restarts is not the only one that has it. */
+	if (world.nodes[5]->version == newest)
+		world.kill_node(2);
+	world.start_registrar(4);
+	world.start_registrar(5);
+	world.start_node(2);
+	world.run(HEALED_MS);
+	for (auto &node : world.nodes)
+		if (node->domain == 2) {
+			EXPECT_EQ(newest, node->version);
+			EXPECT_TRUE(node->member.asked);
+		}
+}
+
 /* A random event of those that may come at any moment. */
 void disturb(World &world)
 {
@@ -235,6 +264,38 @@
 		EXPECT_EQ(0, node->fallen);
 }
 
+/* Renewals in the fullest tenth of a second since a time. */
+int peak_renewals(const World &world, uint64_t since_ms)
+{
+	int peak = 0;
+
+	for (auto &entry : world.renewals_at)
+		if (entry.first * 100 >= since_ms)
+			peak = MAX(peak, entry.second);
+	return peak;
+}
+
+/* All registrars return after a long time: the nodes come one by one. */
+TEST(MembershipStorm, RenewalsStaySpread)
+{
+	constexpr int MANY = 120;
+	World world(1, 1, PER_DOMAIN, MANY);
+	uint64_t healed_ms;
+
+	start_all(world);
+	world.kill_registrar(0);
+	world.kill_registrar(1);
+	world.run(60000);
+	healed_ms = world.now;
+	world.start_registrar(0);
+	world.start_registrar(1);
+	world.run(HEALED_MS);
+	RecordProperty("peak_renewals", peak_renewals(world, healed_ms));
+	/* Without jitter, all of them would come in one tenth of a second. */
+	EXPECT_LE(peak_renewals(world, healed_ms), MANY / 2);
+	EXPECT_TRUE(is_settled(world));
+}
+
 struct Scenario {
 	const char *name;
 	void (*run)(World &world);
@@ -253,6 +314,8 @@
 	{"ForgetsNothingWhenOneRegistrarIsLost",
 	 forgets_nothing_when_one_registrar_is_lost, 50},
 	{"KeepsACutOffDomain", keeps_a_cut_off_domain, 100},
+	{"FindsTheNewestVersionWhenCutOff",
+	 finds_the_newest_version_when_cut_off, 100},
 	{"ConvergesAfterAnything", explore, 500},
 };
 
