--- a/src/node/gate_handler.c
+++ b/src/node/gate_handler.c
@@ -200,12 +200,20 @@
 	return answered;
 }
 
-/* Whether the end of a call says that the endpoint has too much to do. */
-static bool is_overload(bool answered, const ql_http_answer_t *answer,
-			const ql_failure_t *failure)
+#define SERVER_ERROR_MIN 500
+
+/* What the end of a call says of the endpoint. */
+static ql_gate_end_t end_of(bool answered, const ql_http_answer_t *answer,
+			    const ql_failure_t *failure)
 {
-	return answered ? ql_answer_outcome(answer) == QL_OUTCOME_NOT_RUN
-			: failure->reason == QL_REASON_DEADLINE;
+	if (!answered)
+		return failure->reason == QL_REASON_DEADLINE
+			       ? QL_GATE_OVERLOADED
+			       : QL_GATE_FAILED;
+	if (ql_answer_outcome(answer) == QL_OUTCOME_NOT_RUN)
+		return QL_GATE_OVERLOADED;
+	return answer->status >= SERVER_ERROR_MIN ? QL_GATE_FAILED
+						  : QL_GATE_SERVED;
 }
 
 /* A key counts where a request must not be repeated and keepers exist. */
@@ -281,8 +289,8 @@
 	}
 	ql_count(&service->context->counters, QL_COUNT_GATE_ADMITTED);
 	if (ql_calls_add(&service->calls, gc->call)) {
-		ql_local_endpoint_leave(gc->endpoint, decision.ticket, false,
-					&gc->level);
+		ql_local_endpoint_leave(gc->endpoint, decision.ticket,
+					QL_GATE_FAILED, &gc->level);
 		failure->outcome = QL_OUTCOME_UNKNOWN;
 		failure->reason = QL_REASON_BAD_REQUEST;
 		failure->detail = "this attempt was received already";
@@ -292,8 +300,7 @@
 				: run_measured(service, gc, answer, failure);
 	ql_calls_remove(&service->calls, gc->call);
 	ql_local_endpoint_leave(gc->endpoint, decision.ticket,
-				is_overload(answered, answer, failure),
-				&gc->level);
+				end_of(answered, answer, failure), &gc->level);
 	return answered;
 }
 
--- a/src/node/local_endpoint.c
+++ b/src/node/local_endpoint.c
@@ -176,11 +176,10 @@
 }
 
 void ql_local_endpoint_leave(ql_local_endpoint_t *endpoint, ql_handle_t ticket,
-			     bool overloaded, uint32_t *level)
+			     ql_gate_end_t end, uint32_t *level)
 {
 	pthread_mutex_lock(&endpoint->lock);
-	ql_gate_finish_request(&endpoint->gate, ticket, overloaded,
-			       ql_clock_now_us());
+	ql_gate_finish_request(&endpoint->gate, ticket, end, ql_clock_now_us());
 	wake_waiters(endpoint);
 	*level = ql_gate_level(&endpoint->gate, ql_clock_now_us());
 	pthread_mutex_unlock(&endpoint->lock);
--- a/src/node/local_endpoint.h
+++ b/src/node/local_endpoint.h
@@ -113,11 +113,11 @@
  * ql_local_endpoint_leave() - Report that an admitted request ended.
  * @endpoint: the endpoint
  * @ticket: its ticket
- * @overloaded: the endpoint shed it, or it ran out of time
+ * @end: how it ended
  * @level: load level of the gate afterwards
  */
 void ql_local_endpoint_leave(ql_local_endpoint_t *endpoint, ql_handle_t ticket,
-			     bool overloaded, uint32_t *level);
+			     ql_gate_end_t end, uint32_t *level);
 
 /**
  * ql_local_endpoint_is_serving() - Whether callers may send requests.
