Keep the remaining time within what its header may say, and fuzz the inputs

Cause: found by reading. The time left was computed as a difference of unsigned numbers, which underflows when the deadline passes between the check and the attempt, and a route with the longest deadline of 600,000 ms was sent 600,001 ms, which the gate refuses as out of range.

Change: ql_remaining_ms() for router and gate.

--- /dev/null
+++ b/fuzzers/json_input.h
@@ -0,0 +1,30 @@
+#ifndef FUZZERS_JSON_INPUT_H
+#define FUZZERS_JSON_INPUT_H
+
+#include "quetzalloft/json.h"
+
+#include <cstdlib>
+
+/* Parses fuzzed text; aborts when a failure has no detail. */
+static inline json_t *json_input(const uint8_t *data, size_t size)
+{
+	GError *error = nullptr;
+	json_t *json = nullptr;
+
+	if (!ql_json_parse(&json, (const char *)data, size, &error))
+		return json;
+	if (!error)
+		abort();
+	g_error_free(error);
+	return nullptr;
+}
+
+/* Aborts unless a status and its detail go together. */
+static inline void check_detail(int status, GError *error)
+{
+	if ((status != 0) != (error != nullptr))
+		abort();
+	g_clear_error(&error);
+}
+
+#endif
--- a/include/quetzalloft/metadata.h
+++ b/include/quetzalloft/metadata.h
@@ -124,6 +124,15 @@
 void ql_metadata_emit(const ql_metadata_t *metadata, ql_metadata_emit_t emit,
 		      void *data);
 
+/**
+ * ql_remaining_ms() - The time that is left, as it travels in a header.
+ * @deadline_us: when the time is over
+ * @now_us: the time
+ *
+ * Return: milliseconds, rounded up; from 1 to QL_TIMEOUT_MAX_MS.
+ */
+uint64_t ql_remaining_ms(uint64_t deadline_us, uint64_t now_us);
+
 /**
  * ql_attempt_format() - Write an attempt identity as text.
  * @out: QL_ATTEMPT_TEXT_MAX bytes
--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -164,8 +164,7 @@
 {
 	const ql_router_request_t *request = attempt->request;
 	uint64_t start_us = ql_clock_now_us();
-	uint64_t timeout_ms =
-		(request->deadline_us - start_us) / QL_US_PER_MS + 1;
+	uint64_t timeout_ms = ql_remaining_ms(request->deadline_us, start_us);
 	ql_http_request_t http = {
 		.address = attempt->gate,
 		.method = request->request->http_verb,
--- a/src/node/gate_handler.c
+++ b/src/node/gate_handler.c
@@ -147,7 +147,7 @@
 		not_run(failure, QL_REASON_DEADLINE, NULL);
 		return false;
 	}
-	timeout_ms = (gc->call->deadline_us - now_us) / QL_US_PER_MS + 1;
+	timeout_ms = ql_remaining_ms(gc->call->deadline_us, now_us);
 	http.timeout_ms = timeout_ms;
 	http.headers = endpoint_headers(gc, timeout_ms);
 	ret = ql_http_client_exchange(service->client, &http, answer, &sent,
--- a/src/policy/metadata.c
+++ b/src/policy/metadata.c
@@ -1,4 +1,5 @@
 #include "quetzalloft/metadata.h"
+#include "quetzalloft/clock.h"
 #include "quetzalloft/document.h"
 #include "quetzalloft/error.h"
 
@@ -224,3 +225,11 @@
 	out->attempt = g_ascii_strtoull(text + HEX_DIGITS + 1, NULL, 16);
 	return 0;
 }
+
+uint64_t ql_remaining_ms(uint64_t deadline_us, uint64_t now_us)
+{
+	uint64_t left_us = deadline_us > now_us ? deadline_us - now_us : 0;
+	uint64_t left_ms = left_us / QL_US_PER_MS + !!(left_us % QL_US_PER_MS);
+
+	return CLAMP(left_ms, 1, QL_TIMEOUT_MAX_MS);
+}
--- a/tests/policy/metadata_test.cc
+++ b/tests/policy/metadata_test.cc
@@ -88,4 +88,29 @@
 	EXPECT_EQ(0, memcmp(&metadata, &copy, sizeof(copy)));
 }
 
+struct RemainingCase {
+	uint64_t deadline_us;
+	uint64_t now_us;
+	uint64_t expected_ms;
+};
+
+class RemainingMs : public testing::TestWithParam<RemainingCase>
+{
+};
+
+TEST_P(RemainingMs, StaysWithinWhatAHeaderMaySay)
+{
+	EXPECT_EQ(GetParam().expected_ms,
+		  ql_remaining_ms(GetParam().deadline_us, GetParam().now_us));
+}
+
+INSTANTIATE_TEST_SUITE_P(Times, RemainingMs,
+			 testing::Values(RemainingCase{5000, 1000, 4},
+					 RemainingCase{5001, 1000, 5},
+					 RemainingCase{1000, 1000, 1},
+					 RemainingCase{1000, 5000, 1},
+					 RemainingCase{600000000, 0, 600000},
+					 RemainingCase{600000001, 0, 600000},
+					 RemainingCase{UINT64_MAX, 0, 600000}));
+
 } // namespace
