--- a/src/control/rpc_client.c
+++ b/src/control/rpc_client.c
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -67,6 +68,23 @@
 	return fd;
 }
 
+/*
+ * libtirpc makes a shared object at the first call, which leaks when two
+ * threads make their first calls at once.
+ */
+static CLIENT *create_client(const ql_rpc_client_t *client, int fd,
+			     const struct netbuf *peer)
+{
+	static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+	CLIENT *created;
+
+	pthread_mutex_lock(&lock);
+	created = clnt_vc_create(fd, peer, client->program, client->version, 0,
+				 0);
+	pthread_mutex_unlock(&lock);
+	return created;
+}
+
 static int open_client(ql_rpc_client_t *client, GError **error)
 {
 	struct sockaddr_in where;
@@ -81,8 +99,7 @@
 	fd = connect_to(&where, client->timeout_ms, client->address, error);
 	if (fd < 0)
 		return fd;
-	client->client = clnt_vc_create(fd, &peer, client->program,
-					client->version, 0, 0);
+	client->client = create_client(client, fd, &peer);
 	if (!client->client) {
 		close(fd);
 		return ql_error_set(error, QL_E_IO, "clnt_vc_create failed");
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -162,22 +162,30 @@
 	return headers;
 }
 
-int ql_request_metadata(ql_metadata_t *metadata,
+/* Where the headers of a request are collected. */
+typedef struct {
+	ql_metadata_t *metadata;
+	GError **error;
+	int ret;
+} collector_t;
+
+static bool collect_header(void *data, const char *name, const char *value)
+{
+	collector_t *collector = data;
+
+	collector->ret = ql_metadata_add(collector->metadata, name, value,
+					 collector->error);
+	return !collector->ret;
+}
+
+int ql_request_metadata(ql_metadata_t *metadata, ql_http_server_t *server,
 			const struct _u_request *request, GError **error)
 {
-	const char **names = u_map_enum_keys(request->map_header);
-	size_t i;
-	int ret;
+	collector_t collector = {.metadata = metadata, .error = error};
 
 	ql_metadata_init(metadata);
-	for (i = 0; names && names[i]; i++) {
-		ret = ql_metadata_add(metadata, names[i],
-				      u_map_get(request->map_header, names[i]),
-				      error);
-		if (ret)
-			return ret;
-	}
-	return 0;
+	ql_http_server_each_header(server, request, collect_header, &collector);
+	return collector.ret;
 }
 
 int ql_answer_metadata(ql_metadata_t *metadata, const ql_http_answer_t *answer)
--- a/src/node/answer.h
+++ b/src/node/answer.h
@@ -7,6 +7,7 @@
  */
 
 #include "node/http_client.h"
+#include "node/http_server.h"
 #include "quetzalloft/metadata.h"
 
 #include <ulfius.h>
@@ -92,12 +93,13 @@
 /**
  * ql_request_metadata() - Parse the protocol headers of a request.
  * @metadata: the result
+ * @server: the listener that took the request
  * @request: the request
  * @error: detail of a failure
  *
  * Return: 0 or a failure of ql_metadata_add().
  */
-int ql_request_metadata(ql_metadata_t *metadata,
+int ql_request_metadata(ql_metadata_t *metadata, ql_http_server_t *server,
 			const struct _u_request *request, GError **error);
 
 /**
--- a/src/node/client_service.c
+++ b/src/node/client_service.c
@@ -294,7 +294,7 @@
 				      "the node has not heard from its failure "
 				      "domain yet");
 	/* A client has no say in the metadata but for its key and the seal. */
-	if (ql_request_metadata(&cr.metadata, request, NULL)) {
+	if (ql_request_metadata(&cr.metadata, service->server, request, NULL)) {
 		ql_count(&service->context->counters, QL_COUNT_BAD_METADATA);
 		return refuse_at_once(request, failure, QL_REASON_BAD_REQUEST,
 				      "a header of the protocol is malformed");
--- a/src/node/gate_handler.c
+++ b/src/node/gate_handler.c
@@ -334,7 +334,8 @@
 	ql_failure_t failure = {0};
 	GError *error = NULL;
 
-	if (!ql_request_metadata(&gc->metadata, gc->request, &error) &&
+	if (!ql_request_metadata(&gc->metadata, gc->server, gc->request,
+				 &error) &&
 	    (gc->metadata.has & REQUIRED_METADATA) == REQUIRED_METADATA &&
 	    gc->metadata.attempts)
 		return true;
--- a/src/node/http_server.c
+++ b/src/node/http_server.c
@@ -41,36 +41,72 @@
 	const union MHD_ConnectionInfo *address =
 		MHD_get_connection_info(connection,
 					MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-	const union MHD_ConnectionInfo *socket =
-		MHD_get_connection_info(connection,
-					MHD_CONNECTION_INFO_CONNECTION_FD);
 	guint64 key;
 
-	if (!address || !socket)
+	if (!address)
 		return;
 	key = peer_key(address->client_addr);
 	pthread_mutex_lock(&server->lock);
 	if (code == MHD_CONNECTION_NOTIFY_STARTED)
-		g_hash_table_insert(server->sockets,
-				    g_memdup2(&key, sizeof(key)),
-				    GINT_TO_POINTER(socket->connect_fd));
+		g_hash_table_insert(server->connections,
+				    g_memdup2(&key, sizeof(key)), connection);
 	else
-		g_hash_table_remove(server->sockets, &key);
+		g_hash_table_remove(server->connections, &key);
 	pthread_mutex_unlock(&server->lock);
 }
 
-static int find_socket(ql_http_server_t *server,
-		       const struct _u_request *request)
+/* The connection of a request that is being answered; it stays open. */
+static struct MHD_Connection *find_connection(ql_http_server_t *server,
+					      const struct _u_request *request)
 {
 	guint64 key = peer_key(request->client_address);
-	gpointer value = NULL;
-	int fd = -1;
+	struct MHD_Connection *connection;
 
 	pthread_mutex_lock(&server->lock);
-	if (g_hash_table_lookup_extended(server->sockets, &key, NULL, &value))
-		fd = GPOINTER_TO_INT(value);
+	connection = g_hash_table_lookup(server->connections, &key);
 	pthread_mutex_unlock(&server->lock);
-	return fd;
+	return connection;
+}
+
+static int find_socket(ql_http_server_t *server,
+		       const struct _u_request *request)
+{
+	struct MHD_Connection *connection = find_connection(server, request);
+	const union MHD_ConnectionInfo *info;
+
+	if (!connection)
+		return -1;
+	info = MHD_get_connection_info(connection,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	return info ? info->connect_fd : -1;
+}
+
+/* Where ql_http_server_each_header() hands the headers. */
+typedef struct {
+	ql_http_header_visit_t visit;
+	void *data;
+} visitor_t;
+
+static enum MHD_Result on_header(void *data,
+				 enum MHD_ValueKind kind G_GNUC_UNUSED,
+				 const char *name, const char *value)
+{
+	const visitor_t *visitor = data;
+
+	return visitor->visit(visitor->data, name, value ? value : "") ? MHD_YES
+								       : MHD_NO;
+}
+
+void ql_http_server_each_header(ql_http_server_t *server,
+				const struct _u_request *request,
+				ql_http_header_visit_t visit, void *data)
+{
+	struct MHD_Connection *connection = find_connection(server, request);
+	visitor_t visitor = {visit, data};
+
+	if (connection)
+		MHD_get_connection_values(connection, MHD_HEADER_KIND,
+					  on_header, &visitor);
 }
 
 bool ql_http_server_peer_gone(ql_http_server_t *server,
@@ -158,8 +194,8 @@
 	memset(server, 0, sizeof(*server));
 	server->opts = *opts;
 	pthread_mutex_init(&server->lock, NULL);
-	server->sockets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						g_free, NULL);
+	server->connections = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    g_free, NULL);
 	ql_address_format(address, opts->address, opts->port);
 	ret = ql_address_parse(&server->bind_address, address, error);
 	if (ret)
@@ -185,7 +221,7 @@
 		return;
 	ulfius_stop_framework(&server->instance);
 	ulfius_clean_instance(&server->instance);
-	g_hash_table_destroy(server->sockets);
+	g_hash_table_destroy(server->connections);
 	pthread_mutex_destroy(&server->lock);
 	server->running = false;
 }
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -38,8 +38,8 @@
 
 /**
  * struct ql_http_server - The listener.
- * @lock: guards @sockets
- * @sockets: socket of each open connection by the peer's address
+ * @lock: guards @connections
+ * @connections: open connections by the peer's address
  * @active: requests received and not answered in whole yet
  * @closing: answers tell the peer to close its connection
  */
@@ -48,7 +48,7 @@
 	struct sockaddr_in bind_address;
 	ql_http_server_opts_t opts;
 	pthread_mutex_t lock;
-	GHashTable *sockets;
+	GHashTable *connections;
 	int active;
 	int closing;
 	bool running;
@@ -75,6 +75,24 @@
 bool ql_http_server_peer_gone(ql_http_server_t *server,
 			      const struct _u_request *request);
 
+/**
+ * typedef ql_http_header_visit_t - Takes one header; false ends the visit.
+ */
+typedef bool (*ql_http_header_visit_t)(void *data, const char *name,
+				       const char *value);
+
+/**
+ * ql_http_server_each_header() - Visit every header that was sent.
+ * @server: the listener
+ * @request: a request that is being answered
+ * @visit: takes each header; a repeated one comes each time, while the map of
+ *         the request holds only the last
+ * @data: passed to @visit
+ */
+void ql_http_server_each_header(ql_http_server_t *server,
+				const struct _u_request *request,
+				ql_http_header_visit_t visit, void *data);
+
 /**
  * ql_http_server_active() - Requests that are not answered in whole yet.
  * @server: the listener
--- a/src/node/local_service.c
+++ b/src/node/local_service.c
@@ -192,7 +192,7 @@
 	bool answered;
 	int callee;
 
-	if (ql_request_metadata(&metadata, request, NULL) ||
+	if (ql_request_metadata(&metadata, service->server, request, NULL) ||
 	    !(metadata.has & QL_HAS_ATTEMPT) ||
 	    !(metadata.has & QL_HAS_SERVICE)) {
 		ql_count(&service->context->counters, QL_COUNT_BAD_METADATA);
