Read an endpoint's announcement under its lock

Cause: the thread sanitizer, in path/stop and path/keyed: a call looked up its endpoint and read the address to connect to while an announcement was being stored. The name never changes, but the address could be read half written when an endpoint came back elsewhere.

Change: the name is kept apart and never changes; the address is copied under the lock.

--- a/src/node/gate_handler.c
+++ b/src/node/gate_handler.c
@@ -130,8 +130,9 @@
 {
 	uint64_t now_us = ql_clock_now_us();
 	uint64_t timeout_ms;
+	char address[QL_ADDRESS_MAX];
 	ql_http_request_t http = {
-		.address = gc->endpoint->announcement.address,
+		.address = address,
 		.method = gc->request->http_verb,
 		.target = gc->request->http_url,
 		.body = gc->request->binary_body,
@@ -148,6 +149,7 @@
 		return false;
 	}
 	timeout_ms = ql_remaining_ms(gc->call->deadline_us, now_us);
+	ql_local_endpoint_address(gc->endpoint, address);
 	http.timeout_ms = timeout_ms;
 	http.headers = endpoint_headers(gc, timeout_ms);
 	ret = ql_http_client_exchange(service->client, &http, answer, &sent,
--- a/src/node/gate_service.c
+++ b/src/node/gate_service.c
@@ -34,24 +34,24 @@
 	pthread_mutex_destroy(&service->lock);
 }
 
-static void gate_opts(const ql_gate_service_t *service,
-		      const ql_announcement_t *announcement,
-		      ql_gate_opts_t *opts)
+/* Settings of the gate of a service by the document in force. */
+static void gate_opts(const ql_gate_service_t *service, const char *name,
+		      uint64_t slots, ql_gate_opts_t *opts)
 {
 	const ql_settings_t *settings = service->context->settings;
 	ql_document_t *doc = ql_context_document(service->context);
-	int index = ql_document_find_service(doc, announcement->service);
+	int index = ql_document_find_service(doc, name);
 	const ql_service_t *known = index < 0 ? NULL : &doc->services[index];
-	const char *name = settings->limiter;
+	const char *limiter = settings->limiter;
 
 	memset(opts, 0, sizeof(*opts));
 	opts->seed = g_random_int();
-	if (known && !name[0])
-		name = known->limiter;
-	opts->limiter = ql_limiter_find(name);
+	if (known && !limiter[0])
+		limiter = known->limiter;
+	opts->limiter = ql_limiter_find(limiter);
 	if (!opts->limiter)
 		opts->limiter = &ql_limiter_gradient;
-	opts->slots = (uint32_t)announcement->slots;
+	opts->slots = (uint32_t)slots;
 	opts->queue_max = (uint32_t)settings->queue;
 	opts->queue_us =
 		(known ? known->queue_ms : QUEUE_DEFAULT_MS) * QL_US_PER_MS;
@@ -64,7 +64,7 @@
 	size_t i;
 
 	for (i = 0; i < service->n_endpoints; i++)
-		if (!strcmp(service->endpoints[i]->announcement.service, name))
+		if (!strcmp(service->endpoints[i]->service, name))
 			return service->endpoints[i];
 	return NULL;
 }
@@ -89,7 +89,7 @@
 
 	if (service->n_endpoints == QL_LOCAL_ENDPOINTS_MAX)
 		return NULL;
-	gate_opts(service, announcement, &opts);
+	gate_opts(service, announcement->service, announcement->slots, &opts);
 	endpoint = g_new0(ql_local_endpoint_t, 1);
 	ql_local_endpoint_init(endpoint, announcement, &opts);
 	endpoint->node_draining = service->draining;
@@ -154,7 +154,8 @@
 
 	pthread_mutex_lock(&service->lock);
 	for (i = 0; i < service->n_endpoints; i++) {
-		gate_opts(service, &service->endpoints[i]->announcement, &opts);
+		/* The endpoint itself knows its present slots. */
+		gate_opts(service, service->endpoints[i]->service, 1, &opts);
 		ql_local_endpoint_configure(service->endpoints[i], &opts);
 	}
 	pthread_mutex_unlock(&service->lock);
--- a/src/node/local_endpoint.c
+++ b/src/node/local_endpoint.c
@@ -19,6 +19,7 @@
 {
 	memset(endpoint, 0, sizeof(*endpoint));
 	pthread_mutex_init(&endpoint->lock, NULL);
+	memcpy(endpoint->service, announcement->service, QL_NAME_MAX);
 	endpoint->announcement = *announcement;
 	ql_gate_init(&endpoint->gate, opts);
 	endpoint->waiters = g_hash_table_new(NULL, NULL);
@@ -185,6 +186,13 @@
 	pthread_mutex_unlock(&endpoint->lock);
 }
 
+void ql_local_endpoint_address(ql_local_endpoint_t *endpoint, char *out)
+{
+	pthread_mutex_lock(&endpoint->lock);
+	memcpy(out, endpoint->announcement.address, QL_ADDRESS_MAX);
+	pthread_mutex_unlock(&endpoint->lock);
+}
+
 bool ql_local_endpoint_is_serving(ql_local_endpoint_t *endpoint)
 {
 	bool serving;
--- a/src/node/local_endpoint.h
+++ b/src/node/local_endpoint.h
@@ -31,7 +31,8 @@
 
 /**
  * struct ql_local_endpoint - The endpoint.
- * @lock: guards the members
+ * @service: the service that it runs; never changes
+ * @lock: guards what follows
  * @announcement: what it said last
  * @expires_us: when that stops to hold
  * @incarnation: when it was first announced since it last vanished
@@ -40,6 +41,7 @@
  * @waiters: threads that wait for the gate, by ticket
  */
 typedef struct ql_local_endpoint {
+	char service[QL_NAME_MAX];
 	pthread_mutex_t lock;
 	ql_announcement_t announcement;
 	uint64_t expires_us;
@@ -119,6 +121,13 @@
 void ql_local_endpoint_leave(ql_local_endpoint_t *endpoint, ql_handle_t ticket,
 			     ql_gate_end_t end, uint32_t *level);
 
+/**
+ * ql_local_endpoint_address() - Where the endpoint listens.
+ * @endpoint: the endpoint
+ * @out: QL_ADDRESS_MAX bytes
+ */
+void ql_local_endpoint_address(ql_local_endpoint_t *endpoint, char *out);
+
 /**
  * ql_local_endpoint_is_serving() - Whether callers may send requests.
  * @endpoint: the endpoint
