--- a/src/control/greeting.c
+++ b/src/control/greeting.c
@@ -1,6 +1,7 @@
 #include "control/greeting.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
+#include "quetzalloft/log.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -20,6 +21,38 @@
 	return 0;
 }
 
+bool ql_greeting_refuse(const ql_rpc_greeting *greeting, const char *cluster,
+			int *status, char **detail)
+{
+	*status = ql_greeting_check(greeting, cluster, detail);
+	if (!*status)
+		return false;
+	ql_log(LOG_WARNING, "rpc_refused", QL_STR("node", greeting->node),
+	       QL_STR("cluster", greeting->cluster),
+	       QL_STR("error", ql_error_name(*status)));
+	return true;
+}
+
+uint64_t ql_greeting_take_clock(ql_hlc_t *hlc, uint64_t remote)
+{
+	uint64_t wall_ms = ql_clock_wall_ms();
+
+	ql_hlc_observe(hlc, remote, wall_ms);
+	return ql_hlc_tick(hlc, wall_ms);
+}
+
+void ql_greeting_fill(ql_rpc_greeting *greeting,
+		      const ql_greeting_sender_t *sender, ql_hlc_t *hlc)
+{
+	/* XDR does not change the strings that it encodes. */
+	greeting->cluster = (char *)sender->cluster;
+	greeting->node = (char *)sender->node;
+	greeting->failure_domain = (char *)sender->failure_domain;
+	greeting->incarnation = sender->incarnation;
+	greeting->clock = ql_hlc_tick(hlc, ql_clock_wall_ms());
+	greeting->protocol = QL_RPC_PROTOCOL_VERSION;
+}
+
 /* XDR frees with free(), so copies are made with malloc(). */
 static char *copy_bytes(const char *data, size_t length)
 {
--- a/src/control/greeting.h
+++ b/src/control/greeting.h
@@ -5,6 +5,7 @@
  * DOC: Helpers for the messages of the control protocol.
  */
 
+#include "quetzalloft/clock.h"
 #include "quetzalloft/config_state.h"
 
 #include "control.h"
@@ -23,6 +24,46 @@
 int ql_greeting_check(const ql_rpc_greeting *greeting, const char *cluster,
 		      char **detail);
 
+/**
+ * ql_greeting_refuse() - Check a sender and log it when it is refused.
+ * @greeting: what it sent
+ * @cluster: the cluster of this process
+ * @status: for the answer: 0, or why it is refused
+ * @detail: set to a text for the sender after a failure, freed with free()
+ *
+ * Return: true when the sender is refused.
+ */
+bool ql_greeting_refuse(const ql_rpc_greeting *greeting, const char *cluster,
+			int *status, char **detail);
+
+/**
+ * ql_greeting_take_clock() - Take over a sender's clock.
+ * @hlc: the clock of this process
+ * @remote: the sender's
+ *
+ * Return: a stamp for the answer.
+ */
+uint64_t ql_greeting_take_clock(ql_hlc_t *hlc, uint64_t remote);
+
+/**
+ * struct ql_greeting_sender - Who this process is.
+ */
+typedef struct ql_greeting_sender {
+	const char *cluster;
+	const char *node;
+	const char *failure_domain;
+	uint64_t incarnation;
+} ql_greeting_sender_t;
+
+/**
+ * ql_greeting_fill() - Fill in the greeting of this process.
+ * @greeting: the greeting; its strings are borrowed from @sender
+ * @sender: who this process is
+ * @hlc: its clock
+ */
+void ql_greeting_fill(ql_rpc_greeting *greeting,
+		      const ql_greeting_sender_t *sender, ql_hlc_t *hlc);
+
 /**
  * struct ql_config_reply - Where the configuration part of an answer goes.
  */
--- a/src/node/claim_peer.c
+++ b/src/node/claim_peer.c
@@ -1,4 +1,5 @@
 #include "node/claim_peer.h"
+#include "control/greeting.h"
 #include "control/rpc_client.h"
 #include "node/claim_codec.h"
 #include "quetzalloft/error.h"
@@ -53,14 +54,15 @@
 static void fill_greeting(const ql_claim_peer_t *peer,
 			  ql_rpc_greeting *greeting)
 {
-	ql_claim_service_opts_t *opts = &peer->service->opts;
-
-	greeting->cluster = opts->cluster;
-	greeting->node = opts->node;
-	greeting->failure_domain = opts->failure_domain;
-	greeting->incarnation = opts->incarnation;
-	greeting->clock = ql_hlc_tick(opts->hlc, ql_clock_wall_ms());
-	greeting->protocol = QL_RPC_PROTOCOL_VERSION;
+	const ql_claim_service_opts_t *opts = &peer->service->opts;
+	ql_greeting_sender_t sender = {
+		.cluster = opts->cluster,
+		.node = opts->node,
+		.failure_domain = opts->failure_domain,
+		.incarnation = opts->incarnation,
+	};
+
+	ql_greeting_fill(greeting, &sender, opts->hlc);
 }
 
 static int call_keeper(ql_claim_peer_t *peer, const batch_t *batch,
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -8,14 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-static uint64_t take_clock(ql_control_service_t *control, uint64_t remote)
-{
-	uint64_t wall_ms = ql_clock_wall_ms();
-
-	ql_hlc_observe(control->hlc, remote, wall_ms);
-	return ql_hlc_tick(control->hlc, wall_ms);
-}
-
 static char *copy_text(const char *text)
 {
 	return strdup(text ? text : "");
@@ -27,7 +19,7 @@
 	const ql_rpc_lease_args *args = in;
 	ql_rpc_lease_res *res = out;
 
-	res->clock = take_clock(control, args->greeting.clock);
+	res->clock = ql_greeting_take_clock(control->hlc, args->greeting.clock);
 	ql_registrar_service_lease(&control->registrar, args, res);
 }
 
@@ -37,7 +29,7 @@
 	const ql_rpc_offer_args *args = in;
 	ql_rpc_offer_res *res = out;
 
-	res->clock = take_clock(control, args->greeting.clock);
+	res->clock = ql_greeting_take_clock(control->hlc, args->greeting.clock);
 	ql_registrar_service_offer(&control->registrar, args, res);
 }
 
@@ -47,24 +39,10 @@
 	const ql_rpc_exchange_args *args = in;
 	ql_rpc_exchange_res *res = out;
 
-	res->clock = take_clock(control, args->greeting.clock);
+	res->clock = ql_greeting_take_clock(control->hlc, args->greeting.clock);
 	ql_registrar_service_exchange(&control->registrar, args, res);
 }
 
-static bool refuse_sender(const ql_control_service_t *control,
-			  const ql_rpc_greeting *greeting, int *status,
-			  char **detail)
-{
-	*status =
-		ql_greeting_check(greeting, control->settings->cluster, detail);
-	if (!*status)
-		return false;
-	ql_log(LOG_WARNING, "rpc_refused", QL_STR("node", greeting->node),
-	       QL_STR("cluster", greeting->cluster),
-	       QL_STR("error", ql_error_name(*status)));
-	return true;
-}
-
 static void submit_patch(ql_control_service_t *control,
 			 const ql_rpc_patch_args *args, ql_rpc_patch_res *res)
 {
@@ -90,9 +68,9 @@
 	const ql_rpc_patch_args *args = in;
 	ql_rpc_patch_res *res = out;
 
-	res->clock = take_clock(control, args->greeting.clock);
-	if (refuse_sender(control, &args->greeting, &res->status,
-			  &res->detail)) {
+	res->clock = ql_greeting_take_clock(control->hlc, args->greeting.clock);
+	if (ql_greeting_refuse(&args->greeting, control->settings->cluster,
+			       &res->status, &res->detail)) {
 		res->leader = copy_text("");
 	} else if (!control->settings->replica) {
 		res->status = QL_E_UNAVAILABLE;
@@ -137,8 +115,9 @@
 	const ql_rpc_document_args *args = in;
 	ql_rpc_document_res *res = out;
 
-	res->clock = take_clock(control, args->greeting.clock);
-	if (refuse_sender(control, &args->greeting, &res->status, &res->detail))
+	res->clock = ql_greeting_take_clock(control->hlc, args->greeting.clock);
+	if (ql_greeting_refuse(&args->greeting, control->settings->cluster,
+			       &res->status, &res->detail))
 		return;
 	res->status = confirm_current(control, args, res);
 	if (res->status) {
@@ -166,8 +145,9 @@
 	ql_rpc_report_res *res = out;
 	json_t *json;
 
-	res->clock = take_clock(control, args->greeting.clock);
-	if (refuse_sender(control, &args->greeting, &res->status, &res->detail))
+	res->clock = ql_greeting_take_clock(control->hlc, args->greeting.clock);
+	if (ql_greeting_refuse(&args->greeting, control->settings->cluster,
+			       &res->status, &res->detail))
 		return;
 	json = control->report(control->data, args->topic, args->filter);
 	if (!json) {
--- a/src/node/lease_service.c
+++ b/src/node/lease_service.c
@@ -1,4 +1,5 @@
 #include "node/lease_service.h"
+#include "control/greeting.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
 
@@ -140,13 +141,13 @@
 			     ql_rpc_client_t *client, GError **error)
 {
 	const ql_settings_t *settings = service->settings;
-	ql_rpc_document_args args = {
-		.greeting.cluster = (char *)settings->cluster,
-		.greeting.node = (char *)settings->node,
-		.greeting.failure_domain = (char *)settings->failure_domain,
-		.greeting.incarnation = service->incarnation,
-		.greeting.protocol = QL_RPC_PROTOCOL_VERSION,
+	ql_greeting_sender_t sender = {
+		.cluster = settings->cluster,
+		.node = settings->node,
+		.failure_domain = settings->failure_domain,
+		.incarnation = service->incarnation,
 	};
+	ql_rpc_document_args args = {0};
 	ql_rpc_document_res res = {0};
 	ql_rpc_call_t call = {
 		.procedure = QL_DOCUMENT,
@@ -157,7 +158,7 @@
 	};
 	int ret;
 
-	args.greeting.clock = ql_hlc_tick(service->hlc, ql_clock_wall_ms());
+	ql_greeting_fill(&args.greeting, &sender, service->hlc);
 	ret = ql_rpc_client_call(client, &call, error);
 	if (!ret) {
 		pthread_mutex_lock(&service->lock);
--- a/src/node/registrar_service.c
+++ b/src/node/registrar_service.c
@@ -197,13 +197,13 @@
 		       GError **error)
 {
 	const ql_settings_t *settings = service->settings;
-	ql_rpc_document_args args = {
-		.greeting.cluster = (char *)settings->cluster,
-		.greeting.node = (char *)settings->node,
-		.greeting.failure_domain = (char *)settings->failure_domain,
-		.greeting.incarnation = service->incarnation,
-		.greeting.protocol = QL_RPC_PROTOCOL_VERSION,
+	ql_greeting_sender_t sender = {
+		.cluster = settings->cluster,
+		.node = settings->node,
+		.failure_domain = settings->failure_domain,
+		.incarnation = service->incarnation,
 	};
+	ql_rpc_document_args args = {0};
 	ql_rpc_document_res res = {0};
 	ql_rpc_call_t call = {
 		.procedure = QL_DOCUMENT,
@@ -214,7 +214,7 @@
 	};
 	int ret;
 
-	args.greeting.clock = ql_hlc_tick(service->hlc, ql_clock_wall_ms());
+	ql_greeting_fill(&args.greeting, &sender, service->hlc);
 	pthread_mutex_lock(service->lock);
 	args.known_version = service->registrar.config->doc->version;
 	pthread_mutex_unlock(service->lock);
--- a/src/node/replica_peers.c
+++ b/src/node/replica_peers.c
@@ -1,4 +1,5 @@
 #include "node/replica_peers.h"
+#include "control/greeting.h"
 #include "control/rpc_client.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
@@ -27,12 +28,14 @@
 static void fill_greeting(const ql_replica_peers_t *peers,
 			  ql_rpc_greeting *greeting)
 {
-	greeting->cluster = (char *)peers->settings->cluster;
-	greeting->node = (char *)peers->settings->node;
-	greeting->failure_domain = (char *)peers->settings->failure_domain;
-	greeting->incarnation = peers->incarnation;
-	greeting->clock = ql_hlc_tick(peers->hlc, ql_clock_wall_ms());
-	greeting->protocol = QL_RPC_PROTOCOL_VERSION;
+	ql_greeting_sender_t sender = {
+		.cluster = peers->settings->cluster,
+		.node = peers->settings->node,
+		.failure_domain = peers->settings->failure_domain,
+		.incarnation = peers->incarnation,
+	};
+
+	ql_greeting_fill(greeting, &sender, peers->hlc);
 }
 
 static size_t message_bytes(const ql_rpc_replica_message *message)
--- a/src/node/replica_rpc.c
+++ b/src/node/replica_rpc.c
@@ -12,28 +12,6 @@
 	return strdup(text);
 }
 
-static uint64_t take_clock(ql_replica_service_t *service, uint64_t remote)
-{
-	uint64_t wall_ms = ql_clock_wall_ms();
-
-	ql_hlc_observe(service->hlc, remote, wall_ms);
-	return ql_hlc_tick(service->hlc, wall_ms);
-}
-
-static bool refuse_sender(const ql_replica_service_t *service,
-			  const ql_rpc_greeting *greeting, int *status,
-			  char **detail)
-{
-	*status =
-		ql_greeting_check(greeting, service->settings->cluster, detail);
-	if (!*status)
-		return false;
-	ql_log(LOG_WARNING, "rpc_refused", QL_STR("node", greeting->node),
-	       QL_STR("cluster", greeting->cluster),
-	       QL_STR("error", ql_error_name(*status)));
-	return true;
-}
-
 void ql_replica_service_submit(ql_replica_service_t *service,
 			       const ql_patch_t *patch,
 			       ql_patch_answer_t *answer, char *leader)
@@ -128,8 +106,9 @@
 	const ql_rpc_replica_deliver_args *args = in;
 	ql_rpc_replica_deliver_res *res = out;
 
-	res->clock = take_clock(service, args->greeting.clock);
-	if (refuse_sender(service, &args->greeting, &res->status, &res->detail))
+	res->clock = ql_greeting_take_clock(service->hlc, args->greeting.clock);
+	if (ql_greeting_refuse(&args->greeting, service->settings->cluster,
+			       &res->status, &res->detail))
 		return;
 	res->detail = copy_text("");
 	if (ql_replica_service__push(
@@ -178,9 +157,9 @@
 	const ql_rpc_replica_status_args *args = in;
 	ql_rpc_replica_status_res *res = out;
 
-	res->clock = take_clock(service, args->greeting.clock);
-	if (refuse_sender(service, &args->greeting, &res->status,
-			  &res->detail)) {
+	res->clock = ql_greeting_take_clock(service->hlc, args->greeting.clock);
+	if (ql_greeting_refuse(&args->greeting, service->settings->cluster,
+			       &res->status, &res->detail)) {
 		res->role = copy_text("");
 		res->leader_address = copy_text("");
 		return;
@@ -221,9 +200,10 @@
 	ql_rpc_replica_change_res *res = out;
 	bool leads;
 
-	res->clock = take_clock(service, args->greeting.clock);
+	res->clock = ql_greeting_take_clock(service->hlc, args->greeting.clock);
 	res->leader_address = copy_text("");
-	if (refuse_sender(service, &args->greeting, &res->status, &res->detail))
+	if (ql_greeting_refuse(&args->greeting, service->settings->cluster,
+			       &res->status, &res->detail))
 		return;
 	free(res->leader_address);
 	pthread_mutex_lock(&service->view_lock);
