--- a/src/policy/replay_endpoint.c
+++ b/src/policy/replay_endpoint.c
@@ -35,7 +35,8 @@
 	endpoint->timer_us = UINT64_MAX;
 }
 
-static void start(ql_replay__sim_t *sim, ql_replay__endpoint_t *endpoint)
+void ql_replay__endpoint_start(ql_replay__sim_t *sim,
+			       ql_replay__endpoint_t *endpoint)
 {
 	endpoint->up = true;
 	endpoint->started_us = sim->now_us;
@@ -80,7 +81,7 @@
 	g_hash_table_insert(sim->by_gate, endpoint->info.gate,
 			    GUINT_TO_POINTER(index));
 	start_node(sim, endpoint);
-	start(sim, endpoint);
+	ql_replay__endpoint_start(sim, endpoint);
 }
 
 void ql_replay__endpoints_init(ql_replay__sim_t *sim)
@@ -411,97 +412,3 @@
 	ql_replay__schedule(sim, sim->now_us, EVENT_GATE, attempt->endpoint,
 			    NULL);
 }
-
-static uint32_t find_endpoint(const ql_replay__sim_t *sim,
-			      const ql_replay_fault_t *fault)
-{
-	uint64_t ordinal = 0;
-	uint32_t i;
-
-	for (i = 0; i < sim->n_endpoints; i++)
-		if (!strcmp(sim->endpoints[i].source->service,
-			    fault->service) &&
-		    ordinal++ == fault->index)
-			return i;
-	return UINT32_MAX;
-}
-
-static void schedule_membership(ql_replay__sim_t *sim, uint32_t index)
-{
-	ql_replay__schedule(sim,
-			    sim->now_us + sim->trace->membership_lag_ms *
-						  QL_US_PER_MS,
-			    EVENT_MEMBERSHIP, index, NULL);
-}
-
-/* The endpoint is gone with all that it held. */
-static void kill_endpoint(ql_replay__sim_t *sim, uint32_t index)
-{
-	ql_replay__endpoint_t *endpoint = &sim->endpoints[index];
-	ql_replay__end_t end = {
-		.result.outcome = QL_OUTCOME_UNKNOWN,
-		.result.reason = QL_REASON_CONNECTION_LOST,
-	};
-	GList *attempts = g_hash_table_get_values(endpoint->attempts);
-	GList *link;
-
-	endpoint->up = false;
-	if (sim->policy->limiter)
-		ql_gate_finish(&endpoint->gate);
-	g_hash_table_remove_all(endpoint->attempts);
-	g_queue_clear(&endpoint->backlog);
-	endpoint->open = 0;
-	endpoint->running = 0;
-	for (link = attempts; link; link = link->next) {
-		((ql_replay__attempt_t *)link->data)->state = ATTEMPT_OVER;
-		ql_replay__attempt_end(sim, link->data, &end);
-	}
-	g_list_free(attempts);
-	schedule_membership(sim, index);
-}
-
-static void drain_endpoint(ql_replay__sim_t *sim, uint32_t index)
-{
-	ql_gate_drain(&sim->endpoints[index].gate);
-	ql_replay__endpoint_pump(sim, index);
-	schedule_membership(sim, index);
-}
-
-void ql_replay__fault_start(ql_replay__sim_t *sim, uint32_t index)
-{
-	const ql_replay_fault_t *fault =
-		&g_array_index(sim->trace->faults, ql_replay_fault_t, index);
-	uint32_t target = find_endpoint(sim, fault);
-
-	if (fault->type == QL_REPLAY_SLOWDOWN)
-		sim->slowdown[ql_document_find_service(sim->doc,
-						       fault->service)] =
-			fault->factor;
-	else if (fault->type == QL_REPLAY_SURGE)
-		sim->surge = fault->factor;
-	else if (target == UINT32_MAX)
-		return;
-	else if (fault->type == QL_REPLAY_KILL)
-		kill_endpoint(sim, target);
-	else if (sim->policy->limiter)
-		drain_endpoint(sim, target);
-}
-
-void ql_replay__fault_end(ql_replay__sim_t *sim, uint32_t index)
-{
-	const ql_replay_fault_t *fault =
-		&g_array_index(sim->trace->faults, ql_replay_fault_t, index);
-	uint32_t target = find_endpoint(sim, fault);
-
-	if (fault->type == QL_REPLAY_SLOWDOWN) {
-		sim->slowdown[ql_document_find_service(sim->doc,
-						       fault->service)] = 1;
-	} else if (fault->type == QL_REPLAY_SURGE) {
-		sim->surge = 1;
-	} else if (target != UINT32_MAX) {
-		if (sim->endpoints[target].up)
-			kill_endpoint(sim, target);
-		start(sim, &sim->endpoints[target]);
-		schedule_membership(sim, target);
-	}
-}
--- a/src/policy/replay_model.h
+++ b/src/policy/replay_model.h
@@ -245,6 +245,9 @@
 /* replay_endpoint.c */
 void ql_replay__endpoints_init(ql_replay__sim_t *sim);
 void ql_replay__endpoints_finish(ql_replay__sim_t *sim);
+/** Brings an endpoint up with an empty gate and the state of a fresh start. */
+void ql_replay__endpoint_start(ql_replay__sim_t *sim,
+			       ql_replay__endpoint_t *endpoint);
 /** Offers an attempt to its endpoint; it may end at once. */
 void ql_replay__endpoint_take(ql_replay__sim_t *sim,
 			      ql_replay__attempt_t *attempt);
@@ -254,11 +257,13 @@
 				 ql_gate_end_t end);
 /** Acts on the decisions that are due at a gate. */
 void ql_replay__endpoint_pump(ql_replay__sim_t *sim, uint32_t index);
-void ql_replay__fault_start(ql_replay__sim_t *sim, uint32_t index);
-void ql_replay__fault_end(ql_replay__sim_t *sim, uint32_t index);
 void ql_replay__membership(ql_replay__sim_t *sim, uint32_t index);
 double ql_replay__capacity(const ql_replay__sim_t *sim, uint16_t service);
 
+/* replay_fault.c */
+void ql_replay__fault_start(ql_replay__sim_t *sim, uint32_t index);
+void ql_replay__fault_end(ql_replay__sim_t *sim, uint32_t index);
+
 /* replay_call.c */
 void ql_replay__call_start(ql_replay__sim_t *sim,
 			   ql_replay__submission_t *submission,
