Free what the test tools allocate

Cause: path/stop failed under the address sanitizer: the load generator leaked its arguments, so the leak check ended it before its result was written. Change: load generator and fake endpoint free what they allocate.

--- a/tests/support/fake_endpoint.c
+++ b/tests/support/fake_endpoint.c
@@ -393,6 +393,16 @@
 		add_call(fake, args->call->sval[i]);
 }
 
+static void unconfigure(fake_t *fake)
+{
+	ql_http_client_finish(&fake->client);
+	g_hash_table_destroy(fake->keys_run);
+	g_rand_free(fake->random);
+	pthread_cond_destroy(&fake->slot_free);
+	pthread_mutex_destroy(&fake->lock);
+	g_free(fake);
+}
+
 static void block_signals(void)
 {
 	sigset_t signals;
@@ -440,5 +450,8 @@
 	fake = g_new0(fake_t, 1);
 	configure(fake, &args);
 	serve(fake);
+	arg_freetable((void **)&args, sizeof(args) / sizeof(void *));
+	unconfigure(fake);
+	curl_global_cleanup();
 	return EX_OK;
 }
--- a/tests/support/load.c
+++ b/tests/support/load.c
@@ -206,5 +206,8 @@
 				  : 1;
 	load->rate = args.rate->count ? args.rate->dval[0] : 0;
 	run(load, args.seconds->count ? args.seconds->dval[0] : 2);
+	arg_freetable((void **)&args, sizeof(args) / sizeof(void *));
+	g_free(load);
+	curl_global_cleanup();
 	return EX_OK;
 }
