--- a/src/node/http_client.c
+++ b/src/node/http_client.c
@@ -183,17 +183,19 @@
 {
 	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
 	int n_running = 1;
+	int n_ready;
 
 	curl_multi_add_handle(connection->multi, connection->easy);
 	while (curl_multi_perform(connection->multi, &n_running) == CURLM_OK &&
 	       n_running) {
-		if (request->is_cancelled &&
+		curl_multi_poll(connection->multi, NULL, 0, CANCEL_POLL_MS,
+				&n_ready);
+		/* Asking costs a system call: not while the peer answers. */
+		if (!n_ready && request->is_cancelled &&
 		    request->is_cancelled(request->cancel_data)) {
 			exchange->cancelled = true;
 			break;
 		}
-		curl_multi_poll(connection->multi, NULL, 0, CANCEL_POLL_MS,
-				NULL);
 	}
 	if (!n_running)
 		code = transfer_result(connection->multi);
--- a/src/node/router.c
+++ b/src/node/router.c
@@ -175,11 +175,12 @@
 }
 
 /* Why no further attempt can be made; QL_REASON_NONE when one can. */
-static ql_reason_t hindrance(const ql_router_request_t *request)
+static ql_reason_t hindrance(const ql_router_request_t *request,
+			     uint32_t attempts_made)
 {
 	if (ql_clock_now_us() >= request->deadline_us)
 		return QL_REASON_DEADLINE;
-	if (request->is_cancelled(request->cancel_data))
+	if (attempts_made && request->is_cancelled(request->cancel_data))
 		return QL_REASON_CANCELLED;
 	return QL_REASON_NONE;
 }
@@ -203,7 +204,7 @@
 		.client = pending->router->client,
 		.request = request,
 	};
-	ql_reason_t reason = hindrance(request);
+	ql_reason_t reason = hindrance(request, pending->attempts_made);
 	ql_attempt_end_t end;
 	ql_handle_t handle;
 
