Fill in a not-run failure in one place

Cause: read through the change: the three handlers of clients, gates and local calls each had the same four lines for a call that did not run, under two names.

Change: ql_failure_not_run() beside ql_answer_fail() serves all three. What callers are told is unchanged.

--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -34,6 +34,15 @@
 	       !g_ascii_strcasecmp(name, QL_HEADER_KEY);
 }
 
+bool ql_failure_not_run(ql_failure_t *failure, ql_reason_t reason,
+			const char *detail)
+{
+	failure->outcome = QL_OUTCOME_NOT_RUN;
+	failure->reason = reason;
+	failure->detail = detail;
+	return false;
+}
+
 static unsigned int failure_status(const ql_failure_t *failure)
 {
 	switch (failure->reason) {
--- a/src/node/answer.h
+++ b/src/node/answer.h
@@ -28,6 +28,17 @@
 	const char *detail;
 } ql_failure_t;
 
+/**
+ * ql_failure_not_run() - Fill in a failure of a call that did not run.
+ * @failure: the failure
+ * @reason: why it did not run
+ * @detail: for the caller; may be NULL
+ *
+ * Return: false, so that a caller can write ``return ql_failure_not_run(...)``.
+ */
+bool ql_failure_not_run(ql_failure_t *failure, ql_reason_t reason,
+			const char *detail);
+
 /**
  * ql_answer_fail() - Answer with a failure.
  * @response: the answer
--- a/src/node/client_service.c
+++ b/src/node/client_service.c
@@ -42,15 +42,6 @@
 	ql_count(counters, by_outcome[outcome]);
 }
 
-static bool refuse(ql_failure_t *failure, ql_reason_t reason,
-		   const char *detail)
-{
-	failure->outcome = QL_OUTCOME_NOT_RUN;
-	failure->reason = reason;
-	failure->detail = detail;
-	return false;
-}
-
 /* The path of a URL without its query, for the choice of the route. */
 static char *path_of(const char *url)
 {
@@ -149,7 +140,8 @@
 	if (!decision.refuse)
 		return false;
 	ql_count(&service->context->counters, QL_COUNT_EARLY_REFUSALS);
-	refuse(failure, decision.reason, "the services below are overloaded");
+	ql_failure_not_run(failure, decision.reason,
+			   "the services below are overloaded");
 	failure->retry_after_ms = decision.retry_after_ms;
 	return true;
 }
@@ -229,8 +221,9 @@
 
 	if (cr->request->binary_body_length > callee->body_limit_bytes) {
 		ql_count(&service->context->counters, QL_COUNT_TOO_LARGE);
-		return refuse(failure, QL_REASON_TOO_LARGE,
-			      "the body is over the limit of the service");
+		return ql_failure_not_run(
+			failure, QL_REASON_TOO_LARGE,
+			"the body is over the limit of the service");
 	}
 	cr->call = start_call(cr->doc, cr->route);
 	record(service, cr, QL_EVENT_REQUEST_RECEIVED, NULL);
@@ -272,7 +265,7 @@
 			   ql_failure_t *failure, ql_reason_t reason,
 			   const char *detail)
 {
-	refuse(failure, reason, detail);
+	ql_failure_not_run(failure, reason, detail);
 	if (u_map_has_key_case(request->map_header, QL_HEADER_KEY))
 		failure->outcome = QL_OUTCOME_REFUSED;
 	return false;
@@ -303,8 +296,9 @@
 	cr.doc = doc;
 	cr.route = match(doc, request);
 	answered = cr.route ? serve_route(service, &cr, answer, failure)
-			    : refuse(failure, QL_REASON_NO_ROUTE,
-				     "no route matches this method and path");
+			    : ql_failure_not_run(
+				      failure, QL_REASON_NO_ROUTE,
+				      "no route matches this method and path");
 	if (!answered)
 		qualify_refusal(service, &cr, failure);
 	ql_document_unref(doc);
--- a/src/node/gate_handler.c
+++ b/src/node/gate_handler.c
@@ -27,14 +27,6 @@
 	(QL_HAS_TIMEOUT | QL_HAS_ATTEMPTS | QL_HAS_ATTEMPT | QL_HAS_CLASS | \
 	 QL_HAS_SERVICE)
 
-static void not_run(ql_failure_t *failure, ql_reason_t reason,
-		    const char *detail)
-{
-	failure->outcome = QL_OUTCOME_NOT_RUN;
-	failure->reason = reason;
-	failure->detail = detail;
-}
-
 static const ql_class_t *find_class(const ql_document_t *doc, const char *name)
 {
 	size_t i;
@@ -53,7 +45,8 @@
 	int index;
 
 	if (!ql_context_is_ready(service->context)) {
-		not_run(failure, QL_REASON_NOT_READY,
+		ql_failure_not_run(
+			failure, QL_REASON_NOT_READY,
 			"the node has not heard from its failure domain yet");
 		return false;
 	}
@@ -62,15 +55,15 @@
 	class = find_class(gc->doc, gc->metadata.class_name);
 	gc->endpoint = ql_gate_service_find(service, gc->metadata.service);
 	if (index < 0 || !class || !gc->endpoint) {
-		not_run(failure, QL_REASON_NO_ENDPOINT,
-			"the service or class is not known here");
+		ql_failure_not_run(failure, QL_REASON_NO_ENDPOINT,
+				   "the service or class is not known here");
 		return false;
 	}
 	gc->service = &gc->doc->services[index];
 	if (gc->request->binary_body_length > gc->service->body_limit_bytes) {
 		ql_count(&service->context->counters, QL_COUNT_TOO_LARGE);
-		not_run(failure, QL_REASON_TOO_LARGE,
-			"the body is over the limit of the service");
+		ql_failure_not_run(failure, QL_REASON_TOO_LARGE,
+				   "the body is over the limit of the service");
 		return false;
 	}
 	gc->call = ql_call_new(&gc->metadata.attempt,
@@ -145,7 +138,7 @@
 	int ret;
 
 	if (now_us >= gc->call->deadline_us) {
-		not_run(failure, QL_REASON_DEADLINE, NULL);
+		ql_failure_not_run(failure, QL_REASON_DEADLINE, NULL);
 		return false;
 	}
 	timeout_ms = ql_remaining_ms(gc->call->deadline_us, now_us);
@@ -158,7 +151,7 @@
 	if (!ret)
 		return true;
 	if (!sent) {
-		not_run(failure, QL_REASON_CONNECT_FAILED, NULL);
+		ql_failure_not_run(failure, QL_REASON_CONNECT_FAILED, NULL);
 		return false;
 	}
 	failure->outcome = QL_OUTCOME_UNKNOWN;
@@ -283,7 +276,7 @@
 
 	if (decision.verdict == QL_GATE_REFUSE) {
 		ql_count(&service->context->counters, QL_COUNT_GATE_REFUSED);
-		not_run(failure, decision.reason, NULL);
+		ql_failure_not_run(failure, decision.reason, NULL);
 		failure->retry_after_ms = decision.retry_after_ms;
 		record(service, gc, QL_EVENT_GATE_REFUSED, QL_OUTCOME_NOT_RUN,
 		       decision.reason);
@@ -342,8 +335,9 @@
 	    gc->metadata.attempts)
 		return true;
 	ql_count(&service->context->counters, QL_COUNT_BAD_METADATA);
-	not_run(&failure, QL_REASON_BAD_REQUEST,
-		error ? error->message : "a required header is missing");
+	ql_failure_not_run(&failure, QL_REASON_BAD_REQUEST,
+			   error ? error->message
+				 : "a required header is missing");
 	ql_answer_fail(response, &failure);
 	g_clear_error(&error);
 	return false;
--- a/src/node/local_service.c
+++ b/src/node/local_service.c
@@ -129,15 +129,6 @@
 	}
 }
 
-static bool refuse(ql_failure_t *failure, ql_reason_t reason,
-		   const char *detail)
-{
-	failure->outcome = QL_OUTCOME_NOT_RUN;
-	failure->reason = reason;
-	failure->detail = detail;
-	return false;
-}
-
 /* A call of an endpoint, given up with the call that it serves. */
 typedef struct {
 	ql_http_server_t *server;
@@ -196,18 +187,20 @@
 	    !(metadata.has & QL_HAS_ATTEMPT) ||
 	    !(metadata.has & QL_HAS_SERVICE)) {
 		ql_count(&service->context->counters, QL_COUNT_BAD_METADATA);
-		return refuse(failure, QL_REASON_BAD_REQUEST,
-			      "allowed one " QL_HEADER_ATTEMPT_ID
-			      " and one " QL_HEADER_SERVICE " header");
+		return ql_failure_not_run(failure, QL_REASON_BAD_REQUEST,
+					  "allowed one " QL_HEADER_ATTEMPT_ID
+					  " and one " QL_HEADER_SERVICE
+					  " header");
 	}
 	parent = ql_calls_find(&service->gates->calls, &metadata.attempt);
 	if (!parent)
-		return refuse(failure, QL_REASON_CANCELLED,
-			      "this attempt is not in progress here");
+		return ql_failure_not_run(
+			failure, QL_REASON_CANCELLED,
+			"this attempt is not in progress here");
 	doc = ql_context_document(service->context);
 	callee = ql_document_find_service(doc, metadata.service);
-	answered = callee < 0 ? refuse(failure, QL_REASON_NO_ROUTE,
-				       "the service is not known")
+	answered = callee < 0 ? ql_failure_not_run(failure, QL_REASON_NO_ROUTE,
+						   "the service is not known")
 			      : call_for(service, parent, doc, callee, request,
 					 answer, failure);
 	ql_document_unref(doc);
