--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -1,6 +1,5 @@
 find_package(PkgConfig REQUIRED)
 find_package(Threads REQUIRED)
-find_package(GTest REQUIRED)
 pkg_check_modules(ULFIUS REQUIRED IMPORTED_TARGET libulfius)
 pkg_check_modules(MHD REQUIRED IMPORTED_TARGET libmicrohttpd)
 pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
@@ -10,3 +9,6 @@
 pkg_check_modules(GLIB REQUIRED IMPORTED_TARGET glib-2.0)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(CK REQUIRED IMPORTED_TARGET ck)
+pkg_check_modules(UV REQUIRED IMPORTED_TARGET libuv)
+# http-parser comes without a pkg-config file.
+find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -13,7 +13,8 @@
 /**
  * struct ql_target_info - What membership says of an endpoint.
  * @gate: "IP:port" of the gate beside it
- * @failure_domain: where it is
+ * @failure_domain: the domain whose registrars hold its lease
+ * @placement: where it is, if the registrars serve several failure domains
  * @incarnation: start of its process, to tell a restart
  * @slots: requests that it can run at once
  * @connections: connections that it takes
@@ -22,6 +23,7 @@
 typedef struct ql_target_info {
 	char gate[QL_ADDRESS_MAX];
 	char failure_domain[QL_NAME_MAX];
+	char placement[QL_NAME_MAX];
 	uint64_t incarnation;
 	uint32_t slots;
 	uint32_t connections;
--- a/include/quetzalloft/config_state.h
+++ b/include/quetzalloft/config_state.h
@@ -23,12 +23,16 @@
  * struct ql_patch - What an operator submits.
  * @id: the operator's own identifier
  * @base_version: version that it was written against
+ * @version: the number that it shall become; 0 for the next one
+ * @whole: @text is a document that replaces the one before
  * @text: an RFC 7396 merge patch as JSON text
  * @length: bytes of @text
  */
 typedef struct ql_patch {
 	char id[QL_KEY_MAX];
 	uint64_t base_version;
+	uint64_t version;
+	bool whole;
 	const char *text;
 	size_t length;
 } ql_patch_t;
@@ -48,12 +52,14 @@
 
 /**
  * struct ql_config_change - An accepted patch.
+ * @base_version: the version before it
  * @version: the version that it became
  * @digest: ql_document_digest() of that version
  * @text: the merge patch
  * @length: bytes of @text
  */
 typedef struct ql_config_change {
+	uint64_t base_version;
 	uint64_t version;
 	uint64_t digest;
 	char *text;
--- a/include/quetzalloft/document.h
+++ b/include/quetzalloft/document.h
@@ -20,6 +20,7 @@
 #define QL_ATTEMPTS_MAX 1000
 #define QL_METHOD_MAX 8
 #define QL_PATH_MAX 128
+#define QL_ROUTE_PARTS_MAX 16
 
 /**
  * struct ql_class - A class of requests.
@@ -40,6 +41,8 @@
  * @body_limit_bytes: largest body that is passed in either direction
  * @queue_ms: longest wait at the gate
  * @limiter: name of the limiter that its gates use
+ * @connections: connections that one endpoint takes; 0 when it is not stated
+ * @health_path: where an endpoint answers health checks; may be empty
  * @subtree_attempts: attempts that one call needs when none fails: one for
  *                    itself and those of everything below
  * @depth: length of the longest chain that starts here
@@ -52,17 +55,34 @@
 	uint64_t body_limit_bytes;
 	uint64_t queue_ms;
 	char limiter[QL_NAME_MAX];
+	uint64_t connections;
+	char health_path[QL_PATH_MAX];
 	uint32_t subtree_attempts;
 	uint32_t depth;
 } ql_service_t;
 
+/**
+ * struct ql_route_part - A service that takes a part of a route's requests.
+ * @service: its index
+ * @weight: its part, relative to the other weights
+ */
+typedef struct ql_route_part {
+	uint16_t service;
+	uint32_t weight;
+} ql_route_part_t;
+
 /**
  * struct ql_route - Requests that are treated alike.
  * @name: its name
  * @host: value of the Host header without port; empty matches every one
- * @method: HTTP method
+ * @method: HTTP method; empty matches every one
  * @path: matches this path and what is below it
- * @service: index of the service
+ * @service: index of the service, of the first part of a split
+ * @parts: the services that share its requests
+ * @n_parts: their number; 0 when @service takes them all
+ * @attempts: endpoints that one client request may be sent to; 0 when only
+ *            the allowance of the document bounds them
+ * @target_ms: time in which an answer has its full worth; 0 when not stated
  * @class_index: index of the class
  * @idempotent: whether a request may be repeated
  * @deadline_ms: time that a client request has
@@ -73,11 +93,29 @@
 	char method[QL_METHOD_MAX];
 	char path[QL_PATH_MAX];
 	uint16_t service;
+	ql_route_part_t parts[QL_ROUTE_PARTS_MAX];
+	uint16_t n_parts;
 	uint16_t class_index;
+	uint64_t attempts;
+	uint64_t target_ms;
 	bool idempotent;
 	uint64_t deadline_ms;
 } ql_route_t;
 
+/**
+ * struct ql_client_limits - What a client may send, and how slowly.
+ * @head_bytes: largest start line and headers
+ * @body_bytes: largest body
+ * @head_ms: longest time to send the headers of a request
+ * @idle_ms: longest time that a connection stays without a request
+ */
+typedef struct ql_client_limits {
+	uint64_t head_bytes;
+	uint64_t body_bytes;
+	uint64_t head_ms;
+	uint64_t idle_ms;
+} ql_client_limits_t;
+
 #define QL_KEEPER_MEMBERS_MAX 4096
 #define QL_KEEPER_SLOTS_MAX 4096
 /** Keepers of one slot: three or five. */
@@ -138,6 +176,7 @@
  * @site: name of the site
  * @attempts: allowance of attempts of one client request
  * @keepers: who keeps claims on idempotency keys
+ * @limits: of clients
  * @json: the source
  * @digest: hash of the canonical text of the source
  */
@@ -153,6 +192,7 @@
 	ql_route_t *routes;
 	size_t n_routes;
 	ql_keepers_t keepers;
+	ql_client_limits_t limits;
 	json_t *json;
 	uint64_t digest;
 } ql_document_t;
--- a/include/quetzalloft/json.h
+++ b/include/quetzalloft/json.h
@@ -129,6 +129,16 @@
  */
 json_t *ql_json_merge_patch(json_t *target, json_t *patch);
 
+/**
+ * ql_json_merge_difference() - The merge patch that leads from one value to
+ * another.
+ * @from: the value before
+ * @to: the value after; it holds no null, which a merge patch cannot express
+ *
+ * Return: the patch as a new reference.
+ */
+json_t *ql_json_merge_difference(json_t *from, json_t *to);
+
 /**
  * ql_json_text() - The canonical text of a value: sorted keys, no white space.
  * @value: the value
--- a/include/quetzalloft/registrar.h
+++ b/include/quetzalloft/registrar.h
@@ -74,6 +74,8 @@
  * @domains_number: number of the last change of @domains
  * @swept_ms: when old records were dropped last
  * @replicas_heard_ms: when a replica answered last; 0 for never
+ * @addresses: the registrars that nodes are told of
+ * @n_addresses: their number; 0 tells nodes nothing
  */
 typedef struct ql_registrar {
 	ql_registrar_opts_t opts;
@@ -90,6 +92,8 @@
 	uint64_t domains_number;
 	uint64_t swept_ms;
 	uint64_t replicas_heard_ms;
+	char addresses[QL_RPC_REGISTRARS_MAX][QL_ADDRESS_MAX];
+	size_t n_addresses;
 	ql_registrar_counts_t counts;
 } ql_registrar_t;
 
@@ -98,6 +102,16 @@
 		       ql_config_state_t *config);
 void ql_registrar_finish(ql_registrar_t *registrar);
 
+/**
+ * ql_registrar_set_addresses() - The registrars that nodes are told of.
+ * @registrar: the registrar
+ * @addresses: "IP:port" of each, this one included
+ * @n_addresses: their number, up to QL_RPC_REGISTRARS_MAX
+ */
+void ql_registrar_set_addresses(ql_registrar_t *registrar,
+				char (*addresses)[QL_ADDRESS_MAX],
+				size_t n_addresses);
+
 /**
  * ql_registrar_lease() - Answer a node that renews its lease.
  * @registrar: the registrar
--- a/src/control/config_state.c
+++ b/src/control/config_state.c
@@ -51,14 +51,16 @@
 static uint64_t patch_digest(const ql_patch_t *patch)
 {
 	return XXH3_64bits_withSeed(patch->text, patch->length,
-				    patch->base_version);
+				    patch->base_version) +
+	       patch->version;
 }
 
-static void keep_change(ql_config_state_t *state, const char *text,
-			size_t length)
+static void keep_change(ql_config_state_t *state, uint64_t base_version,
+			const char *text, size_t length)
 {
 	ql_config_change_t *change = g_new0(ql_config_change_t, 1);
 
+	change->base_version = base_version;
 	change->version = state->doc->version;
 	change->digest = state->doc->digest;
 	change->text = g_memdup2(text, length);
@@ -95,20 +97,29 @@
 	g_strlcpy(answer->detail, detail, sizeof(answer->detail));
 }
 
-static int patched_document(ql_document_t **out, const ql_config_state_t *state,
-			    const char *text, size_t length, GError **error)
+/* Where a document comes from. */
+typedef struct {
+	uint64_t version;
+	bool whole;
+	const char *text;
+	size_t length;
+} source_t;
+
+static int make_document(ql_document_t **out, const ql_config_state_t *state,
+			 const source_t *source, GError **error)
 {
-	json_t *patch = NULL, *json;
+	json_t *parsed = NULL, *json;
 	int ret;
 
 	*out = NULL;
-	ret = ql_json_parse(&patch, text, length, error);
+	ret = ql_json_parse(&parsed, source->text, source->length, error);
 	if (ret)
 		return ret;
-	json = ql_json_merge_patch(state->doc->json, patch);
-	ret = ql_document_compile(out, json, state->doc->version + 1, error);
+	json = source->whole ? json_incref(parsed)
+			     : ql_json_merge_patch(state->doc->json, parsed);
+	ret = ql_document_compile(out, json, source->version, error);
 	json_decref(json);
-	json_decref(patch);
+	json_decref(parsed);
 	if (!ret)
 		ret = ql_document_check_keepers(state->doc, *out, error);
 	if (ret) {
@@ -147,11 +158,47 @@
 	refuse(state, answer, QL_E_STALE, detail);
 }
 
+static int check_version(const ql_config_state_t *state,
+			 const ql_patch_t *patch, GError **error)
+{
+	if (!patch->version || patch->version > state->doc->version)
+		return 0;
+	return ql_error_set(error, QL_E_RANGE,
+			    "version: found %" PRIu64
+			    ", allowed a number above %" PRIu64,
+			    patch->version, state->doc->version);
+}
+
+/* Keeps what leads from one document to the next, for nodes that follow. */
+static void keep_patch(ql_config_state_t *state, const ql_document_t *before,
+		       const ql_patch_t *patch)
+{
+	json_t *difference;
+	char *text;
+
+	if (!patch->whole) {
+		keep_change(state, before->version, patch->text, patch->length);
+		return;
+	}
+	difference = ql_json_merge_difference(before->json, state->doc->json);
+	text = ql_json_text(difference);
+	keep_change(state, before->version, text, strlen(text));
+	free(text);
+	json_decref(difference);
+}
+
 /* Decides on a patch that was not answered before. */
 static void decide(ql_config_state_t *state, const ql_patch_t *patch,
 		   ql_patch_answer_t *answer)
 {
-	ql_document_t *doc;
+	source_t source = {
+		.version = patch->version ? patch->version
+					  : state->doc->version + 1,
+		.whole = patch->whole,
+		.text = patch->text,
+		.length = patch->length,
+	};
+	ql_document_t *doc, *before;
 	GError *error = NULL;
 	int ret;
 
@@ -159,14 +206,18 @@
 		refuse_stale(state, patch, answer);
 		return;
 	}
-	ret = patched_document(&doc, state, patch->text, patch->length, &error);
+	ret = check_version(state, patch, &error);
+	if (!ret)
+		ret = make_document(&doc, state, &source, &error);
 	if (ret) {
 		refuse(state, answer, ret, error->message);
 		g_error_free(error);
 		return;
 	}
+	before = ql_document_ref(state->doc);
 	set_document(state, doc);
-	keep_change(state, patch->text, patch->length);
+	keep_patch(state, before, patch);
+	ql_document_unref(before);
 	answer->version = doc->version;
 }
 
@@ -186,18 +237,22 @@
 int ql_config_state_follow(ql_config_state_t *state,
 			   const ql_config_change_t *change, GError **error)
 {
+	source_t source = {
+		.version = change->version,
+		.text = change->text,
+		.length = change->length,
+	};
 	ql_document_t *doc;
 	int ret;
 
 	if (change->version <= state->doc->version)
 		return 0;
-	if (change->version != state->doc->version + 1)
+	if (change->base_version != state->doc->version)
 		return ql_error_set(error, QL_E_NOT_FOUND,
 				    "change %" PRIu64
 				    " does not follow version %" PRIu64,
 				    change->version, state->doc->version);
-	ret = patched_document(&doc, state, change->text, change->length,
-			       error);
+	ret = make_document(&doc, state, &source, error);
 	if (ret)
 		return ret;
 	if (doc->digest != change->digest) {
@@ -208,7 +263,7 @@
 				    change->version);
 	}
 	set_document(state, doc);
-	keep_change(state, change->text, change->length);
+	keep_change(state, change->base_version, change->text, change->length);
 	return 0;
 }
 
@@ -243,7 +298,7 @@
 		return NULL;
 	for (; link; link = link->prev) {
 		change = link->data;
-		if (change->version == version + 1)
+		if (change->base_version == version)
 			return link;
 	}
 	return NULL;
@@ -257,13 +312,13 @@
 
 	for (link = state->changes.head; link; link = link->next) {
 		change = link->data;
-		json_array_append_new(changes,
-				      json_pack("{s:I, s:I, s:s%}", "version",
-						(json_int_t)change->version,
-						"digest",
-						(json_int_t)change->digest,
-						"text", change->text,
-						change->length));
+		json_array_append_new(
+			changes,
+			json_pack("{s:I, s:I, s:I, s:s%}", "base",
+				  (json_int_t)change->base_version, "version",
+				  (json_int_t)change->version, "digest",
+				  (json_int_t)change->digest, "text",
+				  change->text, change->length));
 	}
 	return changes;
 }
@@ -299,16 +354,18 @@
 static int load_changes(ql_config_state_t *state, json_t *saved)
 {
 	ql_config_change_t *change;
-	json_int_t version, digest;
+	json_int_t base, version, digest;
 	json_t *value;
 	const char *text;
 	size_t i, length;
 
 	json_array_foreach (saved, i, value) {
-		if (json_unpack(value, "{s:I, s:I, s:s%}", "version", &version,
-				"digest", &digest, "text", &text, &length))
+		if (json_unpack(value, "{s:I, s:I, s:I, s:s%}", "base", &base,
+				"version", &version, "digest", &digest, "text",
+				&text, &length))
 			return QL_E_CORRUPT;
 		change = g_new0(ql_config_change_t, 1);
+		change->base_version = (uint64_t)base;
 		change->version = (uint64_t)version;
 		change->digest = (uint64_t)digest;
 		change->text = g_memdup2(text, length);
--- a/src/control/exchange.c
+++ b/src/control/exchange.c
@@ -43,6 +43,17 @@
 				random, 0, (gint32)exchange->interval_ms);
 }
 
+void ql_exchange_add_peer(ql_exchange_t *exchange, uint64_t now_ms)
+{
+	ql_exchange_peer_t *peer = &exchange->peers[exchange->n_peers++];
+
+	memset(peer, 0, sizeof(*peer));
+	peer->due_ms = now_ms;
+	exchange->interval_ms =
+		MAX(INTERVAL_MIN_MS,
+		    (uint32_t)exchange->n_peers * INTERVAL_PER_PEER_MS);
+}
+
 int ql_exchange_due(const ql_exchange_t *exchange, uint64_t now_ms,
 		    uint64_t *delay_ms)
 {
--- a/src/control/exchange.h
+++ b/src/control/exchange.h
@@ -75,6 +75,13 @@
 void ql_exchange_init(ql_exchange_t *exchange, ql_registrar_t *registrar,
 		      const char *node, size_t n_peers, GRand *random);
 
+/**
+ * ql_exchange_add_peer() - Exchange with one more peer, the next index.
+ * @exchange: the exchange, with fewer than QL_PEERS_MAX peers
+ * @now_ms: the time
+ */
+void ql_exchange_add_peer(ql_exchange_t *exchange, uint64_t now_ms);
+
 /**
  * ql_exchange_due() - Find a peer to ask.
  * @exchange: the exchange
--- a/src/control/greeting.c
+++ b/src/control/greeting.c
@@ -75,6 +75,7 @@
 	*reply->changes_val = out;
 	for (; link; link = link->next, out++) {
 		change = link->data;
+		out->base_version = change->base_version;
 		out->config_version = change->version;
 		out->digest = change->digest;
 		out->patch.patch_len = (u_int)change->length;
@@ -119,6 +120,7 @@
 	for (i = 0; i < *reply->changes_len; i++) {
 		const ql_rpc_change *in = &(*reply->changes_val)[i];
 
+		change.base_version = in->base_version;
 		change.version = in->config_version;
 		change.digest = in->digest;
 		change.text = in->patch.patch_val;
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -21,6 +21,8 @@
 #define SAW_INTERVAL_MS 200u
 /* How long a new node waits for a registrar before it asks its neighbours. */
 #define ASK_NEIGHBOUR_MS 6000u
+/* A registrar that failed so often gives way to one that is new. */
+#define REGISTRAR_GONE_FAILURES 4u
 
 void ql_member_init(ql_member_t *member, const ql_member_opts_t *opts,
 		    const ql_member_ops_t *ops, void *data, GRand *random)
@@ -178,6 +180,63 @@
 	link->renewals++;
 }
 
+static int find_registrar(const ql_member_t *member, const char *address)
+{
+	size_t i;
+
+	for (i = 0; i < member->opts.n_registrars; i++)
+		if (!strcmp(member->opts.registrars[i], address))
+			return (int)i;
+	return -1;
+}
+
+static bool is_named(const ql_rpc_lease_res *res, const char *address)
+{
+	u_int i;
+
+	for (i = 0; i < res->registrars.registrars_len; i++)
+		if (!strcmp(res->registrars.registrars_val[i].address, address))
+			return true;
+	return false;
+}
+
+/* A place for a new registrar: a free one, or that of one which is gone. */
+static int free_place(const ql_member_t *member, const ql_rpc_lease_res *res)
+{
+	size_t i;
+
+	if (member->opts.n_registrars < QL_REGISTRARS_MAX)
+		return (int)member->opts.n_registrars;
+	for (i = 0; i < member->opts.n_registrars; i++)
+		if (member->links[i].failures >= REGISTRAR_GONE_FAILURES &&
+		    !is_named(res, member->opts.registrars[i]))
+			return (int)i;
+	return -1;
+}
+
+/* Learns of registrars that were added since. */
+static void take_registrars(ql_member_t *member, const ql_rpc_lease_res *res)
+{
+	const char *address;
+	int place;
+	u_int i;
+
+	for (i = 0; i < res->registrars.registrars_len; i++) {
+		address = res->registrars.registrars_val[i].address;
+		if (find_registrar(member, address) >= 0 ||
+		    strlen(address) >= QL_ADDRESS_MAX)
+			continue;
+		place = free_place(member, res);
+		if (place < 0)
+			return;
+		g_strlcpy(member->opts.registrars[place], address,
+			  QL_ADDRESS_MAX);
+		memset(&member->links[place], 0, sizeof(*member->links));
+		member->opts.n_registrars =
+			MAX(member->opts.n_registrars, (size_t)place + 1);
+	}
+}
+
 int ql_member_take_lease(ql_member_t *member, int index,
 			 const ql_rpc_lease_res *res, uint64_t now_ms,
 			 GError **error)
@@ -197,6 +256,7 @@
 		member->epoch++;
 	if (res->want_document)
 		member->offer_to = index;
+	take_registrars(member, res);
 	if (ql_member__take_view(member, res, now_ms))
 		member->links[index].renewals = DIGEST_NOW;
 	ret = take_config(member, res, error);
--- a/src/control/member_view.c
+++ b/src/control/member_view.c
@@ -79,6 +79,9 @@
 	g_strlcpy(known->info.gate, endpoint->gate, sizeof(known->info.gate));
 	g_strlcpy(known->info.failure_domain, endpoint->failure_domain,
 		  sizeof(known->info.failure_domain));
+	g_strlcpy(known->info.placement,
+		  endpoint->placement ? endpoint->placement : "",
+		  sizeof(known->info.placement));
 	known->version.state = QL_RPC_ENDPOINT_GONE;
 	g_hash_table_insert(member->known, g_strdup(key), known);
 	return known;
--- a/src/control/registrar.c
+++ b/src/control/registrar.c
@@ -53,6 +53,36 @@
 	       now_ms - registrar->replicas_heard_ms < REPLICAS_FRESH_MS;
 }
 
+void ql_registrar_set_addresses(ql_registrar_t *registrar,
+				char (*addresses)[QL_ADDRESS_MAX],
+				size_t n_addresses)
+{
+	size_t bytes = n_addresses * sizeof(*addresses);
+
+	g_assert(n_addresses <= QL_RPC_REGISTRARS_MAX);
+	if (n_addresses == registrar->n_addresses &&
+	    !memcmp(registrar->addresses, addresses, bytes))
+		return;
+	memcpy(registrar->addresses, addresses, bytes);
+	registrar->n_addresses = n_addresses;
+	/* They travel with what is known of the domains. */
+	registrar->domains_number = ++registrar->number;
+}
+
+static void fill_registrars(const ql_registrar_t *registrar,
+			    ql_rpc_lease_res *res)
+{
+	ql_rpc_registrar *out =
+		calloc(registrar->n_addresses + 1, sizeof(*out));
+	size_t i;
+
+	g_assert(out);
+	for (i = 0; i < registrar->n_addresses; i++)
+		out[i].address = strdup(registrar->addresses[i]);
+	res->registrars.registrars_val = out;
+	res->registrars.registrars_len = (u_int)registrar->n_addresses;
+}
+
 static void fill_config(ql_registrar_t *registrar,
 			const ql_rpc_lease_args *args, ql_rpc_lease_res *res,
 			uint64_t now_ms)
@@ -118,9 +148,11 @@
 	res->ready = ql_registrar_is_ready(registrar, now_ms);
 	ql_registrar__fill_services(registrar, lease, args, res);
 	if (args->has_interest ||
-	    args->members_number < registrar->domains_number)
+	    args->members_number < registrar->domains_number) {
 		ql_registrar__fill_domains(registrar, &res->domains.domains_len,
 					   &res->domains.domains_val, now_ms);
+		fill_registrars(registrar, res);
+	}
 	fill_config(registrar, args, res, now_ms);
 }
 
--- a/src/control/registrar_records.c
+++ b/src/control/registrar_records.c
@@ -223,6 +223,9 @@
 		return false;
 	}
 	g_strlcpy(record->node, endpoint->node, sizeof(record->node));
+	g_strlcpy(record->placement,
+		  endpoint->placement ? endpoint->placement : "",
+		  sizeof(record->placement));
 	record->slots = endpoint->slots;
 	record->connections = endpoint->connections;
 	record->holder = endpoint->holder;
@@ -280,6 +283,7 @@
 	out->gate = strdup(record->gate);
 	out->node = strdup(record->node);
 	out->failure_domain = strdup(record->failure_domain);
+	out->placement = strdup(record->placement);
 	out->incarnation = record->version.incarnation;
 	out->slots = record->slots;
 	out->connections = record->connections;
--- a/src/control/registrar_records.h
+++ b/src/control/registrar_records.h
@@ -55,6 +55,7 @@
 	char gate[QL_ADDRESS_MAX];
 	char node[QL_NAME_MAX];
 	char failure_domain[QL_NAME_MAX];
+	char placement[QL_NAME_MAX];
 	ql_service_set_t *set;
 	guint index;
 	ql_record_version_t version;
--- a/src/control/replicated_config.c
+++ b/src/control/replicated_config.c
@@ -62,6 +62,8 @@
 		return;
 	g_strlcpy(patch.id, content.id, sizeof(patch.id));
 	patch.base_version = content.base_version;
+	patch.version = content.new_version;
+	patch.whole = content.whole;
 	patch.text = content.text.text_val;
 	patch.length = content.text.text_len;
 	decide(config, &patch);
@@ -163,6 +165,8 @@
 	ql_rpc_replica_patch content = {
 		.id = (char *)patch->id,
 		.base_version = patch->base_version,
+		.new_version = patch->version,
+		.whole = patch->whole,
 	};
 	GBytes *payload;
 	int ret;
--- a/src/control/rpc/control.h
+++ b/src/control/rpc/control.h
@@ -27,7 +27,8 @@
 #define QL_RPC_DOMAINS_MAX 64
 #define QL_RPC_SERVICES_MAX 1024
 #define QL_RPC_EXCHANGE_MAX 256
-#define QL_RPC_PROTOCOL_VERSION 3
+#define QL_RPC_REGISTRARS_MAX 32
+#define QL_RPC_PROTOCOL_VERSION 4
 
 struct ql_rpc_greeting {
 	char *cluster;
@@ -40,6 +41,7 @@
 typedef struct ql_rpc_greeting ql_rpc_greeting;
 
 struct ql_rpc_change {
+	u_quad_t base_version;
 	u_quad_t config_version;
 	u_quad_t digest;
 	struct {
@@ -61,6 +63,7 @@
 	char *gate;
 	char *node;
 	char *failure_domain;
+	char *placement;
 	u_quad_t incarnation;
 	u_int slots;
 	u_int connections;
@@ -117,6 +120,11 @@
 };
 typedef struct ql_rpc_lease_args ql_rpc_lease_args;
 
+struct ql_rpc_registrar {
+	char *address;
+};
+typedef struct ql_rpc_registrar ql_rpc_registrar;
+
 struct ql_rpc_lease_res {
 	int status;
 	char *detail;
@@ -147,6 +155,10 @@
 		u_int domains_len;
 		ql_rpc_domain *domains_val;
 	} domains;
+	struct {
+		u_int registrars_len;
+		ql_rpc_registrar *registrars_val;
+	} registrars;
 };
 typedef struct ql_rpc_lease_res ql_rpc_lease_res;
 
@@ -198,6 +210,8 @@
 	ql_rpc_greeting greeting;
 	char *id;
 	u_quad_t base_version;
+	u_quad_t new_version;
+	bool_t whole;
 	struct {
 		u_int patch_len;
 		char *patch_val;
@@ -334,6 +348,7 @@
 extern  bool_t xdr_ql_rpc_service (XDR *, ql_rpc_service*);
 extern  bool_t xdr_ql_rpc_domain (XDR *, ql_rpc_domain*);
 extern  bool_t xdr_ql_rpc_lease_args (XDR *, ql_rpc_lease_args*);
+extern  bool_t xdr_ql_rpc_registrar (XDR *, ql_rpc_registrar*);
 extern  bool_t xdr_ql_rpc_lease_res (XDR *, ql_rpc_lease_res*);
 extern  bool_t xdr_ql_rpc_offer_args (XDR *, ql_rpc_offer_args*);
 extern  bool_t xdr_ql_rpc_offer_res (XDR *, ql_rpc_offer_res*);
@@ -357,6 +372,7 @@
 extern bool_t xdr_ql_rpc_service ();
 extern bool_t xdr_ql_rpc_domain ();
 extern bool_t xdr_ql_rpc_lease_args ();
+extern bool_t xdr_ql_rpc_registrar ();
 extern bool_t xdr_ql_rpc_lease_res ();
 extern bool_t xdr_ql_rpc_offer_args ();
 extern bool_t xdr_ql_rpc_offer_res ();
--- a/src/control/rpc/control.x
+++ b/src/control/rpc/control.x
@@ -16,7 +16,8 @@
 const QL_RPC_DOMAINS_MAX = 64;
 const QL_RPC_SERVICES_MAX = 1024;
 const QL_RPC_EXCHANGE_MAX = 256;
-const QL_RPC_PROTOCOL_VERSION = 3;
+const QL_RPC_REGISTRARS_MAX = 32;
+const QL_RPC_PROTOCOL_VERSION = 4;
 
 struct ql_rpc_greeting {
 	string cluster<QL_RPC_NAME_MAX>;
@@ -27,8 +28,9 @@
 	unsigned int protocol;
 };
 
-/* One accepted patch: applying it to version - 1 gives version. */
+/* One accepted patch: applying it to the base version gives the version. */
 struct ql_rpc_change {
+	unsigned hyper base_version;
 	unsigned hyper config_version;
 	unsigned hyper digest;
 	opaque patch<QL_RPC_PATCH_MAX>;
@@ -41,7 +43,9 @@
 };
 
 /*
- * What is known of an endpoint. The record with the higher epoch wins, then
+ * What is known of an endpoint. Its failure domain is the one whose registrars
+ * hold the lease; placement is that of its VM where the registrars serve
+ * several, and else empty. The record with the higher epoch wins, then
  * the higher incarnation, then the later state; holder is the incarnation of
  * the registrar that holds the lease.
  */
@@ -50,6 +54,7 @@
 	string gate<QL_RPC_ADDRESS_MAX>;
 	string node<QL_RPC_NAME_MAX>;
 	string failure_domain<QL_RPC_NAME_MAX>;
+	string placement<QL_RPC_NAME_MAX>;
 	unsigned hyper incarnation;
 	unsigned int slots;
 	unsigned int connections;
@@ -107,6 +112,11 @@
 	ql_rpc_interest interest<QL_RPC_INTEREST_MAX>;
 };
 
+/* A registrar that is known to another one. */
+struct ql_rpc_registrar {
+	string address<QL_RPC_ADDRESS_MAX>;
+};
+
 struct ql_rpc_lease_res {
 	int status;
 	string detail<QL_RPC_DETAIL_MAX>;
@@ -125,6 +135,7 @@
 	bool want_document;
 	ql_rpc_service services<QL_RPC_SERVICES_MAX>;
 	ql_rpc_domain domains<QL_RPC_DOMAINS_MAX>;
+	ql_rpc_registrar registrars<QL_RPC_REGISTRARS_MAX>;
 };
 
 /* A node gives its document to a registrar that is behind. */
@@ -160,11 +171,17 @@
 	ql_rpc_domain domains<QL_RPC_DOMAINS_MAX>;
 };
 
-/* An operator submits a patch, or asks for the answer to one sent before. */
+/*
+ * An operator submits a patch, or asks for the answer to one sent before. It
+ * becomes the given version, or the next one if that is 0. With whole it is
+ * not a patch but the document that replaces the one before.
+ */
 struct ql_rpc_patch_args {
 	ql_rpc_greeting greeting;
 	string id<QL_RPC_KEY_MAX>;
 	unsigned hyper base_version;
+	unsigned hyper new_version;
+	bool whole;
 	opaque patch<QL_RPC_PATCH_MAX>;
 };
 
--- a/src/control/rpc/control_xdr.c
+++ b/src/control/rpc/control_xdr.c
@@ -30,6 +30,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
@@ -62,6 +64,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->failure_domain, QL_RPC_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->placement, QL_RPC_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slots))
@@ -156,6 +160,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ql_rpc_registrar (XDR *xdrs, ql_rpc_registrar *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->address, QL_RPC_ADDRESS_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ql_rpc_lease_res (XDR *xdrs, ql_rpc_lease_res *objp)
 {
@@ -209,6 +223,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, QL_RPC_DOMAINS_MAX,
 			sizeof (ql_rpc_domain), (xdrproc_t) xdr_ql_rpc_domain))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->registrars.registrars_val, (u_int *) &objp->registrars.registrars_len, QL_RPC_REGISTRARS_MAX,
+			sizeof (ql_rpc_registrar), (xdrproc_t) xdr_ql_rpc_registrar))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_int (xdrs, &objp->status))
@@ -257,6 +274,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, QL_RPC_DOMAINS_MAX,
 			sizeof (ql_rpc_domain), (xdrproc_t) xdr_ql_rpc_domain))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->registrars.registrars_val, (u_int *) &objp->registrars.registrars_len, QL_RPC_REGISTRARS_MAX,
+			sizeof (ql_rpc_registrar), (xdrproc_t) xdr_ql_rpc_registrar))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -297,6 +317,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, QL_RPC_DOMAINS_MAX,
 		sizeof (ql_rpc_domain), (xdrproc_t) xdr_ql_rpc_domain))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->registrars.registrars_val, (u_int *) &objp->registrars.registrars_len, QL_RPC_REGISTRARS_MAX,
+		sizeof (ql_rpc_registrar), (xdrproc_t) xdr_ql_rpc_registrar))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -383,6 +406,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->new_version))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->patch.patch_val, (u_int *) &objp->patch.patch_len, QL_RPC_PATCH_MAX))
 		 return FALSE;
 	return TRUE;
--- a/src/control/rpc/replication.h
+++ b/src/control/rpc/replication.h
@@ -57,6 +57,8 @@
 struct ql_rpc_replica_patch {
 	char *id;
 	u_quad_t base_version;
+	u_quad_t new_version;
+	bool_t whole;
 	struct {
 		u_int text_len;
 		char *text_val;
--- a/src/control/rpc/replication.x
+++ b/src/control/rpc/replication.x
@@ -38,6 +38,8 @@
 struct ql_rpc_replica_patch {
 	string id<QL_RPC_KEY_MAX>;
 	unsigned hyper base_version;
+	unsigned hyper new_version;
+	bool whole;
 	opaque text<QL_RPC_PATCH_MAX>;
 };
 
--- a/src/control/rpc/replication_xdr.c
+++ b/src/control/rpc/replication_xdr.c
@@ -64,6 +64,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->base_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->new_version))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, QL_RPC_PATCH_MAX))
 		 return FALSE;
 	return TRUE;
--- /dev/null
+++ b/src/http/headers.c
@@ -0,0 +1,168 @@
+#include "http/headers.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define TEXT_BYTES 512u
+#define PLACES 12u
+
+/* These concern one connection, or are written anew with the body. */
+static const char *const hop_by_hop[] = {
+	"connection",	     "keep-alive", "proxy-connection",
+	"transfer-encoding", "upgrade",	   "te",
+	"trailer",	     "expect",	   "content-length",
+};
+
+void ql_headers_init(ql_headers_t *headers)
+{
+	headers->text = g_string_sized_new(TEXT_BYTES);
+	headers->places = g_array_sized_new(FALSE, FALSE,
+					    sizeof(ql_header_place_t), PLACES);
+}
+
+void ql_headers_finish(ql_headers_t *headers)
+{
+	g_string_free(headers->text, TRUE);
+	g_array_free(headers->places, TRUE);
+}
+
+void ql_headers_clear(ql_headers_t *headers)
+{
+	g_string_truncate(headers->text, 0);
+	g_array_set_size(headers->places, 0);
+}
+
+void ql_headers_swap(ql_headers_t *a, ql_headers_t *b)
+{
+	ql_headers_t kept = *a;
+
+	*a = *b;
+	*b = kept;
+}
+
+/* Ends the string that was appended last. */
+static uint32_t begin_string(ql_headers_t *headers)
+{
+	if (headers->text->len)
+		g_string_append_c(headers->text, '\0');
+	return (uint32_t)headers->text->len;
+}
+
+void ql_headers_add_name(ql_headers_t *headers, const char *bytes,
+			 size_t length, bool is_first)
+{
+	ql_header_place_t place;
+
+	if (is_first) {
+		place.name = begin_string(headers);
+		/* Without a value it is the empty string behind the name. */
+		place.value = UINT32_MAX;
+		g_array_append_val(headers->places, place);
+	}
+	g_string_append_len(headers->text, bytes, (gssize)length);
+}
+
+void ql_headers_add_value(ql_headers_t *headers, const char *bytes,
+			  size_t length, bool is_first)
+{
+	ql_header_place_t *place =
+		&g_array_index(headers->places, ql_header_place_t,
+			       headers->places->len - 1);
+
+	if (is_first)
+		place->value = begin_string(headers);
+	g_string_append_len(headers->text, bytes, (gssize)length);
+}
+
+void ql_headers_add(ql_headers_t *headers, const char *name, const char *value)
+{
+	ql_headers_add_name(headers, name, strlen(name), true);
+	ql_headers_add_value(headers, value, strlen(value), true);
+}
+
+size_t ql_headers_count(const ql_headers_t *headers)
+{
+	return headers->places->len;
+}
+
+const char *ql_headers_name(const ql_headers_t *headers, size_t index)
+{
+	return headers->text->str +
+	       g_array_index(headers->places, ql_header_place_t, index).name;
+}
+
+const char *ql_headers_value(const ql_headers_t *headers, size_t index)
+{
+	uint32_t value =
+		g_array_index(headers->places, ql_header_place_t, index).value;
+
+	return value == UINT32_MAX ? "" : headers->text->str + value;
+}
+
+const char *ql_headers_get(const ql_headers_t *headers, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < headers->places->len; i++)
+		if (!strcasecmp(ql_headers_name(headers, i), name))
+			return ql_headers_value(headers, i);
+	return NULL;
+}
+
+/* Whether a comma separated list names a header. */
+static bool list_names(const char *list, const char *name)
+{
+	size_t length = strlen(name);
+	const char *end;
+
+	while (*list) {
+		list += strspn(list, " \t,");
+		end = list + strcspn(list, " \t,");
+		if ((size_t)(end - list) == length &&
+		    !strncasecmp(list, name, length))
+			return true;
+		list = end;
+	}
+	return false;
+}
+
+bool ql_headers_is_hop_by_hop(const ql_headers_t *headers, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(hop_by_hop); i++)
+		if (!strcasecmp(hop_by_hop[i], name))
+			return true;
+	for (i = 0; i < headers->places->len; i++)
+		if (!strcasecmp(ql_headers_name(headers, i), "connection") &&
+		    list_names(ql_headers_value(headers, i), name))
+			return true;
+	return false;
+}
+
+static void append(GByteArray *out, const char *text, size_t length)
+{
+	g_byte_array_append(out, (const guint8 *)text, (guint)length);
+}
+
+void ql_headers_write(GByteArray *out, const char *name, const char *value)
+{
+	guint start;
+
+	append(out, name, strlen(name));
+	append(out, ": ", 2);
+	start = out->len;
+	append(out, value, strlen(value));
+	for (; start < out->len; start++)
+		if (out->data[start] < ' ')
+			out->data[start] = ' ';
+	append(out, "\r\n", 2);
+}
+
+void ql_headers_write_uint(GByteArray *out, const char *name, uint64_t value)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, value);
+	ql_headers_write(out, name, text);
+}
--- /dev/null
+++ b/src/http/listener.c
@@ -0,0 +1,503 @@
+#include "http/listener.h"
+#include "quetzalloft/clock.h"
+#include "quetzalloft/error.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define BACKLOG 1024
+/* Requests of one connection that are answered side by side. */
+#define PIPELINED_MAX 64u
+/* How long a peer may take to close behind the last answer. */
+#define LINGER_MS 1000u
+#define OUT_BYTES 1024u
+
+struct ql_listener_connection {
+	ql_listener_t *listener;
+	ql_stream_t stream;
+	ql_http_reader_t reader;
+	ql_wheel_timer_t timer;
+	GQueue exchanges;
+	ql_http_exchange_t *reading;
+	bool last_read;
+	bool lingering;
+	bool gone;
+};
+
+static void exchange_free(ql_http_exchange_t *exchange)
+{
+	ql_listener_t *listener = exchange->connection->listener;
+
+	listener->n_exchanges--;
+	listener->buffered -= exchange->body->len;
+	g_string_free(exchange->target, TRUE);
+	ql_headers_finish(&exchange->headers);
+	g_byte_array_free(exchange->body, TRUE);
+	g_byte_array_free(exchange->out, TRUE);
+	g_free(exchange);
+}
+
+static ql_http_exchange_t *exchange_new(ql_listener_connection_t *connection)
+{
+	ql_http_exchange_t *exchange = g_new0(ql_http_exchange_t, 1);
+
+	exchange->connection = connection;
+	exchange->target = g_string_new(NULL);
+	ql_headers_init(&exchange->headers);
+	exchange->body = g_byte_array_new();
+	exchange->out = g_byte_array_sized_new(OUT_BYTES);
+	connection->listener->n_exchanges++;
+	return exchange;
+}
+
+/* The client has gone: whoever answers is told, and nothing is kept. */
+static void drop_exchanges(ql_listener_connection_t *connection)
+{
+	ql_http_exchange_t *exchange;
+
+	connection->gone = true;
+	if (connection->reading)
+		exchange_free(connection->reading);
+	connection->reading = NULL;
+	while ((exchange = g_queue_pop_head(&connection->exchanges))) {
+		if (!exchange->ended && !exchange->broken && exchange->ops)
+			exchange->ops->cancelled(exchange->data);
+		exchange_free(exchange);
+	}
+}
+
+static void abort_connection(ql_listener_connection_t *connection)
+{
+	if (connection->stream.closing)
+		return;
+	drop_exchanges(connection);
+	ql_loop_stop_timer(connection->listener->loop, &connection->timer);
+	ql_stream_abort(&connection->stream);
+}
+
+static void on_closed(void *data)
+{
+	ql_listener_connection_t *connection = data;
+
+	ql_loop_stop_timer(connection->listener->loop, &connection->timer);
+	g_hash_table_remove(connection->listener->connections, connection);
+	ql_http_reader_finish(&connection->reader);
+	g_free(connection);
+}
+
+static void on_ended(void *data, int status G_GNUC_UNUSED)
+{
+	abort_connection(data);
+}
+
+static void on_timer(void *data)
+{
+	abort_connection(data);
+}
+
+static void start_timer(ql_listener_connection_t *connection,
+			uint32_t timeout_ms)
+{
+	ql_loop_start_timer(connection->listener->loop, &connection->timer,
+			    timeout_ms);
+}
+
+/* Waits for the next request, for the rest of one, or for nothing. */
+static void set_timer(ql_listener_connection_t *connection)
+{
+	const ql_listener_opts_t *opts = &connection->listener->opts;
+
+	if (connection->reader.started && !connection->reading)
+		start_timer(connection, opts->head_timeout_ms);
+	else if (!connection->reading && !connection->exchanges.length)
+		start_timer(connection, opts->idle_timeout_ms);
+	else
+		ql_loop_stop_timer(connection->listener->loop,
+				   &connection->timer);
+}
+
+/* Nothing more will be answered here; the peer may close first. */
+static void linger(ql_listener_connection_t *connection)
+{
+	connection->lingering = true;
+	ql_stream_shutdown(&connection->stream);
+	start_timer(connection, LINGER_MS);
+}
+
+/* Sends what the first exchanges have ready. */
+static void flush(ql_listener_connection_t *connection)
+{
+	ql_http_exchange_t *first;
+	bool keeps_alive;
+
+	while ((first = g_queue_peek_head(&connection->exchanges))) {
+		ql_stream_write(&connection->stream, first->out->data,
+				first->out->len);
+		g_byte_array_set_size(first->out, 0);
+		if (first->broken) {
+			abort_connection(connection);
+			return;
+		}
+		if (!first->ended)
+			return;
+		keeps_alive = first->keeps_alive;
+		g_queue_pop_head(&connection->exchanges);
+		exchange_free(first);
+		if (!keeps_alive) {
+			drop_exchanges(connection);
+			linger(connection);
+			return;
+		}
+	}
+}
+
+static const char *status_text(unsigned int status)
+{
+	switch (status) {
+#define QL_STATUS(number, name, text) \
+	case number:                  \
+		return #text;
+		HTTP_STATUS_MAP(QL_STATUS)
+#undef QL_STATUS
+	default:
+		return "Unknown";
+	}
+}
+
+static bool is_first(const ql_http_exchange_t *exchange)
+{
+	return g_queue_peek_head(&exchange->connection->exchanges) == exchange;
+}
+
+/* Whether no request behind it was read, or begun to be read. */
+static bool is_last(const ql_http_exchange_t *exchange)
+{
+	const ql_listener_connection_t *connection = exchange->connection;
+
+	return !connection->reading &&
+	       g_queue_peek_tail((GQueue *)&connection->exchanges) == exchange;
+}
+
+static void append(ql_http_exchange_t *exchange, const void *bytes,
+		   size_t length)
+{
+	g_byte_array_append(exchange->out, bytes, (guint)length);
+}
+
+static void write_framing(ql_http_exchange_t *exchange, unsigned int status,
+			  int64_t length)
+{
+	if (status == HTTP_STATUS_NO_CONTENT ||
+	    status == HTTP_STATUS_NOT_MODIFIED) {
+		exchange->bodiless = true;
+	} else if (length >= 0) {
+		ql_headers_write_uint(exchange->out, "Content-Length",
+				      (uint64_t)length);
+	} else if (exchange->is_http_1_0) {
+		exchange->keeps_alive = false;
+	} else {
+		exchange->chunked = true;
+		ql_headers_write(exchange->out, "Transfer-Encoding", "chunked");
+	}
+	if (!strcmp(exchange->method, "HEAD"))
+		exchange->bodiless = true;
+}
+
+void ql_http_exchange_begin(ql_http_exchange_t *exchange, unsigned int status,
+			    const GByteArray *headers, int64_t length)
+{
+	char line[64];
+
+	exchange->begun = true;
+	if (exchange->connection->listener->closing && is_last(exchange)) {
+		exchange->keeps_alive = false;
+		exchange->connection->last_read = true;
+	}
+	snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", status,
+		 status_text(status));
+	append(exchange, line, strlen(line));
+	if (headers)
+		append(exchange, headers->data, headers->len);
+	write_framing(exchange, status, length);
+	if (!exchange->keeps_alive)
+		ql_headers_write(exchange->out, "Connection", "close");
+	append(exchange, "\r\n", 2);
+}
+
+void ql_http_exchange_write(ql_http_exchange_t *exchange, const void *bytes,
+			    size_t length)
+{
+	char line[24];
+
+	if (exchange->bodiless || !length)
+		return;
+	if (exchange->chunked) {
+		snprintf(line, sizeof(line), "%zx\r\n", length);
+		append(exchange, line, strlen(line));
+	}
+	append(exchange, bytes, length);
+	if (exchange->chunked)
+		append(exchange, "\r\n", 2);
+	if (is_first(exchange) && exchange->out->len >= OUT_BYTES * 16)
+		flush(exchange->connection);
+}
+
+static void resume_reading(ql_listener_connection_t *connection);
+
+void ql_http_exchange_end(ql_http_exchange_t *exchange)
+{
+	ql_listener_connection_t *connection = exchange->connection;
+
+	if (exchange->chunked && !exchange->bodiless)
+		append(exchange, "0\r\n\r\n", 5);
+	exchange->ended = true;
+	if (!is_first(exchange))
+		return;
+	flush(connection);
+	if (!connection->gone)
+		resume_reading(connection);
+}
+
+void ql_http_exchange_abort(ql_http_exchange_t *exchange)
+{
+	exchange->broken = true;
+	if (is_first(exchange))
+		flush(exchange->connection);
+}
+
+size_t ql_http_exchange_pending(const ql_http_exchange_t *exchange)
+{
+	return exchange->out->len + exchange->connection->stream.pending;
+}
+
+/* Answers a request that is not handed out, and reads no further one. */
+static void refuse(ql_listener_connection_t *connection, unsigned int status)
+{
+	ql_http_exchange_t *exchange = connection->reading;
+
+	connection->listener->malformed++;
+	connection->last_read = true;
+	connection->reading = NULL;
+	if (!exchange) {
+		exchange = exchange_new(connection);
+		exchange->method = "";
+	}
+	exchange->keeps_alive = false;
+	g_queue_push_tail(&connection->exchanges, exchange);
+	ql_http_exchange_begin(exchange, status, NULL, 0);
+	ql_http_exchange_end(exchange);
+}
+
+/* The parser lets a name end with a space, which others do not. */
+static bool has_odd_name(const ql_headers_t *headers)
+{
+	size_t i;
+
+	for (i = 0; i < ql_headers_count(headers); i++)
+		if (strpbrk(ql_headers_name(headers, i), " \t"))
+			return true;
+	return false;
+}
+
+static unsigned int check_head(const ql_listener_connection_t *connection,
+			       const ql_http_reader_t *reader)
+{
+	const ql_listener_opts_t *opts = &connection->listener->opts;
+	size_t held = reader->head_bytes;
+
+	if (held > opts->head_limit_bytes)
+		return HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+	if (has_odd_name(&reader->headers))
+		return HTTP_STATUS_BAD_REQUEST;
+	if (reader->parser.method == HTTP_CONNECT)
+		return HTTP_STATUS_NOT_IMPLEMENTED;
+	if (ql_http_reader_length(reader) > (int64_t)opts->body_limit_bytes)
+		return HTTP_STATUS_PAYLOAD_TOO_LARGE;
+	return 0;
+}
+
+static bool on_head(void *data, ql_http_reader_t *reader)
+{
+	ql_listener_connection_t *connection = data;
+	ql_http_exchange_t *exchange;
+	unsigned int status = check_head(connection, reader);
+
+	exchange = exchange_new(connection);
+	connection->reading = exchange;
+	exchange->method = ql_http_reader_method(reader);
+	exchange->keeps_alive = ql_http_reader_keeps_alive(reader);
+	exchange->is_http_1_0 = !reader->parser.http_minor;
+	g_string_assign(exchange->target, reader->target->str);
+	ql_headers_swap(&exchange->headers, &reader->headers);
+	if (status) {
+		refuse(connection, status);
+		return false;
+	}
+	if (ql_headers_get(&exchange->headers, "expect"))
+		ql_stream_write(&connection->stream,
+				"HTTP/1.1 100 Continue\r\n\r\n", 25);
+	return true;
+}
+
+static void on_body(void *data, const char *bytes, size_t length)
+{
+	ql_listener_connection_t *connection = data;
+	ql_listener_t *listener = connection->listener;
+	ql_http_exchange_t *exchange = connection->reading;
+
+	if (!exchange)
+		return;
+	if (exchange->body->len + length > listener->opts.body_limit_bytes) {
+		refuse(connection, HTTP_STATUS_PAYLOAD_TOO_LARGE);
+		return;
+	}
+	if (listener->buffered + length > listener->opts.buffer_limit_bytes) {
+		refuse(connection, HTTP_STATUS_SERVICE_UNAVAILABLE);
+		return;
+	}
+	listener->buffered += length;
+	g_byte_array_append(exchange->body, (const guint8 *)bytes,
+			    (guint)length);
+}
+
+static bool on_complete(void *data, ql_http_reader_t *reader G_GNUC_UNUSED)
+{
+	ql_listener_connection_t *connection = data;
+	ql_http_exchange_t *exchange = connection->reading;
+
+	if (!exchange)
+		return false;
+	connection->reading = NULL;
+	exchange->complete = true;
+	exchange->received_us = ql_clock_now_us();
+	if (!exchange->keeps_alive)
+		connection->last_read = true;
+	g_queue_push_tail(&connection->exchanges, exchange);
+	connection->listener->opts.handle(connection->listener->opts.data,
+					  exchange);
+	return !connection->gone && !connection->last_read;
+}
+
+static const ql_http_reader_ops_t reader_ops = {
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+};
+
+static void on_received(void *data, const char *bytes, size_t length)
+{
+	ql_listener_connection_t *connection = data;
+	ql_http_read_t result;
+	size_t used;
+
+	if (connection->last_read || connection->lingering)
+		return;
+	result = ql_http_reader_feed(&connection->reader, bytes, length, &used);
+	if (connection->gone)
+		return;
+	if (result == QL_HTTP_READ_MALFORMED && !connection->last_read)
+		refuse(connection, HTTP_STATUS_BAD_REQUEST);
+	if (connection->gone || connection->lingering)
+		return;
+	if (connection->exchanges.length >= PIPELINED_MAX)
+		ql_stream_pause(&connection->stream);
+	set_timer(connection);
+}
+
+static void resume_reading(ql_listener_connection_t *connection)
+{
+	if (connection->exchanges.length < PIPELINED_MAX)
+		ql_stream_resume(&connection->stream);
+	set_timer(connection);
+}
+
+static void on_drained(void *data)
+{
+	ql_listener_connection_t *connection = data;
+	ql_http_exchange_t *first = g_queue_peek_head(&connection->exchanges);
+
+	if (first && first->ops && first->ops->drained && !first->ended)
+		first->ops->drained(first->data);
+}
+
+static const ql_stream_ops_t stream_ops = {
+	.received = on_received,
+	.ended = on_ended,
+	.drained = on_drained,
+	.closed = on_closed,
+};
+
+static void on_connection(uv_stream_t *socket, int status)
+{
+	ql_listener_t *listener = socket->data;
+	ql_listener_connection_t *connection;
+
+	if (status)
+		return;
+	connection = g_new0(ql_listener_connection_t, 1);
+	connection->listener = listener;
+	connection->timer.expired = on_timer;
+	connection->timer.data = connection;
+	g_queue_init(&connection->exchanges);
+	ql_http_reader_init(&connection->reader, true, &reader_ops, connection);
+	ql_stream_init(&connection->stream, listener->loop, &stream_ops,
+		       connection);
+	g_hash_table_add(listener->connections, connection);
+	if (ql_stream_accept(&connection->stream, socket) ||
+	    g_hash_table_size(listener->connections) >
+		    listener->opts.connections)
+		abort_connection(connection);
+	else
+		set_timer(connection);
+}
+
+int ql_listener_start(ql_listener_t *listener, ql_loop_t *loop,
+		      const ql_listener_opts_t *opts, GError **error)
+{
+	int status;
+
+	memset(listener, 0, sizeof(*listener));
+	listener->loop = loop;
+	listener->opts = *opts;
+	listener->connections = g_hash_table_new(NULL, NULL);
+	uv_tcp_init(&loop->uv, &listener->socket);
+	listener->socket.data = listener;
+	listener->listening = true;
+	status = uv_tcp_bind(&listener->socket,
+			     (const struct sockaddr *)&opts->address, 0);
+	if (!status)
+		status = uv_listen((uv_stream_t *)&listener->socket, BACKLOG,
+				   on_connection);
+	if (status)
+		return ql_error_set(error, QL_E_IO,
+				    "cannot listen at port %u:"
+				    " %s",
+				    ntohs(opts->address.sin_port),
+				    uv_strerror(status));
+	return 0;
+}
+
+void ql_listener_begin_close(ql_listener_t *listener)
+{
+	listener->closing = true;
+}
+
+void ql_listener_stop(ql_listener_t *listener)
+{
+	GList *connections, *link;
+
+	if (!listener->listening)
+		return;
+	listener->listening = false;
+	uv_close((uv_handle_t *)&listener->socket, NULL);
+	connections = g_hash_table_get_keys(listener->connections);
+	for (link = connections; link; link = link->next)
+		abort_connection(link->data);
+	g_list_free(connections);
+}
+
+void ql_listener_finish(ql_listener_t *listener)
+{
+	if (listener->connections)
+		g_hash_table_destroy(listener->connections);
+}
--- /dev/null
+++ b/src/http/upstream.c
@@ -0,0 +1,382 @@
+#include "http/upstream.h"
+#include "quetzalloft/clock.h"
+#include "quetzalloft/error.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define MS_PER_S 1000u
+/* A peer that closes idle connections after a time is not raced for it. */
+#define KEEP_ALIVE_SHARE 0.6
+
+struct ql_upstream_connection {
+	ql_upstream_t *upstream;
+	ql_stream_t stream;
+	ql_http_reader_t reader;
+	ql_wheel_timer_t timer;
+	ql_upstream_request_t *request;
+	GList all_link;
+	GList idle_link;
+	GByteArray *unsent;
+	bool is_idle;
+	bool connected;
+	bool reusable;
+	uint32_t idle_ms;
+	bool skipping;
+};
+
+struct ql_upstream_request {
+	ql_upstream_connection_t *connection;
+	const ql_upstream_ops_t *ops;
+	void *data;
+	bool bodiless;
+	bool written;
+	bool begun;
+};
+
+static void set_idle(ql_upstream_connection_t *connection, bool is_idle)
+{
+	GQueue *idle = &connection->upstream->idle;
+
+	if (connection->is_idle == is_idle)
+		return;
+	connection->is_idle = is_idle;
+	if (is_idle)
+		g_queue_push_head_link(idle, &connection->idle_link);
+	else
+		g_queue_unlink(idle, &connection->idle_link);
+}
+
+static void close_connection(ql_upstream_connection_t *connection)
+{
+	set_idle(connection, false);
+	ql_loop_stop_timer(connection->upstream->loop, &connection->timer);
+	ql_stream_abort(&connection->stream);
+}
+
+static void free_if_unused(ql_upstream_t *upstream)
+{
+	if (upstream->finishing && !upstream->connections.length)
+		g_free(upstream);
+}
+
+static void on_closed(void *data)
+{
+	ql_upstream_connection_t *connection = data;
+	ql_upstream_t *upstream = connection->upstream;
+
+	g_queue_unlink(&upstream->connections, &connection->all_link);
+	ql_http_reader_finish(&connection->reader);
+	if (connection->unsent)
+		g_byte_array_free(connection->unsent, TRUE);
+	g_free(connection);
+	free_if_unused(upstream);
+}
+
+/* Takes the request off its connection. */
+static ql_upstream_request_t *take_request(ql_upstream_connection_t *connection)
+{
+	ql_upstream_request_t *request = connection->request;
+
+	connection->request = NULL;
+	return request;
+}
+
+static void fail(ql_upstream_connection_t *connection,
+		 ql_upstream_failure_t failure)
+{
+	ql_upstream_request_t *request = take_request(connection);
+
+	close_connection(connection);
+	if (!request)
+		return;
+	request->ops->failed(request->data, failure);
+	g_free(request);
+}
+
+static void on_timer(void *data)
+{
+	ql_upstream_connection_t *connection = data;
+
+	fail(connection,
+	     connection->connected ? QL_UPSTREAM_LOST : QL_UPSTREAM_NOT_SENT);
+}
+
+/* How long the peer keeps an idle connection, as far as it says. */
+static uint32_t kept_idle_ms(const ql_upstream_connection_t *connection)
+{
+	const char *value =
+		ql_headers_get(&connection->reader.headers, "keep-alive");
+	const char *timeout = value ? strcasestr(value, "timeout=") : NULL;
+	double ms;
+
+	if (!timeout)
+		return connection->upstream->opts.idle_ms;
+	ms = g_ascii_strtod(timeout + strlen("timeout="), NULL) * MS_PER_S *
+	     KEEP_ALIVE_SHARE;
+	return (uint32_t)CLAMP(ms, 0.0, connection->upstream->opts.idle_ms);
+}
+
+static void keep(ql_upstream_connection_t *connection)
+{
+	if (!connection->reusable || connection->upstream->finishing ||
+	    !connection->idle_ms) {
+		close_connection(connection);
+		return;
+	}
+	set_idle(connection, true);
+	ql_loop_start_timer(connection->upstream->loop, &connection->timer,
+			    connection->idle_ms);
+}
+
+static bool on_head(void *data, ql_http_reader_t *reader)
+{
+	ql_upstream_connection_t *connection = data;
+	ql_upstream_request_t *request = connection->request;
+
+	connection->skipping =
+		!request || ql_http_reader_status(reader) < HTTP_STATUS_OK;
+	if (connection->skipping)
+		return request != NULL;
+	if (request->ops->accepts &&
+	    !request->ops->accepts(request->data, reader)) {
+		connection->upstream->unexpected++;
+		connection->skipping = true;
+		return true;
+	}
+	connection->reusable = ql_http_reader_keeps_alive(reader);
+	connection->idle_ms = kept_idle_ms(connection);
+	reader->bodiless = request->bodiless;
+	request->begun = true;
+	request->ops->head(request->data, reader);
+	/* The owner may have given up the request. */
+	return connection->request != NULL;
+}
+
+static void on_body(void *data, const char *bytes, size_t length)
+{
+	ql_upstream_connection_t *connection = data;
+	ql_upstream_request_t *request = connection->request;
+
+	if (request && !connection->skipping)
+		request->ops->body(request->data, bytes, length);
+}
+
+static bool on_complete(void *data, ql_http_reader_t *reader)
+{
+	ql_upstream_connection_t *connection = data;
+
+	if (!connection->request)
+		return false;
+	if (connection->skipping) {
+		/* Only an answer that ends with the connection ends it. */
+		return ql_http_reader_keeps_alive(reader) ||
+		       ql_http_reader_status(reader) < HTTP_STATUS_OK;
+	}
+	return false;
+}
+
+static const ql_http_reader_ops_t reader_ops = {
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+};
+
+static bool is_answered(const ql_upstream_connection_t *connection)
+{
+	return connection->request && connection->request->begun &&
+	       !connection->skipping && !connection->reader.started;
+}
+
+/* The answer is whole; bytes behind it belong to nobody. */
+static void finish_answer(ql_upstream_connection_t *connection,
+			  bool has_more_bytes)
+{
+	ql_upstream_request_t *request = take_request(connection);
+
+	if (has_more_bytes) {
+		connection->upstream->unexpected++;
+		connection->reusable = false;
+	}
+	ql_http_reader_resume(&connection->reader);
+	keep(connection);
+	request->ops->complete(request->data);
+	g_free(request);
+}
+
+static void on_received(void *data, const char *bytes, size_t length)
+{
+	ql_upstream_connection_t *connection = data;
+	ql_http_read_t result;
+	size_t used;
+
+	if (!connection->request) {
+		connection->upstream->unexpected++;
+		close_connection(connection);
+		return;
+	}
+	result = ql_http_reader_feed(&connection->reader, bytes, length, &used);
+	if (connection->stream.closing)
+		return;
+	if (result == QL_HTTP_READ_STOPPED && is_answered(connection))
+		finish_answer(connection, used < length);
+	else if (result != QL_HTTP_READ_MORE)
+		fail(connection, QL_UPSTREAM_MALFORMED);
+}
+
+static void on_ended(void *data, int status)
+{
+	ql_upstream_connection_t *connection = data;
+	size_t used;
+
+	if (status == UV_EOF && connection->request &&
+	    connection->request->begun && connection->reader.started) {
+		/* An answer without a length ends with its connection. */
+		connection->reusable = false;
+		ql_http_reader_feed(&connection->reader, NULL, 0, &used);
+		if (connection->stream.closing)
+			return;
+		if (is_answered(connection)) {
+			finish_answer(connection, false);
+			return;
+		}
+	}
+	fail(connection,
+	     connection->connected ? QL_UPSTREAM_LOST : QL_UPSTREAM_NOT_SENT);
+}
+
+static void on_connected(void *data, int status)
+{
+	ql_upstream_connection_t *connection = data;
+
+	if (status) {
+		fail(connection, QL_UPSTREAM_NOT_SENT);
+		return;
+	}
+	connection->connected = true;
+	connection->upstream->opened++;
+	ql_loop_stop_timer(connection->upstream->loop, &connection->timer);
+	if (!connection->request) {
+		close_connection(connection);
+		return;
+	}
+	connection->request->written = true;
+	ql_stream_write(&connection->stream, connection->unsent->data,
+			connection->unsent->len);
+	g_byte_array_free(connection->unsent, TRUE);
+	connection->unsent = NULL;
+}
+
+static const ql_stream_ops_t stream_ops = {
+	.connected = on_connected,
+	.received = on_received,
+	.ended = on_ended,
+	.closed = on_closed,
+};
+
+ql_upstream_t *ql_upstream_new(ql_loop_t *loop, const ql_upstream_opts_t *opts)
+{
+	ql_upstream_t *upstream = g_new0(ql_upstream_t, 1);
+
+	upstream->loop = loop;
+	upstream->opts = *opts;
+	g_queue_init(&upstream->idle);
+	g_queue_init(&upstream->connections);
+	return upstream;
+}
+
+void ql_upstream_drop_idle(ql_upstream_t *upstream)
+{
+	ql_upstream_connection_t *connection;
+
+	while ((connection = g_queue_peek_head(&upstream->idle)))
+		close_connection(connection);
+}
+
+void ql_upstream_free(ql_upstream_t *upstream)
+{
+	ql_upstream_drop_idle(upstream);
+	upstream->finishing = true;
+	free_if_unused(upstream);
+}
+
+static ql_upstream_connection_t *open_connection(ql_upstream_t *upstream)
+{
+	ql_upstream_connection_t *connection =
+		g_new0(ql_upstream_connection_t, 1);
+
+	connection->upstream = upstream;
+	connection->all_link.data = connection;
+	connection->idle_link.data = connection;
+	connection->timer.expired = on_timer;
+	connection->timer.data = connection;
+	ql_http_reader_init(&connection->reader, false, &reader_ops,
+			    connection);
+	ql_stream_init(&connection->stream, upstream->loop, &stream_ops,
+		       connection);
+	g_queue_push_tail_link(&upstream->connections, &connection->all_link);
+	if (ql_stream_connect(&connection->stream, &upstream->opts.address)) {
+		close_connection(connection);
+		return NULL;
+	}
+	ql_loop_start_timer(upstream->loop, &connection->timer,
+			    upstream->opts.connect_timeout_ms);
+	return connection;
+}
+
+ql_upstream_request_t *ql_upstream_send(ql_upstream_t *upstream,
+					const ql_upstream_call_t *call)
+{
+	ql_upstream_connection_t *connection =
+		g_queue_peek_head(&upstream->idle);
+	ql_upstream_request_t *request;
+
+	if (!connection)
+		connection = open_connection(upstream);
+	if (!connection)
+		return NULL;
+	request = g_new0(ql_upstream_request_t, 1);
+	request->connection = connection;
+	request->ops = call->ops;
+	request->data = call->data;
+	request->bodiless = call->bodiless;
+	connection->request = request;
+	connection->reader.bodiless = false;
+	if (!connection->connected) {
+		connection->unsent = g_byte_array_new();
+		g_byte_array_append(connection->unsent, call->bytes->data,
+				    call->bytes->len);
+		return request;
+	}
+	set_idle(connection, false);
+	ql_loop_stop_timer(upstream->loop, &connection->timer);
+	request->written = true;
+	ql_stream_write(&connection->stream, call->bytes->data,
+			call->bytes->len);
+	return request;
+}
+
+void ql_upstream_cancel(ql_upstream_request_t *request)
+{
+	ql_upstream_connection_t *connection = request->connection;
+
+	take_request(connection);
+	close_connection(connection);
+	g_free(request);
+}
+
+bool ql_upstream_was_written(const ql_upstream_request_t *request)
+{
+	return request->written;
+}
+
+void ql_upstream_pause(ql_upstream_request_t *request)
+{
+	ql_stream_pause(&request->connection->stream);
+}
+
+void ql_upstream_resume(ql_upstream_request_t *request)
+{
+	ql_stream_resume(&request->connection->stream);
+}
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -48,6 +48,8 @@
 {
 	ql_patch_t patch = {
 		.base_version = args->base_version,
+		.version = args->new_version,
+		.whole = args->whole,
 		.text = args->patch.patch_val,
 		.length = args->patch.patch_len,
 	};
@@ -211,7 +213,8 @@
 	ql_lease_service_t *lease = &control->lease;
 
 	lease->settings = control->settings;
-	lease->gates = control->gates;
+	lease->describe = control->describe;
+	lease->describe_data = control->describe_data;
 	lease->counters = control->counters;
 	lease->hlc = control->hlc;
 	lease->incarnation = control->incarnation;
@@ -238,9 +241,10 @@
 	if (control->settings->replica)
 		control->rpc.programs[control->rpc.n_programs++] =
 			ql_replica_service_program(&control->replica);
-	ql_claim_service_program(
-		&control->rpc.programs[control->rpc.n_programs++],
-		control->claims);
+	if (control->claims)
+		ql_claim_service_program(
+			&control->rpc.programs[control->rpc.n_programs++],
+			control->claims);
 	return ql_rpc_server_start(&control->rpc, address, error);
 }
 
@@ -255,8 +259,9 @@
 	ret = init_replica(control, error);
 	if (!ret)
 		ret = init_registrar(control, error);
-	if (!ret)
+	if (!ret && ops)
 		ret = init_lease(control, ops, ops_data, error);
+	control->has_lease = ops != NULL;
 	if (!ret)
 		ret = start_rpc(control, error);
 	if (ret)
@@ -264,18 +269,21 @@
 	if (control->settings->replica)
 		ql_replica_service_start(&control->replica);
 	ql_registrar_service_start(&control->registrar);
-	ql_lease_service_start(&control->lease);
+	if (control->has_lease)
+		ql_lease_service_start(&control->lease);
 	return 0;
 }
 
 void ql_control_service_stop(ql_control_service_t *control)
 {
-	ql_lease_service_stop(&control->lease);
+	if (control->has_lease)
+		ql_lease_service_stop(&control->lease);
 	ql_registrar_service_stop(&control->registrar);
 	if (control->settings->replica)
 		ql_replica_service_stop(&control->replica);
 	ql_rpc_server_stop(&control->rpc);
-	ql_lease_service_finish(&control->lease);
+	if (control->has_lease)
+		ql_lease_service_finish(&control->lease);
 	ql_registrar_service_finish(&control->registrar);
 	if (control->settings->replica)
 		ql_replica_service_finish(&control->replica);
--- a/src/node/control_service.h
+++ b/src/node/control_service.h
@@ -26,7 +26,8 @@
  */
 typedef struct ql_control_service {
 	const ql_settings_t *settings;
-	ql_gate_service_t *gates;
+	u_int (*describe)(void *data, ql_rpc_endpoint *out);
+	void *describe_data;
 	ql_claim_service_t *claims;
 	ql_counters_t *counters;
 	ql_hlc_t *hlc;
@@ -34,6 +35,7 @@
 	json_t *(*report)(void *data, const char *topic, const char *filter);
 	void *data;
 	uint64_t incarnation;
+	bool has_lease;
 	pthread_mutex_t lock;
 	ql_config_state_t state;
 	ql_replica_service_t replica;
@@ -45,7 +47,7 @@
 /**
  * ql_control_service_start() - Load the state, serve, and renew the lease.
  * @control: the service, its borrowed members set
- * @ops: what to do when the node learns something
+ * @ops: what to do when the node learns something; NULL holds no lease
  * @ops_data: passed to @ops
  * @error: detail of a failure
  *
--- /dev/null
+++ b/src/node/core_node.c
@@ -0,0 +1,67 @@
+#include "node/core_node.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/log.h"
+
+#include <string.h>
+
+static json_t *report(void *data, const char *topic, const char *filter)
+{
+	ql_core_node_t *node = data;
+	const ql_settings_t *settings = node->context.settings;
+
+	if (!strcmp(topic, "status"))
+		return json_pack("{s:s, s:s, s:s}", "node", settings->node,
+				 "cluster", settings->cluster, "failure_domain",
+				 settings->placement);
+	if (!strcmp(topic, "counters"))
+		return ql_counters_report(&node->context.counters);
+	if (!strcmp(topic, "members"))
+		return ql_registrar_service_report(&node->control.registrar);
+	if (!strcmp(topic, "timeline"))
+		return ql_timeline_report(&node->context.timeline, filter);
+	return NULL;
+}
+
+static int start_control(ql_core_node_t *node, GError **error)
+{
+	node->control.settings = node->context.settings;
+	node->control.counters = &node->context.counters;
+	node->control.hlc = &node->context.hlc;
+	node->control.timeline = &node->context.timeline;
+	node->control.report = report;
+	node->control.data = node;
+	return ql_control_service_start(&node->control, NULL, NULL, error);
+}
+
+int ql_core_node_start(ql_core_node_t *node, const ql_settings_t *settings,
+		       const ql_dialect_t *dialect, GError **error)
+{
+	int ret = ql_context_init(&node->context, settings, error);
+
+	if (!ret)
+		ret = start_control(node, error);
+	if (ret)
+		return ret;
+	node->steward.replica = &node->control.replica;
+	node->steward.registrar = &node->control.registrar;
+	ql_replica_steward_start(&node->steward);
+	node->operators.settings = settings;
+	node->operators.dialect = dialect;
+	node->operators.replica = &node->control.replica;
+	ret = ql_operator_http_start(&node->operators, error);
+	if (!ret)
+		ql_log(LOG_NOTICE, "core_started",
+		       QL_STR("node", settings->node),
+		       QL_INT("bootstrap", settings->bootstrap));
+	return ret;
+}
+
+void ql_core_node_stop(ql_core_node_t *node)
+{
+	ql_operator_http_stop(&node->operators);
+	ql_replica_steward_stop(&node->steward);
+	ql_control_service_stop(&node->control);
+	ql_log(LOG_NOTICE, "core_stopped",
+	       QL_STR("node", node->context.settings->node));
+	ql_context_finish(&node->context);
+}
--- a/src/node/gate_service.c
+++ b/src/node/gate_service.c
@@ -142,6 +142,7 @@
 		out[i].gate = strdup(gate);
 		out[i].node = strdup(node);
 		out[i].failure_domain = strdup(failure_domain);
+		out[i].placement = strdup("");
 	}
 	pthread_mutex_unlock(&service->lock);
 	return (u_int)i;
--- a/src/node/lease_service.c
+++ b/src/node/lease_service.c
@@ -26,19 +26,14 @@
 
 static void describe_node(ql_lease_service_t *service, ql_rpc_lease_args *args)
 {
-	const ql_settings_t *settings = service->settings;
-	char gate[QL_ADDRESS_MAX * 2];
 	u_int i;
 
-	g_snprintf(gate, sizeof(gate), "%s:%u", settings->address,
-		   (unsigned int)settings->gate_port);
 	args->endpoints.endpoints_val =
 		calloc(QL_LOCAL_ENDPOINTS_MAX, sizeof(ql_rpc_endpoint));
 	g_assert(args->endpoints.endpoints_val);
 	args->endpoints.endpoints_len =
-		ql_gate_service_describe(service->gates, settings->node,
-					 settings->failure_domain, gate,
-					 args->endpoints.endpoints_val);
+		service->describe(service->describe_data,
+				  args->endpoints.endpoints_val);
 	args->leaving = is_leaving(service);
 	if (args->leaving)
 		for (i = 0; i < args->endpoints.endpoints_len; i++)
@@ -46,6 +41,20 @@
 				QL_RPC_ENDPOINT_LEAVING;
 }
 
+/* The registrar at a place of the list may have been replaced. */
+static ql_rpc_client_t *client_of(ql_lease_service_t *service, int index)
+{
+	ql_rpc_client_t *client = &service->clients[index];
+	const char *address = service->member.opts.registrars[index];
+
+	if (strcmp(client->address, address) != 0) {
+		ql_rpc_client_finish(client);
+		ql_rpc_client_init(client, address, QL_CONTROL_PROGRAM,
+				   QL_CONTROL_V1, CALL_TIMEOUT_MS);
+	}
+	return client;
+}
+
 static int exchange_lease(ql_lease_service_t *service, int index,
 			  GError **error)
 {
@@ -58,14 +67,16 @@
 		.decode = (xdrproc_t)xdr_ql_rpc_lease_res,
 		.result = &res,
 	};
+	ql_rpc_client_t *client;
 	int ret;
 
 	describe_node(service, &args);
 	pthread_mutex_lock(&service->lock);
+	client = client_of(service, index);
 	ql_member_fill_lease(&service->member, index, &args);
 	pthread_mutex_unlock(&service->lock);
 	args.greeting.clock = ql_hlc_tick(service->hlc, ql_clock_wall_ms());
-	ret = ql_rpc_client_call(&service->clients[index], &call, error);
+	ret = ql_rpc_client_call(client, &call, error);
 	pthread_mutex_lock(&service->lock);
 	if (ret)
 		ql_member_lease_failed(&service->member, index, now_ms());
@@ -208,7 +219,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < service->settings->n_registrars; i++)
+	for (i = 0; i < service->member.opts.n_registrars; i++)
 		renew_at(service, (int)i);
 }
 
@@ -260,7 +271,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < service->settings->n_registrars; i++)
+	for (i = 0; i < QL_REGISTRARS_MAX; i++)
 		ql_rpc_client_finish(&service->clients[i]);
 	for (i = 0; i < service->settings->n_neighbours; i++)
 		ql_rpc_client_finish(&service->neighbours[i]);
--- a/src/node/lease_service.h
+++ b/src/node/lease_service.h
@@ -19,7 +19,9 @@
 /**
  * struct ql_lease_service - The renewal of the lease.
  * @settings: borrowed
- * @gates: borrowed
+ * @describe: writes the local endpoints, up to QL_LOCAL_ENDPOINTS_MAX, and
+ *            returns their number
+ * @describe_data: passed to it
  * @counters: borrowed
  * @hlc: borrowed
  * @incarnation: start of this process
@@ -34,7 +36,8 @@
  */
 typedef struct ql_lease_service {
 	const ql_settings_t *settings;
-	ql_gate_service_t *gates;
+	u_int (*describe)(void *data, ql_rpc_endpoint *out);
+	void *describe_data;
 	ql_counters_t *counters;
 	ql_hlc_t *hlc;
 	uint64_t incarnation;
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -1,4 +1,7 @@
+#include "node/core_node.h"
 #include "node/node.h"
+#include "node/path_node.h"
+#include "platform/adapter.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
 
@@ -46,7 +49,14 @@
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
 	sigaddset(&signals, SIGINT);
-	sigwait(&signals, &received);
+	sigaddset(&signals, SIGHUP);
+	for (;;) {
+		sigwait(&signals, &received);
+		if (received != SIGHUP)
+			break;
+		ql_log(LOG_NOTICE, "reload_requested",
+		       QL_STR("detail", "the settings in force stay"));
+	}
 	ql_log(LOG_NOTICE, "stop_requested", QL_INT("signal", received));
 }
 
@@ -58,23 +68,54 @@
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
 	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
 	sigaddset(&signals, SIGPIPE);
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 }
 
-static int run(const ql_settings_t *settings)
+static int fail_start(GError *error)
+{
+	ql_log_error(LOG_ERR, "start_failed", error);
+	g_error_free(error);
+	return EX_UNAVAILABLE;
+}
+
+static int run_path_node(const ql_settings_t *settings)
+{
+	ql_path_node_t *node = g_new0(ql_path_node_t, 1);
+	GError *error = NULL;
+
+	if (ql_path_node_start(node, settings, &ql_platform_dialect, &error))
+		return fail_start(error);
+	wait_for_stop();
+	ql_path_node_drain(node);
+	ql_path_node_stop(node);
+	g_free(node);
+	return EX_OK;
+}
+
+static int run_core_node(const ql_settings_t *settings)
+{
+	ql_core_node_t *node = g_new0(ql_core_node_t, 1);
+	GError *error = NULL;
+
+	if (ql_core_node_start(node, settings, &ql_platform_dialect, &error))
+		return fail_start(error);
+	wait_for_stop();
+	ql_core_node_stop(node);
+	g_free(node);
+	return EX_OK;
+}
+
+static int run_all(const ql_settings_t *settings)
 {
 	ql_node_t *node = g_new0(ql_node_t, 1);
 	GError *error = NULL;
 
-	ql_log_set_process(settings->node);
-	block_signals();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	if (ql_node_start(node, settings, &error)) {
-		ql_log_error(LOG_ERR, "start_failed", error);
-		g_error_free(error);
 		g_free(node);
-		return EX_UNAVAILABLE;
+		return fail_start(error);
 	}
 	wait_for_stop();
 	ql_node_drain(node);
@@ -84,6 +125,21 @@
 	return EX_OK;
 }
 
+static int run(const ql_settings_t *settings)
+{
+	ql_log_set_process(settings->node);
+	block_signals();
+	switch (settings->role) {
+	case QL_ROLE_NODE:
+		return run_path_node(settings);
+	case QL_ROLE_REPLICA:
+		return run_core_node(settings);
+	case QL_ROLE_ALL:
+	default:
+		return run_all(settings);
+	}
+}
+
 static int load_and_run(const arguments_t *args)
 {
 	ql_settings_t settings;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -1,4 +1,5 @@
 #include "node/node.h"
+#include "quetzalloft/address.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
 
@@ -248,10 +249,23 @@
 	pthread_mutex_destroy(&node->state_lock);
 }
 
+static u_int describe_endpoints(void *data, ql_rpc_endpoint *out)
+{
+	ql_node_t *node = data;
+	const ql_settings_t *settings = node->context.settings;
+	char gate[QL_ADDRESS_MAX];
+
+	ql_address_format(gate, settings->address,
+			  (unsigned int)settings->gate_port);
+	return ql_gate_service_describe(&node->gates, settings->node,
+					settings->failure_domain, gate, out);
+}
+
 static int start_control(ql_node_t *node, GError **error)
 {
 	node->control.settings = node->context.settings;
-	node->control.gates = &node->gates;
+	node->control.describe = describe_endpoints;
+	node->control.describe_data = node;
 	node->control.counters = &node->context.counters;
 	node->control.hlc = &node->context.hlc;
 	node->control.timeline = &node->context.timeline;
--- /dev/null
+++ b/src/node/operator_http.c
@@ -0,0 +1,269 @@
+#include "node/operator_http.h"
+#include "node/answer.h"
+#include "quetzalloft/address.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+#include "quetzalloft/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <xxhash.h>
+
+#define PATH_CONFIG "/quetzalloft/config"
+#define BODY_LIMIT_BYTES (4u << 20)
+#define CONNECTIONS 256u
+/* An operator that has waited for a second asks another replica. */
+#define DECISION_MAX_US (900 * QL_US_PER_MS)
+#define POLL_US (5 * QL_US_PER_MS)
+#define JSON_TYPE "application/json"
+
+/* One request that is being answered. */
+typedef struct {
+	ql_operator_http_t *operators;
+	const struct _u_request *request;
+	struct _u_response *response;
+	uint64_t started_us;
+} operation_t;
+
+static void answer_error(operation_t *operation, unsigned int status,
+			 const char *detail)
+{
+	json_t *json = json_pack("{s:s}", "error", detail);
+	char *text = ql_json_text(json);
+
+	ql_answer_text(operation->response, status, JSON_TYPE, text);
+	free(text);
+	json_decref(json);
+}
+
+static bool is_time_up(const operation_t *operation)
+{
+	return ql_clock_now_us() - operation->started_us > DECISION_MAX_US;
+}
+
+/* Operators reach every replica at the same port. */
+static void send_to_leader(operation_t *operation, const char *leader)
+{
+	const char *own = operation->operators->settings->listen.operator_;
+	const char *colon = strchr(leader, ':');
+	char *location;
+
+	if (!colon) {
+		answer_error(operation, 503, "no leader is known; try again");
+		return;
+	}
+	location = g_strdup_printf("http://%.*s%s%s", (int)(colon - leader),
+				   leader, strrchr(own, ':'),
+				   operation->request->http_url);
+	u_map_put(operation->response->map_header, "Location", location);
+	answer_error(operation, 307, "another replica leads");
+	g_free(location);
+}
+
+static void leader_of(const ql_operator_http_t *operators, char *leader)
+{
+	pthread_mutex_lock(&operators->replica->view_lock);
+	g_strlcpy(leader, operators->replica->view.leader_address,
+		  QL_ADDRESS_MAX);
+	pthread_mutex_unlock(&operators->replica->view_lock);
+}
+
+static void answer_put(operation_t *operation, const ql_patch_answer_t *answer,
+		       const char *leader)
+{
+	char text[64];
+
+	switch (answer->status) {
+	case 0:
+		g_snprintf(text, sizeof(text),
+			   "{\"version\":%" G_GUINT64_FORMAT "}",
+			   answer->version);
+		ql_answer_text(operation->response, 200, JSON_TYPE, text);
+		break;
+	case QL_E_STALE:
+		answer_error(operation, 412, answer->detail);
+		break;
+	case QL_E_NOT_LEADER:
+		send_to_leader(operation, leader);
+		break;
+	case QL_E_PENDING:
+	case QL_E_UNAVAILABLE:
+	case QL_E_FULL:
+		answer_error(operation, 503, answer->detail);
+		break;
+	default:
+		answer_error(operation, 400, answer->detail);
+		break;
+	}
+}
+
+/* Waits until the patch is decided on, or somebody else is to be asked. */
+static void decide(operation_t *operation, const ql_patch_t *patch)
+{
+	ql_patch_answer_t answer;
+	char leader[QL_ADDRESS_MAX];
+
+	for (;;) {
+		ql_replica_service_submit(operation->operators->replica, patch,
+					  &answer, leader);
+		if (answer.status != QL_E_PENDING || is_time_up(operation))
+			break;
+		g_usleep(POLL_US);
+	}
+	answer_put(operation, &answer, leader);
+	ql_log(LOG_NOTICE, "document_put", QL_STR("id", patch->id),
+	       QL_UINT("base", patch->base_version),
+	       QL_UINT("version", patch->version),
+	       QL_STR("error", ql_error_name(answer.status)),
+	       QL_STR("detail", answer.detail));
+}
+
+/* The same document on the same base is the same patch, however often sent. */
+static void set_id(ql_patch_t *patch, const char *body, size_t length)
+{
+	XXH128_hash_t hash =
+		XXH3_128bits_withSeed(body, length, patch->base_version);
+
+	g_snprintf(patch->id, sizeof(patch->id),
+		   "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+		   (uint64_t)hash.high64, (uint64_t)hash.low64);
+}
+
+static int read_base_version(const operation_t *operation, uint64_t *out,
+			     GError **error)
+{
+	const char *name = operation->operators->dialect->base_version;
+	const char *value =
+		u_map_get_case(operation->request->map_header, name);
+	guint64 number;
+
+	if (!value || !g_ascii_string_to_unsigned(value, 10, 0, UINT64_MAX,
+						  &number, NULL))
+		return ql_error_set(error, QL_E_INVALID,
+				    "%s: found \"%s\", allowed a number", name,
+				    value ? value : "nothing");
+	*out = number;
+	return 0;
+}
+
+static void put_document(operation_t *operation)
+{
+	const ql_dialect_t *dialect = operation->operators->dialect;
+	const char *body = operation->request->binary_body;
+	size_t length = operation->request->binary_body_length;
+	ql_patch_t patch = {.whole = true};
+	json_t *document = NULL;
+	GError *error = NULL;
+	char *text;
+	int ret = read_base_version(operation, &patch.base_version, &error);
+
+	if (!ret)
+		ret = dialect->read_document(&document, &patch.version,
+					     body ? body : "", length, &error);
+	if (ret) {
+		ql_log_error(LOG_NOTICE, "document_refused", error);
+		answer_error(operation, 400, error->message);
+		g_error_free(error);
+		return;
+	}
+	set_id(&patch, body, length);
+	text = ql_json_text(document);
+	patch.text = text;
+	patch.length = strlen(text);
+	decide(operation, &patch);
+	free(text);
+	json_decref(document);
+}
+
+static void answer_document(operation_t *operation)
+{
+	ql_replica_service_t *replica = operation->operators->replica;
+	ql_document_t *doc;
+	json_t *json;
+	char *text;
+
+	pthread_mutex_lock(replica->lock);
+	doc = ql_document_ref(replica->state->doc);
+	pthread_mutex_unlock(replica->lock);
+	json = doc->version ? operation->operators->dialect->write_document(doc)
+			    : NULL;
+	if (json) {
+		text = ql_json_text(json);
+		ql_answer_text(operation->response, 200, JSON_TYPE, text);
+		free(text);
+		json_decref(json);
+	} else {
+		answer_error(operation, 503, "there is no document yet");
+	}
+	ql_document_unref(doc);
+}
+
+static void get_document(operation_t *operation)
+{
+	char leader[QL_ADDRESS_MAX];
+	uint64_t token = 0;
+	int ret;
+
+	for (;;) {
+		ret = ql_replica_service_read(operation->operators->replica,
+					      &token);
+		if (ret != QL_E_PENDING || is_time_up(operation))
+			break;
+		g_usleep(POLL_US);
+	}
+	if (!ret) {
+		answer_document(operation);
+	} else if (ret == QL_E_NOT_LEADER) {
+		leader_of(operation->operators, leader);
+		send_to_leader(operation, leader);
+	} else {
+		answer_error(operation, 503,
+			     "no quorum has confirmed that this is current");
+	}
+}
+
+static void handle(void *data, const struct _u_request *request,
+		   struct _u_response *response)
+{
+	operation_t operation = {
+		.operators = data,
+		.request = request,
+		.response = response,
+		.started_us = ql_clock_now_us(),
+	};
+
+	if (strcmp(request->url_path, PATH_CONFIG) != 0)
+		answer_error(&operation, 404, "no such resource");
+	else if (!strcasecmp(request->http_verb, "PUT"))
+		put_document(&operation);
+	else if (!strcasecmp(request->http_verb, "GET"))
+		get_document(&operation);
+	else
+		answer_error(&operation, 405, "allowed: GET, PUT");
+}
+
+int ql_operator_http_start(ql_operator_http_t *operators, GError **error)
+{
+	struct sockaddr_in address;
+	ql_http_server_opts_t opts = {
+		.address = operators->settings->address,
+		.connections = CONNECTIONS,
+		.body_limit_bytes = BODY_LIMIT_BYTES,
+		.handle = handle,
+		.data = operators,
+	};
+	int ret =
+		ql_address_parse(&address,
+				 operators->settings->listen.operator_, error);
+
+	if (ret)
+		return ret;
+	opts.port = ntohs(address.sin_port);
+	return ql_http_server_start(&operators->server, &opts, error);
+}
+
+void ql_operator_http_stop(ql_operator_http_t *operators)
+{
+	ql_http_server_stop(&operators->server);
+}
--- /dev/null
+++ b/src/node/path_node.c
@@ -0,0 +1,439 @@
+#include "node/path_node.h"
+#include "node/answer.h"
+#include "node/path_jobs.h"
+#include "quetzalloft/address.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define PATH_READY "/quetzalloft/ready"
+#define PATH_INSTANCES "/quetzalloft/instances/"
+#define BODY_LIMIT_BYTES (64u << 10)
+#define DUTY_CONNECTIONS 64u
+#define CONNECTIONS_MAX 3000u
+/* Bodies of requests that are held at a time. */
+#define BUFFER_LIMIT_BYTES (48u << 20)
+#define GATE_HEAD_LIMIT_BYTES (64u << 10)
+#define GATE_BODY_LIMIT_BYTES (256u << 20)
+#define GATE_HEAD_TIMEOUT_MS 5000u
+#define GATE_IDLE_TIMEOUT_MS 60000u
+#define DRAIN_POLL_US (20 * QL_US_PER_MS)
+/* Other nodes have heard of the leaving by then. */
+#define GATE_DRAIN_US (1500 * QL_US_PER_MS)
+/* Time kept for the exit itself. */
+#define EXIT_RESERVE_MS 500u
+#define CONNECTIONS_DEFAULT 256u
+
+static void endpoint_up(void *data, const char *service,
+			const ql_target_info_t *info)
+{
+	ql_path_jobs_endpoint_up(data, service, info);
+}
+
+static void endpoint_gone(void *data, const char *service, const char *gate)
+{
+	ql_log(LOG_NOTICE, "endpoint_gone", QL_STR("service", service),
+	       QL_STR("gate", gate));
+	ql_path_jobs_endpoint_gone(data, service, gate);
+}
+
+static void config_changed(void *data, ql_document_t *doc)
+{
+	ql_path_node_t *node = data;
+
+	ql_context_set_document(&node->context, doc);
+	ql_count(&node->context.counters, QL_COUNT_CONFIG_CHANGES);
+	ql_path_jobs_document(node, doc);
+}
+
+static void asked(void *data)
+{
+	ql_path_node_t *node = data;
+
+	ql_context_set_asked(&node->context);
+	ql_path_jobs_ready(node);
+	ql_log(LOG_NOTICE, "domain_asked",
+	       QL_STR("node", node->context.settings->node));
+}
+
+static const ql_member_ops_t member_ops = {
+	.endpoint_up = endpoint_up,
+	.endpoint_gone = endpoint_gone,
+	.config_changed = config_changed,
+	.asked = asked,
+};
+
+static ql_document_t *document(void *data)
+{
+	return ql_context_document(&((ql_path_node_t *)data)->context);
+}
+
+static void saw_version(void *data, uint64_t version)
+{
+	ql_path_node_t *node = data;
+
+	if (node->front.doc && version <= node->front.doc->version)
+		return;
+	ql_lease_service_saw_version(&node->control.lease, version);
+}
+
+/* Runs in the loop: the endpoint is to be announced anew. */
+static void endpoint_changed(void *data)
+{
+	ql_path_node_t *node = data;
+
+	pthread_mutex_lock(&node->lock);
+	node->announced = (ql_announced_endpoint_t){
+		.known = node->gate.known,
+		.serving = ql_local_gate_serves(&node->gate),
+		.slots = (uint32_t)node->gate.report.slots,
+		.incarnation = node->gate.incarnation,
+	};
+	pthread_mutex_unlock(&node->lock);
+	ql_lease_service_wake(&node->control.lease);
+}
+
+static uint32_t connections_of(ql_path_node_t *node, const char *name)
+{
+	ql_document_t *doc = ql_context_document(&node->context);
+	int index = ql_document_find_service(doc, name);
+	uint64_t connections = index < 0 ? 0 : doc->services[index].connections;
+
+	ql_document_unref(doc);
+	return connections ? (uint32_t)connections : CONNECTIONS_DEFAULT;
+}
+
+/* Runs in the thread of the lease. */
+static u_int describe(void *data, ql_rpc_endpoint *out)
+{
+	ql_path_node_t *node = data;
+	const ql_settings_t *settings = node->context.settings;
+	ql_announced_endpoint_t announced;
+
+	pthread_mutex_lock(&node->lock);
+	announced = node->announced;
+	pthread_mutex_unlock(&node->lock);
+	if (!announced.known)
+		return 0;
+	out->service = strdup(settings->endpoint.service);
+	out->gate = strdup(settings->listen.gate);
+	out->node = strdup(settings->node);
+	out->failure_domain = strdup(settings->failure_domain);
+	out->placement = strdup(settings->placement);
+	out->incarnation = announced.incarnation;
+	out->slots = announced.slots;
+	out->connections = connections_of(node, settings->endpoint.service);
+	out->state = announced.serving ? QL_RPC_ENDPOINT_SERVING
+				       : QL_RPC_ENDPOINT_LEAVING;
+	return 1;
+}
+
+static bool is_ready(ql_path_node_t *node)
+{
+	return !__atomic_load_n(&node->draining, __ATOMIC_ACQUIRE) &&
+	       ql_context_is_ready(&node->context);
+}
+
+static void handle_ready(void *data, const struct _u_request *request,
+			 struct _u_response *response)
+{
+	ql_path_node_t *node = data;
+
+	if (strcmp(request->url_path, PATH_READY) != 0)
+		ql_answer_text(response, 404, "text/plain", "not found\n");
+	else if (is_ready(node))
+		ql_answer_text(response, 200, "text/plain", "ready\n");
+	else
+		ql_answer_text(response, 503, "text/plain", "not ready\n");
+}
+
+static void take_report(ql_path_node_t *node, const char *instance,
+			const struct _u_request *request,
+			struct _u_response *response)
+{
+	const ql_endpoint_settings_t *own = &node->context.settings->endpoint;
+	ql_instance_report_t report = {0};
+	GError *error = NULL;
+	int ret =
+		node->dialect->read_report(&report, request->binary_body,
+					   request->binary_body_length, &error);
+
+	g_strlcpy(report.instance, instance, sizeof(report.instance));
+	if (!ret && (strcmp(report.service, own->service) != 0 ||
+		     strcmp(report.address, own->address) != 0))
+		ret = ql_error_set(&error, QL_E_DENIED,
+				   "%s at %s is not the endpoint beside this "
+				   "node",
+				   report.service, report.address);
+	if (ret) {
+		ql_log_error(LOG_NOTICE, "announcement_refused", error);
+		ql_answer_text(response, 400, "text/plain", error->message);
+		g_error_free(error);
+	} else if (ql_path_jobs_report(node, &report)) {
+		ql_answer_text(response, 503, "text/plain", "busy\n");
+	} else {
+		ql_answer_text(response, 200, "application/json", "{}");
+	}
+}
+
+static void handle_announce(void *data, const struct _u_request *request,
+			    struct _u_response *response)
+{
+	ql_path_node_t *node = data;
+	const char *instance;
+
+	if (strncmp(request->url_path, PATH_INSTANCES,
+		    strlen(PATH_INSTANCES)) != 0) {
+		ql_answer_text(response, 404, "text/plain", "not found\n");
+		return;
+	}
+	instance = request->url_path + strlen(PATH_INSTANCES);
+	if (!strcasecmp(request->http_verb, "PUT"))
+		take_report(node, instance, request, response);
+	else if (strcasecmp(request->http_verb, "DELETE") != 0)
+		ql_answer_text(response, 405, "text/plain", "PUT, DELETE\n");
+	else if (ql_path_jobs_leave(node, instance))
+		ql_answer_text(response, 503, "text/plain", "busy\n");
+	else
+		ql_answer_text(response, 200, "application/json", "{}");
+}
+
+static json_t *report(void *data, const char *topic, const char *filter)
+{
+	ql_path_node_t *node = data;
+	ql_document_t *doc;
+	json_t *json;
+
+	if (!strcmp(topic, "counters"))
+		return ql_counters_report(&node->context.counters);
+	if (!strcmp(topic, "membership"))
+		return ql_lease_service_report(&node->control.lease);
+	if (!strcmp(topic, "timeline"))
+		return ql_timeline_report(&node->context.timeline, filter);
+	if (strcmp(topic, "status") != 0)
+		return NULL;
+	doc = ql_context_document(&node->context);
+	json = json_pack("{s:s, s:s, s:s, s:I, s:b}", "node",
+			 node->context.settings->node, "cluster",
+			 node->context.settings->cluster, "failure_domain",
+			 node->context.settings->placement, "config_version",
+			 (json_int_t)doc->version, "ready", is_ready(node));
+	ql_document_unref(doc);
+	return json;
+}
+
+static int init_path(ql_path_node_t *node, GError **error)
+{
+	const ql_settings_t *settings = node->context.settings;
+	ql_local_gate_opts_t gate = {
+		.dialect = node->dialect,
+		.changed = endpoint_changed,
+		.data = node,
+	};
+	ql_front_opts_t front = {
+		.dialect = node->dialect,
+		.local = &node->gate,
+		.hops = &node->hops,
+	};
+	int ret = ql_address_parse(&gate.address, settings->endpoint.address,
+				   error);
+
+	if (ret)
+		return ret;
+	g_strlcpy(gate.service, settings->endpoint.service,
+		  sizeof(gate.service));
+	g_strlcpy(front.caller, settings->endpoint.service,
+		  sizeof(front.caller));
+	g_strlcpy(front.own_gate, settings->listen.gate,
+		  sizeof(front.own_gate));
+	g_strlcpy(front.failure_domain, settings->placement,
+		  sizeof(front.failure_domain));
+	ql_local_gate_init(&node->gate, &node->loop, &gate);
+	ql_hops_init(&node->hops, &node->loop);
+	ql_front_init(&node->front, &node->loop, &front);
+	node->hop_server = (ql_hop_server_t){
+		.gate = &node->gate,
+		.document = document,
+		.saw_version = saw_version,
+		.data = node,
+	};
+	return 0;
+}
+
+static int listen_clients(ql_path_node_t *node, GError **error)
+{
+	ql_client_limits_t limits = node->context.doc->limits;
+	ql_listener_opts_t opts = {
+		.head_limit_bytes = limits.head_bytes,
+		.body_limit_bytes = limits.body_bytes,
+		.buffer_limit_bytes = BUFFER_LIMIT_BYTES,
+		.head_timeout_ms = (uint32_t)limits.head_ms,
+		.idle_timeout_ms = (uint32_t)limits.idle_ms,
+		.connections = CONNECTIONS_MAX,
+		.handle = ql_front_handle,
+		.data = &node->front,
+	};
+	int ret =
+		ql_address_parse(&opts.address,
+				 node->context.settings->listen.client, error);
+
+	return ret ? ret
+		   : ql_listener_start(&node->clients, &node->loop, &opts,
+				       error);
+}
+
+static int listen_gates(ql_path_node_t *node, GError **error)
+{
+	ql_listener_opts_t opts = {
+		.head_limit_bytes = GATE_HEAD_LIMIT_BYTES,
+		.body_limit_bytes = GATE_BODY_LIMIT_BYTES,
+		.buffer_limit_bytes = BUFFER_LIMIT_BYTES,
+		.head_timeout_ms = GATE_HEAD_TIMEOUT_MS,
+		.idle_timeout_ms = GATE_IDLE_TIMEOUT_MS,
+		.connections = CONNECTIONS_MAX,
+		.handle = ql_hop_server_handle,
+		.data = &node->hop_server,
+	};
+	int ret = ql_address_parse(&opts.address,
+				   node->context.settings->listen.gate, error);
+
+	return ret ? ret
+		   : ql_listener_start(&node->gates, &node->loop, &opts, error);
+}
+
+static int start_duty(ql_path_node_t *node, ql_http_server_t *server,
+		      const char *where, ql_http_handler_t handle,
+		      GError **error)
+{
+	struct sockaddr_in address;
+	ql_http_server_opts_t opts = {
+		.address = node->context.settings->address,
+		.connections = DUTY_CONNECTIONS,
+		.body_limit_bytes = BODY_LIMIT_BYTES,
+		.handle = handle,
+		.data = node,
+	};
+	int ret = ql_address_parse(&address, where, error);
+
+	if (ret)
+		return ret;
+	opts.port = ntohs(address.sin_port);
+	return ql_http_server_start(server, &opts, error);
+}
+
+static int start_control(ql_path_node_t *node, GError **error)
+{
+	node->control.settings = node->context.settings;
+	node->control.counters = &node->context.counters;
+	node->control.hlc = &node->context.hlc;
+	node->control.timeline = &node->context.timeline;
+	node->control.describe = describe;
+	node->control.describe_data = node;
+	node->control.report = report;
+	node->control.data = node;
+	return ql_control_service_start(&node->control, &member_ops, node,
+					error);
+}
+
+static void *run_loop(void *data)
+{
+	ql_path_node_t *node = data;
+
+	ql_loop_run(&node->loop);
+	return NULL;
+}
+
+static int start_parts(ql_path_node_t *node, GError **error)
+{
+	const ql_listen_settings_t *listen = &node->context.settings->listen;
+	int ret = init_path(node, error);
+
+	if (!ret)
+		ret = listen_clients(node, error);
+	if (!ret)
+		ret = listen_gates(node, error);
+	if (!ret)
+		ret = start_control(node, error);
+	if (ret)
+		return ret;
+	node->thread = g_thread_new("calls", run_loop, node);
+	ret = start_duty(node, &node->ready_server, listen->ready, handle_ready,
+			 error);
+	return ret ? ret
+		   : start_duty(node, &node->announce_server, listen->announce,
+				handle_announce, error);
+}
+
+int ql_path_node_start(ql_path_node_t *node, const ql_settings_t *settings,
+		       const ql_dialect_t *dialect, GError **error)
+{
+	int ret = ql_context_init(&node->context, settings, error);
+
+	if (ret)
+		return ret;
+	node->dialect = dialect;
+	pthread_mutex_init(&node->lock, NULL);
+	ret = ql_loop_init(&node->loop, error);
+	if (!ret)
+		ret = start_parts(node, error);
+	if (!ret)
+		ql_log(LOG_NOTICE, "node_started",
+		       QL_STR("node", settings->node),
+		       QL_STR("service", settings->endpoint.service),
+		       QL_STR("placement", settings->placement));
+	return ret;
+}
+
+static bool is_busy(ql_path_node_t *node)
+{
+	ql_path_jobs_count(node);
+	return __atomic_load_n(&node->in_progress, __ATOMIC_ACQUIRE) > 0;
+}
+
+/* Waits until a time, or at most until another one while calls go on. */
+static void wait_for_calls(ql_path_node_t *node, uint64_t earliest_us,
+			   uint64_t latest_us)
+{
+	while (ql_clock_now_us() < latest_us &&
+	       (is_busy(node) || ql_clock_now_us() < earliest_us))
+		g_usleep(DRAIN_POLL_US);
+}
+
+void ql_path_node_drain(ql_path_node_t *node)
+{
+	const ql_settings_t *settings = node->context.settings;
+	uint64_t now_us = ql_clock_now_us();
+	uint64_t grace_ms =
+		settings->grace_ms - MIN(settings->grace_ms, EXIT_RESERVE_MS);
+	uint64_t latest_us = now_us + grace_ms * QL_US_PER_MS;
+	uint64_t earliest_us = now_us + settings->drain_ms * QL_US_PER_MS;
+
+	__atomic_store_n(&node->draining, 1, __ATOMIC_RELEASE);
+	ql_path_jobs_begin_close(node);
+	ql_lease_service_leave(&node->control.lease);
+	wait_for_calls(node, now_us + GATE_DRAIN_US, now_us + GATE_DRAIN_US);
+	ql_path_jobs_drain_gate(node);
+	wait_for_calls(node, earliest_us, latest_us);
+	ql_log(LOG_NOTICE, "drain_finished",
+	       QL_INT("in_progress", node->in_progress));
+}
+
+void ql_path_node_stop(ql_path_node_t *node)
+{
+	ql_http_server_stop(&node->announce_server);
+	ql_http_server_stop(&node->ready_server);
+	ql_control_service_stop(&node->control);
+	ql_path_jobs_stop(node);
+	g_thread_join(node->thread);
+	ql_loop_finish(&node->loop);
+	ql_front_finish(&node->front);
+	ql_listener_finish(&node->clients);
+	ql_listener_finish(&node->gates);
+	pthread_mutex_destroy(&node->lock);
+	ql_log(LOG_NOTICE, "node_stopped",
+	       QL_STR("node", node->context.settings->node));
+	ql_context_finish(&node->context);
+}
--- a/src/node/registrar_service.c
+++ b/src/node/registrar_service.c
@@ -1,5 +1,6 @@
 #include "node/registrar_service.h"
 #include "control/greeting.h"
+#include "quetzalloft/address.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
 
@@ -311,7 +312,7 @@
 	if (!service->settings->registrar)
 		return;
 	service->follower = g_thread_new("follow", follow, service);
-	if (service->settings->n_peers)
+	if (service->settings->n_peers || service->settings->n_seeds)
 		service->exchanger =
 			g_thread_new("exchange", exchange, service);
 }
@@ -339,6 +340,45 @@
 	g_rand_free(service->random);
 }
 
+void ql_registrar_service_set_addresses(ql_registrar_service_t *service,
+					char (*addresses)[QL_ADDRESS_MAX],
+					size_t n_addresses)
+{
+	pthread_mutex_lock(service->lock);
+	ql_registrar_set_addresses(&service->registrar, addresses, n_addresses);
+	pthread_mutex_unlock(service->lock);
+}
+
+static bool is_known_peer(const ql_registrar_service_t *service,
+			  const char *address)
+{
+	char own[QL_ADDRESS_MAX];
+	size_t i;
+
+	ql_address_format(own, service->settings->address,
+			  (unsigned int)service->settings->control_port);
+	if (!strcmp(own, address))
+		return true;
+	for (i = 0; i < service->exchange.n_peers; i++)
+		if (!strcmp(service->peers[i].address, address))
+			return true;
+	return false;
+}
+
+void ql_registrar_service_add_peer(ql_registrar_service_t *service,
+				   const char *address)
+{
+	pthread_mutex_lock(service->lock);
+	if (!is_known_peer(service, address) &&
+	    service->exchange.n_peers < QL_PEERS_MAX) {
+		ql_rpc_client_init(&service->peers[service->exchange.n_peers],
+				   address, QL_CONTROL_PROGRAM, QL_CONTROL_V1,
+				   CALL_TIMEOUT_MS);
+		ql_exchange_add_peer(&service->exchange, now_ms());
+	}
+	pthread_mutex_unlock(service->lock);
+}
+
 json_t *ql_registrar_service_report(ql_registrar_service_t *service)
 {
 	json_t *json;
--- a/src/node/registrar_service.h
+++ b/src/node/registrar_service.h
@@ -84,6 +84,24 @@
 				   const ql_rpc_exchange_args *args,
 				   ql_rpc_exchange_res *res);
 
+/**
+ * ql_registrar_service_set_addresses() - The registrars that nodes are told of.
+ * @service: the service
+ * @addresses: "IP:port" of each
+ * @n_addresses: their number, up to QL_RPC_REGISTRARS_MAX
+ */
+void ql_registrar_service_set_addresses(ql_registrar_service_t *service,
+					char (*addresses)[QL_ADDRESS_MAX],
+					size_t n_addresses);
+
+/**
+ * ql_registrar_service_add_peer() - Exchange with one more registrar.
+ * @service: the service
+ * @address: "IP:port"; one that is known, or this process, is ignored
+ */
+void ql_registrar_service_add_peer(ql_registrar_service_t *service,
+				   const char *address);
+
 /**
  * ql_registrar_service_report() - The members, for operators.
  * @service: the service
--- a/src/node/replica_bootstrap.c
+++ b/src/node/replica_bootstrap.c
@@ -21,11 +21,30 @@
 	return __atomic_load_n(&service->stopping, __ATOMIC_ACQUIRE);
 }
 
+static int compare_addresses(const void *a, const void *b)
+{
+	return strcmp(a, b);
+}
+
+/* With seeds, those of the first start found the cluster, in one order. */
+static bool is_first_seed(const ql_settings_t *settings, const char *own)
+{
+	char seeds[QL_SEEDS_MAX][QL_ADDRESS_MAX];
+
+	if (!settings->bootstrap)
+		return false;
+	memcpy(seeds, settings->seeds, sizeof(seeds));
+	qsort(seeds, settings->n_seeds, sizeof(*seeds), compare_addresses);
+	return !strcmp(seeds[0], own);
+}
+
 static bool is_first(const ql_replica_service_t *service)
 {
 	char own[QL_ADDRESS_MAX];
 
 	ql_replica_service__own_address(service, own);
+	if (service->settings->n_seeds)
+		return is_first_seed(service->settings, own);
 	return !service->settings->n_replicas ||
 	       !strcmp(service->settings->replicas[0], own);
 }
@@ -67,17 +86,22 @@
 			 ql_rpc_replica_members *members)
 {
 	const ql_settings_t *settings = service->settings;
+	bool by_seeds = settings->n_seeds > 0;
+	size_t i, n = by_seeds ? settings->n_seeds : settings->n_replicas;
 	finding_t finding, all = ALL_EMPTY;
 	char own[QL_ADDRESS_MAX];
-	size_t i;
+	const char *address;
 
 	members->members.members_val =
-		calloc(settings->n_replicas + 1, sizeof(ql_rpc_replica_member));
+		calloc(n + 1, sizeof(ql_rpc_replica_member));
 	g_assert(members->members.members_val);
 	ql_replica_service__own_address(service, own);
 	add_member(members, view->state.identity, own);
-	for (i = 1; i < settings->n_replicas; i++) {
-		finding = ask(service, settings->replicas[i], members);
+	for (i = 0; i < n; i++) {
+		address = by_seeds ? settings->seeds[i] : settings->replicas[i];
+		if (!strcmp(address, own))
+			continue;
+		finding = ask(service, address, members);
 		if (finding == CLUSTER_EXISTS)
 			return CLUSTER_EXISTS;
 		if (finding == UNKNOWN)
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -12,15 +12,17 @@
 #define LEASE_DEFAULT_MS 3000
 #define RENEW_DEFAULT_MS 500
 #define DRAIN_DEFAULT_MS 1500
+#define VOTERS_DEFAULT 3
+#define GRACE_DEFAULT_MS 30000
 
 static const ql_json_member_t members[] = {
 	QL_MEMBER_STRING(ql_settings_t, cluster, true, 1),
 	QL_MEMBER_STRING(ql_settings_t, node, true, 1),
 	QL_MEMBER_STRING(ql_settings_t, failure_domain, true, 1),
 	QL_MEMBER_STRING(ql_settings_t, address, true, 1),
-	QL_MEMBER_UINT(ql_settings_t, client_port, true, 1, PORT_MAX),
-	QL_MEMBER_UINT(ql_settings_t, gate_port, true, 1, PORT_MAX),
-	QL_MEMBER_UINT(ql_settings_t, local_port, true, 1, PORT_MAX),
+	QL_MEMBER_UINT(ql_settings_t, client_port, false, 1, PORT_MAX),
+	QL_MEMBER_UINT(ql_settings_t, gate_port, false, 1, PORT_MAX),
+	QL_MEMBER_UINT(ql_settings_t, local_port, false, 1, PORT_MAX),
 	QL_MEMBER_UINT(ql_settings_t, control_port, true, 1, PORT_MAX),
 	QL_MEMBER_STRING(ql_settings_t, data_folder, false, 1),
 	QL_MEMBER_BOOL(ql_settings_t, registrar, false),
@@ -33,6 +35,30 @@
 	QL_MEMBER_UINT(ql_settings_t, lease_ms, false, 100, 60000),
 	QL_MEMBER_UINT(ql_settings_t, renew_ms, false, 10, 60000),
 	QL_MEMBER_UINT(ql_settings_t, drain_ms, false, 0, 600000),
+	QL_MEMBER_STRING(ql_settings_t, placement, false, 1),
+	QL_MEMBER_BOOL(ql_settings_t, bootstrap, false),
+	QL_MEMBER_UINT(ql_settings_t, voters, false, 1, 9),
+	QL_MEMBER_UINT(ql_settings_t, grace_ms, false, 0, 600000),
+};
+
+static const ql_json_member_t listen_members[] = {
+	QL_MEMBER_STRING(ql_listen_settings_t, client, false, 1),
+	QL_MEMBER_STRING(ql_listen_settings_t, gate, false, 1),
+	QL_MEMBER_STRING(ql_listen_settings_t, ready, false, 1),
+	QL_MEMBER_STRING(ql_listen_settings_t, announce, false, 1),
+	{"operator", QL_JSON_STRING, false,
+	 offsetof(ql_listen_settings_t, operator_), QL_ADDRESS_MAX, 1, 0},
+};
+
+static const ql_json_member_t endpoint_members[] = {
+	QL_MEMBER_STRING(ql_endpoint_settings_t, address, true, 1),
+	QL_MEMBER_STRING(ql_endpoint_settings_t, service, true, 1),
+};
+
+static const char *const roles[] = {
+	[QL_ROLE_ALL] = "all",
+	[QL_ROLE_NODE] = "node",
+	[QL_ROLE_REPLICA] = "replica",
 };
 
 static int read_addresses(char (*out)[QL_ADDRESS_MAX], size_t *n_out,
@@ -89,6 +115,7 @@
 		 QL_REGISTRAR_PEERS_MAX},
 		{"neighbours", settings->neighbours, &settings->n_neighbours,
 		 QL_NEIGHBOURS_MAX},
+		{"seeds", settings->seeds, &settings->n_seeds, QL_SEEDS_MAX},
 	};
 	json_t *value;
 	size_t i;
@@ -107,6 +134,142 @@
 	return 0;
 }
 
+static int read_role(ql_settings_t *settings, json_t *json, GError **error)
+{
+	json_t *value = json_object_get(json, "role");
+	const char *name = json_string_value(value);
+	size_t i;
+
+	if (!value)
+		return 0;
+	for (i = 0; i < G_N_ELEMENTS(roles); i++) {
+		if (!name || strcmp(name, roles[i]) != 0)
+			continue;
+		settings->role = (ql_role_t)i;
+		json_object_del(json, "role");
+		return 0;
+	}
+	return ql_error_set(error, QL_E_INVALID,
+			    "settings.role: found \"%s\", allowed all, node, "
+			    "replica",
+			    name ? name : "no string");
+}
+
+/* Reads a member that is an object of its own, and takes it out. */
+static int read_part(void *out, json_t *json, const char *key,
+		     const ql_json_member_t *part, size_t n_part,
+		     GError **error)
+{
+	json_t *value = json_object_get(json, key);
+	char path[64];
+	int ret;
+
+	if (!value)
+		return 0;
+	g_snprintf(path, sizeof(path), "settings.%s", key);
+	ret = ql_json_read(out, value, path, part, n_part, error);
+	json_object_del(json, key);
+	return ret;
+}
+
+static int read_parts(ql_settings_t *settings, json_t *json, GError **error)
+{
+	int ret = read_role(settings, json, error);
+
+	if (!ret)
+		ret = read_part(&settings->listen, json, "listen",
+				listen_members, G_N_ELEMENTS(listen_members),
+				error);
+	if (!ret)
+		ret = read_part(&settings->endpoint, json, "endpoint",
+				endpoint_members,
+				G_N_ELEMENTS(endpoint_members), error);
+	return ret;
+}
+
+static int need(const char *key, bool there, const char *why, GError **error)
+{
+	if (there)
+		return 0;
+	return ql_error_set(error, QL_E_MISSING_KEY,
+			    "settings.%s: required key is missing, since %s",
+			    key, why);
+}
+
+/* What a role cannot do without. */
+static int check_role(const ql_settings_t *settings, GError **error)
+{
+	const ql_listen_settings_t *listen = &settings->listen;
+	const char *why = "there is no role";
+	int ret = 0;
+
+	if (settings->role == QL_ROLE_ALL) {
+		ret = need("client_port", settings->client_port, why, error);
+		if (!ret)
+			ret = need("gate_port", settings->gate_port, why,
+				   error);
+		return ret ? ret
+			   : need("local_port", settings->local_port, why,
+				  error);
+	}
+	ret = need("seeds", settings->n_seeds, "the role is set", error);
+	if (settings->role == QL_ROLE_REPLICA)
+		return ret ? ret
+			   : need("listen.operator", listen->operator_[0],
+				  "role is replica", error);
+	why = "role is node";
+	if (!ret)
+		ret = need("listen.client", listen->client[0], why, error);
+	if (!ret)
+		ret = need("listen.gate", listen->gate[0], why, error);
+	if (!ret)
+		ret = need("listen.ready", listen->ready[0], why, error);
+	if (!ret)
+		ret = need("listen.announce", listen->announce[0], why, error);
+	return ret ? ret
+		   : need("endpoint", settings->endpoint.address[0], why,
+			  error);
+}
+
+/* Seeds are told with the port of another interface. */
+static int set_seed_ports(ql_settings_t *settings, GError **error)
+{
+	char ip[QL_ADDRESS_MAX];
+	char *colon;
+	size_t i;
+
+	for (i = 0; i < settings->n_seeds; i++) {
+		memcpy(ip, settings->seeds[i], sizeof(ip));
+		colon = strchr(ip, ':');
+		if (!colon)
+			return ql_error_set(error, QL_E_INVALID,
+					    "settings.seeds[%zu]: allowed "
+					    "IP:port",
+					    i);
+		*colon = '\0';
+		ql_address_format(settings->seeds[i], ip,
+				  (unsigned int)settings->control_port);
+	}
+	return 0;
+}
+
+/* A replica with a role knows its own part; a node asks the seeds. */
+static void apply_role(ql_settings_t *settings)
+{
+	size_t i;
+
+	if (settings->role == QL_ROLE_REPLICA) {
+		settings->replica = true;
+		settings->registrar = true;
+	}
+	if (settings->role != QL_ROLE_NODE)
+		return;
+	for (i = 0; i < settings->n_seeds; i++)
+		memcpy(settings->registrars[i], settings->seeds[i],
+		       QL_ADDRESS_MAX);
+	settings->n_registrars = settings->n_seeds;
+}
+
 /* The list may be left out by a replica that stays alone. */
 static int check_replicas(const ql_settings_t *settings, GError **error)
 {
@@ -173,13 +336,24 @@
 	settings->lease_ms = LEASE_DEFAULT_MS;
 	settings->renew_ms = RENEW_DEFAULT_MS;
 	settings->drain_ms = DRAIN_DEFAULT_MS;
+	settings->voters = VOTERS_DEFAULT;
+	settings->grace_ms = GRACE_DEFAULT_MS;
 	rest = json_is_object(json) ? json_copy(json) : json_incref(json);
 	ret = read_lists(settings, rest, error);
+	if (!ret)
+		ret = read_parts(settings, rest, error);
 	if (!ret)
 		ret = ql_json_read(settings, rest, "settings", members,
 				   G_N_ELEMENTS(members), error);
 	json_decref(rest);
-	return ret ? ret : check_relations(settings, error);
+	if (!ret)
+		ret = set_seed_ports(settings, error);
+	if (!ret)
+		ret = check_role(settings, error);
+	if (ret)
+		return ret;
+	apply_role(settings);
+	return check_relations(settings, error);
 }
 
 int ql_settings_load(ql_settings_t *settings, const char *path, GError **error)
--- /dev/null
+++ b/src/path/call.c
@@ -0,0 +1,69 @@
+#include "path/call.h"
+
+#include <string.h>
+#include <strings.h>
+
+/** Headers between nodes begin with this; see quetzalloft/metadata.h. */
+#define OWN_PREFIX "Quetzalloft-"
+
+static void append(GByteArray *out, const char *text)
+{
+	g_byte_array_append(out, (const guint8 *)text, (guint)strlen(text));
+}
+
+bool ql_call_is_own_header(const char *name)
+{
+	return !strncasecmp(name, OWN_PREFIX, strlen(OWN_PREFIX));
+}
+
+static bool is_passed_on(const ql_headers_t *headers, const char *name)
+{
+	return !ql_headers_is_hop_by_hop(headers, name) &&
+	       !ql_call_is_own_header(name);
+}
+
+static bool is_skipped(const char *name, const char *skip)
+{
+	return skip && !strcasecmp(name, skip);
+}
+
+void ql_call_write_head(GByteArray *out, const ql_path_call_t *call,
+			const char *skip, const char *skip_too)
+{
+	const char *name;
+	size_t i;
+
+	append(out, call->method);
+	append(out, " ");
+	append(out, call->target);
+	append(out, " HTTP/1.1\r\n");
+	for (i = 0; i < ql_headers_count(call->headers); i++) {
+		name = ql_headers_name(call->headers, i);
+		if (is_passed_on(call->headers, name) &&
+		    !is_skipped(name, skip) && !is_skipped(name, skip_too))
+			ql_headers_write(out, name,
+					 ql_headers_value(call->headers, i));
+	}
+}
+
+void ql_call_write_headers(GByteArray *out, const ql_headers_t *headers)
+{
+	const char *name;
+	size_t i;
+
+	for (i = 0; i < ql_headers_count(headers); i++) {
+		name = ql_headers_name(headers, i);
+		if (is_passed_on(headers, name))
+			ql_headers_write(out, name,
+					 ql_headers_value(headers, i));
+	}
+}
+
+void ql_call_write_body(GByteArray *out, const ql_path_call_t *call)
+{
+	if (call->body->len || (strcmp(call->method, "GET") != 0 &&
+				strcmp(call->method, "HEAD") != 0))
+		ql_headers_write_uint(out, "Content-Length", call->body->len);
+	append(out, "\r\n");
+	g_byte_array_append(out, call->body->data, call->body->len);
+}
--- /dev/null
+++ b/src/path/front.c
@@ -0,0 +1,105 @@
+#include "path/front.h"
+#include "quetzalloft/clock.h"
+
+#include <string.h>
+
+/* Repeats that a node may make to one service without any first attempt. */
+#define REPEAT_BURST 2.0
+
+static void service_free(void *data)
+{
+	ql_front_service_t *service = data;
+
+	ql_balancer_finish(&service->balancer);
+	g_free(service);
+}
+
+void ql_front_init(ql_front_t *front, ql_loop_t *loop,
+		   const ql_front_opts_t *opts)
+{
+	memset(front, 0, sizeof(*front));
+	front->loop = loop;
+	front->opts = *opts;
+	front->random = g_rand_new();
+	front->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						service_free);
+	ql_level_init(&front->level, 0, front->random);
+}
+
+void ql_front_finish(ql_front_t *front)
+{
+	g_hash_table_destroy(front->services);
+	ql_level_finish(&front->level);
+	ql_document_unref(front->doc);
+	g_free(front->shares);
+	g_rand_free(front->random);
+}
+
+ql_front_service_t *ql_front_service(ql_front_t *front, const char *name)
+{
+	ql_front_service_t *service =
+		g_hash_table_lookup(front->services, name);
+
+	if (service)
+		return service;
+	service = g_new0(ql_front_service_t, 1);
+	ql_balancer_init(&service->balancer, &ql_balancer_two_choices,
+			 front->opts.failure_domain, front->random);
+	ql_retry_budget_init(&service->budget, 0, REPEAT_BURST);
+	g_hash_table_insert(front->services, g_strdup(name), service);
+	return service;
+}
+
+static void set_ratios(ql_front_t *front)
+{
+	ql_front_service_t *service;
+	size_t i;
+
+	for (i = 0; i < front->doc->n_services; i++) {
+		service = ql_front_service(front, front->doc->services[i].name);
+		service->budget.ratio = front->doc->services[i].retry_ratio;
+	}
+}
+
+void ql_front_set_document(ql_front_t *front, ql_document_t *doc)
+{
+	ql_document_unref(front->doc);
+	front->doc = ql_document_ref(doc);
+	g_free(front->shares);
+	front->shares = g_new0(ql_front_share_t, doc->n_routes + 1);
+	ql_level_reset(&front->level, doc->n_routes);
+	set_ratios(front);
+}
+
+void ql_front_endpoint_up(ql_front_t *front, const char *service,
+			  const ql_target_info_t *info)
+{
+	ql_balancer_add(&ql_front_service(front, service)->balancer, info,
+			ql_loop_now_us(front->loop));
+}
+
+void ql_front_endpoint_gone(ql_front_t *front, const char *service,
+			    const char *gate)
+{
+	ql_balancer_remove(&ql_front_service(front, service)->balancer, gate);
+	ql_hops_forget(front->opts.hops, gate);
+}
+
+uint16_t ql_front_choose_part(ql_front_t *front, size_t index)
+{
+	const ql_route_t *route = &front->doc->routes[index];
+	int64_t *credit = front->shares[index].credit;
+	uint16_t i, best = 0;
+	int64_t sum = 0;
+
+	if (!route->n_parts)
+		return route->service;
+	for (i = 0; i < route->n_parts; i++) {
+		credit[i] += route->parts[i].weight;
+		sum += route->parts[i].weight;
+		if (credit[i] > credit[best])
+			best = i;
+	}
+	credit[best] -= sum;
+	return route->parts[best].service;
+}
--- /dev/null
+++ b/src/path/front.h
@@ -0,0 +1,135 @@
+#ifndef QL_PATH_FRONT_H
+#define QL_PATH_FRONT_H
+
+/**
+ * DOC: The first node of a request: it takes requests of clients and of the
+ * endpoint beside it, finds the route, chooses an endpoint for each attempt,
+ * and gives exactly one answer.
+ */
+
+#include "http/listener.h"
+#include "path/hop.h"
+#include "path/local_gate.h"
+#include "quetzalloft/balancer.h"
+#include "quetzalloft/level.h"
+#include "quetzalloft/retry.h"
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_front_counts - What the front counts.
+ * @requests: requests taken
+ * @answered: those that got an endpoint's answer
+ * @not_run: those refused before they ran anywhere
+ * @unknown: those that may have run and got no answer
+ * @cancelled: those whose client has gone
+ * @repeats: attempts behind one that may have reached an endpoint
+ * @reroutes: attempts behind one that reached none
+ */
+typedef struct ql_front_counts {
+	uint64_t requests;
+	uint64_t answered;
+	uint64_t not_run;
+	uint64_t unknown;
+	uint64_t cancelled;
+	uint64_t repeats;
+	uint64_t reroutes;
+} ql_front_counts_t;
+
+/**
+ * struct ql_front_opts - Settings.
+ * @dialect: of clients; borrowed
+ * @caller: service of the endpoint beside this node
+ * @own_gate: "IP:port" of the gate of this node
+ * @failure_domain: where this node is
+ * @local: the gate of this node; borrowed
+ * @hops: connections to other gates; borrowed
+ */
+typedef struct ql_front_opts {
+	const ql_dialect_t *dialect;
+	char caller[QL_NAME_MAX];
+	char own_gate[QL_ADDRESS_MAX];
+	char failure_domain[QL_NAME_MAX];
+	ql_local_gate_t *local;
+	ql_hops_t *hops;
+} ql_front_opts_t;
+
+/**
+ * struct ql_front_service - A service that requests are sent to.
+ * @balancer: its endpoints
+ * @budget: for repeats to it
+ */
+typedef struct ql_front_service {
+	ql_balancer_t balancer;
+	ql_retry_budget_t budget;
+} ql_front_service_t;
+
+/**
+ * struct ql_front_share - How the requests of a route were shared so far.
+ * @credit: for each part; the one with the most is next
+ */
+typedef struct ql_front_share {
+	int64_t credit[QL_ROUTE_PARTS_MAX];
+} ql_front_share_t;
+
+/**
+ * struct ql_front - The front.
+ * @doc: the document in force
+ * @ready: requests may be served
+ * @services: &struct ql_front_service by name
+ * @shares: by index of the route in @doc
+ * @level: early refusal by route
+ */
+typedef struct ql_front {
+	ql_loop_t *loop;
+	ql_front_opts_t opts;
+	ql_document_t *doc;
+	bool ready;
+	GHashTable *services;
+	ql_front_share_t *shares;
+	ql_level_t level;
+	GRand *random;
+	ql_front_counts_t counts;
+} ql_front_t;
+
+void ql_front_init(ql_front_t *front, ql_loop_t *loop,
+		   const ql_front_opts_t *opts);
+void ql_front_finish(ql_front_t *front);
+
+/**
+ * ql_front_set_document() - Put another document in force.
+ * @front: the front
+ * @doc: the document; a reference is taken
+ */
+void ql_front_set_document(ql_front_t *front, ql_document_t *doc);
+
+void ql_front_endpoint_up(ql_front_t *front, const char *service,
+			  const ql_target_info_t *info);
+void ql_front_endpoint_gone(ql_front_t *front, const char *service,
+			    const char *gate);
+
+/**
+ * ql_front_service() - Find or add a service.
+ */
+ql_front_service_t *ql_front_service(ql_front_t *front, const char *name);
+
+/**
+ * ql_front_choose_part() - The service of the next request of a route.
+ * @front: the front
+ * @index: of the route in the document in force
+ *
+ * Return: the index of the service; each gets its weight of any run of
+ * requests.
+ */
+uint16_t ql_front_choose_part(ql_front_t *front, size_t index);
+
+/**
+ * ql_front_handle() - Take one request; see &struct ql_listener_opts.
+ * @data: &struct ql_front
+ * @exchange: the request
+ */
+void ql_front_handle(void *data, ql_http_exchange_t *exchange);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/path/hop.c
@@ -0,0 +1,227 @@
+#include "path/hop.h"
+#include "quetzalloft/address.h"
+#include "quetzalloft/clock.h"
+#include "quetzalloft/metadata.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define CONNECT_TIMEOUT_MS 500u
+/* Shorter than the gate of another node keeps an idle connection. */
+#define IDLE_MS 20000u
+#define MS_PER_S 1000.0
+
+typedef struct {
+	ql_upstream_request_t *request;
+	const ql_call_sink_t *sink;
+	void *data;
+	ql_call_end_t end;
+	bool bodiless;
+	bool malformed;
+} hop_call_t;
+
+static void free_upstream(void *upstream)
+{
+	ql_upstream_free(upstream);
+}
+
+void ql_hops_init(ql_hops_t *hops, ql_loop_t *loop)
+{
+	hops->loop = loop;
+	hops->gates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    free_upstream);
+}
+
+void ql_hops_finish(ql_hops_t *hops)
+{
+	g_hash_table_destroy(hops->gates);
+}
+
+void ql_hops_forget(ql_hops_t *hops, const char *gate)
+{
+	g_hash_table_remove(hops->gates, gate);
+}
+
+/* The headers of an answer of a gate, and its Retry-After. */
+static void read_end(hop_call_t *call, const ql_headers_t *headers)
+{
+	const char *name, *value;
+	ql_metadata_t metadata;
+	size_t i;
+
+	ql_metadata_init(&metadata);
+	for (i = 0; i < ql_headers_count(headers); i++) {
+		name = ql_headers_name(headers, i);
+		value = ql_headers_value(headers, i);
+		if (ql_call_is_own_header(name) &&
+		    ql_metadata_add(&metadata, name, value, NULL))
+			call->malformed = true;
+	}
+	value = ql_headers_get(headers, QL_HEADER_RETRY_AFTER);
+	if (!(metadata.has & QL_HAS_OUTCOME))
+		call->malformed = true;
+	call->end.outcome = metadata.outcome;
+	call->end.reason = metadata.reason;
+	call->end.has_level = (metadata.has & QL_HAS_LEVEL) != 0;
+	call->end.level = (uint32_t)metadata.level;
+	if (call->end.outcome != QL_OUTCOME_ANSWERED && value)
+		call->end.retry_after_ms =
+			(uint32_t)(g_ascii_strtod(value, NULL) * MS_PER_S);
+}
+
+static void on_head(void *data, ql_http_reader_t *reader)
+{
+	hop_call_t *call = data;
+
+	read_end(call, &reader->headers);
+	if (!call->malformed && call->end.outcome == QL_OUTCOME_ANSWERED)
+		call->sink->head(call->data, ql_http_reader_status(reader),
+				 &reader->headers,
+				 call->bodiless
+					 ? 0
+					 : ql_http_reader_length(reader));
+}
+
+static void on_body(void *data, const char *bytes, size_t length)
+{
+	hop_call_t *call = data;
+
+	if (!call->malformed && call->end.outcome == QL_OUTCOME_ANSWERED)
+		call->sink->body(call->data, bytes, length);
+}
+
+static void fail(hop_call_t *call, ql_outcome_t outcome, ql_reason_t reason)
+{
+	call->end.outcome = outcome;
+	call->end.reason = reason;
+	call->sink->failed(call->data, &call->end);
+	g_free(call);
+}
+
+static void on_complete(void *data)
+{
+	hop_call_t *call = data;
+
+	if (call->malformed) {
+		fail(call, QL_OUTCOME_UNKNOWN, QL_REASON_BAD_ANSWER);
+		return;
+	}
+	if (call->end.outcome == QL_OUTCOME_ANSWERED)
+		call->sink->complete(call->data, &call->end);
+	else
+		call->sink->failed(call->data, &call->end);
+	g_free(call);
+}
+
+static void on_failed(void *data, ql_upstream_failure_t failure)
+{
+	hop_call_t *call = data;
+
+	if (failure == QL_UPSTREAM_NOT_SENT)
+		fail(call, QL_OUTCOME_NOT_RUN, QL_REASON_CONNECT_FAILED);
+	else if (failure == QL_UPSTREAM_MALFORMED)
+		fail(call, QL_OUTCOME_UNKNOWN, QL_REASON_BAD_ANSWER);
+	else
+		fail(call, QL_OUTCOME_UNKNOWN, QL_REASON_CONNECTION_LOST);
+}
+
+static const ql_upstream_ops_t upstream_ops = {
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+	.failed = on_failed,
+};
+
+/* Closing the connection tells the gate that the caller has gone. */
+static void cancel(void *data)
+{
+	hop_call_t *call = data;
+
+	ql_upstream_cancel(call->request);
+	g_free(call);
+}
+
+static void pause_answer(void *data)
+{
+	ql_upstream_pause(((hop_call_t *)data)->request);
+}
+
+static void resume_answer(void *data)
+{
+	ql_upstream_resume(((hop_call_t *)data)->request);
+}
+
+static const ql_callee_ops_t callee_ops = {
+	.cancel = cancel,
+	.pause = pause_answer,
+	.resume = resume_answer,
+};
+
+static void emit(void *data, const char *name, const char *value)
+{
+	ql_headers_write(data, name, value);
+}
+
+static GByteArray *write_request(const ql_hops_t *hops,
+				 const ql_path_call_t *call)
+{
+	GByteArray *bytes = g_byte_array_sized_new(1024);
+	ql_metadata_t metadata;
+
+	ql_metadata_init(&metadata);
+	metadata.has = QL_HAS_TIMEOUT | QL_HAS_SERVICE | QL_HAS_CLASS |
+		       QL_HAS_VERSION | QL_HAS_IDEMPOTENT | QL_HAS_UNDER_WAY;
+	metadata.timeout_ms =
+		ql_remaining_ms(call->deadline_us, ql_loop_now_us(hops->loop));
+	metadata.version = call->version;
+	metadata.idempotent = call->idempotent;
+	metadata.under_way = call->under_way;
+	g_strlcpy(metadata.service, call->service, sizeof(metadata.service));
+	g_strlcpy(metadata.class_name, call->class_name,
+		  sizeof(metadata.class_name));
+	ql_call_write_head(bytes, call, NULL, NULL);
+	ql_metadata_emit(&metadata, emit, bytes);
+	ql_call_write_body(bytes, call);
+	return bytes;
+}
+
+static ql_upstream_t *find_gate(ql_hops_t *hops, const char *gate)
+{
+	ql_upstream_t *upstream = g_hash_table_lookup(hops->gates, gate);
+	ql_upstream_opts_t opts = {
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.idle_ms = IDLE_MS,
+	};
+
+	if (upstream)
+		return upstream;
+	if (ql_address_parse(&opts.address, gate, NULL))
+		return NULL;
+	upstream = ql_upstream_new(hops->loop, &opts);
+	g_hash_table_insert(hops->gates, g_strdup(gate), upstream);
+	return upstream;
+}
+
+void ql_hops_call(ql_hops_t *hops, const char *gate, const ql_path_call_t *call,
+		  const ql_call_sink_t *sink, void *data, ql_callee_call_t *out)
+{
+	ql_upstream_t *upstream = find_gate(hops, gate);
+	hop_call_t *hop = g_new0(hop_call_t, 1);
+	ql_upstream_call_t send = {
+		.bytes = write_request(hops, call),
+		.bodiless = !strcmp(call->method, "HEAD"),
+		.ops = &upstream_ops,
+		.data = hop,
+	};
+
+	*out = (ql_callee_call_t){&callee_ops, hop};
+	hop->sink = sink;
+	hop->data = data;
+	hop->bodiless = send.bodiless;
+	hop->request = upstream ? ql_upstream_send(upstream, &send) : NULL;
+	g_byte_array_free((GByteArray *)send.bytes, TRUE);
+	if (hop->request)
+		return;
+	out->call = NULL;
+	fail(hop, QL_OUTCOME_NOT_RUN, QL_REASON_CONNECT_FAILED);
+}
--- /dev/null
+++ b/src/path/hop.h
@@ -0,0 +1,47 @@
+#ifndef QL_PATH_HOP_H
+#define QL_PATH_HOP_H
+
+/**
+ * DOC: Calls to the gates of other nodes, over kept connections.
+ */
+
+#include "http/upstream.h"
+#include "path/call.h"
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_hops - Connections to gates.
+ * @gates: &struct ql_upstream by "IP:port"
+ */
+typedef struct ql_hops {
+	ql_loop_t *loop;
+	GHashTable *gates;
+} ql_hops_t;
+
+void ql_hops_init(ql_hops_t *hops, ql_loop_t *loop);
+void ql_hops_finish(ql_hops_t *hops);
+
+/**
+ * ql_hops_forget() - Close idle connections to a gate that is gone.
+ * @hops: the connections
+ * @gate: "IP:port"
+ */
+void ql_hops_forget(ql_hops_t *hops, const char *gate);
+
+/**
+ * ql_hops_call() - Call an endpoint through the gate of its node.
+ * @hops: the connections
+ * @gate: "IP:port" of the gate
+ * @call: what is called
+ * @sink: what the caller is told, possibly before this returns
+ * @data: passed to @sink
+ * @out: the call in progress; @out->call is NULL when it has ended already
+ */
+void ql_hops_call(ql_hops_t *hops, const char *gate, const ql_path_call_t *call,
+		  const ql_call_sink_t *sink, void *data,
+		  ql_callee_call_t *out);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/path/local_gate.c
@@ -0,0 +1,547 @@
+#include "path/local_gate.h"
+#include "quetzalloft/address.h"
+#include "quetzalloft/clock.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/log.h"
+#include "quetzalloft/metadata.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 1000u
+/* Unless the endpoint says how long it keeps idle connections. */
+#define IDLE_MS 4000u
+#define QUEUE_MAX 1024u
+#define QUEUE_US (300 * QL_US_PER_MS)
+
+typedef enum {
+	WAITING,
+	RUNNING,
+} state_t;
+
+/* A call that waits for admission or runs at the endpoint. */
+typedef struct {
+	ql_local_gate_t *gate;
+	state_t state;
+	ql_handle_t ticket;
+	GByteArray *head;
+	GByteArray *rest;
+	char id[QL_KEY_MAX];
+	bool idempotent;
+	bool bodiless;
+	bool told_head;
+	bool shed;
+	uint64_t deadline_us;
+	ql_upstream_request_t *request;
+	const ql_call_sink_t *sink;
+	void *data;
+} running_t;
+
+static uint64_t now_us(const running_t *call)
+{
+	return ql_loop_now_us(call->gate->loop);
+}
+
+static void pump(ql_local_gate_t *gate);
+
+static void call_free(running_t *call)
+{
+	g_byte_array_free(call->head, TRUE);
+	g_byte_array_free(call->rest, TRUE);
+	g_free(call);
+}
+
+static ql_call_end_t make_end(const ql_local_gate_t *gate, ql_outcome_t outcome,
+			      ql_reason_t reason)
+{
+	return (ql_call_end_t){
+		.outcome = outcome,
+		.reason = reason,
+		.has_level = true,
+		.level = ql_local_gate_level(gate),
+	};
+}
+
+/* Ends a call that ran; the slot is free for the next one. */
+static void end_running(running_t *call, ql_gate_end_t how)
+{
+	ql_local_gate_t *gate = call->gate;
+
+	ql_gate_finish_request(&gate->gate, call->ticket, how, now_us(call));
+	g_hash_table_remove(gate->calls, GUINT_TO_POINTER(call->ticket));
+}
+
+static void finish(running_t *call)
+{
+	ql_local_gate_t *gate = call->gate;
+
+	call_free(call);
+	pump(gate);
+}
+
+static void fail_running(running_t *call, ql_outcome_t outcome,
+			 ql_reason_t reason, ql_gate_end_t how)
+{
+	ql_call_end_t end = make_end(call->gate, outcome, reason);
+
+	end_running(call, how);
+	if (call->sink)
+		call->sink->failed(call->data, &end);
+	finish(call);
+}
+
+static bool is_own_answer(void *data, const ql_http_reader_t *reader)
+{
+	const running_t *call = data;
+	const char *id = ql_headers_get(&reader->headers,
+					call->gate->opts.dialect->request_id);
+
+	return !id || !call->id[0] || !strcmp(id, call->id);
+}
+
+/* Whether an answer is one that the endpoint itself stands for. */
+static bool is_genuine(const running_t *call, const ql_http_reader_t *reader)
+{
+	const ql_dialect_t *dialect = call->gate->opts.dialect;
+	unsigned int status = ql_http_reader_status(reader);
+
+	if (ql_headers_get(&reader->headers, "content-encoding"))
+		return false;
+	if (status < 200 || status > 299 || !dialect->seal)
+		return true;
+	return ql_headers_get(&reader->headers, dialect->seal) &&
+	       ql_headers_get(&reader->headers, dialect->request_id);
+}
+
+static bool is_shed(const running_t *call, const ql_http_reader_t *reader)
+{
+	const char *name = call->gate->opts.dialect->not_run;
+
+	return (name && ql_headers_get(&reader->headers, name)) ||
+	       ql_http_reader_status(reader) == HTTP_STATUS_MISDIRECTED_REQUEST;
+}
+
+static void on_head(void *data, ql_http_reader_t *reader)
+{
+	running_t *call = data;
+
+	if (is_shed(call, reader)) {
+		call->shed = true;
+		return;
+	}
+	if (!is_genuine(call, reader)) {
+		call->gate->counts.bad_answers++;
+		ql_upstream_cancel(call->request);
+		fail_running(call, QL_OUTCOME_UNKNOWN, QL_REASON_BAD_ANSWER,
+			     QL_GATE_FAILED);
+		return;
+	}
+	call->told_head = true;
+	if (call->sink)
+		call->sink->head(call->data, ql_http_reader_status(reader),
+				 &reader->headers,
+				 call->bodiless
+					 ? 0
+					 : ql_http_reader_length(reader));
+}
+
+static void on_body(void *data, const char *bytes, size_t length)
+{
+	running_t *call = data;
+
+	if (call->sink && call->told_head)
+		call->sink->body(call->data, bytes, length);
+}
+
+static void on_complete(void *data)
+{
+	running_t *call = data;
+	ql_call_end_t end;
+
+	if (call->shed) {
+		call->gate->counts.refused_there++;
+		fail_running(call, QL_OUTCOME_NOT_RUN,
+			     QL_REASON_ENDPOINT_REFUSED, QL_GATE_OVERLOADED);
+		return;
+	}
+	end_running(call, QL_GATE_SERVED);
+	end = make_end(call->gate, QL_OUTCOME_ANSWERED, QL_REASON_NONE);
+	if (call->sink)
+		call->sink->complete(call->data, &end);
+	finish(call);
+}
+
+/* The endpoint takes no connection until it is heard of again. */
+static void set_unreachable(ql_local_gate_t *gate)
+{
+	if (gate->unreachable)
+		return;
+	gate->unreachable = true;
+	ql_log(LOG_WARNING, "endpoint_unreachable",
+	       QL_STR("service", gate->opts.service),
+	       QL_STR("instance", gate->report.instance));
+	gate->opts.changed(gate->opts.data);
+}
+
+static void on_failed(void *data, ql_upstream_failure_t failure)
+{
+	running_t *call = data;
+
+	switch (failure) {
+	case QL_UPSTREAM_NOT_SENT:
+		set_unreachable(call->gate);
+		fail_running(call, QL_OUTCOME_NOT_RUN, QL_REASON_CONNECT_FAILED,
+			     QL_GATE_FAILED);
+		break;
+	case QL_UPSTREAM_MALFORMED:
+		call->gate->counts.bad_answers++;
+		fail_running(call, QL_OUTCOME_UNKNOWN, QL_REASON_BAD_ANSWER,
+			     QL_GATE_FAILED);
+		break;
+	case QL_UPSTREAM_LOST:
+	default:
+		call->gate->counts.lost++;
+		fail_running(call, QL_OUTCOME_UNKNOWN,
+			     QL_REASON_CONNECTION_LOST, QL_GATE_FAILED);
+		break;
+	}
+}
+
+static const ql_upstream_ops_t upstream_ops = {
+	.accepts = is_own_answer,
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+	.failed = on_failed,
+};
+
+static void send_to_endpoint(running_t *call)
+{
+	ql_local_gate_t *gate = call->gate;
+	const ql_dialect_t *dialect = gate->opts.dialect;
+	ql_upstream_call_t out = {
+		.bytes = call->head,
+		.bodiless = call->bodiless,
+		.ops = &upstream_ops,
+		.data = call,
+	};
+
+	call->state = RUNNING;
+	gate->counts.admitted++;
+	ql_headers_write_uint(call->head, dialect->timeout_ms,
+			      ql_remaining_ms(call->deadline_us, now_us(call)));
+	if (dialect->expected_instance)
+		ql_headers_write(call->head, dialect->expected_instance,
+				 gate->report.instance);
+	g_byte_array_append(call->head, call->rest->data, call->rest->len);
+	call->request = ql_upstream_send(gate->upstream, &out);
+	if (!call->request)
+		on_failed(call, QL_UPSTREAM_NOT_SENT);
+}
+
+static void refuse(running_t *call, ql_reason_t reason, uint32_t retry_after_ms)
+{
+	ql_call_end_t end = make_end(call->gate, QL_OUTCOME_NOT_RUN, reason);
+
+	call->gate->counts.refused++;
+	end.retry_after_ms = retry_after_ms;
+	if (call->sink)
+		call->sink->failed(call->data, &end);
+	call_free(call);
+}
+
+static void carry_out(ql_local_gate_t *gate, const ql_gate_decision_t *decision)
+{
+	gpointer key = GUINT_TO_POINTER(decision->ticket);
+	running_t *call = g_hash_table_lookup(gate->calls, key);
+
+	if (!call)
+		return;
+	if (decision->verdict == QL_GATE_ADMIT) {
+		send_to_endpoint(call);
+		return;
+	}
+	g_hash_table_remove(gate->calls, key);
+	refuse(call, decision->reason, decision->retry_after_ms);
+}
+
+static void arm(ql_local_gate_t *gate)
+{
+	uint64_t next_us = ql_gate_next_us(&gate->gate);
+	uint64_t now = ql_loop_now_us(gate->loop);
+
+	if (next_us == UINT64_MAX)
+		ql_loop_stop_timer(gate->loop, &gate->timer);
+	else
+		ql_loop_start_timer(gate->loop, &gate->timer,
+				    next_us > now
+					    ? (next_us - now) / QL_US_PER_MS + 1
+					    : 0);
+}
+
+/* Carries out what the gate has decided on waiting calls. */
+static void pump(ql_local_gate_t *gate)
+{
+	ql_gate_decision_t decision;
+
+	while (ql_gate_next(&gate->gate, &decision, ql_loop_now_us(gate->loop)))
+		carry_out(gate, &decision);
+	arm(gate);
+}
+
+static void on_timer(void *data)
+{
+	pump(data);
+}
+
+static void cancel(void *data)
+{
+	running_t *call = data;
+	ql_local_gate_t *gate = call->gate;
+
+	call->sink = NULL;
+	if (call->state == WAITING) {
+		ql_gate_cancel(&gate->gate, call->ticket);
+		g_hash_table_remove(gate->calls,
+				    GUINT_TO_POINTER(call->ticket));
+		finish(call);
+		return;
+	}
+	/* What must not be repeated runs to its end. */
+	if (!call->idempotent)
+		return;
+	gate->counts.abandoned++;
+	ql_upstream_cancel(call->request);
+	end_running(call, QL_GATE_FAILED);
+	finish(call);
+}
+
+static void pause_answer(void *data)
+{
+	running_t *call = data;
+
+	if (call->request)
+		ql_upstream_pause(call->request);
+}
+
+static void resume_answer(void *data)
+{
+	running_t *call = data;
+
+	if (call->request)
+		ql_upstream_resume(call->request);
+}
+
+static const ql_callee_ops_t callee_ops = {
+	.cancel = cancel,
+	.pause = pause_answer,
+	.resume = resume_answer,
+};
+
+static running_t *call_new(ql_local_gate_t *gate, const ql_path_call_t *call)
+{
+	const ql_dialect_t *dialect = gate->opts.dialect;
+	running_t *out = g_new0(running_t, 1);
+
+	out->gate = gate;
+	out->idempotent = call->idempotent;
+	out->bodiless = !strcmp(call->method, "HEAD");
+	out->deadline_us = call->deadline_us;
+	g_strlcpy(out->id, call->id, sizeof(out->id));
+	out->head = g_byte_array_new();
+	out->rest = g_byte_array_new();
+	ql_call_write_head(out->head, call, dialect->timeout_ms,
+			   dialect->expected_instance);
+	ql_call_write_body(out->rest, call);
+	return out;
+}
+
+static ql_reason_t reason_to_refuse(const ql_local_gate_t *gate,
+				    const ql_path_call_t *call)
+{
+	if (strcmp(call->service, gate->opts.service) != 0)
+		return QL_REASON_NO_ENDPOINT;
+	if (!gate->known || gate->unreachable)
+		return QL_REASON_NO_ENDPOINT;
+	return ql_local_gate_serves(gate) ? QL_REASON_NONE : QL_REASON_DRAINING;
+}
+
+void ql_local_gate_call(ql_local_gate_t *gate, const ql_path_call_t *call,
+			const ql_call_sink_t *sink, void *data,
+			ql_callee_call_t *out)
+{
+	ql_gate_request_t request = {
+		.shed_order = call->shed_order,
+		.under_way = call->under_way,
+		.deadline_us = call->deadline_us,
+	};
+	ql_reason_t reason = reason_to_refuse(gate, call);
+	ql_call_end_t end = make_end(gate, QL_OUTCOME_NOT_RUN, reason);
+	ql_gate_decision_t decision;
+	running_t *running;
+
+	*out = (ql_callee_call_t){&callee_ops, NULL};
+	if (reason) {
+		gate->counts.refused++;
+		sink->failed(data, &end);
+		return;
+	}
+	running = call_new(gate, call);
+	running->sink = sink;
+	running->data = data;
+	decision = ql_gate_offer(&gate->gate, &request,
+				 ql_loop_now_us(gate->loop));
+	running->ticket = decision.ticket;
+	if (decision.verdict == QL_GATE_REFUSE) {
+		refuse(running, decision.reason, decision.retry_after_ms);
+		pump(gate);
+		return;
+	}
+	g_hash_table_insert(gate->calls, GUINT_TO_POINTER(decision.ticket),
+			    running);
+	if (decision.verdict == QL_GATE_ADMIT)
+		send_to_endpoint(running);
+	pump(gate);
+	/* It may have failed at once. */
+	if (g_hash_table_lookup(gate->calls,
+				GUINT_TO_POINTER(decision.ticket)) == running)
+		out->call = running;
+}
+
+static void gate_opts(const ql_local_gate_t *gate, ql_gate_opts_t *opts)
+{
+	*opts = (ql_gate_opts_t){
+		.limiter = &ql_limiter_fixed,
+		.slots = (uint32_t)MAX(gate->report.slots, 1),
+		.queue_max = QUEUE_MAX,
+		.queue_us = QUEUE_US,
+		.seed = g_random_int(),
+	};
+}
+
+void ql_local_gate_init(ql_local_gate_t *gate, ql_loop_t *loop,
+			const ql_local_gate_opts_t *opts)
+{
+	ql_upstream_opts_t upstream = {
+		.address = opts->address,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.idle_ms = IDLE_MS,
+	};
+	ql_gate_opts_t policy;
+
+	memset(gate, 0, sizeof(*gate));
+	gate->loop = loop;
+	gate->opts = *opts;
+	gate->timer.expired = on_timer;
+	gate->timer.data = gate;
+	gate->calls = g_hash_table_new(NULL, NULL);
+	gate->upstream = ql_upstream_new(loop, &upstream);
+	gate_opts(gate, &policy);
+	ql_gate_init(&gate->gate, &policy);
+}
+
+void ql_local_gate_finish(ql_local_gate_t *gate)
+{
+	ql_loop_stop_timer(gate->loop, &gate->timer);
+	ql_upstream_free(gate->upstream);
+	g_hash_table_destroy(gate->calls);
+	ql_gate_finish(&gate->gate);
+}
+
+/* Order of announcements: by start of the endpoint, then by sequence. */
+static bool is_newer(const ql_local_gate_t *gate,
+		     const ql_instance_report_t *report)
+{
+	if (!gate->known)
+		return true;
+	if (report->incarnation != gate->report.incarnation)
+		return report->incarnation > gate->report.incarnation;
+	if (strcmp(report->instance, gate->report.instance) != 0)
+		return false;
+	return report->sequence > gate->report.sequence;
+}
+
+static void begin_incarnation(ql_local_gate_t *gate)
+{
+	gate->left = false;
+	gate->gate.draining = false;
+	gate->incarnation =
+		MAX((uint64_t)g_get_real_time(), gate->incarnation + 1);
+	ql_upstream_drop_idle(gate->upstream);
+}
+
+static void take_report(ql_local_gate_t *gate,
+			const ql_instance_report_t *report)
+{
+	bool is_new_start =
+		!gate->known || report->incarnation != gate->report.incarnation;
+	ql_gate_opts_t opts;
+
+	gate->report = *report;
+	gate->known = true;
+	gate->unreachable = false;
+	if (is_new_start)
+		begin_incarnation(gate);
+	gate_opts(gate, &opts);
+	ql_gate_configure(&gate->gate, &opts, ql_loop_now_us(gate->loop));
+	/* What waits can still run elsewhere. */
+	if (report->draining)
+		ql_gate_drain(&gate->gate);
+}
+
+int ql_local_gate_report(ql_local_gate_t *gate,
+			 const ql_instance_report_t *report)
+{
+	struct sockaddr_in address;
+	bool served;
+
+	if (strcmp(report->service, gate->opts.service) != 0 ||
+	    ql_address_parse(&address, report->address, NULL) ||
+	    address.sin_addr.s_addr != gate->opts.address.sin_addr.s_addr ||
+	    address.sin_port != gate->opts.address.sin_port)
+		return QL_E_DENIED;
+	if (!is_newer(gate, report))
+		return 0;
+	served = ql_local_gate_serves(gate);
+	take_report(gate, report);
+	if (served == ql_local_gate_serves(gate))
+		return 0;
+	ql_log(LOG_NOTICE, "endpoint_reported",
+	       QL_STR("instance", report->instance),
+	       QL_UINT("sequence", report->sequence),
+	       QL_UINT("slots", report->slots),
+	       QL_INT("draining", report->draining));
+	gate->opts.changed(gate->opts.data);
+	pump(gate);
+	return 0;
+}
+
+void ql_local_gate_leave(ql_local_gate_t *gate, const char *instance)
+{
+	if (!gate->known || strcmp(gate->report.instance, instance) != 0 ||
+	    gate->left)
+		return;
+	gate->left = true;
+	ql_gate_drain(&gate->gate);
+	pump(gate);
+	ql_log(LOG_NOTICE, "endpoint_left", QL_STR("instance", instance));
+	gate->opts.changed(gate->opts.data);
+}
+
+bool ql_local_gate_serves(const ql_local_gate_t *gate)
+{
+	return gate->known && !gate->left && !gate->unreachable &&
+	       !gate->report.draining && !gate->draining;
+}
+
+void ql_local_gate_drain(ql_local_gate_t *gate)
+{
+	gate->draining = true;
+	ql_gate_drain(&gate->gate);
+	pump(gate);
+}
+
+uint32_t ql_local_gate_level(const ql_local_gate_t *gate)
+{
+	return ql_gate_level(&gate->gate, ql_loop_now_us(gate->loop));
+}
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -79,7 +79,10 @@
 
 static bool is_near(const ql_balancer_t *balancer, const ql_target_info_t *info)
 {
-	return !strcmp(info->failure_domain, balancer->failure_domain);
+	const char *place =
+		info->placement[0] ? info->placement : info->failure_domain;
+
+	return !strcmp(place, balancer->failure_domain);
 }
 
 static void list_target(ql_balancer_t *balancer, ql_target_t *target,
--- a/src/policy/document.c
+++ b/src/policy/document.c
@@ -14,6 +14,17 @@
 #define DEADLINE_MAX_MS 600000
 #define RETRY_RATIO_DEFAULT 0.1
 #define LIMITER_DEFAULT "gradient"
+#define CONNECTIONS_MAX 65535
+#define WEIGHT_MAX 1000000
+/* A target so much beyond the deadline is taken for a mistake. */
+#define TARGET_BEYOND_MAX_MS 60000
+#define HEAD_DEFAULT_BYTES 16384
+#define HEAD_MAX_BYTES (1u << 20)
+#define HEAD_DEFAULT_MS 3000
+#define IDLE_DEFAULT_MS 60000
+#define LIMIT_MAX_MS 3600000
+/* Room for the name of a member behind a path in an error. */
+#define MEMBER_TEXT_MAX 16
 
 typedef struct {
 	char site[QL_NAME_MAX];
@@ -22,6 +33,8 @@
 	json_t *services;
 	json_t *routes;
 	json_t *keepers;
+	json_t *limits;
+	json_t *origin;
 } root_t;
 
 static const ql_json_member_t root_members[] = {
@@ -31,6 +44,17 @@
 	QL_MEMBER_OBJECT(root_t, services, true),
 	QL_MEMBER_OBJECT(root_t, routes, true),
 	QL_MEMBER_OBJECT(root_t, keepers, false),
+	QL_MEMBER_OBJECT(root_t, limits, false),
+	QL_MEMBER_OBJECT(root_t, origin, false),
+};
+
+static const ql_json_member_t limit_members[] = {
+	QL_MEMBER_UINT(ql_client_limits_t, head_bytes, false, 256,
+		       HEAD_MAX_BYTES),
+	QL_MEMBER_UINT(ql_client_limits_t, body_bytes, false, 0,
+		       BODY_LIMIT_MAX_BYTES),
+	QL_MEMBER_UINT(ql_client_limits_t, head_ms, false, 1, LIMIT_MAX_MS),
+	QL_MEMBER_UINT(ql_client_limits_t, idle_ms, false, 1, LIMIT_MAX_MS),
 };
 
 static const ql_json_member_t class_members[] = {
@@ -43,6 +67,8 @@
 	uint64_t body_limit_bytes;
 	uint64_t queue_ms;
 	char limiter[QL_NAME_MAX];
+	uint64_t connections;
+	char health_path[QL_PATH_MAX];
 } service_source_t;
 
 static const ql_json_member_t service_members[] = {
@@ -52,6 +78,9 @@
 		       BODY_LIMIT_MAX_BYTES),
 	QL_MEMBER_UINT(service_source_t, queue_ms, false, 0, QUEUE_MAX_MS),
 	QL_MEMBER_STRING(service_source_t, limiter, false, 1),
+	QL_MEMBER_UINT(service_source_t, connections, false, 1,
+		       CONNECTIONS_MAX),
+	QL_MEMBER_STRING(service_source_t, health_path, false, 1),
 };
 
 typedef struct {
@@ -60,15 +89,21 @@
 	char path[QL_PATH_MAX];
 	char service[QL_NAME_MAX];
 	char class[QL_NAME_MAX];
+	json_t *split;
+	uint64_t attempts;
+	uint64_t target_ms;
 	bool idempotent;
 	uint64_t deadline_ms;
 } route_source_t;
 
 static const ql_json_member_t route_members[] = {
 	QL_MEMBER_STRING(route_source_t, host, false, 1),
-	QL_MEMBER_STRING(route_source_t, method, true, 1),
+	QL_MEMBER_STRING(route_source_t, method, false, 1),
 	QL_MEMBER_STRING(route_source_t, path, true, 1),
-	QL_MEMBER_STRING(route_source_t, service, true, 1),
+	QL_MEMBER_STRING(route_source_t, service, false, 1),
+	QL_MEMBER_OBJECT(route_source_t, split, false),
+	QL_MEMBER_UINT(route_source_t, attempts, false, 1, QL_ATTEMPTS_MAX),
+	QL_MEMBER_UINT(route_source_t, target_ms, false, 1, LIMIT_MAX_MS),
 	QL_MEMBER_STRING(route_source_t, class, true, 1),
 	QL_MEMBER_BOOL(route_source_t, idempotent, true),
 	QL_MEMBER_UINT(route_source_t, deadline_ms, true, 1, DEADLINE_MAX_MS),
@@ -159,6 +194,9 @@
 	service->body_limit_bytes = source.body_limit_bytes;
 	service->queue_ms = source.queue_ms;
 	g_strlcpy(service->limiter, source.limiter, sizeof(service->limiter));
+	service->connections = source.connections;
+	memcpy(service->health_path, source.health_path,
+	       sizeof(service->health_path));
 	return 0;
 }
 
@@ -273,51 +311,150 @@
 	return 0;
 }
 
+static int find_service(const ql_document_t *doc, const char *path,
+			const char *name, GError **error)
+{
+	int service = ql_document_find_service(doc, name);
+
+	if (service < 0)
+		return ql_error_set(error, QL_E_NOT_FOUND,
+				    "%s: found \"%s\", which is not a service",
+				    path, name);
+	return service;
+}
+
+static int compile_part(const ql_document_t *doc, ql_route_part_t *part,
+			const char *path, const char *name, json_t *weight,
+			GError **error)
+{
+	int service = find_service(doc, path, name, error);
+
+	if (service < 0)
+		return service;
+	if (!json_is_integer(weight) || json_integer_value(weight) < 0 ||
+	    json_integer_value(weight) > WEIGHT_MAX)
+		return ql_error_set(error, QL_E_RANGE,
+				    "%s.%s: allowed a weight of 0 to %d", path,
+				    name, WEIGHT_MAX);
+	part->service = (uint16_t)service;
+	part->weight = (uint32_t)json_integer_value(weight);
+	return 0;
+}
+
+/* Reads the services that share the requests of a route. */
+static int compile_split(const ql_document_t *doc, ql_route_t *route,
+			 const char *route_path, json_t *split, GError **error)
+{
+	char path[PATH_TEXT_MAX + MEMBER_TEXT_MAX];
+	uint64_t sum = 0;
+	const char *name;
+	json_t *value;
+	int ret;
+
+	snprintf(path, sizeof(path), "%s.split", route_path);
+	ret = ql_document__check_count(path, json_object_size(split),
+				       QL_ROUTE_PARTS_MAX, error);
+	if (ret)
+		return ret;
+	json_object_foreach (split, name, value) {
+		ret = compile_part(doc, &route->parts[route->n_parts], path,
+				   name, value, error);
+		if (ret)
+			return ret;
+		sum += route->parts[route->n_parts++].weight;
+	}
+	if (!sum)
+		return ql_error_set(error, QL_E_RANGE,
+				    "%s: the weights add up to 0", path);
+	route->service = route->parts[0].service;
+	return 0;
+}
+
+/* A route names one service or a split. */
+static int compile_target(const ql_document_t *doc, ql_route_t *route,
+			  const char *path, const route_source_t *source,
+			  GError **error)
+{
+	char service_path[PATH_TEXT_MAX + MEMBER_TEXT_MAX];
+	int service;
+
+	if (!source->service[0] == !source->split)
+		return ql_error_set(error, QL_E_MISSING_KEY,
+				    "%s: allowed one of service and split",
+				    path);
+	if (source->split)
+		return compile_split(doc, route, path, source->split, error);
+	snprintf(service_path, sizeof(service_path), "%s.service", path);
+	service = find_service(doc, service_path, source->service, error);
+	if (service < 0)
+		return service;
+	route->service = (uint16_t)service;
+	return 0;
+}
+
+static int check_route(const route_source_t *source, const char *path,
+		       GError **error)
+{
+	if (source->path[0] != '/')
+		return ql_error_set(error, QL_E_INVALID,
+				    "%s.path: found \"%s\", allowed a path "
+				    "that starts with /",
+				    path, source->path);
+	if (source->target_ms >= source->deadline_ms + TARGET_BEYOND_MAX_MS)
+		return ql_error_set(error, QL_E_RANGE,
+				    "%s.target_ms: found %" G_GUINT64_FORMAT
+				    ", allowed less than %d above deadline_ms",
+				    path, source->target_ms,
+				    TARGET_BEYOND_MAX_MS);
+	return 0;
+}
+
+/* The allowance must suffice for a request that nothing fails for. */
+static int check_allowance(const ql_document_t *doc, const ql_route_t *route,
+			   const char *path, GError **error)
+{
+	uint32_t needed = doc->services[route->service].subtree_attempts;
+
+	if (needed <= doc->attempts)
+		return 0;
+	return ql_error_set(error, QL_E_RANGE,
+			    "attempts: found %" G_GUINT64_FORMAT
+			    ", but a request of %s needs %u when none fails",
+			    doc->attempts, path, needed);
+}
+
 static int compile_route(ql_document_t *doc, ql_route_t *route,
 			 const char *name, json_t *value, GError **error)
 {
 	route_source_t source = {0};
 	char path[PATH_TEXT_MAX];
-	int service, class, ret;
+	int class, ret;
 
 	snprintf(path, sizeof(path), "routes.%s", name);
 	ret = ql_json_read(&source, value, path, route_members,
 			   G_N_ELEMENTS(route_members), error);
+	if (!ret)
+		ret = check_route(&source, path, error);
+	if (!ret)
+		ret = compile_target(doc, route, path, &source, error);
 	if (ret)
 		return ret;
-	if (source.path[0] != '/')
-		return ql_error_set(error, QL_E_INVALID,
-				    "%s.path: found \"%s\", allowed a path "
-				    "that starts with /",
-				    path, source.path);
-	service = ql_document_find_service(doc, source.service);
-	if (service < 0)
-		return ql_error_set(error, QL_E_NOT_FOUND,
-				    "%s.service: found \"%s\", which is not a "
-				    "service",
-				    path, source.service);
 	class = find_class(doc, source.class);
 	if (class < 0)
 		return ql_error_set(error, QL_E_NOT_FOUND,
 				    "%s.class: found \"%s\", which is not a "
 				    "class",
 				    path, source.class);
-	if (doc->services[service].subtree_attempts > doc->attempts)
-		return ql_error_set(error, QL_E_RANGE,
-				    "attempts: found %" G_GUINT64_FORMAT
-				    ", but a request of %s needs %u when none "
-				    "fails",
-				    doc->attempts, path,
-				    doc->services[service].subtree_attempts);
 	g_strlcpy(route->name, name, sizeof(route->name));
 	memcpy(route->host, source.host, sizeof(route->host));
 	memcpy(route->method, source.method, sizeof(route->method));
 	memcpy(route->path, source.path, sizeof(route->path));
-	route->service = (uint16_t)service;
 	route->class_index = (uint16_t) class;
+	route->attempts = source.attempts;
+	route->target_ms = source.target_ms;
 	route->idempotent = source.idempotent;
 	route->deadline_ms = source.deadline_ms;
-	return 0;
+	return check_allowance(doc, route, path, error);
 }
 
 static int compile_routes(ql_document_t *doc, json_t *source, GError **error)
@@ -355,6 +492,12 @@
 		return ret;
 	memcpy(doc->site, root.site, sizeof(doc->site));
 	doc->attempts = root.attempts;
+	if (root.limits)
+		ret = ql_json_read(&doc->limits, root.limits, "limits",
+				   limit_members, G_N_ELEMENTS(limit_members),
+				   error);
+	if (ret)
+		return ret;
 	ret = compile_classes(doc, root.classes, error);
 	if (!ret)
 		ret = compile_services(doc, root.services, error);
@@ -383,6 +526,12 @@
 
 	doc->references = 1;
 	doc->version = version;
+	doc->limits = (ql_client_limits_t){
+		.head_bytes = HEAD_DEFAULT_BYTES,
+		.body_bytes = BODY_LIMIT_DEFAULT_BYTES,
+		.head_ms = HEAD_DEFAULT_MS,
+		.idle_ms = IDLE_DEFAULT_MS,
+	};
 	doc->json = json_incref(json);
 	ret = compile_root(doc, json, error);
 	if (ret) {
@@ -440,7 +589,7 @@
 {
 	size_t length = strlen(route->path);
 
-	if (strcmp(route->method, method) != 0 ||
+	if ((route->method[0] && strcmp(route->method, method) != 0) ||
 	    strncmp(route->path, path, length) != 0)
 		return 0;
 	if (path[length] && path[length] != '/' &&
--- a/src/util/json.c
+++ b/src/util/json.c
@@ -244,3 +244,26 @@
 	return json_dumps(value,
 			  JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
 }
+
+json_t *ql_json_merge_difference(json_t *from, json_t *to)
+{
+	json_t *patch, *value, *before;
+	const char *key;
+
+	if (!json_is_object(from) || !json_is_object(to))
+		return json_incref(to);
+	patch = json_object();
+	json_object_foreach (from, key, value)
+		if (!json_object_get(to, key))
+			json_object_set_new(patch, key, json_null());
+	json_object_foreach (to, key, value) {
+		before = json_object_get(from, key);
+		if (!before)
+			json_object_set(patch, key, value);
+		else if (!json_equal(before, value))
+			json_object_set_new(patch, key,
+					    ql_json_merge_difference(before,
+								     value));
+	}
+	return patch;
+}
--- a/src/util/types.c
+++ b/src/util/types.c
@@ -29,6 +29,7 @@
 	[QL_REASON_KEY_CONFLICT] = "key-conflict",
 	[QL_REASON_KEY_IN_PROGRESS] = "key-in-progress",
 	[QL_REASON_NO_QUORUM] = "no-quorum",
+	[QL_REASON_ENDPOINT_REFUSED] = "endpoint-refused",
 };
 
 const char *ql_outcome_name(ql_outcome_t outcome)
--- a/tests/control/config_state_test.cc
+++ b/tests/control/config_state_test.cc
@@ -67,6 +67,50 @@
 	EXPECT_EQ(3u, state.doc->version);
 }
 
+TEST_F(ConfigState, WholeDocumentsTakeTheNumberThatTheyName)
+{
+	std::string second = FIRST;
+	ql_config_state_t follower;
+	ql_patch_answer_t answer;
+	ql_patch_t patch = {};
+	const struct {
+		const char *id;
+		uint64_t base, version;
+		int status;
+		uint64_t current;
+	} puts[] = {
+		{"a", 0, 5, 0, 5},	    {"a", 0, 5, 0, 5},
+		{"b", 0, 6, QL_E_STALE, 5}, {"c", 5, 5, QL_E_RANGE, 5},
+		{"d", 5, 4, QL_E_RANGE, 5}, {"e", 5, 9, 0, 9},
+		{"f", 5, 9, QL_E_STALE, 9}, {"a", 0, 5, 0, 9},
+	};
+
+	second.replace(second.find("\"attempts\":") + 11, 1, "7");
+	for (const auto &put : puts) {
+		SCOPED_TRACE(put.id);
+		std::string text = put.version < 9 ? FIRST : second;
+		strcpy(patch.id, put.id);
+		patch.base_version = put.base;
+		patch.version = put.version;
+		patch.whole = true;
+		patch.text = text.c_str();
+		patch.length = text.size();
+		ql_config_state_apply(&state, &patch, &answer);
+		EXPECT_EQ(answer.status, put.status);
+		EXPECT_EQ(state.doc->version, put.current);
+	}
+	ql_config_state_init(&follower);
+	for (GList *link = ql_config_state_changes_since(&state, 0); link;
+	     link = link->next)
+		EXPECT_EQ(0,
+			  ql_config_state_follow(
+				  &follower, (ql_config_change_t *)link->data,
+				  nullptr));
+	EXPECT_EQ(9u, follower.doc->version);
+	EXPECT_EQ(state.doc->digest, follower.doc->digest);
+	ql_config_state_finish(&follower);
+}
+
 TEST_F(ConfigState, RefusesNewKeepersWithoutTheOld)
 {
 	std::string members, slots = "[[\"k0\",\"k1\",\"k2\"]]",
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -259,6 +259,7 @@
 	ql_rpc_lease_args args = {};
 	ql_rpc_change change = {};
 
+	change.base_version = 1;
 	change.config_version = 2;
 	change.digest = 1;
 	change.patch.patch_val = (char *)"{\"attempts\":6}";
--- a/tests/control/membership_world.cc
+++ b/tests/control/membership_world.cc
@@ -275,6 +275,7 @@
 	endpoint->gate = strdup(node.gate.c_str());
 	endpoint->node = strdup(node.member.opts.node);
 	endpoint->failure_domain = strdup(node.member.opts.failure_domain);
+	endpoint->placement = strdup("");
 	endpoint->incarnation = node.incarnation;
 	endpoint->slots = 10;
 	endpoint->connections = 10;
--- /dev/null
+++ b/tests/platform/report_test.cc
@@ -0,0 +1,97 @@
+#include "platform/adapter.h"
+#include "quetzalloft/error.h"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+namespace
+{
+
+const char *GOOD = R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+	"version":"v1","slots":39,"state":"draining","coldLeft":"1.5s",
+	"sequence":4,"born":1700000000123,"later":{"x":1}})";
+
+TEST(Report, ReadsWhatIsKnownAndIgnoresTheRest)
+{
+	ql_instance_report_t report = {};
+
+	ASSERT_EQ(0, ql_platform_read_report(&report, GOOD, strlen(GOOD),
+					     nullptr));
+	EXPECT_STREQ("s", report.service);
+	EXPECT_STREQ("10.0.0.1:80", report.address);
+	EXPECT_EQ(1700000000123u, report.incarnation);
+	EXPECT_EQ(4u, report.sequence);
+	EXPECT_EQ(39u, report.slots);
+	EXPECT_EQ(1500u, report.cold_ms);
+	EXPECT_TRUE(report.draining);
+}
+
+struct Case {
+	const char *from;
+	const char *to;
+};
+
+class ReportRefuses : public testing::TestWithParam<Case>
+{
+};
+
+TEST_P(ReportRefuses, OfAnotherWriter)
+{
+	std::string text = GOOD;
+	ql_instance_report_t report = {};
+	GError *error = nullptr;
+
+	text.replace(text.find(GetParam().from), strlen(GetParam().from),
+		     GetParam().to);
+	EXPECT_NE(0, ql_platform_read_report(&report, text.data(), text.size(),
+					     &error));
+	ASSERT_NE(nullptr, error);
+	g_error_free(error);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Writers, ReportRefuses,
+	testing::Values(Case{"\"draining\"", "\"asleep\""},
+			Case{"\"draining\"", "7"}, Case{"39", "\"39\""},
+			Case{"39", "0"}, Case{"39", "-1"}, Case{"39", "3.5"},
+			Case{"\"s\"", "[]"}, Case{"\"s\"", "\"\""},
+			Case{"1700000000123", "1.7e12"},
+			Case{"1700000000123", "null"}, Case{"4", "\"x\""},
+			Case{"\"1.5s\"", "\"soon\""}, Case{"\"1.5s\"", "15"},
+			Case{"\"address\"", "\"adress\""}, Case{"}}", "}"},
+			Case{"{\"service\"", "\xff\xfe{\"service\""}));
+
+struct Duration {
+	const char *text;
+	int status;
+	uint64_t ms;
+};
+
+TEST(Report, Durations)
+{
+	const Duration cases[] = {
+		{"0ms", 0, 0},
+		{"1500ms", 0, 1500},
+		{"2.5s", 0, 2500},
+		{"3s", 0, 3000},
+		{"", QL_E_INVALID, 0},
+		{"5", QL_E_INVALID, 0},
+		{"5m", QL_E_INVALID, 0},
+		{"-1ms", QL_E_INVALID, 0},
+		{"nans", QL_E_INVALID, 0},
+		{"1e99s", QL_E_INVALID, 0},
+	};
+
+	for (const Duration &c : cases) {
+		SCOPED_TRACE(c.text);
+		json_t *value = json_string(c.text);
+		uint64_t ms = 0;
+
+		EXPECT_EQ(c.status, ql_platform_read_duration(&ms, value));
+		EXPECT_EQ(c.ms, ms);
+		json_decref(value);
+	}
+}
+
+} // namespace
