Answer RPC on an event loop, so that a slow reader holds nobody up

libtirpc codes the messages as before; the records go over libuv. The loop and its streams move to src/net, as both sides use them. Calls out time out while they send, too.

The test sends a call and reads nothing while others are answered.

--- a/src/control/rpc_client.c
+++ b/src/control/rpc_client.c
@@ -45,10 +45,19 @@
 	return status;
 }
 
+static struct timeval timeval_of(uint32_t timeout_ms)
+{
+	return (struct timeval){
+		.tv_sec = timeout_ms / MS_PER_S,
+		.tv_usec = (suseconds_t)(timeout_ms % MS_PER_S) * US_PER_MS,
+	};
+}
+
 static int connect_to(const struct sockaddr_in *where, uint32_t timeout_ms,
 		      const char *address, GError **error)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	struct timeval send_timeout = timeval_of(timeout_ms);
 	int one = 1;
 	int failed = 0;
 
@@ -64,6 +73,12 @@
 				    g_strerror(failed));
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	/* A peer that has gone silent blocks a large call no longer than that.
+	 */
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &send_timeout,
+		   sizeof(send_timeout));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+		   sizeof(timeout_ms));
 	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
 	return fd;
 }
@@ -124,11 +139,7 @@
 int ql_rpc_client_call(ql_rpc_client_t *client, const ql_rpc_call_t *call,
 		       GError **error)
 {
-	struct timeval timeout = {
-		.tv_sec = client->timeout_ms / MS_PER_S,
-		.tv_usec = (suseconds_t)(client->timeout_ms % MS_PER_S) *
-			   US_PER_MS,
-	};
+	struct timeval timeout = timeval_of(client->timeout_ms);
 	enum clnt_stat status;
 	int ret;
 
--- a/src/control/rpc_server.c
+++ b/src/control/rpc_server.c
@@ -1,23 +1,49 @@
 #include "control/rpc_server.h"
+#include "net/stream.h"
 #include "quetzalloft/address.h"
 #include "quetzalloft/error.h"
 
-#include <errno.h>
-#include <poll.h>
-#include <rpc/rpc_com.h>
+#include <arpa/inet.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#define RECORD_MAX_BYTES (8 << 20)
-#define POLL_MS 100
+#define RECORD_MAX_BYTES (8u << 20)
 #define LISTEN_BACKLOG 512
+/* A peer that takes no more of its answers is cut off. */
+#define PENDING_MAX_BYTES (32u << 20)
+/* Room for the head of an answer before its result. */
+#define REPLY_HEAD_BYTES 512u
+/* Record marking of RFC 5531, section 11. */
+#define FRAGMENT_HEAD_BYTES 4u
+#define LAST_FRAGMENT 0x80000000u
 
-/* libtirpc passes no data to a dispatcher, so the server is a singleton. */
-static ql_rpc_server_t *the_server;
+typedef struct {
+	ql_rpc_server_t *server;
+	ql_stream_t stream;
+	GByteArray *received;
+	GByteArray *record;
+} connection_t;
+
+/* One call, from its record to its answer. */
+typedef struct {
+	struct rpc_msg call;
+	char credential[MAX_AUTH_BYTES];
+	char verifier[MAX_AUTH_BYTES];
+	XDR xdrs;
+} request_t;
+
+static const ql_rpc_program_t *find_program(const ql_rpc_server_t *server,
+					    uint64_t number)
+{
+	size_t i;
+
+	for (i = 0; i < server->n_programs; i++)
+		if (server->programs[i].number == number)
+			return &server->programs[i];
+	return NULL;
+}
 
 static const ql_rpc_procedure_t *find_procedure(const ql_rpc_program_t *program,
-						uint32_t number)
+						uint64_t number)
 {
 	size_t i;
 
@@ -27,96 +53,198 @@
 	return NULL;
 }
 
-static const ql_rpc_program_t *find_program(uint32_t number, uint32_t version)
+static void send_record(connection_t *connection, char *bytes, size_t length)
 {
-	size_t i;
+	uint32_t head =
+		htonl((uint32_t)(length - FRAGMENT_HEAD_BYTES) | LAST_FRAGMENT);
 
-	for (i = 0; i < the_server->n_programs; i++)
-		if (the_server->programs[i].number == number &&
-		    the_server->programs[i].version == version)
-			return &the_server->programs[i];
-	return NULL;
+	memcpy(bytes, &head, sizeof(head));
+	ql_stream_write(&connection->stream, bytes, length);
+	if (connection->stream.pending > PENDING_MAX_BYTES)
+		ql_stream_abort(&connection->stream);
+}
+
+/* Sends an answer; @encode and @result are used when it is a success. */
+static void reply(connection_t *connection, const request_t *request,
+		  enum accept_stat status, xdrproc_t encode, void *result)
+{
+	struct rpc_msg message = {
+		.rm_xid = request->call.rm_xid,
+		.rm_direction = REPLY,
+		.rm_reply.rp_stat = MSG_ACCEPTED,
+	};
+	struct accepted_reply *accepted = &message.acpted_rply;
+	size_t size = REPLY_HEAD_BYTES;
+	char *bytes;
+	XDR xdrs;
+
+	accepted->ar_verf = _null_auth;
+	accepted->ar_stat = status;
+	if (status == SUCCESS) {
+		accepted->ar_results.where = result;
+		accepted->ar_results.proc = encode;
+		size += xdr_sizeof(encode, result);
+	}
+	bytes = g_malloc(size);
+	xdrmem_create(&xdrs, bytes + FRAGMENT_HEAD_BYTES,
+		      (u_int)(size - FRAGMENT_HEAD_BYTES), XDR_ENCODE);
+	if (xdr_replymsg(&xdrs, &message))
+		send_record(connection, bytes,
+			    FRAGMENT_HEAD_BYTES + xdr_getpos(&xdrs));
+	else
+		ql_stream_abort(&connection->stream);
+	xdr_destroy(&xdrs);
+	g_free(bytes);
 }
 
-static void answer(SVCXPRT *transport, const ql_rpc_program_t *program,
-		   const ql_rpc_procedure_t *procedure)
+static void call_procedure(connection_t *connection, request_t *request,
+			   const ql_rpc_program_t *program,
+			   const ql_rpc_procedure_t *procedure)
 {
 	void *args = g_malloc0(procedure->args_bytes);
 	void *result = g_malloc0(procedure->result_bytes);
 
-	if (!svc_getargs(transport, procedure->decode, args)) {
-		the_server->malformed++;
-		svcerr_decode(transport);
+	if (!procedure->decode(&request->xdrs, args)) {
+		connection->server->malformed++;
+		reply(connection, request, GARBAGE_ARGS, NULL, NULL);
 	} else {
-		the_server->calls++;
+		connection->server->calls++;
 		procedure->handle(program->data, args, result);
-		if (!svc_sendreply(transport, procedure->encode, result))
-			svcerr_systemerr(transport);
+		reply(connection, request, SUCCESS, procedure->encode, result);
 		xdr_free(procedure->encode, result);
 	}
-	svc_freeargs(transport, procedure->decode, args);
+	xdr_free(procedure->decode, args);
 	g_free(result);
 	g_free(args);
 }
 
-static void dispatch(struct svc_req *request, SVCXPRT *transport)
+static void answer(connection_t *connection, request_t *request)
 {
+	const struct call_body *call = &request->call.rm_call;
 	const ql_rpc_program_t *program =
-		find_program(request->rq_prog, request->rq_vers);
+		find_program(connection->server, call->cb_prog);
 	const ql_rpc_procedure_t *procedure;
 
-	if (request->rq_proc == NULLPROC) {
-		svc_sendreply(transport, (xdrproc_t)(void (*)(void))xdr_void,
-			      NULL);
+	if (!program) {
+		reply(connection, request, PROG_UNAVAIL, NULL, NULL);
+		return;
+	}
+	if (program->version != call->cb_vers) {
+		reply(connection, request, PROG_MISMATCH, NULL, NULL);
 		return;
 	}
-	procedure = program ? find_procedure(program, request->rq_proc) : NULL;
-	if (!procedure) {
-		svcerr_noproc(transport);
+	if (call->cb_proc == NULLPROC) {
+		reply(connection, request, SUCCESS,
+		      (xdrproc_t)(void (*)(void))xdr_void, NULL);
 		return;
 	}
-	answer(transport, program, procedure);
+	procedure = find_procedure(program, call->cb_proc);
+	if (procedure)
+		call_procedure(connection, request, program, procedure);
+	else
+		reply(connection, request, PROC_UNAVAIL, NULL, NULL);
 }
 
-static void *serve(void *data)
+static void take_record(connection_t *connection)
 {
-	ql_rpc_server_t *server = data;
-	struct pollfd *fds = NULL;
-	int n_fds, n_ready;
-
-	while (!__atomic_load_n(&server->stopping, __ATOMIC_ACQUIRE)) {
-		n_fds = svc_max_pollfd;
-		fds = g_renew(struct pollfd, fds, n_fds);
-		memcpy(fds, svc_pollfd, sizeof(*fds) * (size_t)n_fds);
-		n_ready = poll(fds, (nfds_t)n_fds, POLL_MS);
-		if (n_ready > 0)
-			svc_getreq_poll(fds, n_ready);
+	request_t request = {0};
+
+	request.call.rm_call.cb_cred.oa_base = request.credential;
+	request.call.rm_call.cb_verf.oa_base = request.verifier;
+	xdrmem_create(&request.xdrs, (char *)connection->record->data,
+		      connection->record->len, XDR_DECODE);
+	if (xdr_callmsg(&request.xdrs, &request.call) &&
+	    request.call.rm_call.cb_rpcvers == RPC_MSG_VERSION) {
+		answer(connection, &request);
+	} else {
+		connection->server->malformed++;
+		ql_stream_abort(&connection->stream);
 	}
-	g_free(fds);
-	return NULL;
+	xdr_destroy(&request.xdrs);
+	g_byte_array_set_size(connection->record, 0);
 }
 
-static int listen_at(const char *address, GError **error)
+/* Takes one fragment; returns whether there may be another one. */
+static bool take_fragment(connection_t *connection)
 {
-	struct sockaddr_in where;
-	int one = 1;
-	int fd, ret;
+	GByteArray *received = connection->received;
+	uint32_t head, length;
 
-	ret = ql_address_parse(&where, address, error);
-	if (ret)
-		return ret;
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return ql_error_set_errno(error, errno, "socket");
-	if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) ||
-	    bind(fd, (struct sockaddr *)&where, sizeof(where)) ||
-	    listen(fd, LISTEN_BACKLOG)) {
-		ret = ql_error_set_errno(error, errno, "listening at %s",
-					 address);
-		close(fd);
-		return ret;
+	if (received->len < FRAGMENT_HEAD_BYTES)
+		return false;
+	memcpy(&head, received->data, sizeof(head));
+	head = ntohl(head);
+	length = head & ~LAST_FRAGMENT;
+	if (length > RECORD_MAX_BYTES - connection->record->len) {
+		connection->server->malformed++;
+		ql_stream_abort(&connection->stream);
+		return false;
 	}
-	return fd;
+	if (received->len - FRAGMENT_HEAD_BYTES < length)
+		return false;
+	g_byte_array_append(connection->record,
+			    received->data + FRAGMENT_HEAD_BYTES, length);
+	g_byte_array_remove_range(received, 0, FRAGMENT_HEAD_BYTES + length);
+	if (head & LAST_FRAGMENT)
+		take_record(connection);
+	return !connection->stream.closing;
+}
+
+static void on_received(void *data, const char *bytes, size_t length)
+{
+	connection_t *connection = data;
+
+	g_byte_array_append(connection->received, (const guint8 *)bytes,
+			    (guint)length);
+	while (take_fragment(connection))
+		;
+}
+
+static void on_ended(void *data, int status G_GNUC_UNUSED)
+{
+	ql_stream_abort(&((connection_t *)data)->stream);
+}
+
+static void on_closed(void *data)
+{
+	connection_t *connection = data;
+
+	g_hash_table_remove(connection->server->connections, connection);
+	g_byte_array_free(connection->received, TRUE);
+	g_byte_array_free(connection->record, TRUE);
+	g_free(connection);
+}
+
+static const ql_stream_ops_t stream_ops = {
+	.received = on_received,
+	.ended = on_ended,
+	.closed = on_closed,
+};
+
+static void on_connection(uv_stream_t *socket, int status)
+{
+	ql_rpc_server_t *server = socket->data;
+	connection_t *connection;
+
+	if (status)
+		return;
+	connection = g_new0(connection_t, 1);
+	connection->server = server;
+	connection->received = g_byte_array_new();
+	connection->record = g_byte_array_new();
+	g_hash_table_add(server->connections, connection);
+	ql_stream_init(&connection->stream, &server->loop, &stream_ops,
+		       connection);
+	if (ql_stream_accept(&connection->stream, socket))
+		ql_stream_abort(&connection->stream);
+}
+
+static void *serve(void *data)
+{
+	ql_rpc_server_t *server = data;
+
+	ql_loop_run(&server->loop);
+	return NULL;
 }
 
 /* Two programs with one number would answer for each other. */
@@ -135,50 +263,80 @@
 	return 0;
 }
 
+static int listen_at(ql_rpc_server_t *server, const char *address,
+		     GError **error)
+{
+	struct sockaddr_in where;
+	int status, ret = ql_address_parse(&where, address, error);
+
+	if (ret)
+		return ret;
+	uv_tcp_init(&server->loop.uv, &server->socket);
+	server->socket.data = server;
+	status = uv_tcp_bind(&server->socket, (const struct sockaddr *)&where,
+			     0);
+	if (!status)
+		status = uv_listen((uv_stream_t *)&server->socket,
+				   LISTEN_BACKLOG, on_connection);
+	if (!status)
+		return 0;
+	uv_close((uv_handle_t *)&server->socket, NULL);
+	return ql_error_set(error, QL_E_IO, "listening at %s: %s", address,
+			    uv_strerror(status));
+}
+
 int ql_rpc_server_start(ql_rpc_server_t *server, const char *address,
 			GError **error)
 {
-	int record_max = RECORD_MAX_BYTES;
-	size_t i;
-	int fd, ret;
+	int ret = check_programs(server, error);
 
-	ret = check_programs(server, error);
+	if (!ret)
+		ret = ql_loop_init(&server->loop, error);
 	if (ret)
 		return ret;
-	if (the_server)
-		return ql_error_set(error, QL_E_EXISTS,
-				    "this process has an RPC server already");
-	fd = listen_at(address, error);
-	if (fd < 0)
-		return fd;
-	/* Bounds a record, and makes the reading of one never block. */
-	rpc_control(RPC_SVC_CONNMAXREC_SET, &record_max);
-	server->transport = svc_vc_create(fd, 0, 0);
-	if (!server->transport) {
-		close(fd);
-		return ql_error_set(error, QL_E_IO, "svc_vc_create failed");
+	server->connections = g_hash_table_new(NULL, NULL);
+	ret = listen_at(server, address, error);
+	if (ret) {
+		ql_loop_finish(&server->loop);
+		g_hash_table_destroy(server->connections);
+		return ret;
 	}
-	the_server = server;
-	for (i = 0; i < server->n_programs; i++)
-		svc_reg(server->transport, server->programs[i].number,
-			server->programs[i].version, dispatch, NULL);
-	server->stopping = 0;
 	server->thread = g_thread_new("rpc", serve, server);
 	return 0;
 }
 
+typedef struct {
+	ql_loop_job_t job;
+	ql_rpc_server_t *server;
+} stop_t;
+
+static void stop_loop(ql_loop_job_t *job)
+{
+	ql_rpc_server_t *server = ((stop_t *)job)->server;
+	GList *connections = g_hash_table_get_keys(server->connections);
+	GList *link;
+
+	uv_close((uv_handle_t *)&server->socket, NULL);
+	for (link = connections; link; link = link->next)
+		ql_stream_abort(&((connection_t *)link->data)->stream);
+	g_list_free(connections);
+	ql_loop_stop(&server->loop);
+	g_free(job);
+}
+
 void ql_rpc_server_stop(ql_rpc_server_t *server)
 {
-	size_t i;
+	stop_t *stop;
 
 	if (!server->thread)
 		return;
-	__atomic_store_n(&server->stopping, 1, __ATOMIC_RELEASE);
+	stop = g_new0(stop_t, 1);
+	stop->job.run = stop_loop;
+	stop->server = server;
+	while (ql_loop_post(&server->loop, &stop->job))
+		g_usleep(1000);
 	g_thread_join(server->thread);
 	server->thread = NULL;
-	for (i = 0; i < server->n_programs; i++)
-		svc_unreg(server->programs[i].number,
-			  server->programs[i].version);
-	svc_destroy(server->transport);
-	the_server = NULL;
+	ql_loop_finish(&server->loop);
+	g_hash_table_destroy(server->connections);
 }
--- a/src/control/rpc_server.h
+++ b/src/control/rpc_server.h
@@ -2,10 +2,14 @@
 #define QL_CONTROL_RPC_SERVER_H
 
 /**
- * DOC: ONC RPC server on one configured address, served by one thread.
- * Handlers answer from memory and never block.
+ * DOC: ONC RPC server on one configured address, served by one thread with an
+ * event loop. Handlers answer from memory and never block, and a peer that
+ * reads slowly holds nobody else up. libtirpc codes the messages; its own
+ * server spins while an answer does not fit into the window of a connection.
  */
 
+#include "net/loop.h"
+
 #include <glib.h>
 #include <rpc/rpc.h>
 #include <stdbool.h>
@@ -51,20 +55,23 @@
 #define QL_RPC_PROGRAMS_MAX 4
 
 /**
- * struct ql_rpc_server - The server; there is one in a process.
+ * struct ql_rpc_server - The server; it must not move in memory.
  * @programs: what it answers
  * @n_programs: their number
- * @transport: the listening transport
+ * @loop: of the serving thread
+ * @socket: the listening socket
+ * @connections: set of open connections
  * @thread: the serving thread
- * @stopping: set to end the thread
- * @malformed: calls whose arguments could not be decoded
+ * @calls: calls that were answered
+ * @malformed: calls that could not be decoded
  */
 typedef struct ql_rpc_server {
 	ql_rpc_program_t programs[QL_RPC_PROGRAMS_MAX];
 	size_t n_programs;
-	SVCXPRT *transport;
+	ql_loop_t loop;
+	uv_tcp_t socket;
+	GHashTable *connections;
 	GThread *thread;
-	int stopping;
 	uint64_t calls;
 	uint64_t malformed;
 } ql_rpc_server_t;
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -7,7 +7,7 @@
  */
 
 #include "http/reader.h"
-#include "http/stream.h"
+#include "net/stream.h"
 
 G_BEGIN_DECLS
 
--- a/src/http/loop.c
+++ b/src/net/loop.c
@@ -1,4 +1,4 @@
-#include "http/loop.h"
+#include "net/loop.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/ring.h"
--- a/src/http/loop.h
+++ b/src/net/loop.h
@@ -1,5 +1,5 @@
-#ifndef QL_HTTP_LOOP_H
-#define QL_HTTP_LOOP_H
+#ifndef QL_NET_LOOP_H
+#define QL_NET_LOOP_H
 
 /**
  * DOC: The event loop of one thread: sockets by libuv, timers by a wheel, and
--- a/src/http/stream.c
+++ b/src/net/stream.c
@@ -1,4 +1,4 @@
-#include "http/stream.h"
+#include "net/stream.h"
 #include "quetzalloft/error.h"
 
 #include <netinet/tcp.h>
--- a/src/http/stream.h
+++ b/src/net/stream.h
@@ -1,12 +1,12 @@
-#ifndef QL_HTTP_STREAM_H
-#define QL_HTTP_STREAM_H
+#ifndef QL_NET_STREAM_H
+#define QL_NET_STREAM_H
 
 /**
  * DOC: One TCP connection on an event loop, with writes that never block and
  * keep-alive probes that notice a peer which has become unreachable.
  */
 
-#include "http/loop.h"
+#include "net/loop.h"
 
 G_BEGIN_DECLS
 
--- a/tests/control/rpc_server_test.cc
+++ b/tests/control/rpc_server_test.cc
@@ -1,9 +1,196 @@
 #include "control/rpc_server.h"
 #include "quetzalloft/error.h"
 
+#include "control/rpc_client.h"
+
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+const uint32_t PROGRAM = 0x20517a7e;
+const u_int LARGE_BYTES = 4u << 20;
+
+/* A text of the length that the argument asks for. */
+void repeat(void *, const void *in, void *out)
+{
+	u_int length = *(const u_int *)in;
+	char *text = (char *)malloc(length + 1);
+
+	memset(text, 'x', length);
+	text[length] = 0;
+	*(char **)out = text;
+}
+
+bool_t xdr_length(XDR *xdrs, ...)
+{
+	va_list args;
+
+	va_start(args, xdrs);
+	u_int *length = va_arg(args, u_int *);
+	va_end(args);
+	return xdr_u_int(xdrs, length);
+}
+
+bool_t xdr_text(XDR *xdrs, ...)
+{
+	va_list args;
+
+	va_start(args, xdrs);
+	char **text = va_arg(args, char **);
+	va_end(args);
+	return xdr_string(xdrs, text, LARGE_BYTES);
+}
+
+const ql_rpc_procedure_t PROCEDURES[] = {
+	{1, (xdrproc_t)xdr_length, (xdrproc_t)xdr_text, sizeof(u_int),
+	 sizeof(char *), repeat},
+};
+
+class RpcServer : public testing::Test
+{
+      protected:
+	ql_rpc_server_t server = {};
+	std::string address;
+
+	void SetUp() override
+	{
+		sockaddr_in bound = {};
+		int length = sizeof(bound);
+
+		server.programs[0] = {PROGRAM, 1, PROCEDURES, 1, nullptr};
+		server.n_programs = 1;
+		/* Port 0 is refused in addresses, so one is looked for. */
+		for (int port = 21900; port < 21999; port++) {
+			address = "127.0.0.1:" + std::to_string(port);
+			if (!ql_rpc_server_start(&server, address.c_str(),
+						 nullptr))
+				break;
+		}
+		ASSERT_EQ(0, uv_tcp_getsockname(&server.socket,
+						(sockaddr *)&bound, &length));
+	}
+
+	void TearDown() override
+	{
+		ql_rpc_server_stop(&server);
+	}
+
+	int open_socket()
+	{
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		sockaddr_in where = {};
+
+		where.sin_family = AF_INET;
+		where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		where.sin_port = htons((uint16_t)std::stoi(
+			address.substr(address.find(':') + 1)));
+		EXPECT_EQ(0, connect(fd, (sockaddr *)&where, sizeof(where)));
+		return fd;
+	}
+
+	u_int ask(u_int length)
+	{
+		ql_rpc_client_t client;
+		char *text = nullptr;
+		ql_rpc_call_t call = {1, (xdrproc_t)xdr_length, &length,
+				      (xdrproc_t)xdr_text, &text};
+		u_int got = UINT32_MAX;
+
+		ql_rpc_client_init(&client, address.c_str(), PROGRAM, 1, 30000);
+		if (!ql_rpc_client_call(&client, &call, nullptr))
+			got = (u_int)strlen(text);
+		xdr_free((xdrproc_t)xdr_text, &text);
+		ql_rpc_client_finish(&client);
+		return got;
+	}
+};
+
+/* A call of procedure 1 as RFC 5531 writes it. */
+std::string call_record(uint32_t length)
+{
+	const uint32_t words[] = {
+		0x80000000u + 44, 7, 0, 2, PROGRAM, 1, 1, 0, 0, 0, 0, length};
+	std::string out;
+
+	for (uint32_t word : words) {
+		word = htonl(word);
+		out.append((const char *)&word, sizeof(word));
+	}
+	return out;
+}
+
+TEST_F(RpcServer, AnswersLargeAndSmall)
+{
+	for (u_int length : {0u, 1u, 5u, 70000u, LARGE_BYTES})
+		EXPECT_EQ(length, ask(length));
+	EXPECT_EQ(5u, server.calls);
+}
+
+/* A loss of power left nodes that took their answers in small pieces: the
+ * server spun on each and answered nobody else. */
+TEST_F(RpcServer, ASlowReaderHoldsNobodyUpAndGetsAllOfIt)
+{
+	int fd = open_socket();
+	std::string record = call_record(LARGE_BYTES);
+	std::vector<char> bytes(1 << 16);
+	size_t got = 0;
+	ssize_t n;
+
+	ASSERT_EQ((ssize_t)record.size(),
+		  send(fd, record.data(), record.size(), 0));
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(10u, ask(10));
+	while (got < LARGE_BYTES &&
+	       (n = recv(fd, bytes.data(), bytes.size(), 0)) > 0)
+		got += (size_t)n;
+	EXPECT_GE(got, LARGE_BYTES);
+	close(fd);
+}
+
+struct Junk {
+	const char *name;
+	std::string bytes;
+};
+
+class RpcServerJunk : public RpcServer, public testing::WithParamInterface<Junk>
+{
+};
+
+TEST_P(RpcServerJunk, EndsTheConnectionOnly)
+{
+	int fd = open_socket();
+	char byte;
+
+	ASSERT_GT(send(fd, GetParam().bytes.data(), GetParam().bytes.size(), 0),
+		  0);
+	EXPECT_LE(recv(fd, &byte, 1, 0), 0);
+	close(fd);
+	EXPECT_EQ(3u, ask(3));
+	EXPECT_EQ(1u, server.malformed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Bytes, RpcServerJunk,
+	testing::Values(
+		Junk{"HugeFragment", std::string("\xff\xff\xff\xff", 4)},
+		Junk{"NoMessage", std::string("\x80\x00\x00\x04", 4) + "junk"},
+		Junk{"EmptyRecord", std::string("\x80\x00\x00\x00", 4)},
+		Junk{"AnAnswer",
+		     std::string("\x80\x00\x00\x0c", 4) +
+			     std::string("\0\0\0\1\0\0\0\1\0\0\0\0", 12)}),
+	[](const auto &junk) { return junk.param.name; });
+
+} // namespace
 
-TEST(RpcServer, RefusesTwoProgramsWithOneNumber)
+TEST(RpcPrograms, RefusesTwoProgramsWithOneNumber)
 {
 	ql_rpc_server_t server = {};
 	GError *error = nullptr;
--- a/tests/http/loop_world.h
+++ b/tests/http/loop_world.h
@@ -1,7 +1,7 @@
 #ifndef QL_TESTS_HTTP_LOOP_WORLD_H
 #define QL_TESTS_HTTP_LOOP_WORLD_H
 
-#include "http/loop.h"
+#include "net/loop.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
