Tell a reset from the end of a stream

Cause: libuv calls the end of the stream when it sees a hang-up behind a short read, also when the peer has reset the connection. The socket is asked when libuv says that it ended. The test sends the bytes and the reset before the loop turns; it failed before.

--- a/src/net/stream.c
+++ b/src/net/stream.c
@@ -1,6 +1,7 @@
 #include "net/stream.h"
 #include "quetzalloft/error.h"
 
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
@@ -40,6 +41,21 @@
 		uv_close((uv_handle_t *)&stream->tcp, on_closed);
 }
 
+/*
+ * libuv takes a hang-up behind a short read for the end of the stream, also
+ * when the peer has reset it. The socket knows the difference.
+ */
+static int end_status(const ql_stream_t *stream)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (!uv_fileno((const uv_handle_t *)&stream->tcp, &fd) &&
+	    recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0)
+		return uv_translate_sys_error(errno);
+	return UV_EOF;
+}
+
 static void on_read(uv_stream_t *tcp, ssize_t length, const uv_buf_t *buffer)
 {
 	ql_stream_t *stream = tcp->data;
@@ -50,7 +66,9 @@
 		stream->ops->received(stream->data, buffer->base,
 				      (size_t)length);
 	else
-		stream->ops->ended(stream->data, (int)length);
+		stream->ops->ended(stream->data, length == UV_EOF
+							 ? end_status(stream)
+							 : (int)length);
 }
 
 static void on_written(uv_write_t *request, int status)
--- a/tests/http/upstream_test.cc
+++ b/tests/http/upstream_test.cc
@@ -146,6 +146,7 @@
 	const char *body;
 	ql_upstream_failure_t failure;
 	bool kept;
+	bool at_once = false;
 };
 
 class UpstreamAnswer : public Upstream,
@@ -163,8 +164,9 @@
 	ASSERT_TRUE(world.turn_until([&] { return server->has("id: a"); }));
 	server->send(answer.bytes);
 	if (answer.reset) {
-		/* What was sent is read before the reset comes. */
-		world.turn(20);
+		/* What was sent is read before the reset comes, or with it. */
+		if (!answer.at_once)
+			world.turn(20);
 		setsockopt(server->fd, SOL_SOCKET, SO_LINGER, &nothing,
 			   sizeof(nothing));
 		close(server->fd);
@@ -195,6 +197,8 @@
 		       false, true, "ok", QL_UPSTREAM_LOST, false},
 		Answer{"EndsWithAReset", "HTTP/1.1 200 OK\r\n\r\nok", true,
 		       false, "", QL_UPSTREAM_LOST, false},
+		Answer{"EndsWithAResetAtOnce", "HTTP/1.1 200 OK\r\n\r\nok",
+		       true, false, "", QL_UPSTREAM_LOST, false, true},
 		Answer{"CutShort",
 		       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false,
 		       false, "", QL_UPSTREAM_LOST, false},
