Let the calls of a request count as much as the request itself

Cause: a call of an endpoint was admitted by the rank of its own route.

Change: the front looks up the request that a call serves in the gate beside it and takes over its class. Where the parent is not known nothing changes.

--- a/include/quetzalloft/dialect.h
+++ b/include/quetzalloft/dialect.h
@@ -45,7 +45,8 @@
  * @seal: header that every whole answer of an endpoint bears; NULL if none
  * @base_version: header of a document with the version that it was written
  *                against
- * @has_parent: whether a request, by its identity, serves another request
+ * @parent_of: writes the identity of the request that a request serves, as far
+ *             as its own identity tells; returns false when it serves none
  * @read_document: turns a document as operators write it into the product's
  * @write_document: turns the product's document into the operators' one
  * @read_report: reads an announcement
@@ -59,7 +60,7 @@
 	const char *not_run;
 	const char *seal;
 	const char *base_version;
-	bool (*has_parent)(const char *request_id);
+	bool (*parent_of)(char *out, size_t size, const char *request_id);
 	int (*read_document)(json_t **out, uint64_t *version, const char *text,
 			     size_t length, GError **error);
 	json_t *(*write_document)(const ql_document_t *doc);
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -29,6 +29,7 @@
 	ql_front_service_t *service;
 	ql_headers_t headers;
 	ql_path_call_t call;
+	ql_running_call_t parent;
 	ql_callee_call_t callee;
 	bool let_through;
 	bool in_attempt;
@@ -451,6 +452,29 @@
 	return exchange->received_us + timeout_ms * QL_US_PER_MS;
 }
 
+/*
+ * A call of the endpoint beside this node serves a request that runs there: it
+ * is as important as that request, and its work is under way. Where the
+ * request is not known, the call counts as its own route says.
+ */
+static void inherit(front_call_t *call, const char *id)
+{
+	const ql_dialect_t *dialect = call->front->opts.dialect;
+	const ql_running_call_t *parent;
+	char parent_id[QL_KEY_MAX];
+
+	if (!dialect->parent_of ||
+	    !dialect->parent_of(parent_id, sizeof(parent_id), id))
+		return;
+	call->call.under_way = true;
+	parent = ql_local_gate_find(call->front->opts.local, parent_id);
+	if (!parent)
+		return;
+	call->parent = *parent;
+	call->call.class_name = call->parent.class_name;
+	call->call.shed_order = call->parent.shed_order;
+}
+
 static void fill_call(front_call_t *call, const char *service)
 {
 	const ql_dialect_t *dialect = call->front->opts.dialect;
@@ -468,12 +492,12 @@
 		.service = service,
 		.class_name = class->name,
 		.shed_order = (uint32_t) class->shed_order,
-		.under_way =
-			id && dialect->has_parent && dialect->has_parent(id),
 		.idempotent = call->route->idempotent,
 		.deadline_us = deadline_us(call),
 		.version = call->doc->version,
 	};
+	if (id)
+		inherit(call, id);
 }
 
 static front_call_t *call_new(ql_front_t *front, ql_http_exchange_t *exchange,
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -23,6 +23,7 @@
 typedef struct {
 	ql_local_gate_t *gate;
 	state_t state;
+	ql_running_call_t serves;
 	ql_handle_t ticket;
 	GByteArray *head;
 	GByteArray *rest;
@@ -68,6 +69,8 @@
 	ql_local_gate_t *gate = call->gate;
 
 	ql_gate_finish_request(&gate->gate, call->ticket, how, now_us(call));
+	if (g_hash_table_lookup(gate->running, call->id) == call)
+		g_hash_table_remove(gate->running, call->id);
 	g_hash_table_remove(gate->calls, GUINT_TO_POINTER(call->ticket));
 }
 
@@ -227,6 +230,7 @@
 	};
 
 	call->state = RUNNING;
+	g_hash_table_replace(gate->running, call->id, call);
 	gate->counts.admitted++;
 	ql_headers_write_uint(call->head, dialect->timeout_ms,
 			      ql_remaining_ms(call->deadline_us, now_us(call)));
@@ -347,6 +351,9 @@
 	out->idempotent = call->idempotent;
 	out->bodiless = !strcmp(call->method, "HEAD");
 	out->deadline_us = call->deadline_us;
+	out->serves.shed_order = call->shed_order;
+	g_strlcpy(out->serves.class_name, call->class_name,
+		  sizeof(out->serves.class_name));
 	g_strlcpy(out->id, call->id, sizeof(out->id));
 	out->head = g_byte_array_new();
 	out->rest = g_byte_array_new();
@@ -435,6 +442,7 @@
 	gate->timer.expired = on_timer;
 	gate->timer.data = gate;
 	gate->calls = g_hash_table_new(NULL, NULL);
+	gate->running = g_hash_table_new(g_str_hash, g_str_equal);
 	gate->upstream = ql_upstream_new(loop, &upstream);
 	gate_opts(gate, &policy);
 	ql_gate_init(&gate->gate, &policy);
@@ -445,6 +453,7 @@
 	ql_loop_stop_timer(gate->loop, &gate->timer);
 	ql_upstream_free(gate->upstream);
 	g_hash_table_destroy(gate->calls);
+	g_hash_table_destroy(gate->running);
 	ql_gate_finish(&gate->gate);
 }
 
@@ -541,6 +550,14 @@
 	pump(gate);
 }
 
+const ql_running_call_t *ql_local_gate_find(const ql_local_gate_t *gate,
+					    const char *id)
+{
+	const running_t *call = g_hash_table_lookup(gate->running, id);
+
+	return call ? &call->serves : NULL;
+}
+
 uint32_t ql_local_gate_level(const ql_local_gate_t *gate)
 {
 	return ql_gate_level(&gate->gate, ql_loop_now_us(gate->loop));
--- a/src/path/local_gate.h
+++ b/src/path/local_gate.h
@@ -57,6 +57,7 @@
  * @draining: this node leaves
  * @incarnation: of the endpoint, as it is announced to others
  * @calls: by ticket
+ * @running: those that run at the endpoint, by identity of the request
  */
 typedef struct ql_local_gate {
 	ql_loop_t *loop;
@@ -69,6 +70,7 @@
 	uint64_t incarnation;
 	ql_gate_t gate;
 	GHashTable *calls;
+	GHashTable *running;
 	ql_upstream_t *upstream;
 	ql_wheel_timer_t timer;
 	ql_local_gate_counts_t counts;
@@ -119,6 +121,26 @@
 			const ql_call_sink_t *sink, void *data,
 			ql_callee_call_t *out);
 
+/**
+ * struct ql_running_call - A call that runs at the endpoint.
+ * @class_name: class of the client request that it serves
+ * @shed_order: of that class
+ */
+typedef struct ql_running_call {
+	char class_name[QL_NAME_MAX];
+	uint32_t shed_order;
+} ql_running_call_t;
+
+/**
+ * ql_local_gate_find() - Find a call that runs at the endpoint.
+ * @gate: the gate
+ * @id: identity of the request
+ *
+ * Return: the call, valid until the loop turns, or NULL.
+ */
+const ql_running_call_t *ql_local_gate_find(const ql_local_gate_t *gate,
+					    const char *id);
+
 /**
  * ql_local_gate_level() - The present load level.
  */
