Answer what is left before a node that leaves exits, and count late answers as shed

Change: 200 ms before, the front gives up what is in progress and answers it. Early refusal counts an answer behind the target of its route as shed.

--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -192,6 +192,19 @@
 	post(news_new(node, run_drain_gate));
 }
 
+static void run_fail_all(ql_loop_job_t *job)
+{
+	news_t *news = (news_t *)job;
+
+	ql_front_fail_all(&news->node->front);
+	g_free(news);
+}
+
+void ql_path_jobs_fail_all(ql_path_node_t *node)
+{
+	post(news_new(node, run_fail_all));
+}
+
 static void run_stop(ql_loop_job_t *job)
 {
 	news_t *news = (news_t *)job;
--- a/src/node/path_jobs.h
+++ b/src/node/path_jobs.h
@@ -40,6 +40,11 @@
  */
 void ql_path_jobs_drain_gate(ql_path_node_t *node);
 
+/**
+ * ql_path_jobs_fail_all() - Have what is in progress answered with a failure.
+ */
+void ql_path_jobs_fail_all(ql_path_node_t *node);
+
 /**
  * ql_path_jobs_stop() - Have the loop close everything and end.
  */
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -23,6 +23,8 @@
 #define DRAIN_POLL_US (20 * QL_US_PER_MS)
 /* Other nodes have heard of the leaving by then. */
 #define GATE_DRAIN_US (1500 * QL_US_PER_MS)
+/* Time in which the last answers leave. */
+#define LAST_ANSWERS_US (200 * QL_US_PER_MS)
 /* Time kept for the exit itself. */
 #define EXIT_RESERVE_MS 500u
 #define CONNECTIONS_DEFAULT 256u
@@ -416,7 +418,10 @@
 	ql_lease_service_leave(&node->control.lease);
 	wait_for_calls(node, now_us + GATE_DRAIN_US, now_us + GATE_DRAIN_US);
 	ql_path_jobs_drain_gate(node);
-	wait_for_calls(node, earliest_us, latest_us);
+	wait_for_calls(node, earliest_us, latest_us - LAST_ANSWERS_US);
+	/* What is left has no time to end by itself. */
+	ql_path_jobs_fail_all(node);
+	wait_for_calls(node, 0, latest_us);
 	ql_log(LOG_NOTICE, "drain_finished",
 	       QL_INT("in_progress", node->in_progress));
 }
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -21,6 +21,7 @@
 	front->loop = loop;
 	front->opts = *opts;
 	front->random = g_rand_new();
+	front->calls = g_hash_table_new(NULL, NULL);
 	front->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						service_free);
 	ql_level_init(&front->level, &ql_level_sparse, 0, front->random);
@@ -29,6 +30,7 @@
 void ql_front_finish(ql_front_t *front)
 {
 	g_hash_table_destroy(front->services);
+	g_hash_table_destroy(front->calls);
 	ql_level_finish(&front->level);
 	ql_document_unref(front->doc);
 	g_free(front->shares);
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -78,6 +78,7 @@
  * @ready: requests may be served
  * @services: &struct ql_front_service by name
  * @shares: by index of the route in @doc
+ * @calls: set of requests in progress
  * @level: early refusal by route
  */
 typedef struct ql_front {
@@ -87,6 +88,7 @@
 	bool ready;
 	GHashTable *services;
 	ql_front_share_t *shares;
+	GHashTable *calls;
 	ql_level_t level;
 	GRand *random;
 	ql_front_counts_t counts;
@@ -130,6 +132,12 @@
  */
 void ql_front_handle(void *data, ql_http_exchange_t *exchange);
 
+/**
+ * ql_front_fail_all() - Give every request in progress its final answer.
+ * @front: the front of a node that has no time left
+ */
+void ql_front_fail_all(ql_front_t *front);
+
 G_END_DECLS
 
 #endif
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -58,6 +58,7 @@
 
 static void call_free(front_call_t *call)
 {
+	g_hash_table_remove(call->front->calls, call);
 	ql_loop_stop_timer(call->front->loop, &call->deadline);
 	ql_headers_finish(&call->headers);
 	g_byte_array_free(call->lines, TRUE);
@@ -250,6 +251,20 @@
 	}
 }
 
+/*
+ * An endpoint whose calls are refused below answers with a failure; one whose
+ * calls wait below answers behind the target of the route.
+ */
+static bool is_good(const front_call_t *call)
+{
+	uint64_t age_us = now_us(call) - call->exchange->received_us;
+
+	if (call->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
+		return false;
+	return !call->route->target_ms ||
+	       age_us <= call->route->target_ms * QL_US_PER_MS;
+}
+
 static void on_complete(void *data, const ql_call_end_t *end)
 {
 	front_call_t *call = data;
@@ -257,11 +272,7 @@
 
 	report_attempt(call, end);
 	call->front->counts.answered++;
-	/* An endpoint whose calls are refused below answers with a failure. */
-	note_level(call,
-		   call->status < HTTP_STATUS_INTERNAL_SERVER_ERROR
-			   ? QL_LEVEL_SERVED
-			   : QL_LEVEL_SHED,
+	note_level(call, is_good(call) ? QL_LEVEL_SERVED : QL_LEVEL_SHED,
 		   !end->has_level || end->level <= call->call.shed_order);
 	if (!call->streaming) {
 		if (call->held->len)
@@ -521,6 +532,7 @@
 	service = ql_front_choose_part(front, call->route_index);
 	fill_call(call, call->doc->services[service].name);
 	call->service = ql_front_service(front, call->call.service);
+	g_hash_table_add(front->calls, call);
 	call->deadline.expired = on_deadline;
 	call->deadline.data = call;
 	exchange->ops = &exchange_ops;
@@ -605,3 +617,15 @@
 	else
 		begin(call_new(front, exchange, route));
 }
+
+void ql_front_fail_all(ql_front_t *front)
+{
+	GList *calls = g_hash_table_get_keys(front->calls);
+	GList *link;
+
+	for (link = calls; link; link = link->next) {
+		cancel_attempt(link->data, QL_REASON_DRAINING);
+		end_in_failure(link->data, QL_REASON_DRAINING);
+	}
+	g_list_free(calls);
+}
