Never wait for the reader of the log, and end no lease after a pause

When it woke, every lease had run out by its clock, and it told the nodes that asked it that all endpoints were gone: 'no endpoint' for every request at 10.6 s. The time in which a registrar did not tick does not count for leases now, and it speaks of no end until a lease has passed.

Cause 2, found beside it: a node wrote up to 1,400 lines a second and waited for their reader.

--- a/include/quetzalloft/log.h
+++ b/include/quetzalloft/log.h
@@ -3,10 +3,13 @@
 
 /**
  * DOC: Structured log: one line of key=value pairs for each event, with a
- * syslog priority, on standard error.
+ * syslog priority, on standard error or, for processes with a role, standard
+ * output. Lines of priority LOG_INFO are bounded in number; a line tells in
+ * left_out how many before it were not written.
  */
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 #include <syslog.h>
 
@@ -80,6 +83,35 @@
  */
 void ql_log_set_threshold(int priority);
 
+/**
+ * ql_log_set_output() - Write to another file, and never wait for its reader.
+ * @fd: its descriptor, which becomes non-blocking
+ */
+void ql_log_set_output(int fd);
+
+/**
+ * struct ql_log_meter - Bounds the lines of one kind.
+ * @per_s: lines a second
+ * @burst: lines at once
+ * @tokens: lines that are allowed at present
+ * @taken_us: when that was
+ */
+typedef struct ql_log_meter {
+	double per_s;
+	double burst;
+	double tokens;
+	uint64_t taken_us;
+} ql_log_meter_t;
+
+/**
+ * ql_log_meter_take() - Ask for one more line.
+ * @meter: the bound
+ * @now_us: the time
+ *
+ * Return: whether it may be written.
+ */
+bool ql_log_meter_take(ql_log_meter_t *meter, uint64_t now_us);
+
 /**
  * ql_log_set_process() - Name this process on every line.
  * @name: copied, cut to 63 bytes
--- a/include/quetzalloft/registrar.h
+++ b/include/quetzalloft/registrar.h
@@ -73,6 +73,7 @@
  * @number: number of the last change
  * @domains_number: number of the last change of @domains
  * @swept_ms: when old records were dropped last
+ * @ticked_ms: when ql_registrar_tick() was called last
  * @replicas_heard_ms: when a replica answered last; 0 for never
  * @addresses: the registrars that nodes are told of
  * @n_addresses: their number; 0 tells nodes nothing
@@ -91,6 +92,7 @@
 	uint64_t number;
 	uint64_t domains_number;
 	uint64_t swept_ms;
+	uint64_t ticked_ms;
 	uint64_t replicas_heard_ms;
 	char addresses[QL_RPC_REGISTRARS_MAX][QL_ADDRESS_MAX];
 	size_t n_addresses;
@@ -151,6 +153,9 @@
  * ql_registrar_tick() - Expire leases, mark silent domains, drop old records.
  * @registrar: the registrar
  * @now_ms: the time
+ *
+ * Called several times a second. After a pause in which the process stood
+ * still, leases run on, since their renewals still wait to be read.
  */
 void ql_registrar_tick(ql_registrar_t *registrar, uint64_t now_ms);
 
--- a/src/control/registrar.c
+++ b/src/control/registrar.c
@@ -10,6 +10,8 @@
 /* A domain that was not heard of for so long is marked stale. */
 #define DOMAIN_STALE_MS 5000u
 #define SWEEP_MS 10000u
+/* A process that did not tick for so long stood still. */
+#define PAUSE_MS 1000u
 /* While a replica answered lately, no document of a node is taken. */
 #define REPLICAS_FRESH_MS 5000u
 
@@ -235,8 +237,22 @@
 			registrar->domains_number = ++registrar->number;
 }
 
+/* The time in which this process stood still does not count for leases. */
+static void bridge_pause(ql_registrar_t *registrar, uint64_t now_ms)
+{
+	uint64_t gap_ms = now_ms - registrar->ticked_ms;
+
+	if (registrar->ticked_ms && gap_ms >= PAUSE_MS) {
+		ql_registrar__prolong(registrar, gap_ms);
+		/* Until every node has renewed, nobody is told of an end. */
+		registrar->opts.started_ms = now_ms;
+	}
+	registrar->ticked_ms = now_ms;
+}
+
 void ql_registrar_tick(ql_registrar_t *registrar, uint64_t now_ms)
 {
+	bridge_pause(registrar, now_ms);
 	ql_registrar__expire(registrar, now_ms);
 	update_domains(registrar, now_ms);
 	if (now_ms - registrar->swept_ms < SWEEP_MS)
--- a/src/control/registrar_leases.c
+++ b/src/control/registrar_leases.c
@@ -373,6 +373,16 @@
 	return all;
 }
 
+void ql_registrar__prolong(ql_registrar_t *registrar, uint64_t by_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, registrar->nodes);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((ql_node_lease_t *)value)->expires_ms += by_ms;
+}
+
 void ql_registrar__expire(ql_registrar_t *registrar, uint64_t now_ms)
 {
 	GHashTableIter iter;
--- a/src/control/registrar_leases.h
+++ b/src/control/registrar_leases.h
@@ -73,6 +73,11 @@
 
 void ql_registrar__expire(ql_registrar_t *registrar, uint64_t now_ms);
 
+/**
+ * ql_registrar__prolong() - Let every lease run longer.
+ */
+void ql_registrar__prolong(ql_registrar_t *registrar, uint64_t by_ms);
+
 G_END_DECLS
 
 #endif
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <sysexits.h>
+#include <unistd.h>
 
 typedef struct {
 	struct arg_file *config;
@@ -129,6 +130,8 @@
 {
 	ql_log_set_process(settings->node);
 	block_signals();
+	if (settings->role != QL_ROLE_ALL)
+		ql_log_set_output(STDOUT_FILENO);
 	switch (settings->role) {
 	case QL_ROLE_NODE:
 		return run_path_node(settings);
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -1,13 +1,29 @@
 #include "quetzalloft/log.h"
+#include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
+#include <pthread.h>
 #include <string.h>
 #include <unistd.h>
 
 #define PROCESS_NAME_MAX 64
 
+/* Lines that are not urgent: so many a second, and so many at once. */
+#define INFO_PER_S 50.0
+#define INFO_BURST 200.0
+
 static int threshold = LOG_INFO;
+static int output = STDERR_FILENO;
+static ql_log_meter_t info_meter = {
+	.per_s = INFO_PER_S,
+	.burst = INFO_BURST,
+	.tokens = INFO_BURST,
+};
+static pthread_mutex_t meter_lock = PTHREAD_MUTEX_INITIALIZER;
+/* Lines that were left out or could not be written since the last line. */
+static uint64_t left_out;
 static char process_name[PROCESS_NAME_MAX] = "quetzalloft";
 
 static const char *const priority_names[] = {
@@ -65,6 +81,55 @@
 	}
 }
 
+bool ql_log_meter_take(ql_log_meter_t *meter, uint64_t now_us)
+{
+	double earned;
+
+	if (meter->taken_us) {
+		earned = (double)(now_us - MIN(meter->taken_us, now_us)) /
+			 (double)QL_US_PER_S * meter->per_s;
+		meter->tokens = MIN(meter->tokens + earned, meter->burst);
+	}
+	meter->taken_us = now_us;
+	if (meter->tokens < 1)
+		return false;
+	meter->tokens -= 1;
+	return true;
+}
+
+static bool is_due(int priority)
+{
+	bool due;
+
+	if (priority < LOG_INFO)
+		return true;
+	pthread_mutex_lock(&meter_lock);
+	due = ql_log_meter_take(&info_meter, ql_clock_now_us());
+	pthread_mutex_unlock(&meter_lock);
+	return due;
+}
+
+static void leave_out(void)
+{
+	__atomic_add_fetch(&left_out, 1, __ATOMIC_RELAXED);
+}
+
+/* A reader that has stopped costs lines, and never holds a thread. */
+static void write_line(const GString *line)
+{
+	if (write(output, line->str, line->len) < 0)
+		leave_out();
+}
+
+static void append_left_out(GString *line)
+{
+	uint64_t n = __atomic_exchange_n(&left_out, 0, __ATOMIC_RELAXED);
+	const ql_field_t field = QL_UINT("left_out", n);
+
+	if (n)
+		ql_field_append(line, &field);
+}
+
 void ql_log_fields(int priority, const char *event, const ql_field_t *fields,
 		   size_t n_fields)
 {
@@ -75,6 +140,10 @@
 
 	if (priority > threshold)
 		return;
+	if (!is_due(priority)) {
+		leave_out();
+		return;
+	}
 	now = g_date_time_new_now_utc();
 	stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%f");
 	line = g_string_sized_new(256);
@@ -84,10 +153,9 @@
 			       process_name, event);
 	for (i = 0; i < n_fields; i++)
 		ql_field_append(line, &fields[i]);
+	append_left_out(line);
 	g_string_append_c(line, '\n');
-	/* A line that cannot be written has nowhere else to go. */
-	if (write(STDERR_FILENO, line->str, line->len) < 0)
-		threshold = LOG_EMERG;
+	write_line(line);
 	g_string_free(line, TRUE);
 	g_free(stamp);
 	g_date_time_unref(now);
@@ -108,6 +176,15 @@
 	threshold = priority;
 }
 
+void ql_log_set_output(int fd)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	output = fd;
+}
+
 void ql_log_set_process(const char *name)
 {
 	g_strlcpy(process_name, name, sizeof(process_name));
--- a/tests/control/registrar_test.cc
+++ b/tests/control/registrar_test.cc
@@ -94,6 +94,23 @@
 	bool want_document = false;
 };
 
+/* A registrar that stood still for 8 s ended every endpoint when it woke. */
+TEST_F(Registrar, APauseOfTheProcessEndsNoLease)
+{
+	uint64_t now = 1000;
+
+	ql_registrar_tick(&registrar, now);
+	EXPECT_EQ(0, lease({}, now));
+	now += 8000;
+	ql_registrar_tick(&registrar, now);
+	EXPECT_EQ(1u, g_hash_table_size(registrar.nodes));
+	EXPECT_FALSE(ql_registrar_is_ready(&registrar, now));
+	for (uint32_t i = 0; i <= LEASE_MS; i += 100)
+		ql_registrar_tick(&registrar, now += 100);
+	EXPECT_EQ(0u, g_hash_table_size(registrar.nodes));
+	EXPECT_TRUE(ql_registrar_is_ready(&registrar, now));
+}
+
 TEST_F(Registrar, RefusesAFalseIdentity)
 {
 	struct Case {
