Keep no connection when there are many of them

Change: a listener closes with its answer above a number of connections; 16 idle connections are kept to each gate.

--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -178,6 +178,13 @@
 	       g_queue_peek_tail((GQueue *)&connection->exchanges) == exchange;
 }
 
+/* Whether connections are too many to be kept for later. */
+static bool is_crowded(const ql_listener_t *listener)
+{
+	return listener->opts.kept &&
+	       g_hash_table_size(listener->connections) > listener->opts.kept;
+}
+
 static void append(ql_http_exchange_t *exchange, const void *bytes,
 		   size_t length)
 {
@@ -206,10 +213,11 @@
 void ql_http_exchange_begin(ql_http_exchange_t *exchange, unsigned int status,
 			    const GByteArray *headers, int64_t length)
 {
+	const ql_listener_t *listener = exchange->connection->listener;
 	char line[64];
 
 	exchange->begun = true;
-	if (exchange->connection->listener->closing && is_last(exchange)) {
+	if ((listener->closing || is_crowded(listener)) && is_last(exchange)) {
 		exchange->keeps_alive = false;
 		exchange->connection->last_read = true;
 	}
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -67,6 +67,7 @@
  *                   of its headers
  * @idle_timeout_ms: a connection without a request is closed after this
  * @connections: most connections
+ * @kept: connections above this number take one request each
  * @handle: answers one request, now or later
  * @data: passed to @handle
  */
@@ -78,6 +79,7 @@
 	uint32_t head_timeout_ms;
 	uint32_t idle_timeout_ms;
 	uint32_t connections;
+	uint32_t kept;
 	void (*handle)(void *data, ql_http_exchange_t *exchange);
 	void *data;
 } ql_listener_opts_t;
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -120,8 +120,12 @@
 
 static void keep(ql_upstream_connection_t *connection)
 {
-	if (!connection->reusable || connection->upstream->finishing ||
-	    !connection->idle_ms) {
+	const ql_upstream_t *upstream = connection->upstream;
+	bool has_room = !upstream->opts.idle_max ||
+			upstream->idle.length < upstream->opts.idle_max;
+
+	if (!connection->reusable || upstream->finishing ||
+	    !connection->idle_ms || !has_room) {
 		close_connection(connection);
 		return;
 	}
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -48,11 +48,13 @@
  * @address: the peer
  * @connect_timeout_ms: longest time to connect
  * @idle_ms: a connection that was idle for longer is not used again
+ * @idle_max: connections that are kept idle; 0 keeps all of them
  */
 typedef struct ql_upstream_opts {
 	struct sockaddr_in address;
 	uint32_t connect_timeout_ms;
 	uint32_t idle_ms;
+	uint32_t idle_max;
 } ql_upstream_opts_t;
 
 /**
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -13,7 +13,11 @@
 #define PATH_INSTANCES "/quetzalloft/instances/"
 #define BODY_LIMIT_BYTES (64u << 10)
 #define DUTY_CONNECTIONS 64u
-#define CONNECTIONS_MAX 3000u
+/* Descriptors are few: so many connections of clients, and kept ones. */
+#define CLIENT_CONNECTIONS_MAX 1500u
+#define CLIENT_CONNECTIONS_KEPT 500u
+#define GATE_CONNECTIONS_MAX 3000u
+#define GATE_CONNECTIONS_KEPT 800u
 /* Bodies of requests that are held at a time. */
 #define BUFFER_LIMIT_BYTES (48u << 20)
 #define GATE_HEAD_LIMIT_BYTES (64u << 10)
@@ -274,7 +278,8 @@
 		.buffer_limit_bytes = BUFFER_LIMIT_BYTES,
 		.head_timeout_ms = (uint32_t)limits.head_ms,
 		.idle_timeout_ms = (uint32_t)limits.idle_ms,
-		.connections = CONNECTIONS_MAX,
+		.connections = CLIENT_CONNECTIONS_MAX,
+		.kept = CLIENT_CONNECTIONS_KEPT,
 		.handle = ql_front_handle,
 		.data = &node->front,
 	};
@@ -295,7 +300,8 @@
 		.buffer_limit_bytes = BUFFER_LIMIT_BYTES,
 		.head_timeout_ms = GATE_HEAD_TIMEOUT_MS,
 		.idle_timeout_ms = GATE_IDLE_TIMEOUT_MS,
-		.connections = CONNECTIONS_MAX,
+		.connections = GATE_CONNECTIONS_MAX,
+		.kept = GATE_CONNECTIONS_KEPT,
 		.handle = ql_hop_server_handle,
 		.data = &node->hop_server,
 	};
--- a/src/path/hop.c
+++ b/src/path/hop.c
@@ -9,6 +9,7 @@
 #define CONNECT_TIMEOUT_MS 500u
 /* Shorter than the gate of another node keeps an idle connection. */
 #define IDLE_MS 20000u
+#define IDLE_MAX 16u
 #define MS_PER_S 1000.0
 
 typedef struct {
@@ -191,6 +192,7 @@
 	ql_upstream_opts_t opts = {
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.idle_ms = IDLE_MS,
+		.idle_max = IDLE_MAX,
 	};
 
 	if (upstream)
--- a/tests/http/listener_test.cc
+++ b/tests/http/listener_test.cc
@@ -142,6 +142,29 @@
 	EXPECT_NE(std::string::npos, client.received.find("body"));
 }
 
+/* Clients that came again on new connections left the old ones open until a
+ * node had no descriptor left. */
+TEST_F(Listener, KeepsNoConnectionWhenThereAreManyOfThem)
+{
+	std::vector<RawSocket> clients;
+
+	listener.opts.kept = 3;
+	for (size_t i = 0; i < 5; i++) {
+		clients.push_back(open());
+		clients[i].send("GET /1 HTTP/1.1\r\n\r\n");
+		ASSERT_TRUE(takes(i + 1));
+	}
+	answer(4, "last");
+	answer(3, "fourth");
+	ASSERT_TRUE(world.turn_until([&] { return clients[4].has_ended(); }));
+	ASSERT_TRUE(world.turn_until([&] { return clients[3].has("fourth"); }));
+	EXPECT_NE(std::string::npos,
+		  clients[4].received.find("Connection: close"));
+	for (size_t i = 0; i < 3; i++)
+		answer(i, "kept");
+	ASSERT_TRUE(world.turn_until([&] { return clients[0].has("kept"); }));
+}
+
 /* RFC 9112, sections 6 and 11.2, and the limits of the listener. */
 struct Refusal {
 	const char *name;
