Begin nothing on a node that leaves, and test the path of calls

Clients have seen by 2.8 s that the node is not ready; what comes later is refused, not run, with a Retry-After of 50 ms.

tests/path plays every byte of an endpoint: outcomes, repeats, clients that leave, late and foreign announcements, classes of calls, a leaving node. It found that a node which stops while calls run would wait for their answers in its loop (and abort on an assertion): the gate gives them up now. That was the reason why processes were still there at the end of the grace time.

--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -192,6 +192,19 @@
 	post(news_new(node, run_drain_gate));
 }
 
+static void run_refuse_new(ql_loop_job_t *job)
+{
+	news_t *news = (news_t *)job;
+
+	news->node->front.leaving = true;
+	g_free(news);
+}
+
+void ql_path_jobs_refuse_new(ql_path_node_t *node)
+{
+	post(news_new(node, run_refuse_new));
+}
+
 static void run_fail_all(ql_loop_job_t *job)
 {
 	news_t *news = (news_t *)job;
--- a/src/node/path_jobs.h
+++ b/src/node/path_jobs.h
@@ -40,6 +40,11 @@
  */
 void ql_path_jobs_drain_gate(ql_path_node_t *node);
 
+/**
+ * ql_path_jobs_refuse_new() - Have requests of clients refused from now on.
+ */
+void ql_path_jobs_refuse_new(ql_path_node_t *node);
+
 /**
  * ql_path_jobs_fail_all() - Have what is in progress answered with a failure.
  */
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -27,6 +27,8 @@
 #define DRAIN_POLL_US (20 * QL_US_PER_MS)
 /* Other nodes have heard of the leaving by then. */
 #define GATE_DRAIN_US (1500 * QL_US_PER_MS)
+/* Clients have seen by then that this node is not ready. */
+#define CLIENT_DRAIN_US (2800 * QL_US_PER_MS)
 /* Time in which the last answers leave. */
 #define LAST_ANSWERS_US (200 * QL_US_PER_MS)
 /* Time kept for the exit itself. */
@@ -424,6 +426,9 @@
 	ql_lease_service_leave(&node->control.lease);
 	wait_for_calls(node, now_us + GATE_DRAIN_US, now_us + GATE_DRAIN_US);
 	ql_path_jobs_drain_gate(node);
+	wait_for_calls(node, now_us + CLIENT_DRAIN_US,
+		       now_us + CLIENT_DRAIN_US);
+	ql_path_jobs_refuse_new(node);
 	wait_for_calls(node, earliest_us, latest_us - LAST_ANSWERS_US);
 	/* What is left has no time to end by itself. */
 	ql_path_jobs_fail_all(node);
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -37,7 +37,7 @@
 	g_rand_free(front->random);
 }
 
-ql_front_service_t *ql_front_service(ql_front_t *front, const char *name)
+ql_front_service_t *ql_front_find_service(ql_front_t *front, const char *name)
 {
 	ql_front_service_t *service =
 		g_hash_table_lookup(front->services, name);
@@ -58,7 +58,8 @@
 	size_t i;
 
 	for (i = 0; i < front->doc->n_services; i++) {
-		service = ql_front_service(front, front->doc->services[i].name);
+		service = ql_front_find_service(front,
+						front->doc->services[i].name);
 		service->budget.ratio = front->doc->services[i].retry_ratio;
 	}
 }
@@ -76,14 +77,15 @@
 void ql_front_endpoint_up(ql_front_t *front, const char *service,
 			  const ql_target_info_t *info)
 {
-	ql_balancer_add(&ql_front_service(front, service)->balancer, info,
+	ql_balancer_add(&ql_front_find_service(front, service)->balancer, info,
 			ql_loop_now_us(front->loop));
 }
 
 void ql_front_endpoint_gone(ql_front_t *front, const char *service,
 			    const char *gate)
 {
-	ql_balancer_remove(&ql_front_service(front, service)->balancer, gate);
+	ql_balancer_remove(&ql_front_find_service(front, service)->balancer,
+			   gate);
 	ql_hops_forget(front->opts.hops, gate);
 }
 
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -76,6 +76,7 @@
  * struct ql_front - The front.
  * @doc: the document in force
  * @ready: requests may be served
+ * @leaving: no request is begun any more
  * @services: &struct ql_front_service by name
  * @shares: by index of the route in @doc
  * @calls: set of requests in progress
@@ -86,6 +87,7 @@
 	ql_front_opts_t opts;
 	ql_document_t *doc;
 	bool ready;
+	bool leaving;
 	GHashTable *services;
 	ql_front_share_t *shares;
 	GHashTable *calls;
@@ -111,9 +113,9 @@
 			    const char *gate);
 
 /**
- * ql_front_service() - Find or add a service.
+ * ql_front_find_service() - Find or add a service.
  */
-ql_front_service_t *ql_front_service(ql_front_t *front, const char *name);
+ql_front_service_t *ql_front_find_service(ql_front_t *front, const char *name);
 
 /**
  * ql_front_choose_part() - The service of the next request of a route.
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -18,6 +18,8 @@
 #define PENDING_MAX_BYTES (256u << 10)
 #define RETRY_AFTER_DEFAULT_MS 500u
 #define RETRY_AFTER_JITTER 0.5
+/* Another node takes the request at once. */
+#define LEAVING_RETRY_MS 50u
 
 /* A request on its way, from its arrival to its one answer. */
 typedef struct {
@@ -531,7 +533,7 @@
 	copy_headers(call);
 	service = ql_front_choose_part(front, call->route_index);
 	fill_call(call, call->doc->services[service].name);
-	call->service = ql_front_service(front, call->call.service);
+	call->service = ql_front_find_service(front, call->call.service);
 	g_hash_table_add(front->calls, call);
 	call->deadline.expired = on_deadline;
 	call->deadline.data = call;
@@ -611,6 +613,10 @@
 		refuse(front, exchange, QL_REASON_NOT_READY, 0);
 		return;
 	}
+	if (front->leaving) {
+		refuse(front, exchange, QL_REASON_DRAINING, LEAVING_RETRY_MS);
+		return;
+	}
 	route = find_route(front, exchange);
 	if (!route)
 		refuse(front, exchange, QL_REASON_NO_ROUTE, 0);
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -448,8 +448,25 @@
 	ql_gate_init(&gate->gate, &policy);
 }
 
+/* Connections with a request would keep the loop from ending. */
+static void drop_calls(ql_local_gate_t *gate)
+{
+	GList *calls = g_hash_table_get_values(gate->calls);
+	GList *link;
+	running_t *call;
+
+	for (link = calls; link; link = link->next) {
+		call = link->data;
+		if (call->request)
+			ql_upstream_cancel(call->request);
+		call_free(call);
+	}
+	g_list_free(calls);
+}
+
 void ql_local_gate_finish(ql_local_gate_t *gate)
 {
+	drop_calls(gate);
 	ql_loop_stop_timer(gate->loop, &gate->timer);
 	ql_upstream_free(gate->upstream);
 	g_hash_table_destroy(gate->calls);
--- /dev/null
+++ b/tests/path/front_test.cc
@@ -0,0 +1,254 @@
+#include "path_world.h"
+
+#include <map>
+
+namespace
+{
+
+const char *ROUTES =
+	"{\"get\":{\"path\":\"/get/\",\"service\":\"a\",\"class\":\"low\","
+	"\"idempotent\":true,\"deadline_ms\":60000,\"attempts\":2},"
+	"\"order\":{\"path\":\"/order/\",\"service\":\"a\",\"class\":\"high\","
+	"\"idempotent\":false,\"deadline_ms\":60000}}";
+
+class Front : public PathWorld
+{
+      protected:
+	void SetUp() override
+	{
+		PathWorld::SetUp();
+		set_document(ROUTES);
+		announce();
+	}
+
+	static std::string request(const char *path, const char *id)
+	{
+		return std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\n" +
+		       "Id: " + id + "\r\nCaller: liar\r\n" +
+		       "Quetzalloft-Service: b\r\n\r\n";
+	}
+
+	static std::string answer(const char *id, const std::string &more,
+				  const char *status = "200 OK")
+	{
+		return std::string("HTTP/1.1 ") + status + "\r\nId: " + id +
+		       "\r\n" + more + "Content-Length: 2\r\n\r\nok";
+	}
+};
+
+TEST_F(Front, PassesARequestAndItsAnswerOn)
+{
+	RawSocket client = open();
+
+	client.send(request("/get/1?q=2", "x"));
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	EXPECT_EQ(0u, server->received.find("GET /get/1?q=2 HTTP/1.1\r\n"));
+	for (const char *line : {"Id: x\r\n", "Host: h\r\n", "Caller: a\r\n",
+				 "Expect: i-1\r\n", "Time-Ms: "})
+		EXPECT_NE(std::string::npos, server->received.find(line))
+			<< line;
+	EXPECT_EQ(std::string::npos, server->received.find("liar"));
+	EXPECT_EQ(std::string::npos, server->received.find("Quetzalloft"));
+	server->send(answer("x", "Seal: s\r\nOther: o\r\n"));
+	ASSERT_TRUE(world.turn_until([&] { return client.has("\r\n\r\nok"); }));
+	for (const char *line : {"HTTP/1.1 200", "Seal: s\r\n", "Other: o\r\n"})
+		EXPECT_NE(std::string::npos, client.received.find(line))
+			<< line;
+}
+
+struct Ending {
+	const char *name;
+	const char *path;
+	const char *answer;
+	bool breaks;
+	const char *status;
+	const char *outcome;
+};
+
+class FrontEnding : public Front, public testing::WithParamInterface<Ending>
+{
+};
+
+/* The budget is spent, so that no other attempt follows. */
+TEST_P(FrontEnding, SaysWhatIsKnown)
+{
+	const Ending &ending = GetParam();
+	RawSocket client = open();
+
+	ql_front_find_service(&front, "a")->budget.tokens = 0;
+	client.send(request(ending.path, "x"));
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	server->send(ending.answer);
+	if (ending.breaks)
+		shutdown(server->fd, SHUT_RDWR);
+	ASSERT_TRUE(world.turn_until([&] { return client.has("\r\n\r\n"); }));
+	EXPECT_EQ(0u, client.received.find(std::string("HTTP/1.1 ") +
+					   ending.status))
+		<< client.received;
+	EXPECT_NE(std::string::npos,
+		  client.received.find(std::string("Quetzalloft-Outcome: ") +
+				       ending.outcome));
+	EXPECT_EQ(std::string(ending.status) == "503",
+		  client.received.find("Retry-After: ") != std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Answers, FrontEnding,
+	testing::Values(
+		Ending{"ShedThere", "/order/1",
+		       "HTTP/1.1 503 Busy\r\nId: x\r\nNot-Run: 1\r\n"
+		       "Content-Length: 0\r\n\r\n",
+		       false, "503", "not-run"},
+		Ending{"AnotherInstance", "/order/1",
+		       "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+		       false, "503", "not-run"},
+		Ending{"OwnFailure", "/order/1",
+		       "HTTP/1.1 500 Oops\r\nId: x\r\nSeal: s\r\n"
+		       "Content-Length: 0\r\n\r\n",
+		       false, "500", "answered"},
+		Ending{"Lost", "/order/1", "", true, "502", "unknown"},
+		Ending{"CutShort", "/get/1",
+		       "HTTP/1.1 200 OK\r\nId: x\r\nSeal: s\r\n"
+		       "Content-Length: 9\r\n\r\nok",
+		       true, "502", "unknown"},
+		Ending{"WithoutSeal", "/get/1",
+		       "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 2\r\n\r\n"
+		       "ok",
+		       false, "502", "unknown"},
+		Ending{"Encoded", "/get/1",
+		       "HTTP/1.1 200 OK\r\nId: x\r\nSeal: s\r\n"
+		       "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+		       false, "502", "unknown"},
+		Ending{"NoHttp", "/order/1", "hello\r\n\r\n", false, "502",
+		       "unknown"}),
+	[](const auto &ending) { return ending.param.name; });
+
+/* An order whose answer is lost is sent nowhere again; a read is. */
+TEST_F(Front, RepeatsOnlyWhatMayBeRepeated)
+{
+	ql_target_info_t other = {};
+
+	for (const char *path : {"/order/1", "/get/1"}) {
+		SCOPED_TRACE(path);
+		RawSocket client = open();
+		uint64_t repeats = front.counts.repeats;
+
+		client.send(request(path, "x"));
+		auto server = accept_one();
+		ASSERT_TRUE(world.turn_until(
+			[&] { return server->has("\r\n\r\n"); }));
+		shutdown(server->fd, SHUT_RDWR);
+		if (!strcmp(path, "/get/1")) {
+			auto again = accept_one();
+			ASSERT_TRUE(world.turn_until(
+				[&] { return again->has("\r\n\r\n"); }));
+			again->send(answer("x", "Seal: s\r\n"));
+		}
+		ASSERT_TRUE(world.turn_until(
+			[&] { return client.has("\r\n\r\n"); }));
+		EXPECT_EQ(strcmp(path, "/get/1") ? 0u : 1u,
+			  front.counts.repeats - repeats);
+	}
+	(void)other;
+}
+
+TEST_F(Front, AClientThatLeavesEndsTheWorkOfReadsOnly)
+{
+	for (const char *path : {"/get/1", "/order/1"}) {
+		SCOPED_TRACE(path);
+		std::unique_ptr<RawSocket> server;
+		uint64_t abandoned = gate.counts.abandoned;
+
+		{
+			RawSocket client = open();
+
+			client.send(request(path, "x"));
+			server = accept_one();
+			ASSERT_TRUE(world.turn_until(
+				[&] { return server->has("\r\n\r\n"); }));
+		}
+		ASSERT_TRUE(world.turn_until([&] {
+			return front.counts.cancelled ==
+			       (strcmp(path, "/get/1") ? 2u : 1u);
+		}));
+		if (!strcmp(path, "/get/1")) {
+			EXPECT_TRUE(world.turn_until(
+				[&] { return server->has_ended(); }));
+			EXPECT_EQ(abandoned + 1, gate.counts.abandoned);
+			continue;
+		}
+		world.turn(20);
+		EXPECT_FALSE(server->has_ended());
+		EXPECT_EQ(1u, gate.gate.in_progress);
+		server->send(answer("x", "Seal: s\r\n"));
+		EXPECT_TRUE(world.turn_until(
+			[&] { return gate.gate.in_progress == 0; }));
+	}
+}
+
+/* A node that leaves took requests until its exit, and then gave them up. */
+TEST_F(Front, ANodeThatLeavesBeginsNothingAndAnswersWhatIsLeft)
+{
+	RawSocket running = open(), late = open();
+
+	running.send(request("/order/1", "x"));
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	front.leaving = true;
+	late.send(request("/order/2", "y"));
+	ASSERT_TRUE(world.turn_until([&] { return late.has("\r\n\r\n"); }));
+	EXPECT_EQ(0u, late.received.find("HTTP/1.1 503"));
+	EXPECT_NE(std::string::npos, late.received.find("not-run"));
+	ql_front_fail_all(&front);
+	ASSERT_TRUE(world.turn_until([&] { return running.has("\r\n\r\n"); }));
+	EXPECT_EQ(0u, running.received.find("HTTP/1.1 502"));
+	EXPECT_EQ(0u, g_hash_table_size(front.calls));
+}
+
+TEST_F(Front, WithoutADocumentNothingIsDenied)
+{
+	RawSocket client = open();
+
+	front.ready = false;
+	client.send(request("/unknown/1", "x"));
+	ASSERT_TRUE(world.turn_until([&] { return client.has("\r\n\r\n"); }));
+	EXPECT_EQ(0u, client.received.find("HTTP/1.1 503"));
+	front.ready = true;
+	client.send(request("/unknown/1", "x"));
+	ASSERT_TRUE(world.turn_until([&] { return client.has("404"); }));
+}
+
+/* Calls of a request that runs here count as much as the request. */
+TEST_F(Front, CallsTakeTheClassOfTheRequestThatTheyServe)
+{
+	RawSocket client = open(), child = open();
+
+	client.send(request("/order/1", "p"));
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	child.send(request("/get/1", "p.c"));
+	auto second = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return second->has("\r\n\r\n"); }));
+	EXPECT_EQ(2u, gate.gate.running[5]);
+	EXPECT_EQ(0u, gate.gate.running[1]);
+	server->send(answer("p", "Seal: s\r\n"));
+	second->send(answer("p.c", "Seal: s\r\n"));
+	ASSERT_TRUE(world.turn_until([&] { return child.has("ok"); }));
+}
+
+TEST_F(Front, PartsOfASplitGetTheirWeights)
+{
+	std::map<uint16_t, int> shares;
+
+	set_document("{\"r\":{\"path\":\"/\",\"split\":{\"a\":90,\"b\":10},"
+		     "\"class\":\"low\",\"idempotent\":true,"
+		     "\"deadline_ms\":1000}}");
+	for (int i = 0; i < 200; i++)
+		shares[ql_front_choose_part(&front, 0)]++;
+	EXPECT_EQ(180, shares[0]);
+	EXPECT_EQ(20, shares[1]);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/path/local_gate_test.cc
@@ -0,0 +1,68 @@
+#include "path_world.h"
+#include "quetzalloft/error.h"
+
+namespace
+{
+
+using LocalGate = PathWorld;
+
+struct Step {
+	const char *what;
+	const char *instance;
+	uint64_t incarnation;
+	uint64_t sequence;
+	bool draining;
+	bool serves;
+	const char *known;
+};
+
+/* Reports come late, repeated, and from lives that have ended. */
+TEST_F(LocalGate, TakesReportsInTheirOrder)
+{
+	const Step steps[] = {
+		{"first", "i-1", 100, 3, false, true, "i-1"},
+		{"leaves", "i-1", 100, 4, true, false, "i-1"},
+		{"a late one", "i-1", 100, 2, false, false, "i-1"},
+		{"the same again", "i-1", 100, 4, false, false, "i-1"},
+		{"another identity, same start", "i-9", 100, 9, false, false,
+		 "i-1"},
+		{"a new start", "i-2", 200, 1, false, true, "i-2"},
+		{"of the ended life", "i-1", 100, 50, true, true, "i-2"},
+		{"same identity, new start", "i-2", 300, 1, false, true, "i-2"},
+		{"leaves again", "i-2", 300, 2, true, false, "i-2"},
+	};
+
+	for (const Step &step : steps) {
+		SCOPED_TRACE(step.what);
+		ql_instance_report_t next =
+			report(step.instance, step.incarnation, step.sequence,
+			       step.draining);
+
+		EXPECT_EQ(0, ql_local_gate_report(&gate, &next));
+		EXPECT_EQ(step.serves, ql_local_gate_serves(&gate));
+		EXPECT_STREQ(step.known, gate.report.instance);
+	}
+}
+
+TEST_F(LocalGate, RefusesReportsOfOthers)
+{
+	ql_instance_report_t service = report("i-1", 1, 1),
+			     address = report("i-1", 1, 1);
+
+	strcpy(service.service, "b");
+	strcpy(address.address, "127.0.0.1:1");
+	EXPECT_EQ(QL_E_DENIED, ql_local_gate_report(&gate, &service));
+	EXPECT_EQ(QL_E_DENIED, ql_local_gate_report(&gate, &address));
+	EXPECT_FALSE(gate.known);
+}
+
+TEST_F(LocalGate, OnlyTheInstanceThatIsKnownCanLeave)
+{
+	announce();
+	ql_local_gate_leave(&gate, "i-0");
+	EXPECT_TRUE(ql_local_gate_serves(&gate));
+	ql_local_gate_leave(&gate, "i-1");
+	EXPECT_FALSE(ql_local_gate_serves(&gate));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/path/path_world.h
@@ -0,0 +1,167 @@
+#ifndef QL_TESTS_PATH_WORLD_H
+#define QL_TESTS_PATH_WORLD_H
+
+#include "http/loop_world.h"
+#include "path/front.h"
+
+#include <memory>
+
+/* The product's own dialect, as far as the path of calls needs it. */
+inline const ql_dialect_t *test_dialect()
+{
+	static const ql_dialect_t dialect = {
+		"test",
+		"Id",
+		"Time-Ms",
+		"Caller",
+		"Expect",
+		"Not-Run",
+		"Seal",
+		"Base",
+		[](char *out, size_t size, const char *id) {
+			const char *dot = strrchr(id, '.');
+
+			if (!dot)
+				return false;
+			g_strlcpy(out, id,
+				  std::min(size, (size_t)(dot - id) + 1));
+			return true;
+		},
+		nullptr,
+		nullptr,
+		nullptr};
+
+	return &dialect;
+}
+
+/* A node with one endpoint, whose bytes the test plays. */
+class PathWorld : public testing::Test
+{
+      protected:
+	LoopWorld world;
+	int endpoint;
+	uint16_t endpoint_port;
+	ql_local_gate_t gate;
+	ql_hops_t hops;
+	ql_front_t front;
+	ql_listener_t listener;
+	int changes = 0;
+
+	void SetUp() override
+	{
+		sockaddr_in bound = loopback(0);
+		socklen_t length = sizeof(bound);
+		ql_local_gate_opts_t gate_opts = {};
+		ql_front_opts_t front_opts = {};
+		ql_listener_opts_t opts = {};
+
+		endpoint = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		ASSERT_EQ(0, bind(endpoint, (sockaddr *)&bound, length));
+		ASSERT_EQ(0, listen(endpoint, 16));
+		getsockname(endpoint, (sockaddr *)&bound, &length);
+		endpoint_port = ntohs(bound.sin_port);
+		gate_opts.dialect = test_dialect();
+		gate_opts.address = bound;
+		strcpy(gate_opts.service, "a");
+		gate_opts.changed = [](void *data) {
+			static_cast<PathWorld *>(data)->changes++;
+		};
+		gate_opts.data = this;
+		ql_local_gate_init(&gate, &world.loop, &gate_opts);
+		ql_hops_init(&hops, &world.loop);
+		front_opts.dialect = test_dialect();
+		strcpy(front_opts.caller, "a");
+		strcpy(front_opts.own_gate, "127.0.0.1:1");
+		strcpy(front_opts.failure_domain, "d");
+		front_opts.local = &gate;
+		front_opts.hops = &hops;
+		ql_front_init(&front, &world.loop, &front_opts);
+		opts.address = loopback(0);
+		opts.head_limit_bytes = 16384;
+		opts.body_limit_bytes = 1 << 20;
+		opts.buffer_limit_bytes = 1 << 24;
+		opts.head_timeout_ms = 60000;
+		opts.idle_timeout_ms = 60000;
+		opts.connections = 100;
+		opts.handle = ql_front_handle;
+		opts.data = &front;
+		ASSERT_EQ(0, ql_listener_start(&listener, &world.loop, &opts,
+					       nullptr));
+	}
+
+	void TearDown() override
+	{
+		ql_listener_stop(&listener);
+		ql_hops_finish(&hops);
+		ql_local_gate_finish(&gate);
+		world.turn(20);
+		ql_front_finish(&front);
+		ql_listener_finish(&listener);
+		close(endpoint);
+	}
+
+	void set_document(const char *routes)
+	{
+		std::string text =
+			std::string("{\"site\":\"s\",\"attempts\":9,"
+				    "\"classes\":{\"low\":{\"shed_order\":1},"
+				    "\"high\":{\"shed_order\":5}},"
+				    "\"services\":{\"a\":{},\"b\":{}},"
+				    "\"routes\":") +
+			routes + "}";
+		json_t *json = json_loads(text.c_str(), 0, nullptr);
+		ql_document_t *doc;
+
+		ASSERT_EQ(0, ql_document_compile(&doc, json, 1, nullptr));
+		ql_front_set_document(&front, doc);
+		ql_document_unref(doc);
+		json_decref(json);
+		front.ready = true;
+	}
+
+	ql_instance_report_t report(const char *instance, uint64_t incarnation,
+				    uint64_t sequence, bool draining = false)
+	{
+		ql_instance_report_t out = {};
+
+		strcpy(out.instance, instance);
+		strcpy(out.service, "a");
+		g_snprintf(out.address, sizeof(out.address), "127.0.0.1:%u",
+			   endpoint_port);
+		out.incarnation = incarnation;
+		out.sequence = sequence;
+		out.slots = 2;
+		out.draining = draining;
+		return out;
+	}
+
+	void announce()
+	{
+		ql_instance_report_t first = report("i-1", 1, 1);
+		ql_target_info_t info = {};
+
+		EXPECT_EQ(0, ql_local_gate_report(&gate, &first));
+		strcpy(info.gate, "127.0.0.1:1");
+		strcpy(info.failure_domain, "d");
+		info.slots = 2;
+		ql_front_endpoint_up(&front, "a", &info);
+	}
+
+	std::unique_ptr<RawSocket> accept_one()
+	{
+		int fd = -1;
+
+		EXPECT_TRUE(world.turn_until([&] {
+			fd = accept(endpoint, nullptr, nullptr);
+			return fd >= 0;
+		}));
+		return std::make_unique<RawSocket>(fd);
+	}
+
+	RawSocket open()
+	{
+		return RawSocket::connect_to(port_of(&listener.socket));
+	}
+};
+
+#endif
--- a/tests/util/log_test.cc
+++ b/tests/util/log_test.cc
@@ -47,7 +47,6 @@
 		taken += ql_log_meter_take(&meter, now_us += 1000);
 	EXPECT_GE(taken, 29);
 	EXPECT_LE(taken, 30);
-	
 }
 
 void log_number(uint64_t number)
