Decide on queued requests only when somebody waits, and test at any uptime

The waiter is entered first; no assertion is left there. The test aborted before.

Six tests of ClaimService failed on a machine booted less than the retention ago: they set the keeper's start to 0 on the monotonic clock, which begins at boot. The service is told how long it has kept claims instead.

--- a/src/node/claim_service.c
+++ b/src/node/claim_service.c
@@ -81,7 +81,7 @@
 		reply.status = QL_CLAIM_REJECTED;
 	else
 		ql_keeper_handle(&service->keeper, &request, &reply,
-				 ql_clock_now_us());
+				 ql_clock_now_us() + service->opts.kept_us);
 	ql_claim_encode_reply(out, &reply);
 	if (request.answer)
 		g_bytes_unref(request.answer);
--- a/src/node/claim_service.h
+++ b/src/node/claim_service.h
@@ -31,6 +31,7 @@
  * @data: passed to @document
  * @keys_max: most keys that the keeper remembers
  * @answers_max_bytes: most bytes of answers that it stores
+ * @kept_us: how long this process has kept claims already
  */
 typedef struct ql_claim_service_opts {
 	char cluster[QL_NAME_MAX];
@@ -42,6 +43,7 @@
 	void *data;
 	uint32_t keys_max;
 	uint64_t answers_max_bytes;
+	uint64_t kept_us;
 } ql_claim_service_opts_t;
 
 /**
--- a/src/node/local_endpoint.c
+++ b/src/node/local_endpoint.c
@@ -42,7 +42,14 @@
 	while (ql_gate_next(&endpoint->gate, &decision, now_us)) {
 		waiter = g_hash_table_lookup(endpoint->waiters,
 					     GUINT_TO_POINTER(decision.ticket));
-		g_assert(waiter);
+		if (!waiter) {
+			/* Its caller has gone: the slot is free again. */
+			if (decision.verdict == QL_GATE_ADMIT)
+				ql_gate_finish_request(&endpoint->gate,
+						       decision.ticket,
+						       QL_GATE_FAILED, now_us);
+			continue;
+		}
 		waiter->decision = decision;
 		waiter->is_decided = true;
 		pthread_cond_signal(&waiter->decided);
@@ -137,6 +144,8 @@
 	ql_cond_init(&waiter.decided);
 	g_hash_table_insert(endpoint->waiters, GUINT_TO_POINTER(ticket),
 			    &waiter);
+	/* The gate may decide at once, also on this request. */
+	wake_waiters(endpoint);
 	while (!waiter.is_decided) {
 		until_us = MIN(ql_gate_next_us(&endpoint->gate),
 			       ql_clock_now_us() + CANCEL_POLL_US);
@@ -166,10 +175,11 @@
 	if (endpoint->expires_us > now_us) {
 		decision = ql_gate_offer(&endpoint->gate, &admission->request,
 					 now_us);
-		wake_waiters(endpoint);
 		if (decision.verdict == QL_GATE_QUEUE)
 			decision = await_decision(endpoint, admission,
 						  decision.ticket);
+		else
+			wake_waiters(endpoint);
 	}
 	*level = ql_gate_level(&endpoint->gate, ql_clock_now_us());
 	pthread_mutex_unlock(&endpoint->lock);
--- /dev/null
+++ b/tests/node/local_endpoint_test.cc
@@ -0,0 +1,53 @@
+#include "node/local_endpoint.h"
+#include "quetzalloft/clock.h"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+namespace
+{
+
+bool stays(void *)
+{
+	return false;
+}
+
+/*
+ * A request that is queued and decided on within one call: the node aborted,
+ * as nobody waited for the decision yet.
+ */
+TEST(LocalEndpoint, DecidesOnARequestThatWasJustQueued)
+{
+	ql_announcement_t announcement = {};
+	ql_gate_opts_t opts = {};
+	ql_local_endpoint_t endpoint;
+	ql_admission_t admission = {};
+	ql_gate_decision_t first, next;
+	uint32_t level;
+
+	strcpy(announcement.service, "a");
+	announcement.slots = 1;
+	announcement.connections = 1;
+	announcement.lease_ms = 60000;
+	opts.limiter = &ql_limiter_fixed;
+	opts.slots = 1;
+	opts.queue_max = 10;
+	opts.queue_us = 1000;
+	ql_local_endpoint_init(&endpoint, &announcement, &opts);
+	ql_local_endpoint_renew(&endpoint, &announcement);
+	admission.is_gone = stays;
+	admission.request.deadline_us = ql_clock_now_us() + 60 * QL_US_PER_S;
+	first = ql_local_endpoint_enter(&endpoint, &admission, &level);
+	ASSERT_EQ(QL_GATE_ADMIT, first.verdict);
+	for (uint64_t left_us = 0; left_us < 2000; left_us++) {
+		admission.request.deadline_us = ql_clock_now_us() + left_us % 8;
+		next = ql_local_endpoint_enter(&endpoint, &admission, &level);
+		EXPECT_EQ(QL_GATE_REFUSE, next.verdict);
+	}
+	ql_local_endpoint_leave(&endpoint, first.ticket, QL_GATE_SERVED,
+				&level);
+	ql_local_endpoint_finish(&endpoint);
+}
+
+} // namespace
--- a/tests/support/keepers.h
+++ b/tests/support/keepers.h
@@ -138,9 +138,9 @@
 		opts.data = this;
 		opts.keys_max = 1000000;
 		opts.answers_max_bytes = 64 << 20;
+		/* It has been silent for long enough, whatever the uptime. */
+		opts.kept_us = 24 * 3600 * QL_US_PER_S;
 		ql_claim_service_init(out, &opts);
-		/* As if it had been silent for long enough already. */
-		out->keeper.start_us = 0;
 	}
 
 	void Start(int keeper)
