Take the budget for second sends from the settings

The node gets what the site allows for a service, and shares it among the layers above, since a repeat makes its calls again; a node starts with one repeat instead of two, so that the sum over many nodes stays within the slack.

--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -243,6 +243,7 @@
 	};
 	ql_front_opts_t front = {
 		.dialect = node->dialect,
+		.repeat_ratio = settings->repeat_ratio,
 		.local = &node->gate,
 		.hops = &node->hops,
 	};
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -39,6 +39,7 @@
 	QL_MEMBER_BOOL(ql_settings_t, bootstrap, false),
 	QL_MEMBER_UINT(ql_settings_t, voters, false, 1, 9),
 	QL_MEMBER_UINT(ql_settings_t, grace_ms, false, 0, 600000),
+	QL_MEMBER_REAL(ql_settings_t, repeat_ratio, false, 0, 1),
 };
 
 static const ql_json_member_t listen_members[] = {
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -79,6 +79,8 @@
  * @voters: replicas that are to vote, an odd number
  * @listen: of a process with a role
  * @endpoint: beside a node
+ * @repeat_ratio: second sends that a service takes for each request for it; 0
+ *                goes by the configuration
  * @grace_ms: longest time between the request to stop and the exit
  * @balancer: name of the policy that chooses endpoints
  * @limiter: name of a limiter that overrides the configuration's; may be empty
@@ -117,6 +119,7 @@
 	uint64_t voters;
 	ql_listen_settings_t listen;
 	ql_endpoint_settings_t endpoint;
+	double repeat_ratio;
 	uint64_t grace_ms;
 	char balancer[QL_NAME_MAX];
 	char limiter[QL_NAME_MAX];
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -4,7 +4,10 @@
 #include <string.h>
 
 /* Repeats that a node may make to one service without any first attempt. */
-#define REPEAT_BURST 2.0
+#define REPEAT_BURST 1.0
+/* A repeat makes its calls again, so the layers above a service share what it
+ * takes. */
+#define LAYERS 4.0
 
 static void service_free(void *data)
 {
@@ -60,7 +63,10 @@
 	for (i = 0; i < front->doc->n_services; i++) {
 		service = ql_front_find_service(front,
 						front->doc->services[i].name);
-		service->budget.ratio = front->doc->services[i].retry_ratio;
+		service->budget.ratio =
+			front->opts.repeat_ratio > 0
+				? front->opts.repeat_ratio / LAYERS
+				: front->doc->services[i].retry_ratio;
 	}
 }
 
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -42,6 +42,8 @@
  * @caller: service of the endpoint beside this node
  * @own_gate: "IP:port" of the gate of this node
  * @failure_domain: where this node is
+ * @repeat_ratio: second sends that a service takes for each request for it,
+ * from all layers above it together; 0 goes by the document
  * @local: the gate of this node; borrowed
  * @hops: connections to other gates; borrowed
  */
@@ -50,6 +52,7 @@
 	char caller[QL_NAME_MAX];
 	char own_gate[QL_ADDRESS_MAX];
 	char failure_domain[QL_NAME_MAX];
+	double repeat_ratio;
 	ql_local_gate_t *local;
 	ql_hops_t *hops;
 } ql_front_opts_t;
