--- a/src/path/call.c
+++ b/src/path/call.c
@@ -1,10 +1,12 @@
 #include "path/call.h"
+#include "quetzalloft/metadata.h"
 
 #include <string.h>
 #include <strings.h>
 
 /** Headers between nodes begin with this; see quetzalloft/metadata.h. */
 #define OWN_PREFIX "Quetzalloft-"
+#define MS_PER_S 1000.0
 
 static void append(GByteArray *out, const char *text)
 {
@@ -67,3 +69,28 @@
 	append(out, "\r\n");
 	g_byte_array_append(out, call->body->data, call->body->len);
 }
+
+static void emit(void *data, const char *name, const char *value)
+{
+	ql_headers_write(data, name, value);
+}
+
+void ql_call_write_outcome(GByteArray *out, ql_outcome_t outcome,
+			   ql_reason_t reason)
+{
+	ql_metadata_t metadata;
+
+	ql_metadata_init(&metadata);
+	metadata.has = QL_HAS_OUTCOME | QL_HAS_REASON;
+	metadata.outcome = outcome;
+	metadata.reason = reason;
+	ql_metadata_emit(&metadata, emit, out);
+}
+
+void ql_call_write_retry_after(GByteArray *out, uint32_t retry_after_ms)
+{
+	char text[G_ASCII_DTOSTR_BUF_SIZE];
+
+	g_ascii_formatd(text, sizeof(text), "%.3f", retry_after_ms / MS_PER_S);
+	ql_headers_write(out, QL_HEADER_RETRY_AFTER, text);
+}
--- a/src/path/call.h
+++ b/src/path/call.h
@@ -117,6 +117,17 @@
  */
 void ql_call_write_headers(GByteArray *out, const ql_headers_t *headers);
 
+/**
+ * ql_call_write_outcome() - Write the headers that say how a call ended.
+ */
+void ql_call_write_outcome(GByteArray *out, ql_outcome_t outcome,
+			   ql_reason_t reason);
+
+/**
+ * ql_call_write_retry_after() - Write when to come again.
+ */
+void ql_call_write_retry_after(GByteArray *out, uint32_t retry_after_ms);
+
 /**
  * ql_call_write_body() - End the headers with the framing, and write the body.
  */
--- /dev/null
+++ b/src/path/front_answer.c
@@ -0,0 +1,56 @@
+#include "path/front_internal.h"
+#include "quetzalloft/metadata.h"
+
+#define RETRY_AFTER_DEFAULT_MS 500u
+#define RETRY_AFTER_JITTER 0.5
+
+static unsigned int status_of(ql_outcome_t outcome, ql_reason_t reason)
+{
+	if (outcome != QL_OUTCOME_NOT_RUN)
+		return reason == QL_REASON_DEADLINE
+			       ? HTTP_STATUS_GATEWAY_TIMEOUT
+			       : HTTP_STATUS_BAD_GATEWAY;
+	switch (reason) {
+	case QL_REASON_NO_ROUTE:
+		return HTTP_STATUS_NOT_FOUND;
+	case QL_REASON_BAD_REQUEST:
+		return HTTP_STATUS_BAD_REQUEST;
+	case QL_REASON_TOO_LARGE:
+		return HTTP_STATUS_PAYLOAD_TOO_LARGE;
+	default:
+		return HTTP_STATUS_SERVICE_UNAVAILABLE;
+	}
+}
+
+/* When to come again, spread where no gate has said it. */
+static uint32_t retry_after_ms(ql_front_t *front, const ql_call_end_t *end)
+{
+	if (end->retry_after_ms)
+		return end->retry_after_ms;
+	return (uint32_t)(RETRY_AFTER_DEFAULT_MS *
+			  g_rand_double_range(front->random,
+					      1 - RETRY_AFTER_JITTER,
+					      1 + RETRY_AFTER_JITTER));
+}
+
+void ql_front__answer_failure(ql_front_t *front, ql_http_exchange_t *exchange,
+			      const ql_call_end_t *end)
+{
+	unsigned int status = status_of(end->outcome, end->reason);
+	const char *id_name = front->opts.dialect->request_id;
+	const char *id = ql_headers_get(&exchange->headers, id_name);
+	GByteArray *lines = g_byte_array_new();
+
+	if (id)
+		ql_headers_write(lines, id_name, id);
+	ql_call_write_outcome(lines, end->outcome, end->reason);
+	if (status == HTTP_STATUS_SERVICE_UNAVAILABLE)
+		ql_call_write_retry_after(lines, retry_after_ms(front, end));
+	ql_http_exchange_begin(exchange, status, lines, 0);
+	ql_http_exchange_end(exchange);
+	g_byte_array_free(lines, TRUE);
+	if (end->outcome == QL_OUTCOME_NOT_RUN)
+		front->counts.not_run++;
+	else
+		front->counts.unknown++;
+}
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -1,4 +1,4 @@
-#include "path/front.h"
+#include "path/front_internal.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/log.h"
 #include "quetzalloft/metadata.h"
@@ -7,8 +7,6 @@
 #include <string.h>
 #include <strings.h>
 
-#define MS_PER_S 1000.0
-#define TRIED_MAX 8u
 /* Gates that may refuse one request before the client is told. */
 #define REROUTES_MAX 3u
 /* An answer up to this size is held until it is whole, so that a broken one
@@ -16,49 +14,17 @@
 #define HELD_MAX_BYTES (128u << 10)
 /* Bytes of an answer that may wait for a slow client. */
 #define PENDING_MAX_BYTES (256u << 10)
-#define RETRY_AFTER_DEFAULT_MS 500u
-#define RETRY_AFTER_JITTER 0.5
 /* Another node takes the request at once. */
 #define LEAVING_RETRY_MS 50u
 
-/* A request on its way, from its arrival to its one answer. */
-typedef struct {
-	ql_front_t *front;
-	ql_http_exchange_t *exchange;
-	ql_document_t *doc;
-	const ql_route_t *route;
-	size_t route_index;
-	ql_front_service_t *service;
-	ql_headers_t headers;
-	ql_path_call_t call;
-	ql_running_call_t parent;
-	ql_callee_call_t callee;
-	bool let_through;
-	bool in_attempt;
-	ql_handle_t tried[TRIED_MAX];
-	uint32_t n_tried;
-	uint32_t n_sent;
-	uint32_t n_reroutes;
-	bool may_have_run;
-	uint64_t attempt_us;
-	uint32_t retry_after_ms;
-	ql_wheel_timer_t deadline;
-	unsigned int status;
-	GByteArray *lines;
-	GByteArray *held;
-	int64_t length;
-	bool streaming;
-	bool paused;
-} front_call_t;
-
-static void start_attempt(front_call_t *call);
-
-static uint64_t now_us(const front_call_t *call)
+static void start_attempt(ql_front_call_t *call);
+
+static uint64_t now_us(const ql_front_call_t *call)
 {
 	return ql_loop_now_us(call->front->loop);
 }
 
-static void call_free(front_call_t *call)
+static void call_free(ql_front_call_t *call)
 {
 	g_hash_table_remove(call->front->calls, call);
 	ql_loop_stop_timer(call->front->loop, &call->deadline);
@@ -69,79 +35,7 @@
 	g_free(call);
 }
 
-static void emit(void *data, const char *name, const char *value)
-{
-	ql_headers_write(data, name, value);
-}
-
-static void write_outcome(GByteArray *out, ql_outcome_t outcome,
-			  ql_reason_t reason)
-{
-	ql_metadata_t metadata;
-
-	ql_metadata_init(&metadata);
-	metadata.has = QL_HAS_OUTCOME | QL_HAS_REASON;
-	metadata.outcome = outcome;
-	metadata.reason = reason;
-	ql_metadata_emit(&metadata, emit, out);
-}
-
-static unsigned int status_of(ql_outcome_t outcome, ql_reason_t reason)
-{
-	if (outcome != QL_OUTCOME_NOT_RUN)
-		return reason == QL_REASON_DEADLINE
-			       ? HTTP_STATUS_GATEWAY_TIMEOUT
-			       : HTTP_STATUS_BAD_GATEWAY;
-	switch (reason) {
-	case QL_REASON_NO_ROUTE:
-		return HTTP_STATUS_NOT_FOUND;
-	case QL_REASON_BAD_REQUEST:
-		return HTTP_STATUS_BAD_REQUEST;
-	case QL_REASON_TOO_LARGE:
-		return HTTP_STATUS_PAYLOAD_TOO_LARGE;
-	default:
-		return HTTP_STATUS_SERVICE_UNAVAILABLE;
-	}
-}
-
-static void write_retry_after(ql_front_t *front, GByteArray *lines,
-			      uint32_t retry_after_ms)
-{
-	char text[G_ASCII_DTOSTR_BUF_SIZE];
-	double ms = retry_after_ms;
-
-	if (!retry_after_ms)
-		ms = RETRY_AFTER_DEFAULT_MS *
-		     g_rand_double_range(front->random, 1 - RETRY_AFTER_JITTER,
-					 1 + RETRY_AFTER_JITTER);
-	g_ascii_formatd(text, sizeof(text), "%.3f", ms / MS_PER_S);
-	ql_headers_write(lines, QL_HEADER_RETRY_AFTER, text);
-}
-
-/* Answers with a failure of this node. */
-static void answer_failure(ql_front_t *front, ql_http_exchange_t *exchange,
-			   const ql_call_end_t *end)
-{
-	unsigned int status = status_of(end->outcome, end->reason);
-	const char *id_name = front->opts.dialect->request_id;
-	const char *id = ql_headers_get(&exchange->headers, id_name);
-	GByteArray *lines = g_byte_array_new();
-
-	if (id)
-		ql_headers_write(lines, id_name, id);
-	write_outcome(lines, end->outcome, end->reason);
-	if (status == HTTP_STATUS_SERVICE_UNAVAILABLE)
-		write_retry_after(front, lines, end->retry_after_ms);
-	ql_http_exchange_begin(exchange, status, lines, 0);
-	ql_http_exchange_end(exchange);
-	g_byte_array_free(lines, TRUE);
-	if (end->outcome == QL_OUTCOME_NOT_RUN)
-		front->counts.not_run++;
-	else
-		front->counts.unknown++;
-}
-
-static void log_failure(const front_call_t *call, const ql_call_end_t *end)
+static void log_failure(const ql_front_call_t *call, const ql_call_end_t *end)
 {
 	ql_log(LOG_INFO, "request_failed", QL_STR("id", call->call.id),
 	       QL_STR("route", call->route->name),
@@ -154,7 +48,7 @@
 	       QL_UINT("age_us", now_us(call) - call->exchange->received_us));
 }
 
-static void note_level(front_call_t *call, ql_level_end_t end, bool is_free)
+static void note_level(ql_front_call_t *call, ql_level_end_t end, bool is_free)
 {
 	if (call->let_through && call->doc == call->front->doc)
 		ql_level_done(&call->front->level, call->route_index, end,
@@ -173,7 +67,7 @@
 	}
 }
 
-static void end_in_failure(front_call_t *call, ql_reason_t reason)
+static void end_in_failure(ql_front_call_t *call, ql_reason_t reason)
 {
 	ql_call_end_t end = {
 		.outcome = call->may_have_run ? QL_OUTCOME_UNKNOWN
@@ -188,12 +82,12 @@
 		call->front->counts.unknown++;
 		ql_http_exchange_abort(call->exchange);
 	} else {
-		answer_failure(call->front, call->exchange, &end);
+		ql_front__answer_failure(call->front, call->exchange, &end);
 	}
 	call_free(call);
 }
 
-static void report_attempt(front_call_t *call, const ql_call_end_t *end)
+static void report_attempt(ql_front_call_t *call, const ql_call_end_t *end)
 {
 	ql_attempt_result_t result = {
 		.outcome = end->outcome,
@@ -210,7 +104,7 @@
 			 call->tried[call->n_tried - 1], &result, now_us(call));
 }
 
-static void write_answer_head(front_call_t *call, int64_t length)
+static void write_answer_head(ql_front_call_t *call, int64_t length)
 {
 	ql_http_exchange_begin(call->exchange, call->status, call->lines,
 			       length);
@@ -222,19 +116,19 @@
 static void on_head(void *data, unsigned int status,
 		    const ql_headers_t *headers, int64_t length)
 {
-	front_call_t *call = data;
+	ql_front_call_t *call = data;
 
 	call->status = status;
 	call->length = length;
 	g_byte_array_set_size(call->lines, 0);
 	g_byte_array_set_size(call->held, 0);
 	ql_call_write_headers(call->lines, headers);
-	write_outcome(call->lines, QL_OUTCOME_ANSWERED, QL_REASON_NONE);
+	ql_call_write_outcome(call->lines, QL_OUTCOME_ANSWERED, QL_REASON_NONE);
 }
 
 static void on_body(void *data, const char *bytes, size_t length)
 {
-	front_call_t *call = data;
+	ql_front_call_t *call = data;
 
 	if (!call->streaming && call->held->len + length > HELD_MAX_BYTES) {
 		write_answer_head(call, call->length);
@@ -257,7 +151,7 @@
  * An endpoint whose calls are refused below answers with a failure; one whose
  * calls wait below answers behind the target of the route.
  */
-static bool is_good(const front_call_t *call)
+static bool is_good(const ql_front_call_t *call)
 {
 	uint64_t age_us = now_us(call) - call->exchange->received_us;
 
@@ -269,7 +163,7 @@
 
 static void on_complete(void *data, const ql_call_end_t *end)
 {
-	front_call_t *call = data;
+	ql_front_call_t *call = data;
 	int64_t length = call->length;
 
 	report_attempt(call, end);
@@ -292,21 +186,21 @@
 	       end->reason == QL_REASON_ENDPOINT_REFUSED;
 }
 
-static bool may_repeat(const front_call_t *call, const ql_call_end_t *end)
+static bool may_repeat(const ql_front_call_t *call, const ql_call_end_t *end)
 {
 	if (end->outcome == QL_OUTCOME_UNKNOWN && !call->route->idempotent)
 		return false;
 	if (end->reason == QL_REASON_DEADLINE ||
 	    end->reason == QL_REASON_BAD_REQUEST || call->streaming)
 		return false;
-	if (call->n_tried == TRIED_MAX)
+	if (call->n_tried == QL_FRONT_TRIED_MAX)
 		return false;
 	return call->call.deadline_us > now_us(call);
 }
 
 /* A repeat draws on the budget; a gate that refused costs the endpoints
  * nothing. */
-static bool may_try_again(front_call_t *call, const ql_call_end_t *end)
+static bool may_try_again(ql_front_call_t *call, const ql_call_end_t *end)
 {
 	if (!may_repeat(call, end))
 		return false;
@@ -328,7 +222,7 @@
 
 static void on_failed(void *data, const ql_call_end_t *end)
 {
-	front_call_t *call = data;
+	ql_front_call_t *call = data;
 
 	report_attempt(call, end);
 	call->n_sent += was_sent(end);
@@ -348,7 +242,7 @@
 };
 
 /* Gives up the attempt in progress, if there is one. */
-static void cancel_attempt(front_call_t *call, ql_reason_t reason)
+static void cancel_attempt(ql_front_call_t *call, ql_reason_t reason)
 {
 	ql_call_end_t end = {
 		.outcome = QL_OUTCOME_UNKNOWN,
@@ -365,7 +259,7 @@
 
 static void on_deadline(void *data)
 {
-	front_call_t *call = data;
+	ql_front_call_t *call = data;
 
 	cancel_attempt(call, QL_REASON_DEADLINE);
 	end_in_failure(call, QL_REASON_DEADLINE);
@@ -373,7 +267,7 @@
 
 static void on_cancelled(void *data)
 {
-	front_call_t *call = data;
+	ql_front_call_t *call = data;
 
 	call->front->counts.cancelled++;
 	cancel_attempt(call, QL_REASON_CANCELLED);
@@ -383,7 +277,7 @@
 
 static void on_drained(void *data)
 {
-	front_call_t *call = data;
+	ql_front_call_t *call = data;
 
 	if (!call->paused || !call->in_attempt)
 		return;
@@ -396,7 +290,7 @@
 	.drained = on_drained,
 };
 
-static void call_gate(front_call_t *call, const char *gate)
+static void call_gate(ql_front_call_t *call, const char *gate)
 {
 	ql_front_t *front = call->front;
 	ql_callee_call_t callee;
@@ -414,7 +308,7 @@
 		call->callee = callee;
 }
 
-static void start_attempt(front_call_t *call)
+static void start_attempt(ql_front_call_t *call)
 {
 	ql_balancer_t *balancer = &call->service->balancer;
 	char gate[QL_ADDRESS_MAX];
@@ -433,94 +327,11 @@
 	call_gate(call, gate);
 }
 
-/* The headers of the request, with the caller as this node knows it. */
-static void copy_headers(front_call_t *call)
+static ql_front_call_t *call_new(ql_front_t *front,
+				 ql_http_exchange_t *exchange,
+				 const ql_route_t *route)
 {
-	const ql_headers_t *in = &call->exchange->headers;
-	const char *caller = call->front->opts.dialect->caller;
-	const char *name;
-	size_t i;
-
-	ql_headers_init(&call->headers);
-	for (i = 0; i < ql_headers_count(in); i++) {
-		name = ql_headers_name(in, i);
-		if (!ql_headers_is_hop_by_hop(in, name) &&
-		    (!caller || strcasecmp(name, caller) != 0))
-			ql_headers_add(&call->headers, name,
-				       ql_headers_value(in, i));
-	}
-	if (caller)
-		ql_headers_add(&call->headers, caller,
-			       call->front->opts.caller);
-}
-
-static uint64_t deadline_us(const front_call_t *call)
-{
-	const ql_http_exchange_t *exchange = call->exchange;
-	const char *value =
-		ql_headers_get(&exchange->headers,
-			       call->front->opts.dialect->timeout_ms);
-	uint64_t timeout_ms = call->route->deadline_ms;
-	guint64 stated;
-
-	if (value &&
-	    g_ascii_string_to_unsigned(value, 10, 0, UINT32_MAX, &stated, NULL))
-		timeout_ms = MIN(timeout_ms, stated);
-	return exchange->received_us + timeout_ms * QL_US_PER_MS;
-}
-
-/*
- * A call of the endpoint beside this node serves a request that runs there: it
- * is as important as that request, and its work is under way. Where the
- * request is not known, the call counts as its own route says.
- */
-static void inherit(front_call_t *call, const char *id)
-{
-	const ql_dialect_t *dialect = call->front->opts.dialect;
-	const ql_running_call_t *parent;
-	char parent_id[QL_KEY_MAX];
-
-	if (!dialect->parent_of ||
-	    !dialect->parent_of(parent_id, sizeof(parent_id), id))
-		return;
-	call->call.under_way = true;
-	parent = ql_local_gate_find(call->front->opts.local, parent_id);
-	if (!parent)
-		return;
-	call->parent = *parent;
-	call->call.class_name = call->parent.class_name;
-	call->call.shed_order = call->parent.shed_order;
-}
-
-static void fill_call(front_call_t *call, const char *service)
-{
-	const ql_dialect_t *dialect = call->front->opts.dialect;
-	const ql_class_t *class = &call->doc->classes[call->route->class_index];
-	ql_http_exchange_t *exchange = call->exchange;
-	const char *id =
-		ql_headers_get(&exchange->headers, dialect->request_id);
-
-	call->call = (ql_path_call_t){
-		.method = exchange->method,
-		.target = exchange->target->str,
-		.headers = &call->headers,
-		.body = exchange->body,
-		.id = id ? id : "",
-		.service = service,
-		.class_name = class->name,
-		.shed_order = (uint32_t) class->shed_order,
-		.idempotent = call->route->idempotent,
-		.deadline_us = deadline_us(call),
-		.version = call->doc->version,
-	};
-	if (id)
-		inherit(call, id);
-}
-
-static front_call_t *call_new(ql_front_t *front, ql_http_exchange_t *exchange,
-			      const ql_route_t *route)
-{
-	front_call_t *call = g_new0(front_call_t, 1);
+	ql_front_call_t *call = g_new0(ql_front_call_t, 1);
 	uint16_t service;
 
 	call->front = front;
@@ -530,9 +341,8 @@
 	call->route_index = (size_t)(route - front->doc->routes);
 	call->lines = g_byte_array_new();
 	call->held = g_byte_array_new();
-	copy_headers(call);
 	service = ql_front_choose_part(front, call->route_index);
-	fill_call(call, call->doc->services[service].name);
+	ql_front__prepare(call, call->doc->services[service].name);
 	call->service = ql_front_find_service(front, call->call.service);
 	g_hash_table_add(front->calls, call);
 	call->deadline.expired = on_deadline;
@@ -542,22 +352,6 @@
 	return call;
 }
 
-/* Host without a port, and path without a query. */
-static const ql_route_t *find_route(const ql_front_t *front,
-				    const ql_http_exchange_t *exchange)
-{
-	const char *host = ql_headers_get(&exchange->headers, "host");
-	const char *target = exchange->target->str;
-	char name[QL_NAME_MAX] = "";
-	char path[QL_PATH_MAX * 8];
-
-	if (host)
-		g_strlcpy(name, host,
-			  MIN(strcspn(host, ":") + 1, sizeof(name)));
-	g_strlcpy(path, target, MIN(strcspn(target, "?") + 1, sizeof(path)));
-	return ql_document_match(front->doc, -1, name, exchange->method, path);
-}
-
 static void refuse(ql_front_t *front, ql_http_exchange_t *exchange,
 		   ql_reason_t reason, uint32_t retry_after_ms)
 {
@@ -567,11 +361,11 @@
 		.retry_after_ms = retry_after_ms,
 	};
 
-	answer_failure(front, exchange, &end);
+	ql_front__answer_failure(front, exchange, &end);
 }
 
 /* Whether a request is refused before anything was done for it. */
-static bool is_refused_early(front_call_t *call)
+static bool is_refused_early(ql_front_call_t *call)
 {
 	ql_level_decision_t decision;
 
@@ -585,7 +379,7 @@
 	return decision.refuse;
 }
 
-static void begin(front_call_t *call)
+static void begin(ql_front_call_t *call)
 {
 	uint64_t now = now_us(call);
 
@@ -617,7 +411,7 @@
 		refuse(front, exchange, QL_REASON_DRAINING, LEAVING_RETRY_MS);
 		return;
 	}
-	route = find_route(front, exchange);
+	route = ql_front__find_route(front, exchange);
 	if (!route)
 		refuse(front, exchange, QL_REASON_NO_ROUTE, 0);
 	else
--- /dev/null
+++ b/src/path/front_internal.h
@@ -0,0 +1,91 @@
+#ifndef QL_PATH_FRONT_INTERNAL_H
+#define QL_PATH_FRONT_INTERNAL_H
+
+/**
+ * DOC: What the files of the front share.
+ */
+
+#include "path/front.h"
+
+G_BEGIN_DECLS
+
+/** Endpoints that one request tries. */
+#define QL_FRONT_TRIED_MAX 8u
+
+/**
+ * struct ql_front_call - A request on its way, from its arrival to its answer.
+ * @exchange: the request and its answer
+ * @doc: the document that it is handled by
+ * @route: its route
+ * @route_index: of @route
+ * @service: where it goes
+ * @headers: that are passed on
+ * @call: what each attempt calls
+ * @parent: the request that it serves, if that runs beside this node
+ * @callee: the attempt in progress
+ * @let_through: early refusal is told how it ends
+ * @in_attempt: an attempt is in progress
+ * @tried: endpoints that were tried
+ * @n_sent: attempts that may have reached an endpoint
+ * @n_reroutes: attempts that reached none
+ * @may_have_run: an attempt ended without being known as not run
+ * @attempt_us: when the attempt began
+ * @retry_after_ms: the longest that a refusal asked for
+ * @status: of the answer
+ * @lines: its header lines
+ * @held: its body, until it is whole
+ * @length: of its body as stated, or -1
+ * @streaming: the answer is passed on while it comes
+ * @paused: the client reads slowly
+ */
+typedef struct ql_front_call {
+	ql_front_t *front;
+	ql_http_exchange_t *exchange;
+	ql_document_t *doc;
+	const ql_route_t *route;
+	size_t route_index;
+	ql_front_service_t *service;
+	ql_headers_t headers;
+	ql_path_call_t call;
+	ql_running_call_t parent;
+	ql_callee_call_t callee;
+	bool let_through;
+	bool in_attempt;
+	ql_handle_t tried[QL_FRONT_TRIED_MAX];
+	uint32_t n_tried;
+	uint32_t n_sent;
+	uint32_t n_reroutes;
+	bool may_have_run;
+	uint64_t attempt_us;
+	uint32_t retry_after_ms;
+	ql_wheel_timer_t deadline;
+	unsigned int status;
+	GByteArray *lines;
+	GByteArray *held;
+	int64_t length;
+	bool streaming;
+	bool paused;
+} ql_front_call_t;
+
+/**
+ * ql_front__find_route() - The route of a request, or NULL.
+ */
+const ql_route_t *ql_front__find_route(const ql_front_t *front,
+				       const ql_http_exchange_t *exchange);
+
+/**
+ * ql_front__prepare() - Fill in what each attempt of a request calls.
+ * @call: the request, its route set
+ * @service: name of the service
+ */
+void ql_front__prepare(ql_front_call_t *call, const char *service);
+
+/**
+ * ql_front__answer_failure() - Answer with a failure of this node.
+ */
+void ql_front__answer_failure(ql_front_t *front, ql_http_exchange_t *exchange,
+			      const ql_call_end_t *end);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/path/front_prepare.c
@@ -0,0 +1,106 @@
+#include "path/front_internal.h"
+#include "quetzalloft/clock.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* The headers of the request, with the caller as this node knows it. */
+static void copy_headers(ql_front_call_t *call)
+{
+	const ql_headers_t *in = &call->exchange->headers;
+	const char *caller = call->front->opts.dialect->caller;
+	const char *name;
+	size_t i;
+
+	ql_headers_init(&call->headers);
+	for (i = 0; i < ql_headers_count(in); i++) {
+		name = ql_headers_name(in, i);
+		if (!ql_headers_is_hop_by_hop(in, name) &&
+		    (!caller || strcasecmp(name, caller) != 0))
+			ql_headers_add(&call->headers, name,
+				       ql_headers_value(in, i));
+	}
+	if (caller)
+		ql_headers_add(&call->headers, caller,
+			       call->front->opts.caller);
+}
+
+static uint64_t deadline_us(const ql_front_call_t *call)
+{
+	const ql_http_exchange_t *exchange = call->exchange;
+	const char *value =
+		ql_headers_get(&exchange->headers,
+			       call->front->opts.dialect->timeout_ms);
+	uint64_t timeout_ms = call->route->deadline_ms;
+	guint64 stated;
+
+	if (value &&
+	    g_ascii_string_to_unsigned(value, 10, 0, UINT32_MAX, &stated, NULL))
+		timeout_ms = MIN(timeout_ms, stated);
+	return exchange->received_us + timeout_ms * QL_US_PER_MS;
+}
+
+/*
+ * A call of the endpoint beside this node serves a request that runs there: it
+ * is as important as that request, and its work is under way. Where the
+ * request is not known, the call counts as its own route says.
+ */
+static void inherit(ql_front_call_t *call, const char *id)
+{
+	const ql_dialect_t *dialect = call->front->opts.dialect;
+	const ql_running_call_t *parent;
+	char parent_id[QL_KEY_MAX];
+
+	if (!dialect->parent_of ||
+	    !dialect->parent_of(parent_id, sizeof(parent_id), id))
+		return;
+	call->call.under_way = true;
+	parent = ql_local_gate_find(call->front->opts.local, parent_id);
+	if (!parent)
+		return;
+	call->parent = *parent;
+	call->call.class_name = call->parent.class_name;
+	call->call.shed_order = call->parent.shed_order;
+}
+
+void ql_front__prepare(ql_front_call_t *call, const char *service)
+{
+	const ql_dialect_t *dialect = call->front->opts.dialect;
+	const ql_class_t *class = &call->doc->classes[call->route->class_index];
+	ql_http_exchange_t *exchange = call->exchange;
+	const char *id =
+		ql_headers_get(&exchange->headers, dialect->request_id);
+
+	copy_headers(call);
+	call->call = (ql_path_call_t){
+		.method = exchange->method,
+		.target = exchange->target->str,
+		.headers = &call->headers,
+		.body = exchange->body,
+		.id = id ? id : "",
+		.service = service,
+		.class_name = class->name,
+		.shed_order = (uint32_t) class->shed_order,
+		.idempotent = call->route->idempotent,
+		.deadline_us = deadline_us(call),
+		.version = call->doc->version,
+	};
+	if (id)
+		inherit(call, id);
+}
+
+/* Host without a port, and path without a query. */
+const ql_route_t *ql_front__find_route(const ql_front_t *front,
+				       const ql_http_exchange_t *exchange)
+{
+	const char *host = ql_headers_get(&exchange->headers, "host");
+	const char *target = exchange->target->str;
+	char name[QL_NAME_MAX] = "";
+	char path[QL_PATH_MAX * 8];
+
+	if (host)
+		g_strlcpy(name, host,
+			  MIN(strcspn(host, ":") + 1, sizeof(name)));
+	g_strlcpy(path, target, MIN(strcspn(target, "?") + 1, sizeof(path)));
+	return ql_document_match(front->doc, -1, name, exchange->method, path);
+}
--- a/src/path/hop_server.c
+++ b/src/path/hop_server.c
@@ -7,7 +7,6 @@
 
 /* Bytes of an answer that may wait for a slow peer. */
 #define PENDING_MAX_BYTES (256u << 10)
-#define MS_PER_S 1000.0
 
 typedef struct {
 	ql_http_exchange_t *exchange;
@@ -21,26 +20,20 @@
 	ql_headers_write(data, name, value);
 }
 
-static void write_outcome(GByteArray *out, ql_outcome_t outcome,
-			  ql_reason_t reason, const ql_call_end_t *end)
+/* What the caller's node is told beside an outcome. */
+static void write_end(GByteArray *out, const ql_call_end_t *end)
 {
 	ql_metadata_t metadata;
-	char text[G_ASCII_DTOSTR_BUF_SIZE];
-
-	ql_metadata_init(&metadata);
-	metadata.has = QL_HAS_OUTCOME | QL_HAS_REASON;
-	metadata.outcome = outcome;
-	metadata.reason = reason;
-	if (end && end->has_level) {
-		metadata.has |= QL_HAS_LEVEL;
+
+	ql_call_write_outcome(out, end->outcome, end->reason);
+	if (end->has_level) {
+		ql_metadata_init(&metadata);
+		metadata.has = QL_HAS_LEVEL;
 		metadata.level = end->level;
+		ql_metadata_emit(&metadata, emit, out);
 	}
-	ql_metadata_emit(&metadata, emit, out);
-	if (end && end->retry_after_ms) {
-		g_ascii_formatd(text, sizeof(text), "%.3f",
-				end->retry_after_ms / MS_PER_S);
-		ql_headers_write(out, QL_HEADER_RETRY_AFTER, text);
-	}
+	if (end->retry_after_ms)
+		ql_call_write_retry_after(out, end->retry_after_ms);
 }
 
 static void answer_failure(ql_http_exchange_t *exchange,
@@ -48,7 +41,7 @@
 {
 	GByteArray *headers = g_byte_array_new();
 
-	write_outcome(headers, end->outcome, end->reason, end);
+	write_end(headers, end);
 	ql_http_exchange_begin(exchange, HTTP_STATUS_SERVICE_UNAVAILABLE,
 			       headers, 0);
 	ql_http_exchange_end(exchange);
@@ -62,7 +55,7 @@
 	GByteArray *lines = g_byte_array_sized_new(512);
 
 	ql_call_write_headers(lines, headers);
-	write_outcome(lines, QL_OUTCOME_ANSWERED, QL_REASON_NONE, NULL);
+	ql_call_write_outcome(lines, QL_OUTCOME_ANSWERED, QL_REASON_NONE);
 	taken->begun = true;
 	ql_http_exchange_begin(taken->exchange, status, lines, length);
 	g_byte_array_free(lines, TRUE);
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -1,4 +1,4 @@
-#include "path/local_gate.h"
+#include "path/local_gate_internal.h"
 #include "quetzalloft/address.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
@@ -43,8 +43,6 @@
 	return ql_loop_now_us(call->gate->loop);
 }
 
-static void pump(ql_local_gate_t *gate);
-
 static void call_free(running_t *call)
 {
 	g_byte_array_free(call->head, TRUE);
@@ -79,7 +77,7 @@
 	ql_local_gate_t *gate = call->gate;
 
 	call_free(call);
-	pump(gate);
+	ql_local_gate__pump(gate);
 }
 
 static void fail_running(running_t *call, ql_outcome_t outcome,
@@ -284,7 +282,7 @@
 }
 
 /* Carries out what the gate has decided on waiting calls. */
-static void pump(ql_local_gate_t *gate)
+void ql_local_gate__pump(ql_local_gate_t *gate)
 {
 	ql_gate_decision_t decision;
 
@@ -295,7 +293,7 @@
 
 static void on_timer(void *data)
 {
-	pump(data);
+	ql_local_gate__pump(data);
 }
 
 static void cancel(void *data)
@@ -401,21 +399,21 @@
 	running->ticket = decision.ticket;
 	if (decision.verdict == QL_GATE_REFUSE) {
 		refuse(running, decision.reason, decision.retry_after_ms);
-		pump(gate);
+		ql_local_gate__pump(gate);
 		return;
 	}
 	g_hash_table_insert(gate->calls, GUINT_TO_POINTER(decision.ticket),
 			    running);
 	if (decision.verdict == QL_GATE_ADMIT)
 		send_to_endpoint(running);
-	pump(gate);
+	ql_local_gate__pump(gate);
 	/* It may have failed at once. */
 	if (g_hash_table_lookup(gate->calls,
 				GUINT_TO_POINTER(decision.ticket)) == running)
 		out->call = running;
 }
 
-static void gate_opts(const ql_local_gate_t *gate, ql_gate_opts_t *opts)
+void ql_local_gate__opts(const ql_local_gate_t *gate, ql_gate_opts_t *opts)
 {
 	*opts = (ql_gate_opts_t){
 		.limiter = &ql_limiter_fixed,
@@ -444,7 +442,7 @@
 	gate->calls = g_hash_table_new(NULL, NULL);
 	gate->running = g_hash_table_new(g_str_hash, g_str_equal);
 	gate->upstream = ql_upstream_new(loop, &upstream);
-	gate_opts(gate, &policy);
+	ql_local_gate__opts(gate, &policy);
 	ql_gate_init(&gate->gate, &policy);
 }
 
@@ -474,86 +472,6 @@
 	ql_gate_finish(&gate->gate);
 }
 
-/* Order of announcements: by start of the endpoint, then by sequence. */
-static bool is_newer(const ql_local_gate_t *gate,
-		     const ql_instance_report_t *report)
-{
-	if (!gate->known)
-		return true;
-	if (report->incarnation != gate->report.incarnation)
-		return report->incarnation > gate->report.incarnation;
-	if (strcmp(report->instance, gate->report.instance) != 0)
-		return false;
-	return report->sequence > gate->report.sequence;
-}
-
-static void begin_incarnation(ql_local_gate_t *gate)
-{
-	gate->left = false;
-	gate->gate.draining = false;
-	gate->incarnation =
-		MAX((uint64_t)g_get_real_time(), gate->incarnation + 1);
-	ql_upstream_drop_idle(gate->upstream);
-}
-
-static void take_report(ql_local_gate_t *gate,
-			const ql_instance_report_t *report)
-{
-	bool is_new_start =
-		!gate->known || report->incarnation != gate->report.incarnation;
-	ql_gate_opts_t opts;
-
-	gate->report = *report;
-	gate->known = true;
-	gate->unreachable = false;
-	if (is_new_start)
-		begin_incarnation(gate);
-	gate_opts(gate, &opts);
-	ql_gate_configure(&gate->gate, &opts, ql_loop_now_us(gate->loop));
-	/* What waits can still run elsewhere. */
-	if (report->draining)
-		ql_gate_drain(&gate->gate);
-}
-
-int ql_local_gate_report(ql_local_gate_t *gate,
-			 const ql_instance_report_t *report)
-{
-	struct sockaddr_in address;
-	bool served;
-
-	if (strcmp(report->service, gate->opts.service) != 0 ||
-	    ql_address_parse(&address, report->address, NULL) ||
-	    address.sin_addr.s_addr != gate->opts.address.sin_addr.s_addr ||
-	    address.sin_port != gate->opts.address.sin_port)
-		return QL_E_DENIED;
-	if (!is_newer(gate, report))
-		return 0;
-	served = ql_local_gate_serves(gate);
-	take_report(gate, report);
-	if (served == ql_local_gate_serves(gate))
-		return 0;
-	ql_log(LOG_NOTICE, "endpoint_reported",
-	       QL_STR("instance", report->instance),
-	       QL_UINT("sequence", report->sequence),
-	       QL_UINT("slots", report->slots),
-	       QL_INT("draining", report->draining));
-	gate->opts.changed(gate->opts.data);
-	pump(gate);
-	return 0;
-}
-
-void ql_local_gate_leave(ql_local_gate_t *gate, const char *instance)
-{
-	if (!gate->known || strcmp(gate->report.instance, instance) != 0 ||
-	    gate->left)
-		return;
-	gate->left = true;
-	ql_gate_drain(&gate->gate);
-	pump(gate);
-	ql_log(LOG_NOTICE, "endpoint_left", QL_STR("instance", instance));
-	gate->opts.changed(gate->opts.data);
-}
-
 bool ql_local_gate_serves(const ql_local_gate_t *gate)
 {
 	return gate->known && !gate->left && !gate->unreachable &&
@@ -564,7 +482,7 @@
 {
 	gate->draining = true;
 	ql_gate_drain(&gate->gate);
-	pump(gate);
+	ql_local_gate__pump(gate);
 }
 
 const ql_running_call_t *ql_local_gate_find(const ql_local_gate_t *gate,
