--- a/src/node/core_node.h
+++ b/src/node/core_node.h
@@ -13,6 +13,12 @@
 
 G_BEGIN_DECLS
 
+/**
+ * struct ql_core_node - The process.
+ * @control: replica, registrar and the RPC server
+ * @steward: keeps the members of the replicas in order
+ * @operators: the operators' HTTP interface
+ */
 typedef struct ql_core_node {
 	ql_context_t context;
 	ql_control_service_t control;
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -128,8 +128,6 @@
 /* An order whose answer is lost is sent nowhere again; a read is. */
 TEST_F(Front, RepeatsOnlyWhatMayBeRepeated)
 {
-	ql_target_info_t other = {};
-
 	for (const char *path : {"/order/1", "/get/1"}) {
 		SCOPED_TRACE(path);
 		RawSocket client = open();
@@ -151,7 +149,6 @@
 		EXPECT_EQ(strcmp(path, "/get/1") ? 0u : 1u,
 			  front.counts.repeats - repeats);
 	}
-	(void)other;
 }
 
 TEST_F(Front, AClientThatLeavesEndsTheWorkOfReadsOnly)
