Write once what the change had written twice

Found in reading the whole change; behaviour stays as it is.

- The steward had its own copies of taking the replica's view and of pushing a change of the members; the replica service has one of each, and bootstrap and RPC use them too.
- The bridge from metadata to headers stood in three files of the path of calls.
- Headers of a request were filtered twice on their way, the second time where they are written; once is enough.
- Seven jobs for the loop differed in one line; they are actions of one job now.
- Fields and a function of the listener and the upstream that nothing read are gone.

--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -216,7 +216,6 @@
 	const ql_listener_t *listener = exchange->connection->listener;
 	char line[64];
 
-	exchange->begun = true;
 	if ((listener->closing || is_crowded(listener)) && is_last(exchange)) {
 		exchange->keeps_alive = false;
 		exchange->connection->last_read = true;
@@ -376,7 +375,6 @@
 	if (!exchange)
 		return false;
 	connection->reading = NULL;
-	exchange->complete = true;
 	exchange->received_us = ql_clock_now_us();
 	if (!exchange->keeps_alive)
 		connection->last_read = true;
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -49,8 +49,6 @@
 	GByteArray *out;
 	bool keeps_alive;
 	bool is_http_1_0;
-	bool complete;
-	bool begun;
 	bool chunked;
 	bool bodiless;
 	bool ended;
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -31,7 +31,6 @@
 	const ql_upstream_ops_t *ops;
 	void *data;
 	bool bodiless;
-	bool written;
 	bool begun;
 };
 
@@ -265,7 +264,6 @@
 		close_connection(connection);
 		return;
 	}
-	connection->request->written = true;
 	ql_stream_write(&connection->stream, connection->unsent->data,
 			connection->unsent->len);
 	g_byte_array_free(connection->unsent, TRUE);
@@ -355,7 +353,6 @@
 	}
 	set_idle(connection, false);
 	ql_loop_stop_timer(upstream->loop, &connection->timer);
-	request->written = true;
 	ql_stream_write(&connection->stream, call->bytes->data,
 			call->bytes->len);
 	return request;
@@ -370,11 +367,6 @@
 	g_free(request);
 }
 
-bool ql_upstream_was_written(const ql_upstream_request_t *request)
-{
-	return request->written;
-}
-
 void ql_upstream_pause(ql_upstream_request_t *request)
 {
 	ql_stream_pause(&request->connection->stream);
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -120,11 +120,6 @@
  */
 void ql_upstream_cancel(ql_upstream_request_t *request);
 
-/**
- * ql_upstream_was_written() - Whether anything of the request was sent.
- */
-bool ql_upstream_was_written(const ql_upstream_request_t *request);
-
 void ql_upstream_pause(ql_upstream_request_t *request);
 void ql_upstream_resume(ql_upstream_request_t *request);
 
--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -13,6 +13,7 @@
 	ql_target_info_t info;
 	ql_document_t *doc;
 	ql_instance_report_t report;
+	void (*action)(ql_path_node_t *node);
 } news_t;
 
 static news_t *news_new(ql_path_node_t *node, void (*run)(ql_loop_job_t *job))
@@ -37,6 +38,23 @@
 	return ret;
 }
 
+static void run_action(ql_loop_job_t *job)
+{
+	news_t *news = (news_t *)job;
+
+	news->action(news->node);
+	g_free(news);
+}
+
+static void post_action(ql_path_node_t *node,
+			void (*action)(ql_path_node_t *node))
+{
+	news_t *news = news_new(node, run_action);
+
+	news->action = action;
+	post(news);
+}
+
 static void run_up(ql_loop_job_t *job)
 {
 	news_t *news = (news_t *)job;
@@ -102,17 +120,14 @@
 	post(news);
 }
 
-static void run_ready(ql_loop_job_t *job)
+static void set_ready(ql_path_node_t *node)
 {
-	news_t *news = (news_t *)job;
-
-	news->node->front.ready = true;
-	g_free(news);
+	node->front.ready = true;
 }
 
 void ql_path_jobs_ready(ql_path_node_t *node)
 {
-	post(news_new(node, run_ready));
+	post_action(node, set_ready);
 }
 
 static void run_report(ql_loop_job_t *job)
@@ -149,89 +164,70 @@
 	return post(news);
 }
 
-static void run_count(ql_loop_job_t *job)
+static void count(ql_path_node_t *node)
 {
-	news_t *news = (news_t *)job;
-	ql_path_node_t *node = news->node;
 	int n = (int)(node->clients.n_exchanges + node->gates.n_exchanges +
 		      g_hash_table_size(node->gate.calls));
 
 	__atomic_store_n(&node->in_progress, n, __ATOMIC_RELEASE);
-	g_free(news);
 }
 
 void ql_path_jobs_count(ql_path_node_t *node)
 {
-	post(news_new(node, run_count));
+	post_action(node, count);
 }
 
-static void run_begin_close(ql_loop_job_t *job)
+static void begin_close(ql_path_node_t *node)
 {
-	news_t *news = (news_t *)job;
-
-	ql_listener_begin_close(&news->node->clients);
-	g_free(news);
+	ql_listener_begin_close(&node->clients);
 }
 
 void ql_path_jobs_begin_close(ql_path_node_t *node)
 {
-	post(news_new(node, run_begin_close));
+	post_action(node, begin_close);
 }
 
-static void run_drain_gate(ql_loop_job_t *job)
+static void drain_gate(ql_path_node_t *node)
 {
-	news_t *news = (news_t *)job;
-
-	ql_local_gate_drain(&news->node->gate);
-	ql_listener_begin_close(&news->node->gates);
-	g_free(news);
+	ql_local_gate_drain(&node->gate);
+	ql_listener_begin_close(&node->gates);
 }
 
 void ql_path_jobs_drain_gate(ql_path_node_t *node)
 {
-	post(news_new(node, run_drain_gate));
+	post_action(node, drain_gate);
 }
 
-static void run_refuse_new(ql_loop_job_t *job)
+static void refuse_new(ql_path_node_t *node)
 {
-	news_t *news = (news_t *)job;
-
-	news->node->front.leaving = true;
-	g_free(news);
+	node->front.leaving = true;
 }
 
 void ql_path_jobs_refuse_new(ql_path_node_t *node)
 {
-	post(news_new(node, run_refuse_new));
+	post_action(node, refuse_new);
 }
 
-static void run_fail_all(ql_loop_job_t *job)
+static void fail_all(ql_path_node_t *node)
 {
-	news_t *news = (news_t *)job;
-
-	ql_front_fail_all(&news->node->front);
-	g_free(news);
+	ql_front_fail_all(&node->front);
 }
 
 void ql_path_jobs_fail_all(ql_path_node_t *node)
 {
-	post(news_new(node, run_fail_all));
+	post_action(node, fail_all);
 }
 
-static void run_stop(ql_loop_job_t *job)
+static void stop(ql_path_node_t *node)
 {
-	news_t *news = (news_t *)job;
-	ql_path_node_t *node = news->node;
-
 	ql_listener_stop(&node->clients);
 	ql_listener_stop(&node->gates);
 	ql_hops_finish(&node->hops);
 	ql_local_gate_finish(&node->gate);
 	ql_loop_stop(&node->loop);
-	g_free(news);
 }
 
 void ql_path_jobs_stop(ql_path_node_t *node)
 {
-	post(news_new(node, run_stop));
+	post_action(node, stop);
 }
--- a/src/node/replica_bootstrap.c
+++ b/src/node/replica_bootstrap.c
@@ -49,13 +49,6 @@
 	       !strcmp(service->settings->replicas[0], own);
 }
 
-static void take_view(ql_replica_service_t *service, ql_replica_view_t *view)
-{
-	pthread_mutex_lock(&service->view_lock);
-	*view = service->view;
-	pthread_mutex_unlock(&service->view_lock);
-}
-
 static void add_member(ql_rpc_replica_members *members, uint64_t id,
 		       const char *address)
 {
@@ -130,7 +123,7 @@
 	char id[QL_HEX64_MAX];
 	finding_t finding;
 
-	take_view(service, &view);
+	ql_replica_service__take_view(service, &view);
 	if (view.log_index)
 		return true;
 	if (!view.identity_synced)
--- a/src/node/replica_rpc.c
+++ b/src/node/replica_rpc.c
@@ -180,24 +180,13 @@
 	       slot->id == args->id && !strcmp(slot->address, args->address);
 }
 
-static void push_change(ql_replica_service_t *service,
-			const ql_rpc_replica_change_args *args)
-{
-	ql_replica_input_t *input = g_new0(ql_replica_input_t, 1);
-
-	input->kind = QL_REPLICA_INPUT_CHANGE;
-	input->change_kind = args->kind;
-	input->change_id = args->id;
-	g_strlcpy(input->address, args->address, sizeof(input->address));
-	ql_replica_service__push(service, input);
-}
-
 /* The result of the last equal call; a change is carried out in between. */
 static void handle_change(void *data, const void *in, void *out)
 {
 	ql_replica_service_t *service = data;
 	const ql_rpc_replica_change_args *args = in;
 	ql_rpc_replica_change_res *res = out;
+	ql_replica_change_t change = {args->kind, args->id, args->address};
 	bool leads;
 
 	res->clock = ql_greeting_take_clock(service->hlc, args->greeting.clock);
@@ -220,7 +209,7 @@
 		res->detail = copy_text(leads ? "send it again"
 					      : "another replica leads");
 	if (leads && res->status == QL_E_PENDING)
-		push_change(service, args);
+		ql_replica_service__push_change(service, &change);
 }
 
 #define PROCEDURE(number, name, handler)                             \
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -53,6 +53,26 @@
 	return ret;
 }
 
+void ql_replica_service__push_change(ql_replica_service_t *service,
+				     const ql_replica_change_t *change)
+{
+	ql_replica_input_t *input = g_new0(ql_replica_input_t, 1);
+
+	input->kind = QL_REPLICA_INPUT_CHANGE;
+	input->change_kind = change->kind;
+	input->change_id = change->id;
+	g_strlcpy(input->address, change->address, sizeof(input->address));
+	ql_replica_service__push(service, input);
+}
+
+void ql_replica_service__take_view(ql_replica_service_t *service,
+				   ql_replica_view_t *view)
+{
+	pthread_mutex_lock(&service->view_lock);
+	*view = service->view;
+	pthread_mutex_unlock(&service->view_lock);
+}
+
 static const char *address_of(const ql_replica_service_t *service, uint64_t id)
 {
 	const ql_replica_peer_t *peer =
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -195,6 +195,10 @@
 			     ql_replica_input_t *input);
 void ql_replica_service__own_address(const ql_replica_service_t *service,
 				     char *out);
+void ql_replica_service__take_view(ql_replica_service_t *service,
+				   ql_replica_view_t *view);
+void ql_replica_service__push_change(ql_replica_service_t *service,
+				     const ql_replica_change_t *change);
 /* Runs in a thread of its own until the cluster exists. */
 void *ql_replica_service__bootstrap(void *data);
 
--- a/src/node/replica_steward.c
+++ b/src/node/replica_steward.c
@@ -20,13 +20,6 @@
 	return __atomic_load_n(&steward->stopping, __ATOMIC_ACQUIRE);
 }
 
-static void take_view(ql_replica_steward_t *steward, ql_replica_view_t *view)
-{
-	pthread_mutex_lock(&steward->replica->view_lock);
-	*view = steward->replica->view;
-	pthread_mutex_unlock(&steward->replica->view_lock);
-}
-
 static void learn(ql_replica_steward_t *steward, const char *address)
 {
 	size_t i;
@@ -59,18 +52,6 @@
 					      steward->known[i]);
 }
 
-static void push_change(ql_replica_steward_t *steward,
-			const ql_replica_change_t *change)
-{
-	ql_replica_input_t *input = g_new0(ql_replica_input_t, 1);
-
-	input->kind = QL_REPLICA_INPUT_CHANGE;
-	input->change_kind = change->kind;
-	input->change_id = change->id;
-	g_strlcpy(input->address, change->address, sizeof(input->address));
-	ql_replica_service__push(steward->replica, input);
-}
-
 /* A leader changes one member at a time. */
 static void lead(ql_replica_steward_t *steward, const ql_replica_view_t *view)
 {
@@ -86,7 +67,7 @@
 	ql_replica_change_t change;
 
 	if (view->settled && ql_replica_plan_next(&plan, &change))
-		push_change(steward, &change);
+		ql_replica_service__push_change(steward->replica, &change);
 }
 
 static bool is_member(const ql_rpc_replica_members *members, uint64_t id)
@@ -179,7 +160,7 @@
 {
 	ql_replica_view_t *view = g_new(ql_replica_view_t, 1);
 
-	take_view(steward, view);
+	ql_replica_service__take_view(steward->replica, view);
 	if (view->failed) {
 		/* What the disk holds is known again after a start. */
 		ql_log(LOG_ERR, "replica_failed",
--- a/src/path/call.c
+++ b/src/path/call.c
@@ -1,5 +1,4 @@
 #include "path/call.h"
-#include "quetzalloft/metadata.h"
 
 #include <string.h>
 #include <strings.h>
@@ -75,6 +74,11 @@
 	ql_headers_write(data, name, value);
 }
 
+void ql_call_write_metadata(GByteArray *out, const ql_metadata_t *metadata)
+{
+	ql_metadata_emit(metadata, emit, out);
+}
+
 void ql_call_write_outcome(GByteArray *out, ql_outcome_t outcome,
 			   ql_reason_t reason)
 {
@@ -84,7 +88,7 @@
 	metadata.has = QL_HAS_OUTCOME | QL_HAS_REASON;
 	metadata.outcome = outcome;
 	metadata.reason = reason;
-	ql_metadata_emit(&metadata, emit, out);
+	ql_call_write_metadata(out, &metadata);
 }
 
 void ql_call_write_retry_after(GByteArray *out, uint32_t retry_after_ms)
--- a/src/path/call.h
+++ b/src/path/call.h
@@ -7,7 +7,7 @@
  */
 
 #include "http/headers.h"
-#include "quetzalloft/types.h"
+#include "quetzalloft/metadata.h"
 
 G_BEGIN_DECLS
 
@@ -117,6 +117,11 @@
  */
 void ql_call_write_headers(GByteArray *out, const ql_headers_t *headers);
 
+/**
+ * ql_call_write_metadata() - Write the headers of the protocol between nodes.
+ */
+void ql_call_write_metadata(GByteArray *out, const ql_metadata_t *metadata);
+
 /**
  * ql_call_write_outcome() - Write the headers that say how a call ended.
  */
--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -15,8 +15,7 @@
 	ql_headers_init(&call->headers);
 	for (i = 0; i < ql_headers_count(in); i++) {
 		name = ql_headers_name(in, i);
-		if (!ql_headers_is_hop_by_hop(in, name) &&
-		    (!caller || strcasecmp(name, caller) != 0))
+		if (!caller || strcasecmp(name, caller) != 0)
 			ql_headers_add(&call->headers, name,
 				       ql_headers_value(in, i));
 	}
--- a/src/path/hop.c
+++ b/src/path/hop.c
@@ -158,11 +158,6 @@
 	.resume = resume_answer,
 };
 
-static void emit(void *data, const char *name, const char *value)
-{
-	ql_headers_write(data, name, value);
-}
-
 static GByteArray *write_request(const ql_hops_t *hops,
 				 const ql_path_call_t *call)
 {
@@ -181,7 +176,7 @@
 	g_strlcpy(metadata.class_name, call->class_name,
 		  sizeof(metadata.class_name));
 	ql_call_write_head(bytes, call, NULL, NULL);
-	ql_metadata_emit(&metadata, emit, bytes);
+	ql_call_write_metadata(bytes, &metadata);
 	ql_call_write_body(bytes, call);
 	return bytes;
 }
--- a/src/path/hop_server.c
+++ b/src/path/hop_server.c
@@ -15,11 +15,6 @@
 	bool paused;
 } taken_t;
 
-static void emit(void *data, const char *name, const char *value)
-{
-	ql_headers_write(data, name, value);
-}
-
 /* What the caller's node is told beside an outcome. */
 static void write_end(GByteArray *out, const ql_call_end_t *end)
 {
@@ -30,7 +25,7 @@
 		ql_metadata_init(&metadata);
 		metadata.has = QL_HAS_LEVEL;
 		metadata.level = end->level;
-		ql_metadata_emit(&metadata, emit, out);
+		ql_call_write_metadata(out, &metadata);
 	}
 	if (end->retry_after_ms)
 		ql_call_write_retry_after(out, end->retry_after_ms);
