Leave the last slots of an endpoint free

Cause: stock serves everything 1.3 times slower once more than 95 in 100 of its slots are taken, and the gate filled them all. Every wait above it followed. The limiter "headroom" keeps one slot in sixteen free.

Ruled out: a lack of capacity, which is 1600 calls of 40 ms a second without the slow-down against 1470 offered in the burst.

--- a/include/quetzalloft/limiter.h
+++ b/include/quetzalloft/limiter.h
@@ -87,6 +87,8 @@
 
 /** Always the slots. */
 extern const ql_limiter_ops_t ql_limiter_fixed;
+/** The slots but one in sixteen, which keeps an endpoint at full speed. */
+extern const ql_limiter_ops_t ql_limiter_headroom;
 /** Adds slowly, falls by a fifth when requests run out of time. */
 extern const ql_limiter_ops_t ql_limiter_aimd;
 /**
@@ -101,7 +103,7 @@
 
 /**
  * ql_limiter_find() - Find a policy by name.
- * @name: "fixed", "aimd", "gradient" or "gradient_drift"
+ * @name: "fixed", "headroom", "aimd", "gradient" or "gradient_drift"
  *
  * Return: the policy, or NULL.
  */
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -416,7 +416,7 @@
 void ql_local_gate__opts(const ql_local_gate_t *gate, ql_gate_opts_t *opts)
 {
 	*opts = (ql_gate_opts_t){
-		.limiter = &ql_limiter_fixed,
+		.limiter = &ql_limiter_headroom,
 		.slots = (uint32_t)MAX(gate->report.slots, 1),
 		.queue_max = QUEUE_MAX,
 		.queue_us = QUEUE_US,
--- a/src/policy/limiter.c
+++ b/src/policy/limiter.c
@@ -1,9 +1,12 @@
 #include "limiter_internal.h"
 
+#include <math.h>
 #include <string.h>
 
 #define BACK_OFF 0.8
 #define BACK_OFF_HOLD_US 100000ULL
+/* An endpoint whose last slots are taken serves everything more slowly. */
+#define HEADROOM_PART 0.0625
 
 void ql_limiter__clamp(ql_limiter_t *limiter)
 {
@@ -31,6 +34,21 @@
 {
 }
 
+static void headroom_init(ql_limiter_t *limiter)
+{
+	limiter->limit =
+		limiter->opts.max - round(HEADROOM_PART * limiter->opts.max);
+}
+
+static void headroom_sample(ql_limiter_t *limiter,
+			    const ql_limiter_sample_t *sample G_GNUC_UNUSED,
+			    uint64_t now_us G_GNUC_UNUSED)
+{
+	/* The slots may have changed. */
+	headroom_init(limiter);
+	ql_limiter__clamp(limiter);
+}
+
 static void aimd_init(ql_limiter_t *limiter)
 {
 	limiter->limit = limiter->opts.initial;
@@ -47,10 +65,13 @@
 }
 
 const ql_limiter_ops_t ql_limiter_fixed = {"fixed", fixed_init, fixed_sample};
+const ql_limiter_ops_t ql_limiter_headroom = {"headroom", headroom_init,
+					      headroom_sample};
 const ql_limiter_ops_t ql_limiter_aimd = {"aimd", aimd_init, aimd_sample};
 
 static const ql_limiter_ops_t *const policies[] = {
 	&ql_limiter_fixed,
+	&ql_limiter_headroom,
 	&ql_limiter_aimd,
 	&ql_limiter_gradient,
 	&ql_limiter_gradient_drift,
--- a/tests/policy/limiter_test.cc
+++ b/tests/policy/limiter_test.cc
@@ -112,11 +112,44 @@
 
 INSTANTIATE_TEST_SUITE_P(
 	Cases, AnyLimiter,
-	testing::Values(Case{"fixed", 15, 15}, Case{"aimd", 15, 15},
+	testing::Values(Case{"fixed", 15, 15}, Case{"headroom", 17, 17},
+			Case{"headroom", 353, 353}, Case{"aimd", 15, 15},
 			Case{"aimd", 60, 60}, Case{"gradient", 15, 15},
 			Case{"gradient", 60, 15}, Case{"gradient", 300, 300},
 			Case{"gradient_drift", 15, 15}));
 
+struct HeadroomCase {
+	uint32_t slots;
+	uint32_t limit;
+};
+
+class HeadroomLimiter : public testing::TestWithParam<HeadroomCase>
+{
+};
+
+/* Pattern: an endpoint that is slower with its last slots taken. */
+TEST_P(HeadroomLimiter, LeavesTheLastSlotsFree)
+{
+	ql_limiter_opts_t opts = {GetParam().slots, 1, GetParam().slots};
+	ql_limiter_opts_t other = {3, 1, 3};
+	ql_limiter_sample_t sample = {};
+	ql_limiter_t limiter;
+
+	ql_limiter_init(&limiter, &ql_limiter_headroom, &opts);
+	EXPECT_EQ(GetParam().limit, ql_limiter_get(&limiter));
+	ql_limiter_configure(&limiter, &ql_limiter_headroom, &other);
+	EXPECT_EQ(3u, ql_limiter_get(&limiter));
+	ql_limiter_configure(&limiter, &ql_limiter_headroom, &opts);
+	ql_limiter_observe(&limiter, &sample, 1);
+	EXPECT_EQ(GetParam().limit, ql_limiter_get(&limiter));
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, HeadroomLimiter,
+			 testing::Values(HeadroomCase{1, 1}, HeadroomCase{7, 7},
+					 HeadroomCase{17, 16},
+					 HeadroomCase{41, 38},
+					 HeadroomCase{353, 331}));
+
 class GradientLimiter : public Limiter
 {
 };
