Choose an endpoint by the time in which it is likely to answer

Cause: the own failure domain came first while this node alone had room there, whatever the endpoint's speed; servers of stock differ by a factor of three in speed, one in each domain, and calls queued at the slow ones while others were free.

The balancer "least_time" weighs the typical latency of the route, how slow the endpoint was compared with that, what is in progress, and the time that another failure domain has to save: a quarter of the route's target, since bytes between domains are dear. How slow an endpoint is, is kept as a part of what is typical of a route, so a mix of long and short requests does not mislead.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -35,6 +35,8 @@
  * @info: what membership says
  * @in_progress: attempts of this node that run there
  * @latency_us: moving mean; counts for less while nothing is heard
+ * @slowness: moving mean of its latencies, as parts of what is typical of the
+ *            route; 0 while nothing is known
  * @heard_us: when it answered last
  * @failures: failed attempts in a row
  * @added_us: when it was added, for slow start
@@ -50,6 +52,7 @@
 	ql_target_info_t info;
 	uint32_t in_progress;
 	double latency_us;
+	double slowness;
 	uint64_t heard_us;
 	uint32_t failures;
 	uint64_t added_us;
@@ -64,15 +67,32 @@
 
 typedef struct ql_balancer ql_balancer_t;
 
+/**
+ * struct ql_pick - What an endpoint is chosen for.
+ * @tried: endpoints that this call tried already
+ * @n_tried: their number
+ * @typical_us: latency that is typical of the route, at any endpoint; 0 when
+ *              it is not known
+ * @far_us: time that an endpoint of another failure domain has to save
+ */
+typedef struct ql_pick {
+	const ql_handle_t *tried;
+	size_t n_tried;
+	double typical_us;
+	double far_us;
+} ql_pick_t;
+
 /**
  * struct ql_balancer_ops - A way to choose.
  * @name: its name
+ * @weighs_domains: @pick weighs endpoints of all failure domains; otherwise
+ *                  those of the own one go first while they have room
  * @pick: choose among the candidates of the balancer
  */
 typedef struct ql_balancer_ops {
 	const char *name;
-	ql_handle_t (*pick)(ql_balancer_t *balancer,
-			    const ql_handle_t *candidates, guint n_candidates,
+	bool weighs_domains;
+	ql_handle_t (*pick)(ql_balancer_t *balancer, const ql_pick_t *pick,
 			    uint64_t now_us);
 } ql_balancer_ops_t;
 
@@ -108,6 +128,11 @@
 
 extern const ql_balancer_ops_t ql_balancer_random;
 extern const ql_balancer_ops_t ql_balancer_two_choices;
+/**
+ * The least expected time, of two drawn in the own failure domain and two drawn
+ * in the others, which have to save more than &struct ql_pick says.
+ */
+extern const ql_balancer_ops_t ql_balancer_least_time;
 
 void ql_balancer_init(ql_balancer_t *balancer, const ql_balancer_ops_t *ops,
 		      const char *failure_domain, GRand *random);
@@ -134,8 +159,7 @@
 /**
  * ql_balancer_pick() - Choose an endpoint and count an attempt on it.
  * @balancer: the endpoints
- * @tried: endpoints that this call tried already
- * @n_tried: their number
+ * @pick: what for
  * @now_us: the time
  *
  * Endpoints that were not tried go first; then any but the last one tried.
@@ -143,14 +167,15 @@
  * Return: its handle, or QL_HANDLE_NONE when none is known or all have as many
  * attempts in progress as they take connections.
  */
-ql_handle_t ql_balancer_pick(ql_balancer_t *balancer, const ql_handle_t *tried,
-			     size_t n_tried, uint64_t now_us);
+ql_handle_t ql_balancer_pick(ql_balancer_t *balancer, const ql_pick_t *pick,
+			     uint64_t now_us);
 
 /**
  * struct ql_attempt_result - How an attempt ended, for the balancer.
  * @outcome: what is known
  * @reason: why it failed
  * @latency_us: how long it took
+ * @typical_us: latency that is typical of its route; 0 when it is not known
  * @has_level: whether the gate returned its level
  * @level: the level
  * @retry_after_us: what a refusal asked for
@@ -159,6 +184,7 @@
 	ql_outcome_t outcome;
 	ql_reason_t reason;
 	uint64_t latency_us;
+	double typical_us;
 	bool has_level;
 	uint32_t level;
 	uint64_t retry_after_us;
--- a/src/node/router.c
+++ b/src/node/router.c
@@ -113,10 +113,13 @@
 	service_pool_t *pool = pending->pool;
 	const ql_target_t *target;
 	ql_handle_t handle;
+	ql_pick_t pick = {
+		.tried = pending->tried,
+		.n_tried = pending->n_tried,
+	};
 
 	pthread_mutex_lock(&pool->lock);
-	handle = ql_balancer_pick(&pool->balancer, pending->tried,
-				  pending->n_tried, ql_clock_now_us());
+	handle = ql_balancer_pick(&pool->balancer, &pick, ql_clock_now_us());
 	if (handle != QL_HANDLE_NONE) {
 		target = ql_table_get(&pool->balancer.targets, handle);
 		memcpy(attempt->gate, target->info.gate, QL_ADDRESS_MAX);
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -36,7 +36,7 @@
 	g_hash_table_destroy(front->calls);
 	ql_level_finish(&front->level);
 	ql_document_unref(front->doc);
-	g_free(front->shares);
+	g_free(front->routes);
 	g_rand_free(front->random);
 }
 
@@ -48,7 +48,7 @@
 	if (service)
 		return service;
 	service = g_new0(ql_front_service_t, 1);
-	ql_balancer_init(&service->balancer, &ql_balancer_two_choices,
+	ql_balancer_init(&service->balancer, &ql_balancer_least_time,
 			 front->opts.failure_domain, front->random);
 	ql_retry_budget_init(&service->budget, 0, REPEAT_BURST);
 	g_hash_table_insert(front->services, g_strdup(name), service);
@@ -74,8 +74,8 @@
 {
 	ql_document_unref(front->doc);
 	front->doc = ql_document_ref(doc);
-	g_free(front->shares);
-	front->shares = g_new0(ql_front_share_t, doc->n_routes + 1);
+	g_free(front->routes);
+	front->routes = g_new0(ql_front_route_t, doc->n_routes + 1);
 	ql_level_reset(&front->level, doc->n_routes);
 	set_ratios(front);
 }
@@ -98,7 +98,7 @@
 uint16_t ql_front_choose_part(ql_front_t *front, size_t index)
 {
 	const ql_route_t *route = &front->doc->routes[index];
-	int64_t *credit = front->shares[index].credit;
+	int64_t *credit = front->routes[index].credit;
 	uint16_t i, best = 0;
 	int64_t sum = 0;
 
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -68,12 +68,14 @@
 } ql_front_service_t;
 
 /**
- * struct ql_front_share - How the requests of a route were shared so far.
- * @credit: for each part; the one with the most is next
+ * struct ql_front_route - What the front keeps of a route.
+ * @credit: for each part of its split; the one with the most is next
+ * @typical_us: moving mean of the time in which an attempt is answered
  */
-typedef struct ql_front_share {
+typedef struct ql_front_route {
 	int64_t credit[QL_ROUTE_PARTS_MAX];
-} ql_front_share_t;
+	double typical_us;
+} ql_front_route_t;
 
 /**
  * struct ql_front - The front.
@@ -81,7 +83,7 @@
  * @ready: requests may be served
  * @leaving: no request is begun any more
  * @services: &struct ql_front_service by name
- * @shares: by index of the route in @doc
+ * @routes: by index of the route in @doc
  * @calls: set of requests in progress
  * @level: early refusal by route
  */
@@ -92,7 +94,7 @@
 	bool ready;
 	bool leaving;
 	GHashTable *services;
-	ql_front_share_t *shares;
+	ql_front_route_t *routes;
 	GHashTable *calls;
 	ql_level_t level;
 	GRand *random;
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -14,6 +14,10 @@
 #define HELD_MAX_BYTES (128u << 10)
 /* Bytes of an answer that may wait for a slow client. */
 #define PENDING_MAX_BYTES (256u << 10)
+/* An endpoint of another failure domain has to save this part of the target. */
+#define FAR_TARGET_PART 0.25
+#define FAR_DEFAULT_US (10.0 * QL_US_PER_MS)
+#define TYPICAL_SMOOTHING 0.1
 /* Another node takes the request at once. */
 #define LEAVING_RETRY_MS 50u
 
@@ -87,12 +91,40 @@
 	call_free(call);
 }
 
+/* What is kept of its route, or NULL when that is of an older document. */
+static ql_front_route_t *kept_route(const ql_front_call_t *call)
+{
+	return call->doc == call->front->doc
+		       ? &call->front->routes[call->route_index]
+		       : NULL;
+}
+
+static double typical_us(const ql_front_call_t *call)
+{
+	const ql_front_route_t *kept = kept_route(call);
+
+	return kept ? kept->typical_us : 0;
+}
+
+static void note_typical(const ql_front_call_t *call, uint64_t latency_us)
+{
+	ql_front_route_t *kept = kept_route(call);
+
+	if (!kept)
+		return;
+	if (kept->typical_us <= 0)
+		kept->typical_us = (double)latency_us;
+	kept->typical_us +=
+		TYPICAL_SMOOTHING * ((double)latency_us - kept->typical_us);
+}
+
 static void report_attempt(ql_front_call_t *call, const ql_call_end_t *end)
 {
 	ql_attempt_result_t result = {
 		.outcome = end->outcome,
 		.reason = end->reason,
 		.latency_us = now_us(call) - call->attempt_us,
+		.typical_us = typical_us(call),
 		.has_level = end->has_level,
 		.level = end->level,
 		.retry_after_us = end->retry_after_ms * QL_US_PER_MS,
@@ -100,6 +132,8 @@
 
 	call->in_attempt = false;
 	call->callee.call = NULL;
+	if (end->outcome == QL_OUTCOME_ANSWERED)
+		note_typical(call, result.latency_us);
 	ql_balancer_done(&call->service->balancer,
 			 call->tried[call->n_tried - 1], &result, now_us(call));
 }
@@ -308,15 +342,28 @@
 		call->callee = callee;
 }
 
+/* Bytes between failure domains are dear. */
+static double far_us(const ql_route_t *route)
+{
+	return route->target_ms ? FAR_TARGET_PART * (double)route->target_ms *
+					  QL_US_PER_MS
+				: FAR_DEFAULT_US;
+}
+
 static void start_attempt(ql_front_call_t *call)
 {
 	ql_balancer_t *balancer = &call->service->balancer;
+	const ql_pick_t pick = {
+		.tried = call->tried,
+		.n_tried = call->n_tried,
+		.typical_us = typical_us(call),
+		.far_us = far_us(call->route),
+	};
 	char gate[QL_ADDRESS_MAX];
 	const ql_target_t *target;
 	ql_handle_t handle;
 
-	handle = ql_balancer_pick(balancer, call->tried, call->n_tried,
-				  now_us(call));
+	handle = ql_balancer_pick(balancer, &pick, now_us(call));
 	if (handle == QL_HANDLE_NONE) {
 		end_in_failure(call, QL_REASON_NO_ENDPOINT);
 		return;
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -234,21 +234,38 @@
 		g_array_append_val(balancer->candidates, handle);
 }
 
+static bool is_listed(const GArray *handles, ql_handle_t handle)
+{
+	guint i;
+
+	for (i = 0; i < handles->len; i++)
+		if (handle_at(handles, i) == handle)
+			return true;
+	return false;
+}
+
+static bool is_near_at(const ql_balancer_t *balancer, ql_handle_t handle)
+{
+	const ql_target_t *target = ql_table_get(&balancer->targets, handle);
+
+	return target->near_position != UINT32_MAX;
+}
+
 /* Draws two candidates; no more are needed by any policy. */
 static void draw(ql_balancer_t *balancer, const GArray *handles,
-		 const search_t *search)
+		 const search_t *search, bool far_only)
 {
+	guint wanted = balancer->candidates->len + 2;
 	ql_handle_t handle;
 	guint i;
 
-	for (i = 0; i < DRAWS_MAX && balancer->candidates->len < 2; i++) {
+	for (i = 0; i < DRAWS_MAX && balancer->candidates->len < wanted; i++) {
 		handle = handle_at(
 			handles, (guint)g_rand_int_range(balancer->random, 0,
 							 (gint32)handles->len));
-		if (balancer->candidates->len &&
-		    handle_at(balancer->candidates, 0) == handle)
-			continue;
-		try_candidate(balancer, handle, search);
+		if (!is_listed(balancer->candidates, handle) &&
+		    !(far_only && is_near_at(balancer, handle)))
+			try_candidate(balancer, handle, search);
 	}
 }
 
@@ -261,6 +278,16 @@
 		try_candidate(balancer, handle_at(handles, i), search);
 }
 
+static void draw_some(ql_balancer_t *balancer, const GArray *handles,
+		      const search_t *search)
+{
+	bool by_domain = balancer->ops->weighs_domains;
+
+	if (by_domain && balancer->near->len)
+		draw(balancer, balancer->near, search, false);
+	draw(balancer, handles, search, by_domain);
+}
+
 static void collect(ql_balancer_t *balancer, const search_t *search)
 {
 	const GArray *handles = search->pass == PASS_OWN_DOMAIN ? balancer->near
@@ -268,16 +295,17 @@
 
 	g_array_set_size(balancer->candidates, 0);
 	if (handles->len > SCAN_MAX)
-		draw(balancer, handles, search);
+		draw_some(balancer, handles, search);
 	if (!balancer->candidates->len)
 		scan(balancer, handles, search);
 }
 
 static void find_candidates(ql_balancer_t *balancer, search_t *search)
 {
-	int pass;
+	int pass =
+		balancer->ops->weighs_domains ? PASS_HEALTHY : PASS_OWN_DOMAIN;
 
-	for (pass = PASS_OWN_DOMAIN; pass < N_PASSES; pass++) {
+	for (; pass < N_PASSES; pass++) {
 		search->pass = (pass_t)pass;
 		collect(balancer, search);
 		if (balancer->candidates->len)
@@ -285,28 +313,26 @@
 	}
 }
 
-ql_handle_t ql_balancer_pick(ql_balancer_t *balancer, const ql_handle_t *tried,
-			     size_t n_tried, uint64_t now_us)
+ql_handle_t ql_balancer_pick(ql_balancer_t *balancer, const ql_pick_t *pick,
+			     uint64_t now_us)
 {
 	search_t search = {
-		.tried = tried,
-		.n_tried = n_tried,
+		.tried = pick->tried,
+		.n_tried = pick->n_tried,
 		.now_us = now_us,
 	};
 	ql_target_t *target;
 	ql_handle_t handle;
 
 	find_candidates(balancer, &search);
-	if (!balancer->candidates->len && n_tried) {
-		search.tried = tried + n_tried - 1;
+	if (!balancer->candidates->len && pick->n_tried) {
+		search.tried = pick->tried + pick->n_tried - 1;
 		search.n_tried = balancer->all->len > 1 ? 1 : 0;
 		find_candidates(balancer, &search);
 	}
 	if (!balancer->candidates->len)
 		return QL_HANDLE_NONE;
-	handle = balancer->ops->pick(balancer,
-				     (ql_handle_t *)balancer->candidates->data,
-				     balancer->candidates->len, now_us);
+	handle = balancer->ops->pick(balancer, pick, now_us);
 	target = ql_table_get(&balancer->targets, handle);
 	target->in_progress++;
 	return handle;
@@ -325,12 +351,14 @@
 }
 
 static ql_handle_t pick_random(ql_balancer_t *balancer,
-			       const ql_handle_t *candidates,
-			       guint n_candidates,
+			       const ql_pick_t *pick G_GNUC_UNUSED,
 			       uint64_t now_us G_GNUC_UNUSED)
 {
-	return candidates[g_rand_int_range(balancer->random, 0,
-					   (gint32)n_candidates)];
+	const GArray *candidates = balancer->candidates;
+
+	return handle_at(candidates,
+			 (guint)g_rand_int_range(balancer->random, 0,
+						 (gint32)candidates->len));
 }
 
 /* Expected cost of one more request; an endpoint in slow start costs more. */
@@ -356,29 +384,114 @@
 	return a->level <= b->level;
 }
 
+/* Puts two of the candidates, if there are as many, at the start. */
+static void shuffle_two(ql_balancer_t *balancer, guint first, guint n)
+{
+	ql_handle_t *handles = (ql_handle_t *)balancer->candidates->data;
+	ql_handle_t handle;
+	guint i, other;
+
+	for (i = first; i < first + 2 && i + 1 < first + n; i++) {
+		other = (guint)g_rand_int_range(balancer->random, (gint32)i,
+						(gint32)(first + n));
+		handle = handles[i];
+		handles[i] = handles[other];
+		handles[other] = handle;
+	}
+}
+
 static ql_handle_t pick_two_choices(ql_balancer_t *balancer,
-				    const ql_handle_t *candidates,
-				    guint n_candidates, uint64_t now_us)
-{
-	gint32 n = (gint32)n_candidates;
-	gint32 first = g_rand_int_range(balancer->random, 0, n);
-	gint32 second;
-	const ql_target_t *a, *b;
-
-	if (n == 1)
-		return candidates[0];
-	second = g_rand_int_range(balancer->random, 0, n - 1);
-	if (second >= first)
-		second++;
-	a = ql_table_get(&balancer->targets, candidates[first]);
-	b = ql_table_get(&balancer->targets, candidates[second]);
-	return is_better(balancer, a, b, now_us) ? candidates[first]
-						 : candidates[second];
-}
-
-const ql_balancer_ops_t ql_balancer_random = {"random", pick_random};
-const ql_balancer_ops_t ql_balancer_two_choices = {"two_choices",
+				    const ql_pick_t *pick G_GNUC_UNUSED,
+				    uint64_t now_us)
+{
+	const GArray *candidates = balancer->candidates;
+
+	shuffle_two(balancer, 0, candidates->len);
+	if (candidates->len > 1 &&
+	    !is_better(balancer, target_at(balancer, candidates, 0),
+		       target_at(balancer, candidates, 1), now_us))
+		return handle_at(candidates, 1);
+	return handle_at(candidates, 0);
+}
+
+/* What is known of its slowness, and less the longer nothing was heard. */
+static double expected_slowness(const ql_target_t *target, uint64_t now_us)
+{
+	double idle = (double)(now_us - target->heard_us) / HALF_LIFE_US;
+
+	if (target->slowness <= 0)
+		return 1;
+	return 1 + (target->slowness - 1) * exp2(-idle);
+}
+
+/* Time in which the endpoint is likely to answer one more request. */
+static double expected_us(const ql_balancer_t *balancer,
+			  const ql_target_t *target, const ql_pick_t *pick,
+			  uint64_t now_us)
+{
+	double typical_us = pick->typical_us > 0 ? pick->typical_us
+						 : MAX(balancer->latency_us,
+						       LATENCY_FLOOR_US);
+	double load = (double)target->in_progress / MAX(target->info.slots, 1);
+	double time_us = typical_us * expected_slowness(target, now_us) *
+			 (1 + load) / warmth(target, now_us);
+
+	if (target->refuse_until_us > now_us)
+		time_us += (double)(target->refuse_until_us - now_us);
+	if (target->near_position == UINT32_MAX)
+		time_us += pick->far_us;
+	return time_us;
+}
+
+/* Moves the candidates of the own failure domain to the start. */
+static guint part_by_domain(ql_balancer_t *balancer)
+{
+	ql_handle_t *handles = (ql_handle_t *)balancer->candidates->data;
+	ql_handle_t handle;
+	guint i, n_near = 0;
+
+	for (i = 0; i < balancer->candidates->len; i++) {
+		handle = handles[i];
+		if (!is_near_at(balancer, handle))
+			continue;
+		handles[i] = handles[n_near];
+		handles[n_near++] = handle;
+	}
+	return n_near;
+}
+
+static ql_handle_t pick_least_time(ql_balancer_t *balancer,
+				   const ql_pick_t *pick, uint64_t now_us)
+{
+	const GArray *candidates = balancer->candidates;
+	guint n_near = part_by_domain(balancer);
+	guint drawn[] = {0, 1, n_near, n_near + 1};
+	guint end[] = {n_near, n_near, candidates->len, candidates->len};
+	ql_handle_t best = QL_HANDLE_NONE;
+	double time_us, best_us = 0;
+	size_t i;
+
+	shuffle_two(balancer, 0, n_near);
+	shuffle_two(balancer, n_near, candidates->len - n_near);
+	for (i = 0; i < G_N_ELEMENTS(drawn); i++) {
+		if (drawn[i] >= end[i])
+			continue;
+		time_us = expected_us(balancer,
+				      target_at(balancer, candidates, drawn[i]),
+				      pick, now_us);
+		if (best != QL_HANDLE_NONE && time_us >= best_us)
+			continue;
+		best = handle_at(candidates, drawn[i]);
+		best_us = time_us;
+	}
+	return best;
+}
+
+const ql_balancer_ops_t ql_balancer_random = {"random", false, pick_random};
+const ql_balancer_ops_t ql_balancer_two_choices = {"two_choices", false,
 						   pick_two_choices};
+const ql_balancer_ops_t ql_balancer_least_time = {"least_time", true,
+						  pick_least_time};
 
 /* Drops from the list what has answered since or is gone. */
 static uint32_t count_ejected(ql_balancer_t *balancer)
@@ -415,15 +528,28 @@
 	target->failures = 0;
 }
 
-static double moved(double mean, uint64_t value)
+static double moved(double mean, double value)
 {
-	return mean <= 0 ? (double)value
-			 : mean + LATENCY_SMOOTHING * ((double)value - mean);
+	return mean <= 0 ? value : mean + LATENCY_SMOOTHING * (value - mean);
+}
+
+static void note_slowness(const ql_balancer_t *balancer, ql_target_t *target,
+			  const ql_attempt_result_t *result, uint64_t now_us)
+{
+	double typical_us = result->typical_us > 0 ? result->typical_us
+						   : balancer->latency_us;
+	double slowness =
+		(double)result->latency_us / MAX(typical_us, LATENCY_FLOOR_US);
+	double known =
+		target->slowness > 0 ? expected_slowness(target, now_us) : 0;
+
+	target->slowness = moved(known, slowness);
 }
 
 static void note_answer(ql_balancer_t *balancer, ql_target_t *target,
-			uint64_t latency_us, uint64_t now_us)
+			const ql_attempt_result_t *result, uint64_t now_us)
 {
+	double latency_us = (double)result->latency_us;
 	double known_us =
 		target->latency_us > 0
 			? expected_latency_us(balancer, target, now_us)
@@ -433,8 +559,9 @@
 	target->ejections = 0;
 	target->ejected_until_us = 0;
 	target->latency_us = moved(known_us, latency_us);
-	target->heard_us = now_us;
 	balancer->latency_us = moved(balancer->latency_us, latency_us);
+	note_slowness(balancer, target, result, now_us);
+	target->heard_us = now_us;
 }
 
 void ql_balancer_done(ql_balancer_t *balancer, ql_handle_t handle,
@@ -454,7 +581,7 @@
 	if (result->retry_after_us)
 		target->refuse_until_us = now_us + result->retry_after_us;
 	if (result->outcome == QL_OUTCOME_ANSWERED)
-		note_answer(balancer, target, result->latency_us, now_us);
+		note_answer(balancer, target, result, now_us);
 	else if (result->reason == QL_REASON_CONNECT_FAILED ||
 		 result->reason == QL_REASON_CONNECTION_LOST ||
 		 result->reason == QL_REASON_BAD_ANSWER)
--- a/src/policy/limiter.c
+++ b/src/policy/limiter.c
@@ -70,11 +70,8 @@
 const ql_limiter_ops_t ql_limiter_aimd = {"aimd", aimd_init, aimd_sample};
 
 static const ql_limiter_ops_t *const policies[] = {
-	&ql_limiter_fixed,
-	&ql_limiter_headroom,
-	&ql_limiter_aimd,
-	&ql_limiter_gradient,
-	&ql_limiter_gradient_drift,
+	&ql_limiter_fixed,    &ql_limiter_headroom,	  &ql_limiter_aimd,
+	&ql_limiter_gradient, &ql_limiter_gradient_drift,
 };
 
 const ql_limiter_ops_t *ql_limiter_find(const char *name)
--- a/src/policy/replay_call.c
+++ b/src/policy/replay_call.c
@@ -198,6 +198,7 @@
 	uint32_t lent = 0;
 	ql_replay__attempt_t *attempt;
 	ql_handle_t target;
+	ql_pick_t pick;
 
 	if (call->over)
 		return;
@@ -213,8 +214,8 @@
 			return;
 		}
 	}
-	target = ql_balancer_pick(balancer, call->tried, call->n_tried,
-				  sim->now_us);
+	pick = (ql_pick_t){.tried = call->tried, .n_tried = call->n_tried};
+	target = ql_balancer_pick(balancer, &pick, sim->now_us);
 	if (target == QL_HANDLE_NONE) {
 		ql_allowance_cancel(holder_of(call), lent);
 		call_fail_not_run(sim, call, QL_REASON_NO_ENDPOINT);
--- a/tests/policy/balancer_test.cc
+++ b/tests/policy/balancer_test.cc
@@ -59,9 +59,16 @@
 		return target ? target->info.gate : "none";
 	}
 
+	ql_handle_t PickFor(const ql_handle_t *tried, size_t n_tried)
+	{
+		ql_pick_t pick = {tried, n_tried, 0, 0};
+
+		return ql_balancer_pick(&balancer_, &pick, now_us_);
+	}
+
 	std::string Pick()
 	{
-		return Gate(ql_balancer_pick(&balancer_, nullptr, 0, now_us_));
+		return Gate(PickFor(nullptr, 0));
 	}
 
 	using Serve = std::function<bool(const std::string &, uint64_t *)>;
@@ -77,9 +84,7 @@
 			uint64_t latency_us = 5 * kMs;
 
 			Finish(&open, now_us_);
-			ql_handle_t handle =
-				ql_balancer_pick(&balancer_, nullptr, 0,
-						 now_us_);
+			ql_handle_t handle = PickFor(nullptr, 0);
 			std::string gate = Gate(handle);
 			bool ok = serve(gate, &latency_us);
 
@@ -264,17 +269,15 @@
 	ql_handle_t tried[3];
 
 	AddMany(2);
-	tried[0] = ql_balancer_pick(&balancer_, tried, 0, now_us_);
-	tried[1] = ql_balancer_pick(&balancer_, tried, 1, now_us_);
-	tried[2] = ql_balancer_pick(&balancer_, tried, 2, now_us_);
+	tried[0] = PickFor(tried, 0);
+	tried[1] = PickFor(tried, 1);
+	tried[2] = PickFor(tried, 2);
 	EXPECT_NE(tried[0], tried[1]);
 	EXPECT_EQ(tried[0], tried[2]);
 	ql_balancer_remove(&balancer_, Gate(tried[0]).c_str());
-	EXPECT_EQ(tried[1],
-		  ql_balancer_pick(&balancer_, tried + 1, 1, now_us_));
+	EXPECT_EQ(tried[1], PickFor(tried + 1, 1));
 	ql_balancer_remove(&balancer_, Gate(tried[1]).c_str());
-	EXPECT_EQ(QL_HANDLE_NONE,
-		  ql_balancer_pick(&balancer_, tried, 2, now_us_));
+	EXPECT_EQ(QL_HANDLE_NONE, PickFor(tried, 2));
 }
 
 /* The lists follow additions and removals of many endpoints. */
@@ -323,4 +326,122 @@
 	EXPECT_EQ(0u, ql_balancer_level(&balancer_, now_us_ + QL_US_PER_S));
 }
 
+struct TimeCase {
+	const char *name;
+	double near_ms;
+	double far_ms;
+	int n_each;
+	double least_near;
+	double most_near;
+};
+
+/* The pattern: endpoints of two failure domains, of which one is slower. */
+class LeastTimeTest : public testing::TestWithParam<TimeCase>
+{
+      protected:
+	void SetUp() override
+	{
+		ql_balancer_init(&balancer_, &ql_balancer_least_time, "near",
+				 random_);
+		for (int i = 0; i < GetParam().n_each; i++) {
+			Add("near", i);
+			Add("far", i);
+		}
+	}
+
+	void TearDown() override
+	{
+		ql_balancer_finish(&balancer_);
+		g_rand_free(random_);
+	}
+
+	void Add(const char *domain, int i)
+	{
+		ql_target_info_t info = {};
+
+		g_snprintf(info.gate, sizeof(info.gate), "%s/%d", domain, i);
+		g_strlcpy(info.failure_domain, domain,
+			  sizeof(info.failure_domain));
+		info.slots = 16;
+		ql_balancer_add(&balancer_, &info, 0);
+	}
+
+	/* Calls of two routes, one ten times as long; how many stay near. */
+	double Near(int n, double near_ms)
+	{
+		int near = 0;
+
+		for (int i = 0; i < n; i++, now_us_ += kMs) {
+			double factor = g_rand_boolean(random_) ? 10 : 1;
+			ql_pick_t pick = {nullptr, 0, factor * 10 * kMs,
+					  GetParam().far_ms * kMs};
+			ql_handle_t handle =
+				ql_balancer_pick(&balancer_, &pick, now_us_);
+			auto *target = (const ql_target_t *)
+				ql_table_get(&balancer_.targets, handle);
+			bool is_near = target->info.gate[0] == 'n';
+			ql_attempt_result_t result = {};
+
+			near += is_near;
+			result.outcome = QL_OUTCOME_ANSWERED;
+			result.typical_us = pick.typical_us;
+			result.latency_us =
+				(uint64_t)(factor * (is_near ? near_ms : 10) *
+					   kMs);
+			ql_balancer_done(&balancer_, handle, &result, now_us_);
+		}
+		return (double)near / n;
+	}
+
+	GRand *random_ = g_rand_new_with_seed(1);
+	ql_balancer_t balancer_;
+	uint64_t now_us_ = 60 * QL_US_PER_S;
+};
+
+TEST_P(LeastTimeTest, GoesFarOnlyWhenThatSavesEnough)
+{
+	double near_ms = GetParam().near_ms;
+	double near;
+
+	Near(1000, near_ms);
+	near = Near(4000, near_ms);
+	EXPECT_GE(near, GetParam().least_near);
+	EXPECT_LE(near, GetParam().most_near);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, LeastTimeTest,
+	testing::Values(TimeCase{"alike", 10, 5, 2, 1, 1},
+			TimeCase{"a little slower", 12, 25, 2, 1, 1},
+			TimeCase{"far slower", 40, 5, 2, 0, 0.05},
+			/* Only the long route gains by going there. */
+			TimeCase{"long route gains", 20, 50, 2, 0.4, 0.6},
+			TimeCase{"many endpoints", 10, 5, 40, 1, 1},
+			TimeCase{"many, far slower", 40, 5, 40, 0, 0.05}),
+	[](const testing::TestParamInfo<TimeCase> &test) {
+		std::string name = test.param.name;
+
+		for (char &c : name)
+			c = g_ascii_isalnum(c) ? c : '_';
+		return name;
+	});
+
+/* One that asked not to be called is worth its wait at the most. */
+TEST_F(BalancerTest, LeastTimeKeepsAwayFromARefusal)
+{
+	ql_attempt_result_t result = {};
+	ql_handle_t refused;
+
+	balancer_.ops = &ql_balancer_least_time;
+	AddMany(2);
+	now_us_ += 10 * QL_US_PER_S;
+	refused = PickFor(nullptr, 0);
+	result.outcome = QL_OUTCOME_NOT_RUN;
+	result.reason = QL_REASON_OVERLOAD;
+	result.retry_after_us = 500 * kMs;
+	ql_balancer_done(&balancer_, refused, &result, now_us_);
+	for (int i = 0; i < 10; i++)
+		EXPECT_NE(refused, PickFor(nullptr, 0));
+}
+
 } // namespace
