Refuse at the first node by the pressure that answers tell

A gate now tells how long a request waited, as a part of what is bearable (twice what requests take there); what a call met with is told with the answer of the request above it. The first node moves the share of a route's requests that it lets through by that, as fast as time goes, not as answers come, so few answers do. What was learned of a route outlives a change of the configuration. tests/policy/throttle_test.cc has the pattern: first nodes that share a narrow service deep below them, by load: 0.85 of what it can do and 3 s to recover.

--- a/include/quetzalloft/gate.h
+++ b/include/quetzalloft/gate.h
@@ -90,6 +90,7 @@
  * @in_progress: admitted requests
  * @running: admitted requests by shed order
  * @service_times: by shed order
+ * @mean_us: moving mean of the service time of all classes
  * @draining: no new request is admitted
  * @level: one above the highest shed order refused for overload lately
  * @level_us: when that was
@@ -105,6 +106,7 @@
 	uint32_t in_progress;
 	uint32_t running[QL_SHED_ORDERS];
 	ql_gate_service_time_t service_times[QL_SHED_ORDERS];
+	double mean_us;
 	bool draining;
 	uint32_t level;
 	uint64_t level_us;
@@ -187,6 +189,16 @@
  */
 void ql_gate_drain(ql_gate_t *gate);
 
+/**
+ * ql_gate_pressure() - How long a request waited, as a part of what is
+ * bearable.
+ * @gate: the gate
+ * @waited_us: from its offer to its admission
+ *
+ * Return: 1 where it waited twice as long as requests take here.
+ */
+double ql_gate_pressure(const ql_gate_t *gate, uint64_t waited_us);
+
 /**
  * ql_gate_level() - The present load level.
  * @gate: the gate
--- a/include/quetzalloft/metadata.h
+++ b/include/quetzalloft/metadata.h
@@ -24,9 +24,11 @@
 #define QL_HEADER_REASON "Quetzalloft-Reason"
 #define QL_HEADER_UNUSED "Quetzalloft-Attempts-Unused"
 #define QL_HEADER_LEVEL "Quetzalloft-Load-Level"
+#define QL_HEADER_PRESSURE "Quetzalloft-Pressure"
 #define QL_HEADER_RETRY_AFTER "Retry-After"
 
 #define QL_TIMEOUT_MAX_MS 600000ULL
+#define QL_PRESSURE_MAX_PERMILLE 1000000ULL
 
 /**
  * struct ql_metadata - The headers of a call, parsed.
@@ -37,6 +39,8 @@
  * @version: configuration version of the sender
  * @clock: hybrid logical clock of the sender
  * @level: load level of the answering gate
+ * @pressure: how long the call, or one made for it, waited, in thousandths of
+ *            what is bearable
  * @attempt: identity of the attempt
  * @key: idempotency key
  * @class_name: class of the client request
@@ -55,6 +59,7 @@
 	uint64_t version;
 	uint64_t clock;
 	uint64_t level;
+	uint64_t pressure;
 	ql_attempt_id_t attempt;
 	char key[QL_KEY_MAX];
 	char class_name[QL_NAME_MAX];
@@ -82,6 +87,7 @@
 	QL_HAS_REASON = 1 << 12,
 	QL_HAS_IDEMPOTENT = 1 << 13,
 	QL_HAS_SEAL = 1 << 14,
+	QL_HAS_PRESSURE = 1 << 15,
 };
 
 void ql_metadata_init(ql_metadata_t *metadata);
--- /dev/null
+++ b/include/quetzalloft/throttle.h
@@ -0,0 +1,71 @@
+#ifndef QUETZALLOFT_THROTTLE_H
+#define QUETZALLOFT_THROTTLE_H
+
+/**
+ * DOC: Early refusal at the first node of a request, by what its answers say of
+ * the way below.
+ *
+ * An answer tells the pressure on its way: how long the request, or a call that
+ * was made for it, waited at a gate, as a part of what is bearable there. The
+ * share of the requests of a route that is let through falls while the pressure
+ * is above 1 and grows while it is below, so that the queues below stay short
+ * and what is begun can be finished. Each node decides alone, from the answers
+ * that it gets itself.
+ */
+
+#include "quetzalloft/types.h"
+
+G_BEGIN_DECLS
+
+/** The pressure where work was refused or ran out of time. */
+#define QL_PRESSURE_MAX 4.0
+
+/**
+ * struct ql_throttle - What is known of one route.
+ * @share: of the requests that is let through, up to 1
+ * @admitted_us: when a request was let through last
+ * @heard_us: when the last answer came
+ * @pressed_us: when the last one came whose pressure was above 1
+ */
+typedef struct ql_throttle {
+	double share;
+	uint64_t admitted_us;
+	uint64_t heard_us;
+	uint64_t pressed_us;
+} ql_throttle_t;
+
+/**
+ * struct ql_throttle_decision - Whether to refuse a request early.
+ * @refuse: it is refused, and was not run anywhere
+ * @retry_after_ms: when it may come again
+ */
+typedef struct ql_throttle_decision {
+	bool refuse;
+	uint32_t retry_after_ms;
+} ql_throttle_decision_t;
+
+void ql_throttle_init(ql_throttle_t *throttle);
+
+/**
+ * ql_throttle_offer() - Decide on a request before its first attempt.
+ * @throttle: of its route
+ * @random: source of the choice and of the jitter
+ * @now_us: the time
+ *
+ * Return: the decision. One that is let through ends with ql_throttle_done().
+ */
+ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle, GRand *random,
+					 uint64_t now_us);
+
+/**
+ * ql_throttle_done() - Report the end of a request that was let through.
+ * @throttle: of its route
+ * @pressure: on its way, 0 where nothing waited
+ * @now_us: the time
+ */
+void ql_throttle_done(ql_throttle_t *throttle, double pressure,
+		      uint64_t now_us);
+
+G_END_DECLS
+
+#endif
--- a/src/path/call.h
+++ b/src/path/call.h
@@ -49,6 +49,7 @@
  * @retry_after_ms: when to come again; 0 when nothing is known
  * @has_level: whether the gate told its level
  * @level: the load level of the gate
+ * @pressure: on its way, see quetzalloft/throttle.h
  */
 typedef struct ql_call_end {
 	ql_outcome_t outcome;
@@ -56,18 +57,32 @@
 	uint32_t retry_after_ms;
 	bool has_level;
 	uint32_t level;
+	double pressure;
 } ql_call_end_t;
 
+/**
+ * struct ql_answer_head - How an answer begins.
+ * @status: HTTP status
+ * @headers: of the answer; borrowed
+ * @length: of its body, or -1 when that is not known
+ * @pressure: see &struct ql_call_end
+ */
+typedef struct ql_answer_head {
+	unsigned int status;
+	const ql_headers_t *headers;
+	int64_t length;
+	double pressure;
+} ql_answer_head_t;
+
 /**
  * struct ql_call_sink - What the maker of a call is told.
- * @head: status and headers of an answer; @length is -1 when it is not known
+ * @head: an answer begins
  * @body: a part of its body
  * @complete: the answer is whole; the call is gone
  * @failed: there is no whole answer; the call is gone
  */
 typedef struct ql_call_sink {
-	void (*head)(void *data, unsigned int status,
-		     const ql_headers_t *headers, int64_t length);
+	void (*head)(void *data, const ql_answer_head_t *head);
 	void (*body)(void *data, const char *bytes, size_t length);
 	void (*complete)(void *data, const ql_call_end_t *end);
 	void (*failed)(void *data, const ql_call_end_t *end);
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -27,14 +27,12 @@
 	front->calls = g_hash_table_new(NULL, NULL);
 	front->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						service_free);
-	ql_level_init(&front->level, &ql_level_sparse, 0, front->random);
 }
 
 void ql_front_finish(ql_front_t *front)
 {
 	g_hash_table_destroy(front->services);
 	g_hash_table_destroy(front->calls);
-	ql_level_finish(&front->level);
 	ql_document_unref(front->doc);
 	g_free(front->routes);
 	g_rand_free(front->random);
@@ -70,13 +68,46 @@
 	}
 }
 
+static GHashTable *routes_by_name(const ql_front_t *front)
+{
+	GHashTable *routes = g_hash_table_new(g_str_hash, g_str_equal);
+	size_t i;
+
+	for (i = 0; front->doc && i < front->doc->n_routes; i++)
+		g_hash_table_insert(routes, front->doc->routes[i].name,
+				    &front->routes[i]);
+	return routes;
+}
+
+/* What was learned of a route outlives the document. */
+static ql_front_route_t *keep_routes(const ql_front_t *front,
+				     const ql_document_t *doc)
+{
+	ql_front_route_t *routes = g_new0(ql_front_route_t, doc->n_routes + 1);
+	GHashTable *known = routes_by_name(front);
+	const ql_front_route_t *old;
+	size_t i;
+
+	for (i = 0; i < doc->n_routes; i++) {
+		old = g_hash_table_lookup(known, doc->routes[i].name);
+		ql_throttle_init(&routes[i].throttle);
+		if (!old)
+			continue;
+		routes[i].typical_us = old->typical_us;
+		routes[i].throttle = old->throttle;
+	}
+	g_hash_table_destroy(known);
+	return routes;
+}
+
 void ql_front_set_document(ql_front_t *front, ql_document_t *doc)
 {
+	ql_front_route_t *routes = keep_routes(front, doc);
+
+	g_free(front->routes);
+	front->routes = routes;
 	ql_document_unref(front->doc);
 	front->doc = ql_document_ref(doc);
-	g_free(front->routes);
-	front->routes = g_new0(ql_front_route_t, doc->n_routes + 1);
-	ql_level_reset(&front->level, doc->n_routes);
 	set_ratios(front);
 }
 
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -11,8 +11,8 @@
 #include "path/hop.h"
 #include "path/local_gate.h"
 #include "quetzalloft/balancer.h"
-#include "quetzalloft/level.h"
 #include "quetzalloft/retry.h"
+#include "quetzalloft/throttle.h"
 
 G_BEGIN_DECLS
 
@@ -71,10 +71,12 @@
  * struct ql_front_route - What the front keeps of a route.
  * @credit: for each part of its split; the one with the most is next
  * @typical_us: moving mean of the time in which an attempt is answered
+ * @throttle: early refusal of its requests
  */
 typedef struct ql_front_route {
 	int64_t credit[QL_ROUTE_PARTS_MAX];
 	double typical_us;
+	ql_throttle_t throttle;
 } ql_front_route_t;
 
 /**
@@ -85,7 +87,6 @@
  * @services: &struct ql_front_service by name
  * @routes: by index of the route in @doc
  * @calls: set of requests in progress
- * @level: early refusal by route
  */
 typedef struct ql_front {
 	ql_loop_t *loop;
@@ -96,7 +97,6 @@
 	GHashTable *services;
 	ql_front_route_t *routes;
 	GHashTable *calls;
-	ql_level_t level;
 	GRand *random;
 	ql_front_counts_t counts;
 } ql_front_t;
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -18,6 +18,8 @@
 #define FAR_TARGET_PART 0.25
 #define FAR_DEFAULT_US (10.0 * QL_US_PER_MS)
 #define TYPICAL_SMOOTHING 0.1
+/* The pressure at least, where an answer came too late. */
+#define LATE_PRESSURE 2.0
 /* Another node takes the request at once. */
 #define LEAVING_RETRY_MS 50u
 
@@ -52,23 +54,29 @@
 	       QL_UINT("age_us", now_us(call) - call->exchange->received_us));
 }
 
-static void note_level(ql_front_call_t *call, ql_level_end_t end, bool is_free)
+/* What is kept of its route, or NULL when that is of an older document. */
+static ql_front_route_t *kept_route(const ql_front_call_t *call)
 {
-	if (call->let_through && call->doc == call->front->doc)
-		ql_level_done(&call->front->level, call->route_index, end,
-			      is_free, now_us(call));
+	return call->doc == call->front->doc
+		       ? &call->front->routes[call->route_index]
+		       : NULL;
 }
 
-static ql_level_end_t level_end(const ql_call_end_t *end)
+/* Tells the request above and those to come what this one met with. */
+static void note_pressure(ql_front_call_t *call, double pressure)
 {
-	switch (end->reason) {
-	case QL_REASON_OVERLOAD:
-	case QL_REASON_DEADLINE:
-	case QL_REASON_ENDPOINT_REFUSED:
-		return QL_LEVEL_SHED;
-	default:
-		return QL_LEVEL_OTHER;
-	}
+	ql_front_route_t *kept = kept_route(call);
+
+	if (call->let_through && kept)
+		ql_throttle_done(&kept->throttle, pressure, now_us(call));
+	if (call->call.under_way && pressure > 0)
+		ql_local_gate_press(call->front->opts.local, call->parent_id,
+				    pressure);
+}
+
+static bool is_for_lack_of_room(ql_reason_t reason)
+{
+	return reason == QL_REASON_OVERLOAD || reason == QL_REASON_DEADLINE;
 }
 
 static void end_in_failure(ql_front_call_t *call, ql_reason_t reason)
@@ -81,7 +89,8 @@
 	};
 
 	log_failure(call, &end);
-	note_level(call, level_end(&end), false);
+	if (is_for_lack_of_room(reason))
+		note_pressure(call, QL_PRESSURE_MAX);
 	if (call->streaming) {
 		call->front->counts.unknown++;
 		ql_http_exchange_abort(call->exchange);
@@ -91,14 +100,6 @@
 	call_free(call);
 }
 
-/* What is kept of its route, or NULL when that is of an older document. */
-static ql_front_route_t *kept_route(const ql_front_call_t *call)
-{
-	return call->doc == call->front->doc
-		       ? &call->front->routes[call->route_index]
-		       : NULL;
-}
-
 static double typical_us(const ql_front_call_t *call)
 {
 	const ql_front_route_t *kept = kept_route(call);
@@ -147,16 +148,15 @@
 	g_byte_array_set_size(call->held, 0);
 }
 
-static void on_head(void *data, unsigned int status,
-		    const ql_headers_t *headers, int64_t length)
+static void on_head(void *data, const ql_answer_head_t *head)
 {
 	ql_front_call_t *call = data;
 
-	call->status = status;
-	call->length = length;
+	call->status = head->status;
+	call->length = head->length;
 	g_byte_array_set_size(call->lines, 0);
 	g_byte_array_set_size(call->held, 0);
-	ql_call_write_headers(call->lines, headers);
+	ql_call_write_headers(call->lines, head->headers);
 	ql_call_write_outcome(call->lines, QL_OUTCOME_ANSWERED, QL_REASON_NONE);
 }
 
@@ -181,18 +181,24 @@
 	}
 }
 
-/*
- * An endpoint whose calls are refused below answers with a failure; one whose
- * calls wait below answers behind the target of the route.
- */
-static bool is_good(const ql_front_call_t *call)
+/* An answer behind the target of the route has waited somewhere. */
+static double pressure_of(const ql_front_call_t *call, const ql_call_end_t *end)
 {
 	uint64_t age_us = now_us(call) - call->exchange->received_us;
 
-	if (call->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR)
-		return false;
-	return !call->route->target_ms ||
-	       age_us <= call->route->target_ms * QL_US_PER_MS;
+	if (call->route->target_ms &&
+	    age_us > call->route->target_ms * QL_US_PER_MS)
+		return MAX(end->pressure, LATE_PRESSURE);
+	return end->pressure;
+}
+
+/* A failure that met with no pressure says nothing of the load. */
+static void note_answer(ql_front_call_t *call, const ql_call_end_t *end)
+{
+	double pressure = pressure_of(call, end);
+
+	if (call->status < HTTP_STATUS_INTERNAL_SERVER_ERROR || pressure > 1)
+		note_pressure(call, pressure);
 }
 
 static void on_complete(void *data, const ql_call_end_t *end)
@@ -202,8 +208,7 @@
 
 	report_attempt(call, end);
 	call->front->counts.answered++;
-	note_level(call, is_good(call) ? QL_LEVEL_SERVED : QL_LEVEL_SHED,
-		   !end->has_level || end->level <= call->call.shed_order);
+	note_answer(call, end);
 	if (!call->streaming) {
 		if (call->held->len)
 			length = call->held->len;
@@ -305,7 +310,6 @@
 
 	call->front->counts.cancelled++;
 	cancel_attempt(call, QL_REASON_CANCELLED);
-	note_level(call, QL_LEVEL_OTHER, false);
 	call_free(call);
 }
 
@@ -414,13 +418,14 @@
 /* Whether a request is refused before anything was done for it. */
 static bool is_refused_early(ql_front_call_t *call)
 {
-	ql_level_decision_t decision;
+	ql_front_t *front = call->front;
+	ql_throttle_decision_t decision;
 
 	/* Refusing a call would throw away the work above it. */
 	if (call->call.under_way)
 		return false;
-	decision = ql_level_offer(&call->front->level, call->route_index,
-				  now_us(call));
+	decision = ql_throttle_offer(&front->routes[call->route_index].throttle,
+				     front->random, now_us(call));
 	call->retry_after_ms = decision.retry_after_ms;
 	call->let_through = !decision.refuse;
 	return decision.refuse;
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -21,7 +21,8 @@
  * @service: where it goes
  * @headers: that are passed on
  * @call: what each attempt calls
- * @parent: the request that it serves, if that runs beside this node
+ * @parent_id: identity of the request that it serves, or "" if not known
+ * @parent: that request, if it runs beside this node
  * @callee: the attempt in progress
  * @let_through: early refusal is told how it ends
  * @in_attempt: an attempt is in progress
@@ -47,6 +48,7 @@
 	ql_front_service_t *service;
 	ql_headers_t headers;
 	ql_path_call_t call;
+	char parent_id[QL_KEY_MAX];
 	ql_running_call_t parent;
 	ql_callee_call_t callee;
 	bool let_through;
--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -48,13 +48,12 @@
 {
 	const ql_dialect_t *dialect = call->front->opts.dialect;
 	const ql_running_call_t *parent;
-	char parent_id[QL_KEY_MAX];
 
 	if (!dialect->parent_of ||
-	    !dialect->parent_of(parent_id, sizeof(parent_id), id))
+	    !dialect->parent_of(call->parent_id, sizeof(call->parent_id), id))
 		return;
 	call->call.under_way = true;
-	parent = ql_local_gate_find(call->front->opts.local, parent_id);
+	parent = ql_local_gate_find(call->front->opts.local, call->parent_id);
 	if (!parent)
 		return;
 	call->parent = *parent;
--- a/src/path/hop.c
+++ b/src/path/hop.c
@@ -11,6 +11,7 @@
 #define IDLE_MS 20000u
 #define IDLE_MAX 16u
 #define MS_PER_S 1000.0
+#define PERMILLE 1000.0
 
 typedef struct {
 	ql_upstream_request_t *request;
@@ -65,6 +66,7 @@
 	call->end.reason = metadata.reason;
 	call->end.has_level = (metadata.has & QL_HAS_LEVEL) != 0;
 	call->end.level = (uint32_t)metadata.level;
+	call->end.pressure = (double)metadata.pressure / PERMILLE;
 	if (call->end.outcome != QL_OUTCOME_ANSWERED && value)
 		call->end.retry_after_ms =
 			(uint32_t)(g_ascii_strtod(value, NULL) * MS_PER_S);
@@ -73,14 +75,16 @@
 static void on_head(void *data, ql_http_reader_t *reader)
 {
 	hop_call_t *call = data;
+	ql_answer_head_t head = {
+		.status = ql_http_reader_status(reader),
+		.headers = &reader->headers,
+		.length = call->bodiless ? 0 : ql_http_reader_length(reader),
+	};
 
 	read_end(call, &reader->headers);
+	head.pressure = call->end.pressure;
 	if (!call->malformed && call->end.outcome == QL_OUTCOME_ANSWERED)
-		call->sink->head(call->data, ql_http_reader_status(reader),
-				 &reader->headers,
-				 call->bodiless
-					 ? 0
-					 : ql_http_reader_length(reader));
+		call->sink->head(call->data, &head);
 }
 
 static void on_body(void *data, const char *bytes, size_t length)
--- a/src/path/hop_server.c
+++ b/src/path/hop_server.c
@@ -7,6 +7,7 @@
 
 /* Bytes of an answer that may wait for a slow peer. */
 #define PENDING_MAX_BYTES (256u << 10)
+#define PERMILLE 1000.0
 
 typedef struct {
 	ql_http_exchange_t *exchange;
@@ -21,12 +22,15 @@
 	ql_metadata_t metadata;
 
 	ql_call_write_outcome(out, end->outcome, end->reason);
-	if (end->has_level) {
-		ql_metadata_init(&metadata);
-		metadata.has = QL_HAS_LEVEL;
-		metadata.level = end->level;
-		ql_call_write_metadata(out, &metadata);
-	}
+	ql_metadata_init(&metadata);
+	metadata.pressure = (uint64_t)MIN(end->pressure * PERMILLE,
+					  QL_PRESSURE_MAX_PERMILLE);
+	if (end->has_level)
+		metadata.has |= QL_HAS_LEVEL;
+	if (metadata.pressure)
+		metadata.has |= QL_HAS_PRESSURE;
+	metadata.level = end->level;
+	ql_call_write_metadata(out, &metadata);
 	if (end->retry_after_ms)
 		ql_call_write_retry_after(out, end->retry_after_ms);
 }
@@ -43,16 +47,20 @@
 	g_byte_array_free(headers, TRUE);
 }
 
-static void on_head(void *data, unsigned int status,
-		    const ql_headers_t *headers, int64_t length)
+static void on_head(void *data, const ql_answer_head_t *head)
 {
 	taken_t *taken = data;
+	const ql_call_end_t end = {
+		.outcome = QL_OUTCOME_ANSWERED,
+		.pressure = head->pressure,
+	};
 	GByteArray *lines = g_byte_array_sized_new(512);
 
-	ql_call_write_headers(lines, headers);
-	ql_call_write_outcome(lines, QL_OUTCOME_ANSWERED, QL_REASON_NONE);
+	ql_call_write_headers(lines, head->headers);
+	write_end(lines, &end);
 	taken->begun = true;
-	ql_http_exchange_begin(taken->exchange, status, lines, length);
+	ql_http_exchange_begin(taken->exchange, head->status, lines,
+			       head->length);
 	g_byte_array_free(lines, TRUE);
 }
 
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -32,6 +32,8 @@
 	bool bodiless;
 	bool told_head;
 	bool shed;
+	double pressure;
+	uint64_t offered_us;
 	uint64_t deadline_us;
 	ql_upstream_request_t *request;
 	const ql_call_sink_t *sink;
@@ -125,6 +127,12 @@
 static void on_head(void *data, ql_http_reader_t *reader)
 {
 	running_t *call = data;
+	const ql_answer_head_t head = {
+		.status = ql_http_reader_status(reader),
+		.headers = &reader->headers,
+		.length = call->bodiless ? 0 : ql_http_reader_length(reader),
+		.pressure = call->pressure,
+	};
 
 	if (is_shed(call, reader)) {
 		call->shed = true;
@@ -139,11 +147,7 @@
 	}
 	call->told_head = true;
 	if (call->sink)
-		call->sink->head(call->data, ql_http_reader_status(reader),
-				 &reader->headers,
-				 call->bodiless
-					 ? 0
-					 : ql_http_reader_length(reader));
+		call->sink->head(call->data, &head);
 }
 
 static void on_body(void *data, const char *bytes, size_t length)
@@ -167,6 +171,7 @@
 	}
 	end_running(call, QL_GATE_SERVED);
 	end = make_end(call->gate, QL_OUTCOME_ANSWERED, QL_REASON_NONE);
+	end.pressure = call->pressure;
 	if (call->sink)
 		call->sink->complete(call->data, &end);
 	finish(call);
@@ -228,6 +233,8 @@
 	};
 
 	call->state = RUNNING;
+	call->pressure =
+		ql_gate_pressure(&gate->gate, now_us(call) - call->offered_us);
 	g_hash_table_replace(gate->running, call->id, call);
 	gate->counts.admitted++;
 	ql_headers_write_uint(call->head, dialect->timeout_ms,
@@ -349,6 +356,7 @@
 	out->idempotent = call->idempotent;
 	out->bodiless = !strcmp(call->method, "HEAD");
 	out->deadline_us = call->deadline_us;
+	out->offered_us = now_us(out);
 	out->serves.shed_order = call->shed_order;
 	g_strlcpy(out->serves.class_name, call->class_name,
 		  sizeof(out->serves.class_name));
@@ -485,6 +493,25 @@
 	ql_local_gate__pump(gate);
 }
 
+static void raise_pressure(gpointer id G_GNUC_UNUSED, gpointer value,
+			   gpointer data)
+{
+	running_t *call = value;
+	const double *pressure = data;
+
+	call->pressure = MAX(call->pressure, *pressure);
+}
+
+void ql_local_gate_press(ql_local_gate_t *gate, const char *id, double pressure)
+{
+	running_t *call = g_hash_table_lookup(gate->running, id);
+
+	if (call)
+		raise_pressure(NULL, call, &pressure);
+	else
+		g_hash_table_foreach(gate->running, raise_pressure, &pressure);
+}
+
 const ql_running_call_t *ql_local_gate_find(const ql_local_gate_t *gate,
 					    const char *id)
 {
--- a/src/path/local_gate.h
+++ b/src/path/local_gate.h
@@ -141,6 +141,16 @@
 const ql_running_call_t *ql_local_gate_find(const ql_local_gate_t *gate,
 					    const char *id);
 
+/**
+ * ql_local_gate_press() - A call that the endpoint made met with pressure.
+ * @gate: the gate
+ * @id: of the request that the call serves; where that is not known, the call
+ *      may serve any that runs, and all of them tell of it
+ * @pressure: see quetzalloft/throttle.h
+ */
+void ql_local_gate_press(ql_local_gate_t *gate, const char *id,
+			 double pressure);
+
 /**
  * ql_local_gate_level() - The present load level.
  */
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -13,6 +13,7 @@
 #define RESERVE_DIVISOR 10u
 #define WAIT_SERVICE_TIMES 1.0
 #define SERVICE_TIME_SMOOTHING 0.1
+#define BEARABLE_SERVICE_TIMES 2.0
 #define SERVICE_TIME_HOLD_US (1 * QL_US_PER_S)
 
 static void limiter_opts(const ql_gate_opts_t *opts, ql_limiter_opts_t *out)
@@ -270,6 +271,10 @@
 	ql_limiter_observe(&gate->limiter, &sample, now_us);
 	observe_service_time(gate, order_of(&ticket->request),
 			     (double)sample.latency_us, now_us);
+	if (gate->mean_us <= 0)
+		gate->mean_us = (double)sample.latency_us;
+	gate->mean_us += SERVICE_TIME_SMOOTHING *
+			 ((double)sample.latency_us - gate->mean_us);
 }
 
 void ql_gate_finish_request(ql_gate_t *gate, ql_handle_t handle,
@@ -422,6 +427,13 @@
 	cut_queue(gate, opts->queue_max, QL_REASON_OVERLOAD, now_us);
 }
 
+double ql_gate_pressure(const ql_gate_t *gate, uint64_t waited_us)
+{
+	double bearable_us = BEARABLE_SERVICE_TIMES * gate->mean_us;
+
+	return bearable_us > 0 ? (double)waited_us / bearable_us : 0;
+}
+
 uint32_t ql_gate_level(const ql_gate_t *gate, uint64_t now_us)
 {
 	return now_us - gate->level_us < LEVEL_HOLD_US ? gate->level : 0;
--- /dev/null
+++ b/src/policy/throttle.c
@@ -0,0 +1,71 @@
+#include "quetzalloft/throttle.h"
+#include "quetzalloft/clock.h"
+
+#include <math.h>
+#include <string.h>
+
+/* How fast the share falls, for each 1 that the pressure is above 1. */
+#define FALL_PER_S 0.3
+/* How fast it grows without pressure; twice as fast after each clear second. */
+#define GROWTH_PER_S 0.3
+#define GROWTH_MAX_PER_S 3.0
+/* An answer stands for the time since the last one, up to this. */
+#define ANSWER_MAX_US (1 * QL_US_PER_S)
+#define SHARE_MIN 0.02
+/* One request at least shows whether the pressure has gone. */
+#define PROBE_US (400 * QL_US_PER_MS)
+#define RETRY_AFTER_MS 1000.0
+#define RETRY_AFTER_JITTER 0.5
+
+void ql_throttle_init(ql_throttle_t *throttle)
+{
+	memset(throttle, 0, sizeof(*throttle));
+	throttle->share = 1;
+}
+
+static uint32_t retry_after_ms(GRand *random)
+{
+	return (uint32_t)(RETRY_AFTER_MS *
+			  g_rand_double_range(random, 1 - RETRY_AFTER_JITTER,
+					      1 + RETRY_AFTER_JITTER));
+}
+
+ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle, GRand *random,
+					 uint64_t now_us)
+{
+	ql_throttle_decision_t decision = {0};
+
+	if (now_us - throttle->admitted_us >= PROBE_US ||
+	    g_rand_double(random) < throttle->share) {
+		throttle->admitted_us = now_us;
+		return decision;
+	}
+	decision.refuse = true;
+	decision.retry_after_ms = retry_after_ms(random);
+	return decision;
+}
+
+/* The part by which the share moves each second. */
+static double speed(const ql_throttle_t *throttle, double pressure,
+		    uint64_t now_us)
+{
+	double clear_s = (double)(now_us - throttle->pressed_us) / QL_US_PER_S;
+	double growth;
+
+	if (pressure > 1)
+		return -FALL_PER_S * (MIN(pressure, QL_PRESSURE_MAX) - 1);
+	growth = MIN(GROWTH_PER_S * exp2(clear_s), GROWTH_MAX_PER_S);
+	return growth * (1 - pressure);
+}
+
+void ql_throttle_done(ql_throttle_t *throttle, double pressure, uint64_t now_us)
+{
+	uint64_t since_us = MIN(now_us - throttle->heard_us, ANSWER_MAX_US);
+	double since_s = (double)since_us / QL_US_PER_S;
+	double factor = exp(speed(throttle, pressure, now_us) * since_s);
+
+	throttle->heard_us = now_us;
+	if (pressure > 1)
+		throttle->pressed_us = now_us;
+	throttle->share = CLAMP(throttle->share * factor, SHARE_MIN, 1);
+}
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -235,6 +235,41 @@
 	ASSERT_TRUE(world.turn_until([&] { return child.has("ok"); }));
 }
 
+/* What a call waited for is told of the request that it serves. */
+TEST_F(Front, PressureOfACallIsThatOfTheRequestAboveIt)
+{
+	RawSocket parent = open(), other = open(), child = open();
+	auto share = [&] {
+		return front
+			.routes[strcmp(front.doc->routes[0].name, "order") ? 1
+									   : 0]
+			.throttle.share;
+	};
+
+	gate.gate.mean_us = 1;
+	parent.send(request("/order/1", "p"));
+	auto runs = accept_one();
+	other.send(request("/get/1", "q"));
+	auto ends = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return ends->has("\r\n\r\n"); }));
+	child.send(request("/get/2", "p.c"));
+	ASSERT_TRUE(world.turn_until(
+		[&] { return ql_gate_queue_length(&gate.gate.queue) == 1; }));
+	world.turn(5);
+	ends->send(answer("q", "Seal: s\r\n"));
+	ASSERT_TRUE(world.turn_until([&] { return other.has("ok"); }));
+	ASSERT_TRUE(world.turn_until([&] { return ends->has("Id: p.c"); }));
+	ends->send(answer("p.c", "Seal: s\r\n"));
+	ASSERT_TRUE(world.turn_until([&] { return child.has("ok"); }));
+	EXPECT_EQ(1, share());
+	runs->send(answer("p", "Seal: s\r\n"));
+	ASSERT_TRUE(world.turn_until([&] { return parent.has("ok"); }));
+	EXPECT_LT(share(), 1);
+	/* What was learned outlives the document. */
+	set_document(ROUTES);
+	EXPECT_LT(share(), 1);
+}
+
 TEST_F(Front, PartsOfASplitGetTheirWeights)
 {
 	std::map<uint16_t, int> shares;
--- /dev/null
+++ b/tests/policy/throttle_test.cc
@@ -0,0 +1,157 @@
+#include "quetzalloft/throttle.h"
+#include "quetzalloft/clock.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+
+namespace
+{
+
+constexpr int kNodes = 19;
+constexpr double kCapacityPerS = 100;
+constexpr uint64_t kBaseUs = 400 * QL_US_PER_MS;
+constexpr uint64_t kBearableUs = 80 * QL_US_PER_MS;
+/* The gate of the service refuses what would wait longer. */
+constexpr uint64_t kQueueUs = 300 * QL_US_PER_MS;
+constexpr uint64_t kTargetUs = 1500 * QL_US_PER_MS;
+
+struct Case {
+	const char *name;
+	/* Requests a second while the load lasts, and behind it. */
+	double load;
+	double after;
+	/* Part of what the service can do that is answered in time. */
+	double goodput;
+	/* Longest time to take all requests again. */
+	double recovery_s;
+};
+
+/* Pattern: first nodes that share a narrow service deep below them. */
+class ThrottleTest : public testing::TestWithParam<Case>
+{
+      protected:
+	void SetUp() override
+	{
+		for (auto &node : nodes_)
+			ql_throttle_init(&node);
+	}
+
+	void TearDown() override
+	{
+		g_rand_free(random_);
+	}
+
+	struct Count {
+		double offered = 0;
+		double refused = 0;
+		double in_time = 0;
+	};
+
+	void Answer(uint64_t until_us)
+	{
+		while (!open_.empty() && open_.begin()->first <= until_us) {
+			auto [node, pressure] = open_.begin()->second;
+
+			ql_throttle_done(&nodes_[node], pressure,
+					 open_.begin()->first);
+			open_.erase(open_.begin());
+		}
+	}
+
+	void Serve(int node, Count *count)
+	{
+		uint64_t wait_us = free_us_ > now_us_ ? free_us_ - now_us_ : 0;
+		double pressure = (double)wait_us / kBearableUs;
+
+		if (wait_us > kQueueUs) {
+			open_.emplace(now_us_ + kQueueUs,
+				      std::make_pair(node, QL_PRESSURE_MAX));
+			return;
+		}
+		free_us_ = MAX(free_us_, now_us_) +
+			   (uint64_t)(QL_US_PER_S / kCapacityPerS);
+		count->in_time += kBaseUs + wait_us <= kTargetUs;
+		open_.emplace(now_us_ + kBaseUs + wait_us,
+			      std::make_pair(node, pressure));
+	}
+
+	/* One request at a time, at any of the nodes. */
+	Count Run(double per_s, double seconds)
+	{
+		uint64_t end_us = now_us_ + (uint64_t)(seconds * QL_US_PER_S);
+		Count count;
+
+		while (now_us_ < end_us) {
+			int node = g_rand_int_range(random_, 0, kNodes);
+			double gap = -log(1 - g_rand_double(random_)) / per_s;
+
+			now_us_ += (uint64_t)(gap * QL_US_PER_S);
+			Answer(now_us_);
+			count.offered++;
+			if (ql_throttle_offer(&nodes_[node], random_, now_us_)
+				    .refuse)
+				count.refused++;
+			else
+				Serve(node, &count);
+		}
+		return count;
+	}
+
+	GRand *random_ = g_rand_new_with_seed(1);
+	ql_throttle_t nodes_[kNodes];
+	std::multimap<uint64_t, std::pair<int, double>> open_;
+	uint64_t now_us_ = 60 * QL_US_PER_S;
+	uint64_t free_us_ = 0;
+};
+
+TEST_P(ThrottleTest, KeepsTheServiceBusyAndItsQueueShort)
+{
+	const Case &test = GetParam();
+	double recovery_s = 0;
+	Count count;
+
+	Run(test.load, 5);
+	count = Run(test.load, 20);
+	EXPECT_GE(count.in_time,
+		  test.goodput * MIN(count.offered, kCapacityPerS * 20));
+	while (recovery_s < 30) {
+		count = Run(test.after, 1);
+		if (count.refused < 0.05 * count.offered)
+			break;
+		recovery_s++;
+	}
+	EXPECT_LE(recovery_s, test.recovery_s);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, ThrottleTest,
+	testing::Values(Case{"Calm", 50, 50, 0.99, 0},
+			Case{"NearlyFull", 90, 50, 0.9, 1},
+			Case{"SlightOverload", 120, 50, 0.85, 3},
+			Case{"DoubleLoad", 200, 50, 0.85, 3},
+			Case{"FiveTimesTheLoad", 500, 50, 0.75, 3}),
+	[](const auto &test) { return test.param.name; });
+
+TEST(Throttle, LetsOneThroughToLearn)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	uint64_t now_us = 60 * QL_US_PER_S;
+	ql_throttle_decision_t decision;
+	ql_throttle_t throttle;
+
+	ql_throttle_init(&throttle);
+	for (int i = 0; i < 100; i++, now_us += 100 * QL_US_PER_MS)
+		ql_throttle_done(&throttle, QL_PRESSURE_MAX, now_us);
+	ql_throttle_offer(&throttle, random, now_us);
+	for (int i = 0; i < 100; i++, now_us += 1000) {
+		decision = ql_throttle_offer(&throttle, random, now_us);
+		EXPECT_EQ(decision.refuse, decision.retry_after_ms > 0);
+	}
+	now_us += QL_US_PER_S;
+	EXPECT_FALSE(ql_throttle_offer(&throttle, random, now_us).refuse);
+	g_rand_free(random);
+}
+
+} // namespace
