Give each event of the log its own bound

Calls for a request under way are an event of their own, and each line names its class. Found while tracing who fails; no decision changes.

--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -41,10 +41,19 @@
 	g_free(call);
 }
 
+/* A call for a request that is under way costs all that was done above it. */
+static const char *failure_event(const ql_front_call_t *call)
+{
+	if (call->call.under_way)
+		return "call_failed";
+	return call->n_tried ? "request_failed" : "request_refused";
+}
+
 static void log_failure(const ql_front_call_t *call, const ql_call_end_t *end)
 {
-	ql_log(LOG_INFO, "request_failed", QL_STR("id", call->call.id),
+	ql_log(LOG_INFO, failure_event(call), QL_STR("id", call->call.id),
 	       QL_STR("route", call->route->name),
+	       QL_STR("class", call->call.class_name),
 	       QL_UINT("version", call->doc->version),
 	       QL_STR("service", call->call.service),
 	       QL_STR("outcome", ql_outcome_name(end->outcome)),
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -10,17 +10,18 @@
 
 #define PROCESS_NAME_MAX 64
 
-/* Lines that are not urgent: so many a second, and so many at once. */
-#define INFO_PER_S 50.0
-#define INFO_BURST 200.0
+/* Lines of one event that is not urgent: so many a second, and at once. */
+#define INFO_PER_S 20.0
+#define INFO_BURST 100.0
+/* Events with a meter of their own; further ones share the last. */
+#define METERS_MAX 32u
 
 static int threshold = LOG_INFO;
 static int output = STDERR_FILENO;
-static ql_log_meter_t info_meter = {
-	.per_s = INFO_PER_S,
-	.burst = INFO_BURST,
-	.tokens = INFO_BURST,
-};
+static struct {
+	const char *event;
+	ql_log_meter_t meter;
+} meters[METERS_MAX];
 static pthread_mutex_t meter_lock = PTHREAD_MUTEX_INITIALIZER;
 /* Lines that were left out or could not be written since the last line. */
 static uint64_t left_out;
@@ -97,14 +98,33 @@
 	return true;
 }
 
-static bool is_due(int priority)
+/* A frequent event leaves the lines of others alone. */
+static ql_log_meter_t *find_meter(const char *event)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < METERS_MAX && meters[i].event; i++)
+		if (!strcmp(meters[i].event, event))
+			return &meters[i].meter;
+	if (!meters[i].event) {
+		meters[i].event = event;
+		meters[i].meter = (ql_log_meter_t){
+			.per_s = INFO_PER_S,
+			.burst = INFO_BURST,
+			.tokens = INFO_BURST,
+		};
+	}
+	return &meters[i].meter;
+}
+
+static bool is_due(int priority, const char *event)
 {
 	bool due;
 
 	if (priority < LOG_INFO)
 		return true;
 	pthread_mutex_lock(&meter_lock);
-	due = ql_log_meter_take(&info_meter, ql_clock_now_us());
+	due = ql_log_meter_take(find_meter(event), ql_clock_now_us());
 	pthread_mutex_unlock(&meter_lock);
 	return due;
 }
@@ -140,7 +160,7 @@
 
 	if (priority > threshold)
 		return;
-	if (!is_due(priority)) {
+	if (!is_due(priority, event)) {
 		leave_out();
 		return;
 	}
