Send nothing more to an endpoint that owes answers and is silent

Cause: behind a cut connections stay open and new ones hang, and the time that an attempt took was known only at its end. An endpoint counts at least as slow as it has been silent now, while it owes answers.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -38,6 +38,7 @@
  * @slowness: moving mean of its latencies, as parts of what is typical of the
  *            route; 0 while nothing is known
  * @heard_us: when it answered last
+ * @silent_us: when it answered last, or began to owe an answer if that is later
  * @failures: failed attempts in a row
  * @added_us: when it was added, for slow start
  * @ejected_until_us: not chosen before, unless too many are ejected
@@ -54,6 +55,7 @@
 	double latency_us;
 	double slowness;
 	uint64_t heard_us;
+	uint64_t silent_us;
 	uint32_t failures;
 	uint64_t added_us;
 	uint64_t ejected_until_us;
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -334,7 +334,8 @@
 		return QL_HANDLE_NONE;
 	handle = balancer->ops->pick(balancer, pick, now_us);
 	target = ql_table_get(&balancer->targets, handle);
-	target->in_progress++;
+	if (!target->in_progress++)
+		target->silent_us = now_us;
 	return handle;
 }
 
@@ -436,6 +437,9 @@
 	double time_us = typical_us * expected_slowness(target, now_us) *
 			 (1 + load) / warmth(target, now_us);
 
+	/* Whoever has said nothing for so long will not be faster. */
+	if (target->in_progress)
+		time_us = MAX(time_us, (double)(now_us - target->silent_us));
 	if (target->refuse_until_us > now_us)
 		time_us += (double)(target->refuse_until_us - now_us);
 	if (target->near_position == UINT32_MAX)
@@ -573,6 +577,7 @@
 		return;
 	if (target->in_progress)
 		target->in_progress--;
+	target->silent_us = now_us;
 	if (result->has_level) {
 		target->level = result->level;
 		target->level_us = now_us;
