Leave later and exit sooner at a planned stop

Cause: a node that was told to stop announced at once that its endpoint leaves, served its clients for 3 s, and came back 6 s after the signal; with stops every 1.3 s four of thirteen endpoints were missing at any time, and whole services with a domain cut off. Others may use the endpoint until clients have gone: it leaves after 1 s, takes nothing from others after 2 s and from clients after 2.3 s, and the node exits when nothing is left, from 2.4 s on.

--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -25,10 +25,12 @@
 #define GATE_HEAD_TIMEOUT_MS 5000u
 #define GATE_IDLE_TIMEOUT_MS 60000u
 #define DRAIN_POLL_US (20 * QL_US_PER_MS)
+/* Until then the endpoint serves others, as its clients still come here. */
+#define LEAVE_US (1000 * QL_US_PER_MS)
 /* Other nodes have heard of the leaving by then. */
-#define GATE_DRAIN_US (1500 * QL_US_PER_MS)
-/* Clients have seen by then that this node is not ready. */
-#define CLIENT_DRAIN_US (2800 * QL_US_PER_MS)
+#define GATE_DRAIN_US (2000 * QL_US_PER_MS)
+/* Clients have seen by then, twice, that this node is not ready. */
+#define CLIENT_DRAIN_US (2300 * QL_US_PER_MS)
 /* Time in which the last answers leave. */
 #define LAST_ANSWERS_US (200 * QL_US_PER_MS)
 /* Time kept for the exit itself. */
@@ -424,6 +426,7 @@
 
 	__atomic_store_n(&node->draining, 1, __ATOMIC_RELEASE);
 	ql_path_jobs_begin_close(node);
+	wait_for_calls(node, now_us + LEAVE_US, now_us + LEAVE_US);
 	ql_lease_service_leave(&node->control.lease);
 	wait_for_calls(node, now_us + GATE_DRAIN_US, now_us + GATE_DRAIN_US);
 	ql_path_jobs_drain_gate(node);
