--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -15,7 +15,7 @@
 /* Bytes of an answer that may wait for a slow client. */
 #define PENDING_MAX_BYTES (256u << 10)
 /* An endpoint of another failure domain has to save this part of the target. */
-#define FAR_TARGET_PART 0.25
+#define FAR_TARGET_PART 0.5
 #define FAR_DEFAULT_US (10.0 * QL_US_PER_MS)
 #define TYPICAL_SMOOTHING 0.1
 /* The pressure at least, where an answer came too late. */
