Avoid endpoints that fail a part of what they get

Cause: an endpoint that refuses quickly, though its gate gives it no more than its slots, never counted as slow or as failed in a row, and kept its share. The part that an endpoint refused, lost or answered with a failure weighs on the choice now and is forgotten in some seconds without news.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -37,6 +37,8 @@
  * @latency_us: moving mean; counts for less while nothing is heard
  * @slowness: moving mean of its latencies, as parts of what is typical of the
  *            route; 0 while nothing is known
+ * @failing: moving part of the attempts that it refused, lost or failed
+ * @failing_us: when an attempt counted for @failing last
  * @heard_us: when it answered last
  * @silent_us: when it answered last, or began to owe an answer if that is later
  * @failures: failed attempts in a row
@@ -54,6 +56,8 @@
 	uint32_t in_progress;
 	double latency_us;
 	double slowness;
+	double failing;
+	uint64_t failing_us;
 	uint64_t heard_us;
 	uint64_t silent_us;
 	uint32_t failures;
@@ -176,6 +180,7 @@
  * struct ql_attempt_result - How an attempt ended, for the balancer.
  * @outcome: what is known
  * @reason: why it failed
+ * @failed: the endpoint answered with a failure of its own
  * @latency_us: how long it took
  * @typical_us: latency that is typical of its route; 0 when it is not known
  * @has_level: whether the gate returned its level
@@ -185,6 +190,7 @@
 typedef struct ql_attempt_result {
 	ql_outcome_t outcome;
 	ql_reason_t reason;
+	bool failed;
 	uint64_t latency_us;
 	double typical_us;
 	bool has_level;
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -133,6 +133,8 @@
 	ql_attempt_result_t result = {
 		.outcome = end->outcome,
 		.reason = end->reason,
+		.failed = end->outcome == QL_OUTCOME_ANSWERED &&
+			  call->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR,
 		.latency_us = now_us(call) - call->attempt_us,
 		.typical_us = typical_us(call),
 		.has_level = end->has_level,
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -7,6 +7,9 @@
 #define TARGETS_MAX 4096u
 #define LATENCY_SMOOTHING 0.2
 #define LATENCY_FLOOR_US 100.0
+#define FAILING_SMOOTHING 0.1
+/* A failure costs the work above it, and often a repeat. */
+#define FAILURE_COST 10.0
 #define EJECT_FAILURES 5u
 #define EJECT_US (2 * QL_US_PER_S)
 #define EJECT_MAX_PERCENT 50u
@@ -425,6 +428,14 @@
 	return 1 + (target->slowness - 1) * exp2(-idle);
 }
 
+/* The part of the attempts that is likely to fail there. */
+static double expected_failing(const ql_target_t *target, uint64_t now_us)
+{
+	double idle = (double)(now_us - target->failing_us) / HALF_LIFE_US;
+
+	return target->failing * exp2(-idle);
+}
+
 /* Time in which the endpoint is likely to answer one more request. */
 static double expected_us(const ql_balancer_t *balancer,
 			  const ql_target_t *target, const ql_pick_t *pick,
@@ -437,6 +448,7 @@
 	double time_us = typical_us * expected_slowness(target, now_us) *
 			 (1 + load) / warmth(target, now_us);
 
+	time_us *= 1 + FAILURE_COST * expected_failing(target, now_us);
 	/* Whoever has said nothing for so long will not be faster. */
 	if (target->in_progress)
 		time_us = MAX(time_us, (double)(now_us - target->silent_us));
@@ -568,6 +580,28 @@
 	target->heard_us = now_us;
 }
 
+/* Whether the endpoint itself, or the way to it, is to blame. */
+static bool is_failure(const ql_attempt_result_t *result)
+{
+	switch (result->reason) {
+	case QL_REASON_CONNECT_FAILED:
+	case QL_REASON_CONNECTION_LOST:
+	case QL_REASON_BAD_ANSWER:
+	case QL_REASON_ENDPOINT_REFUSED:
+		return true;
+	default:
+		return result->failed;
+	}
+}
+
+static void note_failing(ql_target_t *target, bool failed, uint64_t now_us)
+{
+	double known = expected_failing(target, now_us);
+
+	target->failing = known + FAILING_SMOOTHING * ((double)failed - known);
+	target->failing_us = now_us;
+}
+
 void ql_balancer_done(ql_balancer_t *balancer, ql_handle_t handle,
 		      const ql_attempt_result_t *result, uint64_t now_us)
 {
@@ -585,6 +619,8 @@
 	}
 	if (result->retry_after_us)
 		target->refuse_until_us = now_us + result->retry_after_us;
+	if (result->outcome == QL_OUTCOME_ANSWERED || is_failure(result))
+		note_failing(target, is_failure(result), now_us);
 	if (result->outcome == QL_OUTCOME_ANSWERED)
 		note_answer(balancer, target, result, now_us);
 	else if (result->reason == QL_REASON_CONNECT_FAILED ||
--- a/tests/policy/balancer_test.cc
+++ b/tests/policy/balancer_test.cc
@@ -470,4 +470,40 @@
 	EXPECT_EQ(silent, ql_balancer_pick(&balancer_, &pick, now_us_));
 }
 
+/* The pattern: an endpoint that fails half of its requests, and fast. */
+TEST_F(BalancerTest, LeastTimeAvoidsTheFailing)
+{
+	ql_pick_t pick = {nullptr, 0, 50.0 * kMs, 100.0 * kMs};
+	std::map<std::string, int> counts;
+	bool is_grey = true;
+
+	balancer_.ops = &ql_balancer_least_time;
+	Add("grey");
+	AddMany(2, "d1");
+	now_us_ += 10 * QL_US_PER_S;
+	for (int i = 0; i < 20000; i++, now_us_ += kMs) {
+		ql_handle_t handle =
+			ql_balancer_pick(&balancer_, &pick, now_us_);
+		std::string gate = Gate(handle);
+		ql_attempt_result_t result = {};
+
+		counts[gate]++;
+		result.outcome = QL_OUTCOME_ANSWERED;
+		result.latency_us = 50 * kMs;
+		result.typical_us = pick.typical_us;
+		if (is_grey && gate == "grey" && i % 2) {
+			result.latency_us = kMs;
+			result.outcome = QL_OUTCOME_NOT_RUN;
+			result.reason = QL_REASON_ENDPOINT_REFUSED;
+		}
+		ql_balancer_done(&balancer_, handle, &result, now_us_);
+		if (i == 9999) {
+			EXPECT_LT(counts["grey"], 1000);
+			EXPECT_GT(counts["grey"], 5);
+			is_grey = false;
+		}
+	}
+	EXPECT_GT(counts["grey"], 8000);
+}
+
 } // namespace
