Put changed settings in force without a restart

Cause: seeds that were exchanged reached a node only at its next start, and SIGHUP was noted in the log and nothing else. The file is read once a second and at SIGHUP; seeds, drain_ms, grace_ms and repeat_ratio are put in force, other keys are named as waiting for a restart, a wrong file changes nothing and is said once. A steward of replicas that has known as many as there is room for forgets the oldest instead of learning no more.

--- a/include/quetzalloft/member.h
+++ b/include/quetzalloft/member.h
@@ -129,6 +129,16 @@
 		    const ql_member_ops_t *ops, void *data, GRand *random);
 void ql_member_finish(ql_member_t *member);
 
+/**
+ * ql_member_add_registrar() - Learn of a registrar from changed settings.
+ * @member: the member
+ * @address: "IP:port"
+ *
+ * One that is known changes nothing. Where there is no room, it takes the place
+ * of one that has not answered for long.
+ */
+void ql_member_add_registrar(ql_member_t *member, const char *address);
+
 /**
  * ql_member_next_registrar() - Choose the registrar of the next renewal.
  * @member: the member
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -190,10 +190,13 @@
 	return -1;
 }
 
+/* Whether an answer, if there is one, names the registrar. */
 static bool is_named(const ql_rpc_lease_res *res, const char *address)
 {
 	u_int i;
 
+	if (!res)
+		return false;
 	for (i = 0; i < res->registrars.registrars_len; i++)
 		if (!strcmp(res->registrars.registrars_val[i].address, address))
 			return true;
@@ -214,27 +217,36 @@
 	return -1;
 }
 
+static void add_registrar(ql_member_t *member, const char *address,
+			  const ql_rpc_lease_res *res)
+{
+	int place;
+
+	if (find_registrar(member, address) >= 0 ||
+	    strlen(address) >= QL_ADDRESS_MAX)
+		return;
+	place = free_place(member, res);
+	if (place < 0)
+		return;
+	g_strlcpy(member->opts.registrars[place], address, QL_ADDRESS_MAX);
+	memset(&member->links[place], 0, sizeof(*member->links));
+	member->opts.n_registrars =
+		MAX(member->opts.n_registrars, (size_t)place + 1);
+}
+
 /* Learns of registrars that were added since. */
 static void take_registrars(ql_member_t *member, const ql_rpc_lease_res *res)
 {
-	const char *address;
-	int place;
 	u_int i;
 
-	for (i = 0; i < res->registrars.registrars_len; i++) {
-		address = res->registrars.registrars_val[i].address;
-		if (find_registrar(member, address) >= 0 ||
-		    strlen(address) >= QL_ADDRESS_MAX)
-			continue;
-		place = free_place(member, res);
-		if (place < 0)
-			return;
-		g_strlcpy(member->opts.registrars[place], address,
-			  QL_ADDRESS_MAX);
-		memset(&member->links[place], 0, sizeof(*member->links));
-		member->opts.n_registrars =
-			MAX(member->opts.n_registrars, (size_t)place + 1);
-	}
+	for (i = 0; i < res->registrars.registrars_len; i++)
+		add_registrar(member, res->registrars.registrars_val[i].address,
+			      res);
+}
+
+void ql_member_add_registrar(ql_member_t *member, const char *address)
+{
+	add_registrar(member, address, NULL);
 }
 
 int ql_member_take_lease(ql_member_t *member, int index,
--- a/src/node/core_node.c
+++ b/src/node/core_node.c
@@ -56,6 +56,14 @@
 	return ret;
 }
 
+void ql_core_node_reload(ql_core_node_t *node, const ql_settings_t *settings)
+{
+	size_t i;
+
+	for (i = 0; i < settings->n_seeds; i++)
+		ql_replica_steward_learn(&node->steward, settings->seeds[i]);
+}
+
 void ql_core_node_stop(ql_core_node_t *node)
 {
 	ql_operator_http_stop(&node->operators);
--- a/src/node/core_node.h
+++ b/src/node/core_node.h
@@ -37,6 +37,14 @@
  */
 int ql_core_node_start(ql_core_node_t *node, const ql_settings_t *settings,
 		       const ql_dialect_t *dialect, GError **error);
+
+/**
+ * ql_core_node_reload() - Put changed settings in force.
+ * @node: the process
+ * @settings: the new ones; only those that need no restart are used
+ */
+void ql_core_node_reload(ql_core_node_t *node, const ql_settings_t *settings);
+
 void ql_core_node_stop(ql_core_node_t *node);
 
 G_END_DECLS
--- a/src/node/lease_service.c
+++ b/src/node/lease_service.c
@@ -339,6 +339,15 @@
 		ql_lease_service_wake(service);
 }
 
+void ql_lease_service_add_registrar(ql_lease_service_t *service,
+				    const char *address)
+{
+	pthread_mutex_lock(&service->lock);
+	ql_member_add_registrar(&service->member, address);
+	pthread_mutex_unlock(&service->lock);
+	ql_lease_service_wake(service);
+}
+
 void ql_lease_service_want(ql_lease_service_t *service, const char *name)
 {
 	bool due;
--- a/src/node/lease_service.h
+++ b/src/node/lease_service.h
@@ -100,6 +100,14 @@
 void ql_lease_service_saw_version(ql_lease_service_t *service,
 				  uint64_t version);
 
+/**
+ * ql_lease_service_add_registrar() - Changed settings name a registrar.
+ * @service: the service
+ * @address: "IP:port"
+ */
+void ql_lease_service_add_registrar(ql_lease_service_t *service,
+				    const char *address);
+
 /**
  * ql_lease_service_want() - A client asked for a service.
  * @service: the service
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -1,6 +1,7 @@
 #include "node/core_node.h"
 #include "node/node.h"
 #include "node/path_node.h"
+#include "node/reload.h"
 #include "platform/adapter.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
@@ -21,6 +22,8 @@
 } arguments_t;
 
 #define ARGUMENT_ERRORS_MAX 8
+/* Time between two looks at the settings file. */
+#define RELOAD_PAUSE_S 1
 
 static void arguments_init(arguments_t *args)
 {
@@ -41,9 +44,29 @@
 	arg_print_glossary(stdout, table, "  %-24s %s\n");
 }
 
-/* Waits for the signal that asks this process to stop. */
-static void wait_for_stop(void)
+/* What runs, and how changed settings are put in force there. */
+typedef struct {
+	ql_reload_t *reload;
+	void (*apply)(void *data, const ql_settings_t *settings);
+	void *data;
+} process_t;
+
+static void reload(const process_t *process)
+{
+	ql_settings_t settings;
+
+	if (ql_reload_check(process->reload, &settings) == QL_RELOAD_CHANGED &&
+	    process->apply)
+		process->apply(process->data, &settings);
+}
+
+/*
+ * Waits for the signal that asks this process to stop. The settings file may
+ * also change without a signal.
+ */
+static void wait_for_stop(const process_t *process)
 {
+	const struct timespec pause = {.tv_sec = RELOAD_PAUSE_S};
 	sigset_t signals;
 	int received;
 
@@ -52,11 +75,13 @@
 	sigaddset(&signals, SIGINT);
 	sigaddset(&signals, SIGHUP);
 	for (;;) {
-		sigwait(&signals, &received);
-		if (received != SIGHUP)
+		received = sigtimedwait(&signals, NULL, &pause);
+		if (received == SIGTERM || received == SIGINT)
 			break;
-		ql_log(LOG_NOTICE, "reload_requested",
-		       QL_STR("detail", "the settings in force stay"));
+		if (received == SIGHUP)
+			ql_log(LOG_NOTICE, "reload_requested",
+			       QL_INT("signal", received));
+		reload(process);
 	}
 	ql_log(LOG_NOTICE, "stop_requested", QL_INT("signal", received));
 }
@@ -81,36 +106,49 @@
 	return EX_UNAVAILABLE;
 }
 
-static int run_path_node(const ql_settings_t *settings)
+static void apply_to_path_node(void *node, const ql_settings_t *settings)
+{
+	ql_path_node_reload(node, settings);
+}
+
+static int run_path_node(const ql_settings_t *settings, ql_reload_t *file)
 {
 	ql_path_node_t *node = g_new0(ql_path_node_t, 1);
+	const process_t process = {file, apply_to_path_node, node};
 	GError *error = NULL;
 
 	if (ql_path_node_start(node, settings, &ql_platform_dialect, &error))
 		return fail_start(error);
-	wait_for_stop();
+	wait_for_stop(&process);
 	ql_path_node_drain(node);
 	ql_path_node_stop(node);
 	g_free(node);
 	return EX_OK;
 }
 
-static int run_core_node(const ql_settings_t *settings)
+static void apply_to_core_node(void *node, const ql_settings_t *settings)
+{
+	ql_core_node_reload(node, settings);
+}
+
+static int run_core_node(const ql_settings_t *settings, ql_reload_t *file)
 {
 	ql_core_node_t *node = g_new0(ql_core_node_t, 1);
+	const process_t process = {file, apply_to_core_node, node};
 	GError *error = NULL;
 
 	if (ql_core_node_start(node, settings, &ql_platform_dialect, &error))
 		return fail_start(error);
-	wait_for_stop();
+	wait_for_stop(&process);
 	ql_core_node_stop(node);
 	g_free(node);
 	return EX_OK;
 }
 
-static int run_all(const ql_settings_t *settings)
+static int run_all(const ql_settings_t *settings, ql_reload_t *file)
 {
 	ql_node_t *node = g_new0(ql_node_t, 1);
+	const process_t process = {file, NULL, NULL};
 	GError *error = NULL;
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -118,7 +156,7 @@
 		g_free(node);
 		return fail_start(error);
 	}
-	wait_for_stop();
+	wait_for_stop(&process);
 	ql_node_drain(node);
 	ql_node_stop(node);
 	g_free(node);
@@ -126,7 +164,7 @@
 	return EX_OK;
 }
 
-static int run(const ql_settings_t *settings)
+static int run(const ql_settings_t *settings, ql_reload_t *file)
 {
 	ql_log_set_process(settings->node);
 	block_signals();
@@ -134,12 +172,12 @@
 		ql_log_set_output(STDOUT_FILENO);
 	switch (settings->role) {
 	case QL_ROLE_NODE:
-		return run_path_node(settings);
+		return run_path_node(settings, file);
 	case QL_ROLE_REPLICA:
-		return run_core_node(settings);
+		return run_core_node(settings, file);
 	case QL_ROLE_ALL:
 	default:
-		return run_all(settings);
+		return run_all(settings, file);
 	}
 }
 
@@ -147,13 +185,19 @@
 {
 	ql_settings_t settings;
 	GError *error = NULL;
+	ql_reload_t file;
+	int status = EX_OK;
 
-	if (ql_settings_load(&settings, args->config->filename[0], &error)) {
+	if (ql_reload_init(&file, args->config->filename[0], &error) ||
+	    ql_settings_parse(&settings, file.json, &error)) {
 		ql_log_error(LOG_ERR, "settings_invalid", error);
 		g_error_free(error);
 		return EX_CONFIG;
 	}
-	return args->check->count ? EX_OK : run(&settings);
+	if (!args->check->count)
+		status = run(&settings, &file);
+	ql_reload_finish(&file);
+	return status;
 }
 
 int main(int argc, char **argv)
--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -208,6 +208,21 @@
 	post_action(node, refuse_new);
 }
 
+static void set_ratio(ql_path_node_t *node)
+{
+	double ratio;
+
+	pthread_mutex_lock(&node->lock);
+	ratio = node->repeat_ratio;
+	pthread_mutex_unlock(&node->lock);
+	ql_front_set_repeat_ratio(&node->front, ratio);
+}
+
+void ql_path_jobs_set_ratio(ql_path_node_t *node)
+{
+	post_action(node, set_ratio);
+}
+
 static void fail_all(ql_path_node_t *node)
 {
 	ql_front_fail_all(&node->front);
--- a/src/node/path_jobs.h
+++ b/src/node/path_jobs.h
@@ -45,6 +45,11 @@
  */
 void ql_path_jobs_refuse_new(ql_path_node_t *node);
 
+/**
+ * ql_path_jobs_set_ratio() - Have the loop take over the ratio of repeats.
+ */
+void ql_path_jobs_set_ratio(ql_path_node_t *node);
+
 /**
  * ql_path_jobs_fail_all() - Have what is in progress answered with a failure.
  */
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -359,6 +359,21 @@
 	return NULL;
 }
 
+void ql_path_node_reload(ql_path_node_t *node, const ql_settings_t *settings)
+{
+	size_t i;
+
+	node->drain_ms = settings->drain_ms;
+	node->grace_ms = settings->grace_ms;
+	pthread_mutex_lock(&node->lock);
+	node->repeat_ratio = settings->repeat_ratio;
+	pthread_mutex_unlock(&node->lock);
+	ql_path_jobs_set_ratio(node);
+	for (i = 0; i < settings->n_registrars; i++)
+		ql_lease_service_add_registrar(&node->control.lease,
+					       settings->registrars[i]);
+}
+
 static int start_parts(ql_path_node_t *node, GError **error)
 {
 	const ql_listen_settings_t *listen = &node->context.settings->listen;
@@ -388,6 +403,8 @@
 	if (ret)
 		return ret;
 	node->dialect = dialect;
+	node->drain_ms = settings->drain_ms;
+	node->grace_ms = settings->grace_ms;
 	pthread_mutex_init(&node->lock, NULL);
 	ret = ql_loop_init(&node->loop, error);
 	if (!ret)
@@ -417,12 +434,11 @@
 
 void ql_path_node_drain(ql_path_node_t *node)
 {
-	const ql_settings_t *settings = node->context.settings;
 	uint64_t now_us = ql_clock_now_us();
 	uint64_t grace_ms =
-		settings->grace_ms - MIN(settings->grace_ms, EXIT_RESERVE_MS);
+		node->grace_ms - MIN(node->grace_ms, EXIT_RESERVE_MS);
 	uint64_t latest_us = now_us + grace_ms * QL_US_PER_MS;
-	uint64_t earliest_us = now_us + settings->drain_ms * QL_US_PER_MS;
+	uint64_t earliest_us = now_us + node->drain_ms * QL_US_PER_MS;
 
 	__atomic_store_n(&node->draining, 1, __ATOMIC_RELEASE);
 	ql_path_jobs_begin_close(node);
--- a/src/node/path_node.h
+++ b/src/node/path_node.h
@@ -34,7 +34,10 @@
  * @dialect: of the site; borrowed
  * @clients: listener for clients and the endpoint
  * @gates: listener for other nodes
- * @lock: guards @announced
+ * @lock: guards @announced and @repeat_ratio
+ * @repeat_ratio: of the settings in force
+ * @drain_ms: of the settings in force; for the thread that stops the node
+ * @grace_ms: likewise
  * @draining: set when the node leaves
  * @in_progress: requests that are not answered in whole, as the loop counted
  */
@@ -53,6 +56,9 @@
 	ql_http_server_t announce_server;
 	pthread_mutex_t lock;
 	ql_announced_endpoint_t announced;
+	double repeat_ratio;
+	uint64_t drain_ms;
+	uint64_t grace_ms;
 	GThread *thread;
 	int draining;
 	int in_progress;
@@ -70,6 +76,15 @@
 int ql_path_node_start(ql_path_node_t *node, const ql_settings_t *settings,
 		       const ql_dialect_t *dialect, GError **error);
 
+/**
+ * ql_path_node_reload() - Put changed settings in force.
+ * @node: the node
+ * @settings: the new ones; only those that need no restart are used
+ *
+ * Call it in the thread that stops the node.
+ */
+void ql_path_node_reload(ql_path_node_t *node, const ql_settings_t *settings);
+
 /**
  * ql_path_node_drain() - Leave: finish what was read; blocks until it is.
  * @node: the node
--- /dev/null
+++ b/src/node/reload.c
@@ -0,0 +1,103 @@
+#include "node/reload.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+#include "quetzalloft/log.h"
+
+#include <string.h>
+
+/* Keys whose change is put in force at once. */
+static const char *const live_keys[] = {
+	"seeds",
+	"drain_ms",
+	"grace_ms",
+	"repeat_ratio",
+};
+
+int ql_reload_init(ql_reload_t *reload, const char *path, GError **error)
+{
+	int ret = ql_json_load_file(&reload->json, path, error);
+
+	reload->path = ret ? NULL : g_strdup(path);
+	reload->refused = NULL;
+	return ret;
+}
+
+void ql_reload_finish(ql_reload_t *reload)
+{
+	json_decref(reload->json);
+	g_free(reload->refused);
+	g_free(reload->path);
+}
+
+static bool is_live(const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(live_keys); i++)
+		if (!strcmp(live_keys[i], key))
+			return true;
+	return false;
+}
+
+static void note_change(GString *live, GString *later, const char *key)
+{
+	GString *list = is_live(key) ? live : later;
+
+	g_string_append_printf(list, "%s%s", list->len ? "," : "", key);
+}
+
+/* Says which keys differ, and which of them wait for a restart. */
+static void log_changes(json_t *old, json_t *new)
+{
+	GString *live = g_string_new(NULL);
+	GString *later = g_string_new(NULL);
+	const char *key;
+	json_t *value;
+
+	json_object_foreach (new, key, value)
+		if (!json_equal(value, json_object_get(old, key)))
+			note_change(live, later, key);
+	json_object_foreach (old, key, value)
+		if (!json_object_get(new, key))
+			note_change(live, later, key);
+	ql_log(LOG_NOTICE, "settings_reloaded", QL_STR("in_force", live->str),
+	       QL_STR("needs_restart", later->str));
+	g_string_free(live, TRUE);
+	g_string_free(later, TRUE);
+}
+
+static ql_reload_result_t refuse(ql_reload_t *reload, GError *error)
+{
+	if (g_strcmp0(reload->refused, error->message) != 0) {
+		ql_log_error(LOG_ERR, "settings_refused", error);
+		g_free(reload->refused);
+		reload->refused = g_strdup(error->message);
+	}
+	g_error_free(error);
+	return QL_RELOAD_INVALID;
+}
+
+ql_reload_result_t ql_reload_check(ql_reload_t *reload, ql_settings_t *settings)
+{
+	ql_settings_t next;
+	GError *error = NULL;
+	json_t *json = NULL;
+	int ret = ql_json_load_file(&json, reload->path, &error);
+
+	if (!ret && json_equal(json, reload->json)) {
+		json_decref(json);
+		return QL_RELOAD_SAME;
+	}
+	if (!ret)
+		ret = ql_settings_parse(&next, json, &error);
+	if (ret) {
+		json_decref(json);
+		return refuse(reload, error);
+	}
+	g_clear_pointer(&reload->refused, g_free);
+	log_changes(reload->json, json);
+	json_decref(reload->json);
+	reload->json = json;
+	*settings = next;
+	return QL_RELOAD_CHANGED;
+}
--- a/src/node/replica_steward.c
+++ b/src/node/replica_steward.c
@@ -20,18 +20,42 @@
 	return __atomic_load_n(&steward->stopping, __ATOMIC_ACQUIRE);
 }
 
-static void learn(ql_replica_steward_t *steward, const char *address)
+static bool is_known(const ql_replica_steward_t *steward, const char *address)
 {
 	size_t i;
 
-	if (!address[0])
-		return;
 	for (i = 0; i < steward->n_known; i++)
 		if (!strcmp(steward->known[i], address))
-			return;
-	if (steward->n_known == QL_REPLICA_MEMBERS_MAX)
-		return;
-	g_strlcpy(steward->known[steward->n_known++], address, QL_ADDRESS_MAX);
+			return true;
+	return false;
+}
+
+static char *place_for_one_more(ql_replica_steward_t *steward)
+{
+	if (steward->n_known < QL_REPLICA_MEMBERS_MAX)
+		return steward->known[steward->n_known++];
+	return steward->known[steward->forgotten++ % QL_REPLICA_MEMBERS_MAX];
+}
+
+void ql_replica_steward_learn(ql_replica_steward_t *steward,
+			      const char *address)
+{
+	pthread_mutex_lock(&steward->lock);
+	if (address[0] && !is_known(steward, address))
+		g_strlcpy(place_for_one_more(steward), address, QL_ADDRESS_MAX);
+	pthread_mutex_unlock(&steward->lock);
+}
+
+static size_t copy_known(ql_replica_steward_t *steward,
+			 char (*out)[QL_ADDRESS_MAX])
+{
+	size_t n;
+
+	pthread_mutex_lock(&steward->lock);
+	n = steward->n_known;
+	memcpy(out, steward->known, sizeof(steward->known));
+	pthread_mutex_unlock(&steward->lock);
+	return n;
 }
 
 /* Tells the registrar of the members, or of the seeds before there are any. */
@@ -39,17 +63,18 @@
 			   const ql_replica_view_t *view)
 {
 	char addresses[QL_RPC_REGISTRARS_MAX][QL_ADDRESS_MAX] = {{0}};
-	size_t i, n = 0;
+	char known[QL_REPLICA_MEMBERS_MAX][QL_ADDRESS_MAX];
+	size_t i, n_known, n = 0;
 
 	for (i = 0; i < view->n_members && n < QL_RPC_REGISTRARS_MAX; i++) {
-		learn(steward, view->members[i].address);
+		ql_replica_steward_learn(steward, view->members[i].address);
 		memcpy(addresses[n++], view->members[i].address,
 		       QL_ADDRESS_MAX);
 	}
 	ql_registrar_service_set_addresses(steward->registrar, addresses, n);
-	for (i = 0; i < steward->n_known; i++)
-		ql_registrar_service_add_peer(steward->registrar,
-					      steward->known[i]);
+	n_known = copy_known(steward, known);
+	for (i = 0; i < n_known; i++)
+		ql_registrar_service_add_peer(steward->registrar, known[i]);
 }
 
 /* A leader changes one member at a time. */
@@ -124,7 +149,8 @@
 	u_int i;
 
 	for (i = 0; i < res->members.members.members_len; i++)
-		learn(steward, res->members.members.members_val[i].address);
+		ql_replica_steward_learn(
+			steward, res->members.members.members_val[i].address);
 	if (res->leader_address[0] && res->members.members.members_len &&
 	    !is_member(&res->members, view->state.identity))
 		ask_to_join(steward, res->leader_address, view->state.identity);
@@ -134,11 +160,13 @@
 static void seek(ql_replica_steward_t *steward, const ql_replica_view_t *view)
 {
 	ql_rpc_replica_status_res res = {0};
+	char known[QL_REPLICA_MEMBERS_MAX][QL_ADDRESS_MAX];
+	size_t n_known = copy_known(steward, known);
 	const char *address;
 
-	if (!steward->n_known)
+	if (!n_known)
 		return;
-	address = steward->known[steward->next++ % steward->n_known];
+	address = known[steward->next++ % n_known];
 	if (!strcmp(address, steward->replica->peers.own_address))
 		return;
 	if (!ql_replica_peers_status(&steward->replica->peers, address, &res))
@@ -191,8 +219,9 @@
 	const ql_settings_t *settings = steward->replica->settings;
 	size_t i;
 
+	pthread_mutex_init(&steward->lock, NULL);
 	for (i = 0; i < settings->n_seeds; i++)
-		learn(steward, settings->seeds[i]);
+		ql_replica_steward_learn(steward, settings->seeds[i]);
 	steward->thread = g_thread_new("steward", run, steward);
 }
 
@@ -203,4 +232,5 @@
 	__atomic_store_n(&steward->stopping, 1, __ATOMIC_RELEASE);
 	g_thread_join(steward->thread);
 	steward->thread = NULL;
+	pthread_mutex_destroy(&steward->lock);
 }
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -356,15 +356,3 @@
 	apply_role(settings);
 	return check_relations(settings, error);
 }
-
-int ql_settings_load(ql_settings_t *settings, const char *path, GError **error)
-{
-	json_t *json;
-	int ret = ql_json_load_file(&json, path, error);
-
-	if (ret)
-		return ret;
-	ret = ql_settings_parse(settings, json, error);
-	json_decref(json);
-	return ret;
-}
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -141,16 +141,6 @@
  */
 int ql_settings_parse(ql_settings_t *settings, json_t *json, GError **error);
 
-/**
- * ql_settings_load() - Read and check a file.
- * @settings: where to store them
- * @path: the file
- * @error: detail of a failure
- *
- * Return: 0, a failure of ql_json_load_file() or of ql_settings_parse().
- */
-int ql_settings_load(ql_settings_t *settings, const char *path, GError **error);
-
 G_END_DECLS
 
 #endif
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -58,7 +58,7 @@
 	ql_front_service_t *service;
 	size_t i;
 
-	for (i = 0; i < front->doc->n_services; i++) {
+	for (i = 0; front->doc && i < front->doc->n_services; i++) {
 		service = ql_front_find_service(front,
 						front->doc->services[i].name);
 		service->budget.ratio =
@@ -68,6 +68,12 @@
 	}
 }
 
+void ql_front_set_repeat_ratio(ql_front_t *front, double ratio)
+{
+	front->opts.repeat_ratio = ratio;
+	set_ratios(front);
+}
+
 static GHashTable *routes_by_name(const ql_front_t *front)
 {
 	GHashTable *routes = g_hash_table_new(g_str_hash, g_str_equal);
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -112,6 +112,13 @@
  */
 void ql_front_set_document(ql_front_t *front, ql_document_t *doc);
 
+/**
+ * ql_front_set_repeat_ratio() - Change the budget of repeats.
+ * @front: the front
+ * @ratio: see &struct ql_front_opts
+ */
+void ql_front_set_repeat_ratio(ql_front_t *front, double ratio);
+
 void ql_front_endpoint_up(ql_front_t *front, const char *service,
 			  const ql_target_info_t *info);
 void ql_front_endpoint_gone(ql_front_t *front, const char *service,
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -275,4 +275,25 @@
 	xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
 }
 
+/* Changed settings name registrars; one that is gone gives its place up. */
+TEST_F(Member, LearnsRegistrarsFromChangedSettings)
+{
+	size_t before = member.opts.n_registrars;
+
+	ql_member_add_registrar(&member, "10.0.0.1:7620");
+	ql_member_add_registrar(&member, "10.0.0.1:7620");
+	EXPECT_EQ(before + 1, member.opts.n_registrars);
+	for (int i = 0; i < 2 * QL_REGISTRARS_MAX; i++)
+		ql_member_add_registrar(
+			&member,
+			("10.0.1." + std::to_string(i) + ":7620").c_str());
+	EXPECT_EQ((size_t)QL_REGISTRARS_MAX, member.opts.n_registrars);
+	EXPECT_STREQ("10.0.0.1:7620", member.opts.registrars[before]);
+	for (int i = 0; i < 100; i++)
+		ql_member_lease_failed(&member, (int)before, 1000);
+	ql_member_add_registrar(&member, "10.0.0.2:7620");
+	EXPECT_STREQ("10.0.0.2:7620", member.opts.registrars[before]);
+	EXPECT_EQ(0u, member.links[before].failures);
+}
+
 } // namespace
