--- a/include/quetzalloft/gate.h
+++ b/include/quetzalloft/gate.h
@@ -195,7 +195,7 @@
  * @gate: the gate
  * @waited_us: from its offer to its admission
  *
- * Return: 1 where it waited twice as long as requests take here.
+ * Return: 1 where it waited as long as requests take here.
  */
 double ql_gate_pressure(const ql_gate_t *gate, uint64_t waited_us);
 
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -13,7 +13,7 @@
 #define RESERVE_DIVISOR 10u
 #define WAIT_SERVICE_TIMES 1.0
 #define SERVICE_TIME_SMOOTHING 0.1
-#define BEARABLE_SERVICE_TIMES 2.0
+#define BEARABLE_SERVICE_TIMES 1.0
 #define SERVICE_TIME_HOLD_US (1 * QL_US_PER_S)
 
 static void limiter_opts(const ql_gate_opts_t *opts, ql_limiter_opts_t *out)
