--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -493,23 +493,12 @@
 	ql_local_gate__pump(gate);
 }
 
-static void raise_pressure(gpointer id G_GNUC_UNUSED, gpointer value,
-			   gpointer data)
-{
-	running_t *call = value;
-	const double *pressure = data;
-
-	call->pressure = MAX(call->pressure, *pressure);
-}
-
 void ql_local_gate_press(ql_local_gate_t *gate, const char *id, double pressure)
 {
 	running_t *call = g_hash_table_lookup(gate->running, id);
 
 	if (call)
-		raise_pressure(NULL, call, &pressure);
-	else
-		g_hash_table_foreach(gate->running, raise_pressure, &pressure);
+		call->pressure = MAX(call->pressure, pressure);
 }
 
 const ql_running_call_t *ql_local_gate_find(const ql_local_gate_t *gate,
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -270,6 +270,21 @@
 	EXPECT_LT(share(), 1);
 }
 
+/* A call whose request has gone says nothing of the others that run. */
+TEST_F(Front, PressureOfAnOrphanIsNobodys)
+{
+	RawSocket client = open();
+
+	client.send(request("/order/1", "p"));
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	ql_local_gate_press(&gate, "gone", 4);
+	server->send(answer("p", "Seal: s\r\n"));
+	ASSERT_TRUE(world.turn_until([&] { return client.has("ok"); }));
+	for (size_t i = 0; i < front.doc->n_routes; i++)
+		EXPECT_EQ(1, front.routes[i].throttle.share);
+}
+
 TEST_F(Front, PartsOfASplitGetTheirWeights)
 {
 	std::map<uint16_t, int> shares;
