Serve sooner when everything starts at once

Cause: behind a loss of power nodes waited 2.7 s for a registrar that has run for a lease, as only then could newer documents have come from other nodes, and the replicas waited a second before their first election. A replica knows when it has applied all that was committed before its leader was heard last; the registrar beside it is ready then. The first election comes after a quarter of the usual time, behind a vote before the vote as always.

--- a/include/quetzalloft/registrar.h
+++ b/include/quetzalloft/registrar.h
@@ -75,6 +75,7 @@
  * @swept_ms: when old records were dropped last
  * @ticked_ms: when ql_registrar_tick() was called last
  * @replicas_heard_ms: when a replica answered last; 0 for never
+ * @current: its configuration is the newest, as the replica beside it knows
  * @addresses: the registrars that nodes are told of
  * @n_addresses: their number; 0 tells nodes nothing
  */
@@ -94,6 +95,7 @@
 	uint64_t swept_ms;
 	uint64_t ticked_ms;
 	uint64_t replicas_heard_ms;
+	bool current;
 	char addresses[QL_RPC_REGISTRARS_MAX][QL_ADDRESS_MAX];
 	size_t n_addresses;
 	ql_registrar_counts_t counts;
@@ -159,6 +161,13 @@
  */
 void ql_registrar_tick(ql_registrar_t *registrar, uint64_t now_ms);
 
+/**
+ * ql_registrar_set_current() - The replica in the same process is current.
+ * @registrar: the registrar
+ * @current: whether it is
+ */
+void ql_registrar_set_current(ql_registrar_t *registrar, bool current);
+
 /**
  * ql_registrar_is_ready() - Whether it has run for a lease.
  * @registrar: the registrar
--- a/include/quetzalloft/replica.h
+++ b/include/quetzalloft/replica.h
@@ -106,6 +106,8 @@
  * @message_entries: entries in one message, at most QL_REPLICA_ENTRIES_MAX
  * @window_entries: entries sent to a peer ahead of its answers
  * @piece_bytes: size of the pieces that a snapshot is sent in
+ * @first_election_ticks: the same behind the start, when nobody may lead, as a
+ *                        vote before the vote disturbs nobody; 0 is as later
  */
 typedef struct ql_replica_opts {
 	const ql_replica_rules_t *rules;
@@ -118,6 +120,7 @@
 	uint32_t message_entries;
 	uint32_t window_entries;
 	uint32_t piece_bytes;
+	uint32_t first_election_ticks;
 } ql_replica_opts_t;
 
 /**
@@ -175,6 +178,7 @@
  * @role: state of chart "replica"
  * @was_member: a committed list of members has named this replica
  * @leader: the leader of the term, or 0
+ * @leader_commit: commit index that the leader told last
  * @term_start: first entry of a leader's own term
  * @applied: last entry applied
  * @synced_index: last entry on the disk
@@ -208,6 +212,7 @@
 	ql_replica_role_t role;
 	bool was_member;
 	uint64_t leader;
+	uint64_t leader_commit;
 	uint64_t term_start;
 	uint32_t election_elapsed;
 	uint32_t election_timeout;
@@ -327,6 +332,16 @@
 			      const ql_replica_change_t *change,
 			      GError **error);
 
+/**
+ * ql_replica_is_current() - Whether all is applied here that was committed
+ * before the present leader was heard last.
+ * @replica: the replica
+ *
+ * Return: false without a leader, and until an entry of the leader's own term
+ * is applied: only that shows that older ones are.
+ */
+bool ql_replica_is_current(const ql_replica_t *replica);
+
 /**
  * ql_replica_read() - Have a quorum confirm that this replica leads.
  * @replica: the replica
--- a/src/control/registrar.c
+++ b/src/control/registrar.c
@@ -49,6 +49,11 @@
 	registrar->replicas_heard_ms = now_ms;
 }
 
+void ql_registrar_set_current(ql_registrar_t *registrar, bool current)
+{
+	registrar->current = current;
+}
+
 static bool replicas_answer(const ql_registrar_t *registrar, uint64_t now_ms)
 {
 	return registrar->replicas_heard_ms &&
@@ -147,7 +152,9 @@
 	res->detail = strdup("");
 	res->lease_ms = registrar->opts.lease_ms;
 	res->registrar_incarnation = registrar->opts.incarnation;
-	res->ready = ql_registrar_is_ready(registrar, now_ms);
+	/* What the nodes might know newer takes a lease to come here. */
+	res->ready =
+		registrar->current || ql_registrar_is_ready(registrar, now_ms);
 	ql_registrar__fill_services(registrar, lease, args, res);
 	if (args->has_interest ||
 	    args->members_number < registrar->domains_number) {
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -39,6 +39,14 @@
 	}
 }
 
+static void start_election_timer(ql_replica_t *replica, uint32_t least)
+{
+	replica->election_elapsed = 0;
+	replica->election_timeout =
+		least + (uint32_t)g_rand_int_range(replica->opts.random, 0,
+						   (gint32)least);
+}
+
 int ql_replica_init(ql_replica_t *replica, const ql_replica_opts_t *opts,
 		    const ql_journal_t *journal, uint64_t identity,
 		    const ql_replica_ops_t *ops, void *data, GError **error)
@@ -57,7 +65,9 @@
 	replica->role = (ql_replica_role_t)opts->chart->start;
 	take_journal(replica, journal, identity);
 	ql_replica__load_members(replica);
-	ql_replica__reset_election(replica);
+	start_election_timer(replica, opts->first_election_ticks
+					      ? opts->first_election_ticks
+					      : opts->election_ticks);
 	if (replica->snapshot.data)
 		ret = ql_replica__restore_snapshot(replica, error);
 	if (ret) {
@@ -120,12 +130,7 @@
 
 void ql_replica__reset_election(ql_replica_t *replica)
 {
-	uint32_t least = replica->opts.election_ticks;
-
-	replica->election_elapsed = 0;
-	replica->election_timeout =
-		least + (uint32_t)g_rand_int_range(replica->opts.random, 0,
-						   (gint32)least);
+	start_election_timer(replica, replica->opts.election_ticks);
 }
 
 void ql_replica__become_follower(ql_replica_t *replica, ql_event_t event,
--- a/src/control/replica_follower.c
+++ b/src/control/replica_follower.c
@@ -71,6 +71,7 @@
 			   &message->entries.entries_val[i]);
 	replica->state.commit =
 		MAX(replica->state.commit, MIN(message->commit, match));
+	replica->leader_commit = message->commit;
 	ql_replica__answer_append(replica, message->from, match,
 				  message->round);
 }
--- a/src/control/replica_read.c
+++ b/src/control/replica_read.c
@@ -27,6 +27,17 @@
 	return 0;
 }
 
+bool ql_replica_is_current(const ql_replica_t *replica)
+{
+	if (replica->role == QL_REPLICA_LEADER)
+		return replica->state.commit >= replica->term_start &&
+		       replica->applied >= replica->state.commit;
+	return ql_replica__has_leader(replica) &&
+	       replica->applied >= replica->leader_commit &&
+	       ql_replica__term_at(replica, replica->applied) ==
+		       replica->state.term;
+}
+
 static int compare_rounds(const void *a, const void *b)
 {
 	uint64_t left = *(const uint64_t *)a;
--- a/src/node/registrar_service.c
+++ b/src/node/registrar_service.c
@@ -340,6 +340,14 @@
 	g_rand_free(service->random);
 }
 
+void ql_registrar_service_set_current(ql_registrar_service_t *service,
+				      bool current)
+{
+	pthread_mutex_lock(service->lock);
+	ql_registrar_set_current(&service->registrar, current);
+	pthread_mutex_unlock(service->lock);
+}
+
 void ql_registrar_service_set_addresses(ql_registrar_service_t *service,
 					char (*addresses)[QL_ADDRESS_MAX],
 					size_t n_addresses)
--- a/src/node/registrar_service.h
+++ b/src/node/registrar_service.h
@@ -84,6 +84,12 @@
 				   const ql_rpc_exchange_args *args,
 				   ql_rpc_exchange_res *res);
 
+/**
+ * ql_registrar_service_set_current() - See ql_registrar_set_current().
+ */
+void ql_registrar_service_set_current(ql_registrar_service_t *service,
+				      bool current);
+
 /**
  * ql_registrar_service_set_addresses() - The registrars that nodes are told of.
  * @service: the service
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -9,6 +9,7 @@
 #define RING_ENTRIES 4096u
 #define TICK_US (50 * QL_US_PER_MS)
 #define ELECTION_TICKS 20u
+#define FIRST_ELECTION_TICKS 5u
 #define HEARTBEAT_TICKS 4u
 #define SNAPSHOT_ENTRIES 2048u
 #define KEPT_ENTRIES 512u
@@ -164,6 +165,7 @@
 	view->identity_synced = replica->synced_identity;
 	view->failed = service->failed || replica->failed;
 	view->is_leader = replica->role == QL_REPLICA_LEADER && !view->failed;
+	view->is_current = ql_replica_is_current(replica) && !view->failed;
 	/* After a failure nobody is to be sent here. */
 	if (!view->failed)
 		g_strlcpy(view->leader_address,
@@ -375,6 +377,7 @@
 		.chart = &service->chart,
 		.random = service->random,
 		.election_ticks = ELECTION_TICKS,
+		.first_election_ticks = FIRST_ELECTION_TICKS,
 		.heartbeat_ticks = HEARTBEAT_TICKS,
 		.snapshot_entries = SNAPSHOT_ENTRIES,
 		.kept_entries = KEPT_ENTRIES,
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -22,6 +22,7 @@
  * @identity_synced: the identity is on the disk
  * @failed: the disk failed; this replica takes no more part
  * @is_leader: whether it leads
+ * @is_current: see ql_replica_is_current()
  * @leader_address: where the leader listens, or ""
  * @role: name of the role
  * @state: identity, term, vote, commit index
@@ -36,6 +37,7 @@
 	bool identity_synced;
 	bool failed;
 	bool is_leader;
+	bool is_current;
 	bool settled;
 	char leader_address[QL_ADDRESS_MAX];
 	const char *role;
--- a/src/node/replica_steward.c
+++ b/src/node/replica_steward.c
@@ -71,6 +71,7 @@
 		memcpy(addresses[n++], view->members[i].address,
 		       QL_ADDRESS_MAX);
 	}
+	ql_registrar_service_set_current(steward->registrar, view->is_current);
 	ql_registrar_service_set_addresses(steward->registrar, addresses, n);
 	n_known = copy_known(steward, known);
 	for (i = 0; i < n_known; i++)
--- a/tests/control/replica_cluster.cc
+++ b/tests/control/replica_cluster.cc
@@ -64,6 +64,7 @@
 	opts.rules = &ql_replica_rules;
 	opts.chart = replica_chart();
 	opts.election_ticks = 20;
+	opts.first_election_ticks = 5;
 	opts.heartbeat_ticks = 4;
 	opts.snapshot_entries = snapshot_entries;
 	opts.kept_entries = snapshot_entries / 4;
--- a/tests/control/replica_restart_test.cc
+++ b/tests/control/replica_restart_test.cc
@@ -50,8 +50,18 @@
 		EXPECT_GE(2u, disks[index].files.size());
 		EXPECT_GT(2 * SNAPSHOT_ENTRIES,
 			  cluster.nodes[index]->journal.entries->len);
+		/* Others may have accepted more meanwhile. */
+		EXPECT_FALSE(ql_replica_is_current(
+			&cluster.nodes[index]->config.replica));
 	}
 	cluster.elect();
+	cluster.submit("first", N_PATCHES, text_of(0));
+	cluster.settle();
+	cluster.elect();
+	for (size_t i = 0; i < 3; i++)
+		EXPECT_TRUE(ql_replica_is_current(
+			&cluster.nodes[i]->config.replica))
+			<< i;
 	for (size_t i = 0; i < 3; i++) {
 		EXPECT_EQ(N_PATCHES, cluster.nodes[i]->state.doc->version);
 		ql_patch_answer_t first =
--- a/tests/control/replica_world.cc
+++ b/tests/control/replica_world.cc
@@ -175,7 +175,7 @@
 		rules.may_commit = always;
 	if (fault == Fault::SECOND_CHANGE_BEFORE_THE_FIRST_SETTLED)
 		rules.members_settled = always_settled;
-	opts = {&rules, replica_chart(), nullptr, 6, 2, 8, 3, 1, 4, 64};
+	opts = {&rules, replica_chart(), nullptr, 6, 2, 8, 3, 1, 4, 64, 0};
 	for (size_t i = 0; i < n_replicas + SPARES; i++) {
 		nodes.push_back(std::make_unique<WorldNode>());
 		nodes[i]->world = this;
