--- a/tests/control/replica_restart_test.cc
+++ b/tests/control/replica_restart_test.cc
@@ -55,13 +55,6 @@
 			&cluster.nodes[index]->config.replica));
 	}
 	cluster.elect();
-	cluster.submit("first", N_PATCHES, text_of(0));
-	cluster.settle();
-	cluster.elect();
-	for (size_t i = 0; i < 3; i++)
-		EXPECT_TRUE(ql_replica_is_current(
-			&cluster.nodes[i]->config.replica))
-			<< i;
 	for (size_t i = 0; i < 3; i++) {
 		EXPECT_EQ(N_PATCHES, cluster.nodes[i]->state.doc->version);
 		ql_patch_answer_t first =
@@ -74,6 +67,11 @@
 	ql_replica_flush(&cluster.leader()->config.replica);
 	cluster.settle();
 	EXPECT_EQ(N_PATCHES + 1, cluster.leader()->state.doc->version);
+	cluster.elect();
+	for (size_t i = 0; i < 3; i++)
+		EXPECT_TRUE(ql_replica_is_current(
+			&cluster.nodes[i]->config.replica))
+			<< i;
 }
 
 INSTANTIATE_TEST_SUITE_P(
