Take back the settings of the older early refusal, which nobody varies any more

Cause: they came so that the path of calls could use other values ("sparse"). The throttle has replaced that use, which left one set of values behind a pointer and another that nothing read. src/policy/level.c, its header, its test and its two callers are as before that change; the values that the first engine and the replay use were and are the same.

policy_test (215), the replay and docs tests pass. Behaviour stays as it is.

--- a/include/quetzalloft/level.h
+++ b/include/quetzalloft/level.h
@@ -43,38 +43,13 @@
 	uint64_t admitted_us;
 } ql_level_route_t;
 
-/**
- * struct ql_level_opts - How fast and how far to refuse.
- * @decay_us: time in which a count falls to 1/e
- * @headroom: requests let through for each one served
- * @free_weight: weight of a served request whose way was free
- * @free_relief: what was offered is divided by this after such a request
- * @tolerated: failures that are borne before any request is refused
- * @probe_us: one request is let through at least this often
- */
-typedef struct ql_level_opts {
-	double decay_us;
-	double headroom;
-	double free_weight;
-	double free_relief;
-	double tolerated;
-	uint64_t probe_us;
-} ql_level_opts_t;
-
-/** For nodes that take many requests of each route, and hear of levels. */
-extern const ql_level_opts_t ql_level_busy;
-/** For nodes that take a few requests a second of each route. */
-extern const ql_level_opts_t ql_level_sparse;
-
 /**
  * struct ql_level - What the first node heard of the load below.
- * @opts: how fast and how far to refuse
  * @routes: by index of the route in the document
  * @n_routes: their number
  * @random: source of the choice and of the jitter; borrowed
  */
 typedef struct ql_level {
-	const ql_level_opts_t *opts;
 	ql_level_route_t *routes;
 	size_t n_routes;
 	GRand *random;
@@ -92,8 +67,7 @@
 	uint32_t retry_after_ms;
 } ql_level_decision_t;
 
-void ql_level_init(ql_level_t *level, const ql_level_opts_t *opts,
-		   size_t n_routes, GRand *random);
+void ql_level_init(ql_level_t *level, size_t n_routes, GRand *random);
 void ql_level_finish(ql_level_t *level);
 
 /**
--- a/src/node/client_service.c
+++ b/src/node/client_service.c
@@ -14,7 +14,7 @@
 	service->claims = claims;
 	pthread_mutex_init(&service->lock, NULL);
 	service->random = g_rand_new();
-	ql_level_init(&service->level, &ql_level_busy, 0, service->random);
+	ql_level_init(&service->level, 0, service->random);
 }
 
 void ql_client_service_finish(ql_client_service_t *service)
--- a/src/policy/level.c
+++ b/src/policy/level.c
@@ -3,31 +3,23 @@
 
 #include <math.h>
 
+/* Time in which a count falls to 1/e. */
+#define DECAY_US (500.0 * QL_US_PER_MS)
+/* Requests let through for each one served, so that growth is noticed. */
+#define HEADROOM 1.5
+/* Weight of a request whose way was free: lifts the refusal soon. */
+#define FREE_WEIGHT 2.0
+/* What was offered counts less by so much after a request with a free way. */
+#define FREE_RELIEF 2.0
+/* Refusals below that are borne before any is refused early. */
+#define TOLERATED 10.0
+/* One request is let through at least this often. */
+#define PROBE_US (100 * QL_US_PER_MS)
 #define RETRY_AFTER_MS 1000u
 #define RETRY_AFTER_JITTER 0.5
 
-const ql_level_opts_t ql_level_busy = {
-	.decay_us = 500.0 * QL_US_PER_MS,
-	.headroom = 1.5,
-	.free_weight = 2.0,
-	.free_relief = 2.0,
-	.tolerated = 10.0,
-	.probe_us = 100 * QL_US_PER_MS,
-};
-
-const ql_level_opts_t ql_level_sparse = {
-	.decay_us = 2500.0 * QL_US_PER_MS,
-	.headroom = 1.25,
-	.free_weight = 1.0,
-	.free_relief = 1.0,
-	.tolerated = 3.0,
-	.probe_us = 400 * QL_US_PER_MS,
-};
-
-void ql_level_init(ql_level_t *level, const ql_level_opts_t *opts,
-		   size_t n_routes, GRand *random)
+void ql_level_init(ql_level_t *level, size_t n_routes, GRand *random)
 {
-	level->opts = opts;
 	level->random = random;
 	level->routes = NULL;
 	ql_level_reset(level, n_routes);
@@ -45,11 +37,9 @@
 	level->n_routes = n_routes;
 }
 
-static void decay(const ql_level_t *level, ql_level_route_t *route,
-		  uint64_t now_us)
+static void decay(ql_level_route_t *route, uint64_t now_us)
 {
-	double factor = exp(-(double)(now_us - route->counted_us) /
-			    level->opts->decay_us);
+	double factor = exp(-(double)(now_us - route->counted_us) / DECAY_US);
 
 	route->offered *= factor;
 	route->served *= factor;
@@ -57,11 +47,9 @@
 }
 
 /* The part of the requests that would be shed below in any case. */
-static double refused_part(const ql_level_opts_t *opts,
-			   const ql_level_route_t *route)
+static double refused_part(const ql_level_route_t *route)
 {
-	double excess = route->offered - opts->headroom * route->served -
-			opts->tolerated;
+	double excess = route->offered - HEADROOM * route->served - TOLERATED;
 
 	return excess > 0 ? excess / route->offered : 0;
 }
@@ -76,9 +64,9 @@
 	if (index >= level->n_routes)
 		return decision;
 	route = &level->routes[index];
-	decay(level, route, now_us);
-	part = refused_part(level->opts, route);
-	if (part <= 0 || now_us - route->admitted_us >= level->opts->probe_us ||
+	decay(route, now_us);
+	part = refused_part(route);
+	if (part <= 0 || now_us - route->admitted_us >= PROBE_US ||
 	    g_rand_double(level->random) >= part) {
 		route->admitted_us = now_us;
 		return decision;
@@ -102,11 +90,11 @@
 	if (index >= level->n_routes || end == QL_LEVEL_OTHER)
 		return;
 	route = &level->routes[index];
-	decay(level, route, now_us);
+	decay(route, now_us);
 	route->offered++;
 	if (end != QL_LEVEL_SERVED)
 		return;
-	route->served += is_free ? level->opts->free_weight : 1;
+	route->served += is_free ? FREE_WEIGHT : 1;
 	if (is_free)
-		route->offered /= level->opts->free_relief;
+		route->offered /= FREE_RELIEF;
 }
--- a/src/policy/replay_endpoint.c
+++ b/src/policy/replay_endpoint.c
@@ -59,8 +59,7 @@
 				     sim->doc->services[i].retry_ratio,
 				     RETRY_BURST);
 	}
-	ql_level_init(&endpoint->level, &ql_level_busy, sim->doc->n_routes,
-		      sim->random);
+	ql_level_init(&endpoint->level, sim->doc->n_routes, sim->random);
 }
 
 static void add_endpoint(ql_replay__sim_t *sim, uint32_t index,
--- a/tests/policy/level_test.cc
+++ b/tests/policy/level_test.cc
@@ -14,7 +14,7 @@
 	void SetUp() override
 	{
 		random = g_rand_new_with_seed(1);
-		ql_level_init(&level, &ql_level_busy, 2, random);
+		ql_level_init(&level, 2, random);
 	}
 
 	void TearDown() override
