Write the fading of what a balancer knows, and the unit of pressure, once

Latency, slowness and the failing part each had their own line of the same half-life; both ends of a hop named the unit of the pressure header for themselves. Behaviour stays as it is: policy_test (215) and path_test (20) pass.

--- a/include/quetzalloft/metadata.h
+++ b/include/quetzalloft/metadata.h
@@ -28,6 +28,8 @@
 #define QL_HEADER_RETRY_AFTER "Retry-After"
 
 #define QL_TIMEOUT_MAX_MS 600000ULL
+/** What a pressure of 1 is in its header. */
+#define QL_PRESSURE_ONE 1000.0
 #define QL_PRESSURE_MAX_PERMILLE 1000000ULL
 
 /**
--- a/src/path/hop.c
+++ b/src/path/hop.c
@@ -11,7 +11,6 @@
 #define IDLE_MS 20000u
 #define IDLE_MAX 16u
 #define MS_PER_S 1000.0
-#define PERMILLE 1000.0
 
 typedef struct {
 	ql_upstream_request_t *request;
@@ -66,7 +65,7 @@
 	call->end.reason = metadata.reason;
 	call->end.has_level = (metadata.has & QL_HAS_LEVEL) != 0;
 	call->end.level = (uint32_t)metadata.level;
-	call->end.pressure = (double)metadata.pressure / PERMILLE;
+	call->end.pressure = (double)metadata.pressure / QL_PRESSURE_ONE;
 	if (call->end.outcome != QL_OUTCOME_ANSWERED && value)
 		call->end.retry_after_ms =
 			(uint32_t)(g_ascii_strtod(value, NULL) * MS_PER_S);
--- a/src/path/hop_server.c
+++ b/src/path/hop_server.c
@@ -7,7 +7,6 @@
 
 /* Bytes of an answer that may wait for a slow peer. */
 #define PENDING_MAX_BYTES (256u << 10)
-#define PERMILLE 1000.0
 
 typedef struct {
 	ql_http_exchange_t *exchange;
@@ -23,7 +22,7 @@
 
 	ql_call_write_outcome(out, end->outcome, end->reason);
 	ql_metadata_init(&metadata);
-	metadata.pressure = (uint64_t)MIN(end->pressure * PERMILLE,
+	metadata.pressure = (uint64_t)MIN(end->pressure * QL_PRESSURE_ONE,
 					  QL_PRESSURE_MAX_PERMILLE);
 	if (end->has_level)
 		metadata.has |= QL_HAS_LEVEL;
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -342,16 +342,20 @@
 	return handle;
 }
 
+/* What is left of what was learned then, without news since. */
+static double left_of(double value, uint64_t learned_us, uint64_t now_us)
+{
+	return value * exp2(-(double)(now_us - learned_us) / HALF_LIFE_US);
+}
+
 /* What is known of its latency, and less the longer nothing was heard. */
 static double expected_latency_us(const ql_balancer_t *balancer,
 				  const ql_target_t *target, uint64_t now_us)
 {
-	double idle;
-
 	if (target->latency_us <= 0)
 		return MAX(balancer->latency_us, LATENCY_FLOOR_US);
-	idle = (double)(now_us - target->heard_us) / HALF_LIFE_US;
-	return MAX(target->latency_us * exp2(-idle), LATENCY_FLOOR_US);
+	return MAX(left_of(target->latency_us, target->heard_us, now_us),
+		   LATENCY_FLOOR_US);
 }
 
 static ql_handle_t pick_random(ql_balancer_t *balancer,
@@ -421,19 +425,15 @@
 /* What is known of its slowness, and less the longer nothing was heard. */
 static double expected_slowness(const ql_target_t *target, uint64_t now_us)
 {
-	double idle = (double)(now_us - target->heard_us) / HALF_LIFE_US;
-
 	if (target->slowness <= 0)
 		return 1;
-	return 1 + (target->slowness - 1) * exp2(-idle);
+	return 1 + left_of(target->slowness - 1, target->heard_us, now_us);
 }
 
 /* The part of the attempts that is likely to fail there. */
 static double expected_failing(const ql_target_t *target, uint64_t now_us)
 {
-	double idle = (double)(now_us - target->failing_us) / HALF_LIFE_US;
-
-	return target->failing * exp2(-idle);
+	return left_of(target->failing, target->failing_us, now_us);
 }
 
 /* Time in which the endpoint is likely to answer one more request. */
