Call refused callers back within the target of their route

Cause: the first node refuses with a Retry-After of 0.5 to 1.5 s whatever the route.

Change: the wait is 0.2 to 0.6 of the target, 0.3 to 0.9 s there. Routes without a target keep the old one.

Test: Throttle.CallsBackWithinTheTarget, without a network.

--- a/include/quetzalloft/throttle.h
+++ b/include/quetzalloft/throttle.h
@@ -49,12 +49,16 @@
 /**
  * ql_throttle_offer() - Decide on a request before its first attempt.
  * @throttle: of its route
+ * @target_ms: the latency target of the route, or 0
  * @random: source of the choice and of the jitter
  * @now_us: the time
  *
+ * One that is refused may come again so soon that its target can still be met.
+ *
  * Return: the decision. One that is let through ends with ql_throttle_done().
  */
-ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle, GRand *random,
+ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle,
+					 uint64_t target_ms, GRand *random,
 					 uint64_t now_us);
 
 /**
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -436,7 +436,8 @@
 	if (call->call.under_way)
 		return false;
 	decision = ql_throttle_offer(&front->routes[call->route_index].throttle,
-				     front->random, now_us(call));
+				     call->route->target_ms, front->random,
+				     now_us(call));
 	call->retry_after_ms = decision.retry_after_ms;
 	call->let_through = !decision.refuse;
 	return decision.refuse;
--- a/src/policy/throttle.c
+++ b/src/policy/throttle.c
@@ -14,6 +14,8 @@
 #define SHARE_MIN 0.02
 /* One request at least shows whether the pressure has gone. */
 #define PROBE_US (400 * QL_US_PER_MS)
+/* The mean wait of a refused request: of its target, or where it has none. */
+#define RETRY_AFTER_TARGET_PART 0.4
 #define RETRY_AFTER_MS 1000.0
 #define RETRY_AFTER_JITTER 0.5
 
@@ -23,14 +25,18 @@
 	throttle->share = 1;
 }
 
-static uint32_t retry_after_ms(GRand *random)
+static uint32_t retry_after_ms(uint64_t target_ms, GRand *random)
 {
-	return (uint32_t)(RETRY_AFTER_MS *
-			  g_rand_double_range(random, 1 - RETRY_AFTER_JITTER,
-					      1 + RETRY_AFTER_JITTER));
+	double mean_ms = target_ms ? RETRY_AFTER_TARGET_PART * (double)target_ms
+				   : RETRY_AFTER_MS;
+	double jitter = g_rand_double_range(random, 1 - RETRY_AFTER_JITTER,
+					    1 + RETRY_AFTER_JITTER);
+
+	return (uint32_t)MAX(mean_ms * jitter, 1);
 }
 
-ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle, GRand *random,
+ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle,
+					 uint64_t target_ms, GRand *random,
 					 uint64_t now_us)
 {
 	ql_throttle_decision_t decision = {0};
@@ -41,7 +47,7 @@
 		return decision;
 	}
 	decision.refuse = true;
-	decision.retry_after_ms = retry_after_ms(random);
+	decision.retry_after_ms = retry_after_ms(target_ms, random);
 	return decision;
 }
 
--- a/tests/policy/throttle_test.cc
+++ b/tests/policy/throttle_test.cc
@@ -90,7 +90,8 @@
 			now_us_ += (uint64_t)(gap * QL_US_PER_S);
 			Answer(now_us_);
 			count.offered++;
-			if (ql_throttle_offer(&nodes_[node], random_, now_us_)
+			if (ql_throttle_offer(&nodes_[node], 0, random_,
+					      now_us_)
 				    .refuse)
 				count.refused++;
 			else
@@ -144,13 +145,40 @@
 	ql_throttle_init(&throttle);
 	for (int i = 0; i < 100; i++, now_us += 100 * QL_US_PER_MS)
 		ql_throttle_done(&throttle, QL_PRESSURE_MAX, now_us);
-	ql_throttle_offer(&throttle, random, now_us);
+	ql_throttle_offer(&throttle, 0, random, now_us);
 	for (int i = 0; i < 100; i++, now_us += 1000) {
-		decision = ql_throttle_offer(&throttle, random, now_us);
+		decision = ql_throttle_offer(&throttle, 0, random, now_us);
 		EXPECT_EQ(decision.refuse, decision.retry_after_ms > 0);
 	}
 	now_us += QL_US_PER_S;
-	EXPECT_FALSE(ql_throttle_offer(&throttle, random, now_us).refuse);
+	EXPECT_FALSE(ql_throttle_offer(&throttle, 0, random, now_us).refuse);
+	g_rand_free(random);
+}
+
+/* Pattern: callers that come back once must not come back too late. */
+TEST(Throttle, CallsBackWithinTheTarget)
+{
+	constexpr uint64_t kTargetMs = 1500;
+	constexpr uint32_t kServedMs = 500;
+	GRand *random = g_rand_new_with_seed(1);
+	uint32_t first_ms = UINT32_MAX, last_ms = 0;
+	uint64_t now_us = 60 * QL_US_PER_S;
+	ql_throttle_t throttle;
+
+	ql_throttle_init(&throttle);
+	for (int i = 0; i < 100; i++, now_us += 100 * QL_US_PER_MS)
+		ql_throttle_done(&throttle, QL_PRESSURE_MAX, now_us);
+	for (int i = 0; i < 1000; i++) {
+		ql_throttle_decision_t decision =
+			ql_throttle_offer(&throttle, kTargetMs, random, now_us);
+
+		if (!decision.refuse)
+			continue;
+		first_ms = MIN(first_ms, decision.retry_after_ms);
+		last_ms = MAX(last_ms, decision.retry_after_ms);
+	}
+	EXPECT_LE(last_ms + kServedMs, kTargetMs);
+	EXPECT_GE(last_ms - first_ms, kTargetMs / 3);
 	g_rand_free(random);
 }
 
