Bound the requests in progress while a route is refused early

Its answers tell of that queue 1.4 to 2.2 s late, so the share that is let through swings around what there is room for.

Change: while the share is below 1, requests in progress are bounded by what that share keeps there when nothing waits (Little's law, half more, and two). A request that stays longer then keeps another from being begun at once.

Tests: Throttle.BeginsNoMoreWhileAnswersAreLate fails before (108 begun).

--- a/include/quetzalloft/throttle.h
+++ b/include/quetzalloft/throttle.h
@@ -11,6 +11,11 @@
  * is above 1 and grows while it is below, so that the queues below stay short
  * and what is begun can be finished. Each node decides alone, from the answers
  * that it gets itself.
+ *
+ * Answers tell late of a queue that makes them late. So while the share is
+ * below 1, no more requests are in progress than that share of them keeps there
+ * when nothing waits; requests that stay longer keep others from being begun at
+ * once.
  */
 
 #include "quetzalloft/types.h"
@@ -26,12 +31,20 @@
  * @admitted_us: when a request was let through last
  * @heard_us: when the last answer came
  * @pressed_us: when the last one came whose pressure was above 1
+ * @offered_us: when a request was offered last
+ * @offered_per_s: moving mean of the requests offered
+ * @clear_us: moving mean of the latency where the pressure was not above 1
+ * @in_progress: requests that were let through and have not ended
  */
 typedef struct ql_throttle {
 	double share;
 	uint64_t admitted_us;
 	uint64_t heard_us;
 	uint64_t pressed_us;
+	uint64_t offered_us;
+	double offered_per_s;
+	double clear_us;
+	uint32_t in_progress;
 } ql_throttle_t;
 
 /**
@@ -55,20 +68,27 @@
  *
  * One that is refused may come again so soon that its target can still be met.
  *
- * Return: the decision. One that is let through ends with ql_throttle_done().
+ * Return: the decision. One that is let through ends with ql_throttle_end().
  */
 ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle,
 					 uint64_t target_ms, GRand *random,
 					 uint64_t now_us);
 
 /**
- * ql_throttle_done() - Report the end of a request that was let through.
+ * ql_throttle_note() - Tell what an answer says of the way below.
  * @throttle: of its route
  * @pressure: on its way, 0 where nothing waited
+ * @latency_us: since the request came
  * @now_us: the time
  */
-void ql_throttle_done(ql_throttle_t *throttle, double pressure,
-		      uint64_t now_us);
+void ql_throttle_note(ql_throttle_t *throttle, double pressure,
+		      uint64_t latency_us, uint64_t now_us);
+
+/**
+ * ql_throttle_end() - Report that a request that was let through has ended.
+ * @throttle: of its route
+ */
+void ql_throttle_end(ql_throttle_t *throttle);
 
 G_END_DECLS
 
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -101,6 +101,8 @@
 			continue;
 		routes[i].typical_us = old->typical_us;
 		routes[i].throttle = old->throttle;
+		/* Those of the old document do not report their end here. */
+		routes[i].throttle.in_progress = 0;
 	}
 	g_hash_table_destroy(known);
 	return routes;
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -30,8 +30,20 @@
 	return ql_loop_now_us(call->front->loop);
 }
 
+/* What is kept of its route, or NULL when that is of an older document. */
+static ql_front_route_t *kept_route(const ql_front_call_t *call)
+{
+	return call->doc == call->front->doc
+		       ? &call->front->routes[call->route_index]
+		       : NULL;
+}
+
 static void call_free(ql_front_call_t *call)
 {
+	ql_front_route_t *kept = kept_route(call);
+
+	if (call->let_through && kept)
+		ql_throttle_end(&kept->throttle);
 	g_hash_table_remove(call->front->calls, call);
 	ql_loop_stop_timer(call->front->loop, &call->deadline);
 	ql_headers_finish(&call->headers);
@@ -63,21 +75,15 @@
 	       QL_UINT("age_us", now_us(call) - call->exchange->received_us));
 }
 
-/* What is kept of its route, or NULL when that is of an older document. */
-static ql_front_route_t *kept_route(const ql_front_call_t *call)
-{
-	return call->doc == call->front->doc
-		       ? &call->front->routes[call->route_index]
-		       : NULL;
-}
-
 /* Tells the request above and those to come what this one met with. */
 static void note_pressure(ql_front_call_t *call, double pressure)
 {
 	ql_front_route_t *kept = kept_route(call);
 
 	if (call->let_through && kept)
-		ql_throttle_done(&kept->throttle, pressure, now_us(call));
+		ql_throttle_note(&kept->throttle, pressure,
+				 now_us(call) - call->exchange->received_us,
+				 now_us(call));
 	if (call->call.under_way && pressure > 0)
 		ql_local_gate_press(call->front->opts.local, call->parent_id,
 				    pressure);
--- a/src/policy/throttle.c
+++ b/src/policy/throttle.c
@@ -12,6 +12,12 @@
 /* An answer stands for the time since the last one, up to this. */
 #define ANSWER_MAX_US (1 * QL_US_PER_S)
 #define SHARE_MIN 0.02
+/* Requests in progress, by what the share keeps there when nothing waits, and
+ * the few that a slow route may have in any case. */
+#define IN_PROGRESS_HEADROOM 1.5
+#define IN_PROGRESS_MIN 2
+#define OFFERED_SMOOTHING_S 1.0
+#define CLEAR_SMOOTHING 0.1
 /* One request at least shows whether the pressure has gone. */
 #define PROBE_US (400 * QL_US_PER_MS)
 /* The mean wait of a refused request: of its target, or where it has none. */
@@ -35,15 +41,44 @@
 	return (uint32_t)MAX(mean_ms * jitter, 1);
 }
 
+static void count_offer(ql_throttle_t *throttle, uint64_t now_us)
+{
+	double since_s = (double)(now_us - throttle->offered_us) / QL_US_PER_S;
+
+	throttle->offered_us = now_us;
+	throttle->offered_per_s *= exp(-since_s / OFFERED_SMOOTHING_S);
+	throttle->offered_per_s += 1 / OFFERED_SMOOTHING_S;
+}
+
+/* By Little's law. */
+static bool has_room(const ql_throttle_t *throttle)
+{
+	double usual = throttle->share * throttle->offered_per_s *
+		       throttle->clear_us / QL_US_PER_S;
+
+	return throttle->share >= 1 ||
+	       throttle->in_progress <
+		       IN_PROGRESS_MIN + IN_PROGRESS_HEADROOM * usual;
+}
+
+static bool is_let_through(const ql_throttle_t *throttle, GRand *random,
+			   uint64_t now_us)
+{
+	if (now_us - throttle->admitted_us >= PROBE_US)
+		return true;
+	return has_room(throttle) && g_rand_double(random) < throttle->share;
+}
+
 ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle,
 					 uint64_t target_ms, GRand *random,
 					 uint64_t now_us)
 {
 	ql_throttle_decision_t decision = {0};
 
-	if (now_us - throttle->admitted_us >= PROBE_US ||
-	    g_rand_double(random) < throttle->share) {
+	count_offer(throttle, now_us);
+	if (is_let_through(throttle, random, now_us)) {
 		throttle->admitted_us = now_us;
+		throttle->in_progress++;
 		return decision;
 	}
 	decision.refuse = true;
@@ -64,7 +99,16 @@
 	return growth * (1 - pressure);
 }
 
-void ql_throttle_done(ql_throttle_t *throttle, double pressure, uint64_t now_us)
+static void note_clear(ql_throttle_t *throttle, double latency_us)
+{
+	if (throttle->clear_us <= 0)
+		throttle->clear_us = latency_us;
+	throttle->clear_us +=
+		CLEAR_SMOOTHING * (latency_us - throttle->clear_us);
+}
+
+void ql_throttle_note(ql_throttle_t *throttle, double pressure,
+		      uint64_t latency_us, uint64_t now_us)
 {
 	uint64_t since_us = MIN(now_us - throttle->heard_us, ANSWER_MAX_US);
 	double since_s = (double)since_us / QL_US_PER_S;
@@ -73,5 +117,13 @@
 	throttle->heard_us = now_us;
 	if (pressure > 1)
 		throttle->pressed_us = now_us;
+	else
+		note_clear(throttle, (double)latency_us);
 	throttle->share = CLAMP(throttle->share * factor, SHARE_MIN, 1);
 }
+
+void ql_throttle_end(ql_throttle_t *throttle)
+{
+	if (throttle->in_progress)
+		throttle->in_progress--;
+}
--- a/tests/policy/throttle_test.cc
+++ b/tests/policy/throttle_test.cc
@@ -52,10 +52,12 @@
 	void Answer(uint64_t until_us)
 	{
 		while (!open_.empty() && open_.begin()->first <= until_us) {
-			auto [node, pressure] = open_.begin()->second;
+			auto [node, pressure, latency_us] =
+				open_.begin()->second;
 
-			ql_throttle_done(&nodes_[node], pressure,
+			ql_throttle_note(&nodes_[node], pressure, latency_us,
 					 open_.begin()->first);
+			ql_throttle_end(&nodes_[node]);
 			open_.erase(open_.begin());
 		}
 	}
@@ -67,14 +69,16 @@
 
 		if (wait_us > kQueueUs) {
 			open_.emplace(now_us_ + kQueueUs,
-				      std::make_pair(node, QL_PRESSURE_MAX));
+				      std::make_tuple(node, QL_PRESSURE_MAX,
+						      kQueueUs));
 			return;
 		}
 		free_us_ = MAX(free_us_, now_us_) +
 			   (uint64_t)(QL_US_PER_S / kCapacityPerS);
 		count->in_time += kBaseUs + wait_us <= kTargetUs;
 		open_.emplace(now_us_ + kBaseUs + wait_us,
-			      std::make_pair(node, pressure));
+			      std::make_tuple(node, pressure,
+					      kBaseUs + wait_us));
 	}
 
 	/* One request at a time, at any of the nodes. */
@@ -102,7 +106,7 @@
 
 	GRand *random_ = g_rand_new_with_seed(1);
 	ql_throttle_t nodes_[kNodes];
-	std::multimap<uint64_t, std::pair<int, double>> open_;
+	std::multimap<uint64_t, std::tuple<int, double, uint64_t>> open_;
 	uint64_t now_us_ = 60 * QL_US_PER_S;
 	uint64_t free_us_ = 0;
 };
@@ -144,7 +148,7 @@
 
 	ql_throttle_init(&throttle);
 	for (int i = 0; i < 100; i++, now_us += 100 * QL_US_PER_MS)
-		ql_throttle_done(&throttle, QL_PRESSURE_MAX, now_us);
+		ql_throttle_note(&throttle, QL_PRESSURE_MAX, 0, now_us);
 	ql_throttle_offer(&throttle, 0, random, now_us);
 	for (int i = 0; i < 100; i++, now_us += 1000) {
 		decision = ql_throttle_offer(&throttle, 0, random, now_us);
@@ -167,7 +171,7 @@
 
 	ql_throttle_init(&throttle);
 	for (int i = 0; i < 100; i++, now_us += 100 * QL_US_PER_MS)
-		ql_throttle_done(&throttle, QL_PRESSURE_MAX, now_us);
+		ql_throttle_note(&throttle, QL_PRESSURE_MAX, 0, now_us);
 	for (int i = 0; i < 1000; i++) {
 		ql_throttle_decision_t decision =
 			ql_throttle_offer(&throttle, kTargetMs, random, now_us);
@@ -182,4 +186,31 @@
 	g_rand_free(random);
 }
 
+/* Pattern: a queue far below that answers tell of only when they leave it. */
+TEST(Throttle, BeginsNoMoreWhileAnswersAreLate)
+{
+	constexpr uint64_t kGapUs = 10 * QL_US_PER_MS;
+	constexpr uint64_t kClearUs = 200 * QL_US_PER_MS;
+	GRand *random = g_rand_new_with_seed(1);
+	uint64_t now_us = 60 * QL_US_PER_S;
+	ql_throttle_t throttle;
+	int let_through = 0;
+
+	ql_throttle_init(&throttle);
+	for (int i = 0; i < 300; i++, now_us += kGapUs) {
+		if (!ql_throttle_offer(&throttle, 0, random, now_us).refuse)
+			ql_throttle_end(&throttle);
+		ql_throttle_note(&throttle, i % 10 ? 0.9 : 1.5, kClearUs,
+				 now_us);
+	}
+	throttle.share = 0.5;
+	for (int i = 0; i < 200; i++, now_us += kGapUs)
+		let_through +=
+			!ql_throttle_offer(&throttle, 0, random, now_us).refuse;
+	/* 10 would be in progress if answers came as before. */
+	EXPECT_GE(let_through, 10);
+	EXPECT_LE(let_through, 25);
+	g_rand_free(random);
+}
+
 } // namespace
