Measure the way to another failure domain in typical latencies

Change: it has to save 1.5 typical latencies of the route, whatever its target. The rule moved from the front into the balancer.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -79,13 +79,11 @@
  * @n_tried: their number
  * @typical_us: latency that is typical of the route, at any endpoint; 0 when
  *              it is not known
- * @far_us: time that an endpoint of another failure domain has to save
  */
 typedef struct ql_pick {
 	const ql_handle_t *tried;
 	size_t n_tried;
 	double typical_us;
-	double far_us;
 } ql_pick_t;
 
 /**
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -14,9 +14,6 @@
 #define HELD_MAX_BYTES (128u << 10)
 /* Bytes of an answer that may wait for a slow client. */
 #define PENDING_MAX_BYTES (256u << 10)
-/* An endpoint of another failure domain has to save this part of the target. */
-#define FAR_TARGET_PART 0.5
-#define FAR_DEFAULT_US (10.0 * QL_US_PER_MS)
 #define TYPICAL_SMOOTHING 0.1
 /* The pressure at least, where an answer came too late. */
 #define LATE_PRESSURE 2.0
@@ -363,14 +360,6 @@
 		call->callee = callee;
 }
 
-/* Bytes between failure domains are dear. */
-static double far_us(const ql_route_t *route)
-{
-	return route->target_ms ? FAR_TARGET_PART * (double)route->target_ms *
-					  QL_US_PER_MS
-				: FAR_DEFAULT_US;
-}
-
 static void start_attempt(ql_front_call_t *call)
 {
 	ql_balancer_t *balancer = &call->service->balancer;
@@ -378,7 +367,6 @@
 		.tried = call->tried,
 		.n_tried = call->n_tried,
 		.typical_us = typical_us(call),
-		.far_us = far_us(call->route),
 	};
 	char gate[QL_ADDRESS_MAX];
 	const ql_target_t *target;
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -10,6 +10,9 @@
 #define FAILING_SMOOTHING 0.1
 /* A failure costs the work above it, and often a repeat. */
 #define FAILURE_COST 10.0
+/* What an endpoint of another failure domain has to save, since bytes between
+ * domains are dear, in typical latencies. */
+#define FAR_TYPICAL_TIMES 1.5
 #define EJECT_FAILURES 5u
 #define EJECT_US (2 * QL_US_PER_S)
 #define EJECT_MAX_PERCENT 50u
@@ -455,7 +458,7 @@
 	if (target->refuse_until_us > now_us)
 		time_us += (double)(target->refuse_until_us - now_us);
 	if (target->near_position == UINT32_MAX)
-		time_us += pick->far_us;
+		time_us += FAR_TYPICAL_TIMES * typical_us;
 	return time_us;
 }
 
