Serve the metrics of the roles, with what the path of calls counts

Cause: a process with a role had no metrics address, and the front and the gate kept counts of their own that nobody could read. The path of calls now counts into the counters of the process, which moved to src/util, with latencies of requests, attempts, waits at the gate and at the endpoint, and gauges of the gate, the version in force and the leading replica. "listen.metrics" serves them in the Prometheus text format at /metrics.

--- a/src/node/context.h
+++ b/src/node/context.h
@@ -6,7 +6,7 @@
  * life cycles, and the document in force.
  */
 
-#include "node/counters.h"
+#include "util/counters.h"
 #include "node/life_cycle.h"
 #include "node/settings.h"
 #include "quetzalloft/metadata.h"
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -188,6 +188,7 @@
 	if (!control->settings->replica)
 		return 0;
 	replica->settings = control->settings;
+	replica->counters = control->counters;
 	replica->hlc = control->hlc;
 	replica->timeline = control->timeline;
 	replica->lock = &control->lock;
--- a/src/node/core_node.c
+++ b/src/node/core_node.c
@@ -49,6 +49,10 @@
 	node->operators.dialect = dialect;
 	node->operators.replica = &node->control.replica;
 	ret = ql_operator_http_start(&node->operators, error);
+	if (!ret)
+		ret = ql_metrics_http_start(&node->metrics,
+					    settings->listen.metrics,
+					    &node->context.counters, error);
 	if (!ret)
 		ql_log(LOG_NOTICE, "core_started",
 		       QL_STR("node", settings->node),
@@ -66,6 +70,7 @@
 
 void ql_core_node_stop(ql_core_node_t *node)
 {
+	ql_metrics_http_stop(&node->metrics);
 	ql_operator_http_stop(&node->operators);
 	ql_replica_steward_stop(&node->steward);
 	ql_control_service_stop(&node->control);
--- a/src/node/core_node.h
+++ b/src/node/core_node.h
@@ -8,6 +8,7 @@
 
 #include "node/context.h"
 #include "node/control_service.h"
+#include "node/metrics_http.h"
 #include "node/operator_http.h"
 #include "node/replica_steward.h"
 
@@ -18,12 +19,14 @@
  * @control: replica, registrar and the RPC server
  * @steward: keeps the members of the replicas in order
  * @operators: the operators' HTTP interface
+ * @metrics: for readers of metrics
  */
 typedef struct ql_core_node {
 	ql_context_t context;
 	ql_control_service_t control;
 	ql_replica_steward_t steward;
 	ql_operator_http_t operators;
+	ql_metrics_http_t metrics;
 } ql_core_node_t;
 
 /**
--- a/src/node/lease_service.h
+++ b/src/node/lease_service.h
@@ -5,7 +5,7 @@
  * DOC: The thread that renews this node's lease, and what it learns thereby.
  */
 
-#include "node/counters.h"
+#include "util/counters.h"
 #include "node/gate_service.h"
 #include "node/settings.h"
 #include "quetzalloft/ring.h"
--- /dev/null
+++ b/src/node/metrics_http.c
@@ -0,0 +1,60 @@
+#include "node/metrics_http.h"
+#include "node/answer.h"
+#include "quetzalloft/address.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define PATH_METRICS "/metrics"
+#define TEXT_FORMAT "text/plain; version=0.0.4"
+#define CONNECTIONS 16u
+#define BODY_LIMIT_BYTES 1024u
+
+static void handle(void *data, const struct _u_request *request,
+		   struct _u_response *response)
+{
+	const ql_metrics_http_t *metrics = data;
+	char *text;
+
+	if (strcmp(request->url_path, PATH_METRICS) != 0) {
+		ql_answer_text(response, 404, "text/plain", "not found\n");
+		return;
+	}
+	text = ql_counters_text(metrics->counters);
+	ql_answer_text(response, 200, TEXT_FORMAT, text);
+	g_free(text);
+}
+
+int ql_metrics_http_start(ql_metrics_http_t *metrics, const char *address,
+			  const ql_counters_t *counters, GError **error)
+{
+	char ip[INET_ADDRSTRLEN];
+	struct sockaddr_in bound;
+	ql_http_server_opts_t opts = {
+		.address = ip,
+		.connections = CONNECTIONS,
+		.body_limit_bytes = BODY_LIMIT_BYTES,
+		.handle = handle,
+		.data = metrics,
+	};
+	int ret;
+
+	if (!address[0])
+		return 0;
+	ret = ql_address_parse(&bound, address, error);
+	if (ret)
+		return ret;
+	inet_ntop(AF_INET, &bound.sin_addr, ip, sizeof(ip));
+	opts.port = ntohs(bound.sin_port);
+	metrics->counters = counters;
+	ret = ql_http_server_start(&metrics->server, &opts, error);
+	metrics->started = !ret;
+	return ret;
+}
+
+void ql_metrics_http_stop(ql_metrics_http_t *metrics)
+{
+	if (metrics->started)
+		ql_http_server_stop(&metrics->server);
+	metrics->started = false;
+}
--- /dev/null
+++ b/src/node/metrics_http.h
@@ -0,0 +1,40 @@
+#ifndef QL_NODE_METRICS_HTTP_H
+#define QL_NODE_METRICS_HTTP_H
+
+/**
+ * DOC: Counters and latencies in the Prometheus text format, for readers that
+ * fetch them at an address of their own.
+ */
+
+#include "node/http_server.h"
+#include "util/counters.h"
+
+G_BEGIN_DECLS
+
+/**
+ * struct ql_metrics_http - The listener.
+ * @counters: what is served; borrowed
+ */
+typedef struct ql_metrics_http {
+	ql_http_server_t server;
+	const ql_counters_t *counters;
+	bool started;
+} ql_metrics_http_t;
+
+/**
+ * ql_metrics_http_start() - Serve metrics.
+ * @metrics: zeros
+ * @address: "IP:port", or "" to serve none
+ * @counters: what is served
+ * @error: filled in on failure
+ *
+ * Return: 0, or why it cannot listen there.
+ */
+int ql_metrics_http_start(ql_metrics_http_t *metrics, const char *address,
+			  const ql_counters_t *counters, GError **error);
+
+void ql_metrics_http_stop(ql_metrics_http_t *metrics);
+
+G_END_DECLS
+
+#endif
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -56,6 +56,8 @@
 
 	ql_context_set_document(&node->context, doc);
 	ql_count(&node->context.counters, QL_COUNT_CONFIG_CHANGES);
+	ql_gauge_set(&node->context.counters, QL_GAUGE_CONFIG_VERSION,
+		     doc->version);
 	ql_path_jobs_document(node, doc);
 }
 
@@ -242,12 +244,14 @@
 		.dialect = node->dialect,
 		.changed = endpoint_changed,
 		.data = node,
+		.counters = &node->context.counters,
 	};
 	ql_front_opts_t front = {
 		.dialect = node->dialect,
 		.repeat_ratio = settings->repeat_ratio,
 		.local = &node->gate,
 		.hops = &node->hops,
+		.counters = &node->context.counters,
 	};
 	int ret = ql_address_parse(&gate.address, settings->endpoint.address,
 				   error);
@@ -390,9 +394,12 @@
 	node->thread = g_thread_new("calls", run_loop, node);
 	ret = start_duty(node, &node->ready_server, listen->ready, handle_ready,
 			 error);
+	if (!ret)
+		ret = start_duty(node, &node->announce_server, listen->announce,
+				 handle_announce, error);
 	return ret ? ret
-		   : start_duty(node, &node->announce_server, listen->announce,
-				handle_announce, error);
+		   : ql_metrics_http_start(&node->metrics, listen->metrics,
+					   &node->context.counters, error);
 }
 
 int ql_path_node_start(ql_path_node_t *node, const ql_settings_t *settings,
@@ -459,6 +466,7 @@
 
 void ql_path_node_stop(ql_path_node_t *node)
 {
+	ql_metrics_http_stop(&node->metrics);
 	ql_http_server_stop(&node->announce_server);
 	ql_http_server_stop(&node->ready_server);
 	ql_control_service_stop(&node->control);
--- a/src/node/path_node.h
+++ b/src/node/path_node.h
@@ -10,6 +10,7 @@
 #include "node/context.h"
 #include "node/control_service.h"
 #include "node/http_server.h"
+#include "node/metrics_http.h"
 #include "path/front.h"
 #include "path/hop_server.h"
 
@@ -54,6 +55,7 @@
 	ql_listener_t gates;
 	ql_http_server_t ready_server;
 	ql_http_server_t announce_server;
+	ql_metrics_http_t metrics;
 	pthread_mutex_t lock;
 	ql_announced_endpoint_t announced;
 	double repeat_ratio;
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -122,9 +122,13 @@
 	ql_timeline_record(service->timeline, &entry);
 }
 
-static void answered(void *data G_GNUC_UNUSED, const ql_patch_t *patch,
+static void answered(void *data, const ql_patch_t *patch,
 		     const ql_patch_answer_t *answer)
 {
+	ql_replica_service_t *service = data;
+
+	ql_count(service->counters, answer->status ? QL_COUNT_PATCHES_REFUSED
+						   : QL_COUNT_PATCHES_ACCEPTED);
 	ql_log(LOG_NOTICE, answer->status ? "patch_refused" : "patch_accepted",
 	       QL_STR("id", patch->id), QL_UINT("base", patch->base_version),
 	       QL_UINT("version", answer->version),
@@ -184,6 +188,16 @@
 	       replica->n_peers * sizeof(*view->members));
 }
 
+static void set_gauges(const ql_replica_service_t *service)
+{
+	const ql_replica_t *replica = &service->config.replica;
+
+	ql_gauge_set(service->counters, QL_GAUGE_LEADING,
+		     replica->role == QL_REPLICA_LEADER);
+	ql_gauge_set(service->counters, QL_GAUGE_CONFIG_VERSION,
+		     service->state->doc->version);
+}
+
 static void publish(ql_replica_service_t *service)
 {
 	const char *role = ql_replica_role_name(&service->config.replica);
@@ -193,6 +207,7 @@
 	is_new = service->view.role != role;
 	fill_view(service, &service->view);
 	pthread_mutex_unlock(&service->view_lock);
+	set_gauges(service);
 	if (is_new)
 		log_role(service, role);
 }
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -11,6 +11,7 @@
 #include "control/rpc_server.h"
 #include "node/replica_disk.h"
 #include "node/replica_peers.h"
+#include "util/counters.h"
 
 G_BEGIN_DECLS
 
@@ -82,6 +83,7 @@
  * @settings: borrowed
  * @hlc: borrowed
  * @timeline: borrowed; NULL records nothing
+ * @counters: borrowed
  * @lock: guards @state; borrowed
  * @state: the committed configuration; borrowed
  * @incarnation: start of this process
@@ -98,6 +100,7 @@
  */
 typedef struct ql_replica_service {
 	const ql_settings_t *settings;
+	ql_counters_t *counters;
 	ql_hlc_t *hlc;
 	ql_timeline_t *timeline;
 	pthread_mutex_t *lock;
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -47,6 +47,7 @@
 	QL_MEMBER_STRING(ql_listen_settings_t, gate, false, 1),
 	QL_MEMBER_STRING(ql_listen_settings_t, ready, false, 1),
 	QL_MEMBER_STRING(ql_listen_settings_t, announce, false, 1),
+	QL_MEMBER_STRING(ql_listen_settings_t, metrics, false, 1),
 	{"operator", QL_JSON_STRING, false,
 	 offsetof(ql_listen_settings_t, operator_), QL_ADDRESS_MAX, 1, 0},
 };
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -31,9 +31,10 @@
  * struct ql_listen_settings - Where a process with a role listens, "IP:port".
  * @client: clients, and the calls of the endpoint beside the node
  * @gate: other nodes
- * @ready: readiness and metrics
+ * @ready: readiness
  * @announce: the announcements of the endpoint
  * @operator_: operators
+ * @metrics: readers of metrics; empty where none are served
  */
 typedef struct ql_listen_settings {
 	char client[QL_ADDRESS_MAX];
@@ -41,6 +42,7 @@
 	char ready[QL_ADDRESS_MAX];
 	char announce[QL_ADDRESS_MAX];
 	char operator_[QL_ADDRESS_MAX];
+	char metrics[QL_ADDRESS_MAX];
 } ql_listen_settings_t;
 
 /**
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -13,29 +13,10 @@
 #include "quetzalloft/balancer.h"
 #include "quetzalloft/retry.h"
 #include "quetzalloft/throttle.h"
+#include "util/counters.h"
 
 G_BEGIN_DECLS
 
-/**
- * struct ql_front_counts - What the front counts.
- * @requests: requests taken
- * @answered: those that got an endpoint's answer
- * @not_run: those refused before they ran anywhere
- * @unknown: those that may have run and got no answer
- * @cancelled: those whose client has gone
- * @repeats: attempts behind one that may have reached an endpoint
- * @reroutes: attempts behind one that reached none
- */
-typedef struct ql_front_counts {
-	uint64_t requests;
-	uint64_t answered;
-	uint64_t not_run;
-	uint64_t unknown;
-	uint64_t cancelled;
-	uint64_t repeats;
-	uint64_t reroutes;
-} ql_front_counts_t;
-
 /**
  * struct ql_front_opts - Settings.
  * @dialect: of clients; borrowed
@@ -46,6 +27,7 @@
  * from all layers above it together; 0 goes by the document
  * @local: the gate of this node; borrowed
  * @hops: connections to other gates; borrowed
+ * @counters: what happens is counted there; borrowed
  */
 typedef struct ql_front_opts {
 	const ql_dialect_t *dialect;
@@ -55,6 +37,7 @@
 	double repeat_ratio;
 	ql_local_gate_t *local;
 	ql_hops_t *hops;
+	ql_counters_t *counters;
 } ql_front_opts_t;
 
 /**
@@ -98,7 +81,6 @@
 	ql_front_route_t *routes;
 	GHashTable *calls;
 	GRand *random;
-	ql_front_counts_t counts;
 } ql_front_t;
 
 void ql_front_init(ql_front_t *front, ql_loop_t *loop,
--- a/src/path/front_answer.c
+++ b/src/path/front_answer.c
@@ -33,6 +33,17 @@
 					      1 + RETRY_AFTER_JITTER));
 }
 
+void ql_front__count_outcome(ql_front_t *front, ql_outcome_t outcome)
+{
+	ql_counter_t counter = QL_COUNT_CLIENT_UNKNOWN;
+
+	if (outcome == QL_OUTCOME_ANSWERED)
+		counter = QL_COUNT_CLIENT_ANSWERED;
+	else if (outcome == QL_OUTCOME_NOT_RUN)
+		counter = QL_COUNT_CLIENT_NOT_RUN;
+	ql_count(front->opts.counters, counter);
+}
+
 void ql_front__answer_failure(ql_front_t *front, ql_http_exchange_t *exchange,
 			      const ql_call_end_t *end)
 {
@@ -49,8 +60,4 @@
 	ql_http_exchange_begin(exchange, status, lines, 0);
 	ql_http_exchange_end(exchange);
 	g_byte_array_free(lines, TRUE);
-	if (end->outcome == QL_OUTCOME_NOT_RUN)
-		front->counts.not_run++;
-	else
-		front->counts.unknown++;
 }
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -50,6 +50,11 @@
 	g_free(call);
 }
 
+static void count(const ql_front_call_t *call, ql_counter_t counter)
+{
+	ql_count(call->front->opts.counters, counter);
+}
+
 /* A call for a request that is under way costs all that was done above it. */
 static const char *failure_event(const ql_front_call_t *call)
 {
@@ -86,6 +91,16 @@
 				    pressure);
 }
 
+/* Calls of the endpoint beside this node are counted where they were begun. */
+static void count_end(const ql_front_call_t *call, ql_outcome_t outcome)
+{
+	if (call->call.under_way)
+		return;
+	ql_front__count_outcome(call->front, outcome);
+	ql_count_latency(call->front->opts.counters, QL_LATENCY_CLIENT,
+			 now_us(call) - call->exchange->received_us);
+}
+
 static bool is_for_lack_of_room(ql_reason_t reason)
 {
 	return reason == QL_REASON_OVERLOAD || reason == QL_REASON_DEADLINE;
@@ -103,12 +118,11 @@
 	log_failure(call, &end);
 	if (is_for_lack_of_room(reason))
 		note_pressure(call, QL_PRESSURE_MAX);
-	if (call->streaming) {
-		call->front->counts.unknown++;
+	count_end(call, call->streaming ? QL_OUTCOME_UNKNOWN : end.outcome);
+	if (call->streaming)
 		ql_http_exchange_abort(call->exchange);
-	} else {
+	else
 		ql_front__answer_failure(call->front, call->exchange, &end);
-	}
 	call_free(call);
 }
 
@@ -145,6 +159,8 @@
 		.retry_after_us = end->retry_after_ms * QL_US_PER_MS,
 	};
 
+	ql_count_latency(call->front->opts.counters, QL_LATENCY_ATTEMPT,
+			 result.latency_us);
 	call->in_attempt = false;
 	call->callee.call = NULL;
 	if (end->outcome == QL_OUTCOME_ANSWERED)
@@ -221,7 +237,7 @@
 	int64_t length = call->length;
 
 	report_attempt(call, end);
-	call->front->counts.answered++;
+	count_end(call, QL_OUTCOME_ANSWERED);
 	note_answer(call, end);
 	if (!call->streaming) {
 		if (call->held->len)
@@ -262,14 +278,14 @@
 		    call->n_tried >= call->service->balancer.all->len)
 			return false;
 		call->n_reroutes++;
-		call->front->counts.reroutes++;
+		count(call, QL_COUNT_REROUTES);
 		return true;
 	}
 	if (call->route->attempts && call->n_sent >= call->route->attempts)
 		return false;
 	if (!ql_retry_budget_spend(&call->service->budget))
 		return false;
-	call->front->counts.repeats++;
+	count(call, QL_COUNT_RETRIES);
 	return true;
 }
 
@@ -322,7 +338,7 @@
 {
 	ql_front_call_t *call = data;
 
-	call->front->counts.cancelled++;
+	count(call, QL_COUNT_CLIENT_CANCELLED);
 	cancel_attempt(call, QL_REASON_CANCELLED);
 	call_free(call);
 }
@@ -347,6 +363,7 @@
 	ql_front_t *front = call->front;
 	ql_callee_call_t callee;
 
+	count(call, QL_COUNT_ATTEMPTS);
 	call->in_attempt = true;
 	call->attempt_us = now_us(call);
 	if (!strcmp(gate, front->opts.own_gate))
@@ -417,6 +434,8 @@
 		.retry_after_ms = retry_after_ms,
 	};
 
+	ql_count(front->opts.counters, QL_COUNT_CLIENT_REQUESTS);
+	ql_front__count_outcome(front, QL_OUTCOME_NOT_RUN);
 	ql_front__answer_failure(front, exchange, &end);
 }
 
@@ -441,7 +460,10 @@
 {
 	uint64_t now = now_us(call);
 
+	count(call, call->call.under_way ? QL_COUNT_LOCAL_CALLS
+					 : QL_COUNT_CLIENT_REQUESTS);
 	if (is_refused_early(call)) {
+		count(call, QL_COUNT_EARLY_REFUSALS);
 		end_in_failure(call, QL_REASON_OVERLOAD);
 		return;
 	}
@@ -460,7 +482,6 @@
 	ql_front_t *front = data;
 	const ql_route_t *route;
 
-	front->counts.requests++;
 	if (!front->doc || !front->ready) {
 		refuse(front, exchange, QL_REASON_NOT_READY, 0);
 		return;
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -82,6 +82,11 @@
  */
 void ql_front__prepare(ql_front_call_t *call, const char *service);
 
+/**
+ * ql_front__count_outcome() - Count how a request of a client ended.
+ */
+void ql_front__count_outcome(ql_front_t *front, ql_outcome_t outcome);
+
 /**
  * ql_front__answer_failure() - Answer with a failure of this node.
  */
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -34,6 +34,7 @@
 	bool shed;
 	double pressure;
 	uint64_t offered_us;
+	uint64_t admitted_us;
 	uint64_t deadline_us;
 	ql_upstream_request_t *request;
 	const ql_call_sink_t *sink;
@@ -45,6 +46,11 @@
 	return ql_loop_now_us(call->gate->loop);
 }
 
+static void count(const ql_local_gate_t *gate, ql_counter_t counter)
+{
+	ql_count(gate->opts.counters, counter);
+}
+
 static void call_free(running_t *call)
 {
 	g_byte_array_free(call->head, TRUE);
@@ -68,6 +74,8 @@
 {
 	ql_local_gate_t *gate = call->gate;
 
+	ql_count_latency(gate->opts.counters, QL_LATENCY_ENDPOINT,
+			 now_us(call) - call->admitted_us);
 	ql_gate_finish_request(&gate->gate, call->ticket, how, now_us(call));
 	if (g_hash_table_lookup(gate->running, call->id) == call)
 		g_hash_table_remove(gate->running, call->id);
@@ -139,7 +147,7 @@
 		return;
 	}
 	if (!is_genuine(call, reader)) {
-		call->gate->counts.bad_answers++;
+		count(call->gate, QL_COUNT_BAD_ANSWERS);
 		ql_upstream_cancel(call->request);
 		fail_running(call, QL_OUTCOME_UNKNOWN, QL_REASON_BAD_ANSWER,
 			     QL_GATE_FAILED);
@@ -164,7 +172,7 @@
 	ql_call_end_t end;
 
 	if (call->shed) {
-		call->gate->counts.refused_there++;
+		count(call->gate, QL_COUNT_ENDPOINT_REFUSED);
 		fail_running(call, QL_OUTCOME_NOT_RUN,
 			     QL_REASON_ENDPOINT_REFUSED, QL_GATE_OVERLOADED);
 		return;
@@ -200,13 +208,13 @@
 			     QL_GATE_FAILED);
 		break;
 	case QL_UPSTREAM_MALFORMED:
-		call->gate->counts.bad_answers++;
+		count(call->gate, QL_COUNT_BAD_ANSWERS);
 		fail_running(call, QL_OUTCOME_UNKNOWN, QL_REASON_BAD_ANSWER,
 			     QL_GATE_FAILED);
 		break;
 	case QL_UPSTREAM_LOST:
 	default:
-		call->gate->counts.lost++;
+		count(call->gate, QL_COUNT_ENDPOINT_LOST);
 		fail_running(call, QL_OUTCOME_UNKNOWN,
 			     QL_REASON_CONNECTION_LOST, QL_GATE_FAILED);
 		break;
@@ -225,6 +233,7 @@
 {
 	ql_local_gate_t *gate = call->gate;
 	const ql_dialect_t *dialect = gate->opts.dialect;
+	uint64_t waited_us = now_us(call) - call->offered_us;
 	ql_upstream_call_t out = {
 		.bytes = call->head,
 		.bodiless = call->bodiless,
@@ -233,10 +242,11 @@
 	};
 
 	call->state = RUNNING;
-	call->pressure =
-		ql_gate_pressure(&gate->gate, now_us(call) - call->offered_us);
+	call->admitted_us = now_us(call);
+	call->pressure = ql_gate_pressure(&gate->gate, waited_us);
 	g_hash_table_replace(gate->running, call->id, call);
-	gate->counts.admitted++;
+	count(gate, QL_COUNT_GATE_ADMITTED);
+	ql_count_latency(gate->opts.counters, QL_LATENCY_GATE_WAIT, waited_us);
 	ql_headers_write_uint(call->head, dialect->timeout_ms,
 			      ql_remaining_ms(call->deadline_us, now_us(call)));
 	if (dialect->expected_instance)
@@ -252,7 +262,7 @@
 {
 	ql_call_end_t end = make_end(call->gate, QL_OUTCOME_NOT_RUN, reason);
 
-	call->gate->counts.refused++;
+	count(call->gate, QL_COUNT_GATE_REFUSED);
 	end.retry_after_ms = retry_after_ms;
 	if (call->sink)
 		call->sink->failed(call->data, &end);
@@ -288,6 +298,17 @@
 					    : 0);
 }
 
+static void set_gauges(const ql_local_gate_t *gate)
+{
+	ql_counters_t *counters = gate->opts.counters;
+
+	ql_gauge_set(counters, QL_GAUGE_GATE_RUNNING, gate->gate.in_progress);
+	ql_gauge_set(counters, QL_GAUGE_GATE_QUEUED,
+		     ql_gate_queue_length(&gate->gate.queue));
+	ql_gauge_set(counters, QL_GAUGE_GATE_LIMIT,
+		     ql_limiter_get(&gate->gate.limiter));
+}
+
 /* Carries out what the gate has decided on waiting calls. */
 void ql_local_gate__pump(ql_local_gate_t *gate)
 {
@@ -295,6 +316,7 @@
 
 	while (ql_gate_next(&gate->gate, &decision, ql_loop_now_us(gate->loop)))
 		carry_out(gate, &decision);
+	set_gauges(gate);
 	arm(gate);
 }
 
@@ -319,7 +341,7 @@
 	/* What must not be repeated runs to its end. */
 	if (!call->idempotent)
 		return;
-	gate->counts.abandoned++;
+	count(gate, QL_COUNT_ABANDONED);
 	ql_upstream_cancel(call->request);
 	end_running(call, QL_GATE_FAILED);
 	finish(call);
@@ -395,7 +417,7 @@
 
 	*out = (ql_callee_call_t){&callee_ops, NULL};
 	if (reason) {
-		gate->counts.refused++;
+		count(gate, QL_COUNT_GATE_REFUSED);
 		sink->failed(data, &end);
 		return;
 	}
--- a/src/path/local_gate.h
+++ b/src/path/local_gate.h
@@ -11,27 +11,10 @@
 #include "path/call.h"
 #include "quetzalloft/dialect.h"
 #include "quetzalloft/gate.h"
+#include "util/counters.h"
 
 G_BEGIN_DECLS
 
-/**
- * struct ql_local_gate_counts - What the gate counts.
- * @admitted: calls sent to the endpoint
- * @refused: calls refused before they were sent
- * @refused_there: calls that the endpoint shed
- * @lost: calls whose connection broke
- * @bad_answers: answers that were malformed or not the endpoint's own
- * @abandoned: calls whose maker has gone while they ran
- */
-typedef struct ql_local_gate_counts {
-	uint64_t admitted;
-	uint64_t refused;
-	uint64_t refused_there;
-	uint64_t lost;
-	uint64_t bad_answers;
-	uint64_t abandoned;
-} ql_local_gate_counts_t;
-
 /**
  * struct ql_local_gate_opts - Settings.
  * @dialect: how the endpoint names things; borrowed
@@ -39,6 +22,7 @@
  * @service: what it serves
  * @changed: called when the endpoint is to be announced anew
  * @data: passed to @changed
+ * @counters: what happens is counted there; borrowed
  */
 typedef struct ql_local_gate_opts {
 	const ql_dialect_t *dialect;
@@ -46,6 +30,7 @@
 	char service[QL_NAME_MAX];
 	void (*changed)(void *data);
 	void *data;
+	ql_counters_t *counters;
 } ql_local_gate_opts_t;
 
 /**
@@ -73,7 +58,6 @@
 	GHashTable *running;
 	ql_upstream_t *upstream;
 	ql_wheel_timer_t timer;
-	ql_local_gate_counts_t counts;
 } ql_local_gate_t;
 
 void ql_local_gate_init(ql_local_gate_t *gate, ql_loop_t *loop,
--- a/src/node/counters.c
+++ b/src/util/counters.c
@@ -1,4 +1,4 @@
-#include "node/counters.h"
+#include "util/counters.h"
 
 static const ql_metric_t metrics[QL_N_COUNTERS] = {
 	[QL_COUNT_CLIENT_REQUESTS] = {"client_requests",
@@ -33,6 +33,35 @@
 				    "Lease renewals without an answer."},
 	[QL_COUNT_CONFIG_CHANGES] = {"config_changes",
 				     "Configuration versions put in force."},
+	[QL_COUNT_CLIENT_CANCELLED] = {"client_cancelled",
+				       "Requests whose client left."},
+	[QL_COUNT_REROUTES] = {"reroutes",
+			       "Attempts after a gate refused the one before."},
+	[QL_COUNT_ENDPOINT_REFUSED] = {"endpoint_refused",
+				       "Requests that the endpoint did not "
+				       "run."},
+	[QL_COUNT_ENDPOINT_LOST] = {"endpoint_lost",
+				    "Requests whose connection to the endpoint "
+				    "was lost."},
+	[QL_COUNT_ABANDONED] = {"abandoned",
+				"Requests given up at the endpoint, as nobody "
+				"waits for the answer."},
+	[QL_COUNT_PATCHES_ACCEPTED] = {"patches_accepted",
+				       "Changes of the configuration decided "
+				       "on and taken."},
+	[QL_COUNT_PATCHES_REFUSED] = {"patches_refused",
+				      "Changes of the configuration refused."},
+};
+
+static const ql_metric_t gauge_metrics[QL_N_GAUGES] = {
+	[QL_GAUGE_CONFIG_VERSION] = {"config_version",
+				     "Version of the configuration in force."},
+	[QL_GAUGE_LEADING] = {"leading", "1 while this replica leads."},
+	[QL_GAUGE_GATE_RUNNING] = {"gate_running", "Requests at the endpoint."},
+	[QL_GAUGE_GATE_QUEUED] = {"gate_queued",
+				  "Requests that wait at the gate."},
+	[QL_GAUGE_GATE_LIMIT] = {"gate_limit",
+				 "Requests that the gate lets run at a time."},
 };
 
 static const ql_metric_t latency_metrics[QL_N_LATENCIES] = {
@@ -71,6 +100,10 @@
 		ql_metrics_put_counter(text, &metrics[i],
 				       ql_counter_value(counters,
 							(ql_counter_t)i));
+	for (i = 0; i < QL_N_GAUGES; i++)
+		ql_metrics_put_gauge(text, &gauge_metrics[i],
+				     __atomic_load_n(&counters->gauges[i],
+						     __ATOMIC_RELAXED));
 	for (i = 0; i < QL_N_LATENCIES; i++)
 		ql_metrics_put_histogram(text, &latency_metrics[i],
 					 &counters->latencies[i]);
--- a/src/node/counters.h
+++ b/src/util/counters.h
@@ -1,5 +1,5 @@
-#ifndef QL_NODE_COUNTERS_H
-#define QL_NODE_COUNTERS_H
+#ifndef QL_UTIL_COUNTERS_H
+#define QL_UTIL_COUNTERS_H
 
 /**
  * DOC: Counters and latencies of a node, cheap enough for the path of every
@@ -33,6 +33,13 @@
 	QL_COUNT_LEASES_SENT,
 	QL_COUNT_LEASES_FAILED,
 	QL_COUNT_CONFIG_CHANGES,
+	QL_COUNT_CLIENT_CANCELLED,
+	QL_COUNT_REROUTES,
+	QL_COUNT_ENDPOINT_REFUSED,
+	QL_COUNT_ENDPOINT_LOST,
+	QL_COUNT_ABANDONED,
+	QL_COUNT_PATCHES_ACCEPTED,
+	QL_COUNT_PATCHES_REFUSED,
 	QL_N_COUNTERS,
 } ql_counter_t;
 
@@ -51,14 +58,33 @@
 	QL_N_LATENCIES,
 } ql_latency_t;
 
+/**
+ * enum ql_gauge - What is known of the present.
+ * @QL_GAUGE_CONFIG_VERSION: version of the configuration in force
+ * @QL_GAUGE_LEADING: 1 while this replica leads
+ * @QL_GAUGE_GATE_RUNNING: requests that the gate has admitted and that run
+ * @QL_GAUGE_GATE_QUEUED: requests that wait at the gate
+ * @QL_GAUGE_GATE_LIMIT: requests that the gate lets run at a time
+ */
+typedef enum ql_gauge {
+	QL_GAUGE_CONFIG_VERSION,
+	QL_GAUGE_LEADING,
+	QL_GAUGE_GATE_RUNNING,
+	QL_GAUGE_GATE_QUEUED,
+	QL_GAUGE_GATE_LIMIT,
+	QL_N_GAUGES,
+} ql_gauge_t;
+
 /**
  * struct ql_counters - The counters and latencies.
  * @values: counters, spread over threads
  * @latencies: one histogram each
+ * @gauges: the value set last
  */
 typedef struct ql_counters {
 	uint64_t values[QL_METRICS_SHARDS][QL_N_COUNTERS + QL_METRICS_PADDING];
 	ql_histogram_t latencies[QL_N_LATENCIES];
+	uint64_t gauges[QL_N_GAUGES];
 } ql_counters_t;
 
 /**
@@ -84,6 +110,18 @@
 	ql_histogram_add(&counters->latencies[latency], value_us);
 }
 
+/**
+ * ql_gauge_set() - Set what is known of the present.
+ * @counters: the counters
+ * @gauge: which one
+ * @value: its value
+ */
+static inline void ql_gauge_set(ql_counters_t *counters, ql_gauge_t gauge,
+				uint64_t value)
+{
+	__atomic_store_n(&counters->gauges[gauge], value, __ATOMIC_RELAXED);
+}
+
 /**
  * ql_counter_value() - The present value of a counter.
  * @counters: the counters
--- a/tests/docs/check_pages.sh
+++ b/tests/docs/check_pages.sh
@@ -28,9 +28,11 @@
 sed -n '/error_names\[\]/,/};/p' src/util/error.c | grep -oE '"[a-z_]+"' |
 	tr -d '"' | in_page docs/INTERFACE.md error
 sed -nE 's/^\t\[QL_COUNT_[A-Z_]+\] = \{"([a-z_]+)".*/quetzalloft_\1_total/p' \
-	src/node/counters.c | in_page docs/INTERFACE.md counter
+	src/util/counters.c | in_page docs/INTERFACE.md counter
 sed -nE 's/^\t\[QL_LATENCY_[A-Z_]+\] = \{"([a-z_]+)".*/quetzalloft_\1_seconds/p' \
-	src/node/counters.c | in_page docs/INTERFACE.md latency
+	src/util/counters.c | in_page docs/INTERFACE.md latency
+sed -nE 's/^\t\[QL_GAUGE_[A-Z_]+\] = \{"([a-z_]+)".*/quetzalloft_\1/p' \
+	src/util/counters.c | in_page docs/INTERFACE.md gauge
 {
 	grep -oE 'QL_MEMBER_[A-Z]+\(ql_settings_t, [a-z_]+' \
 		src/node/settings.c | sed 's/.* //'
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -125,13 +125,36 @@
 		       "unknown"}),
 	[](const auto &ending) { return ending.param.name; });
 
+TEST_F(Front, CountsWhatItDoes)
+{
+	RawSocket client = open();
+
+	client.send(request("/get/1", "x"));
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	EXPECT_EQ(1u, counters.gauges[QL_GAUGE_GATE_RUNNING]);
+	server->send(answer("x", "Seal: s\r\n"));
+	ASSERT_TRUE(world.turn_until([&] { return client.has("\r\n\r\n"); }));
+	for (ql_counter_t counter :
+	     {QL_COUNT_CLIENT_REQUESTS, QL_COUNT_CLIENT_ANSWERED,
+	      QL_COUNT_ATTEMPTS, QL_COUNT_GATE_ADMITTED})
+		EXPECT_EQ(1u, counted(counter)) << ql_counter_name(counter);
+	for (ql_counter_t counter :
+	     {QL_COUNT_CLIENT_NOT_RUN, QL_COUNT_RETRIES, QL_COUNT_REROUTES,
+	      QL_COUNT_EARLY_REFUSALS, QL_COUNT_LOCAL_CALLS})
+		EXPECT_EQ(0u, counted(counter)) << ql_counter_name(counter);
+	for (const auto &latency : counters.latencies)
+		EXPECT_EQ(1u, ql_histogram_count(&latency));
+	EXPECT_EQ(0u, counters.gauges[QL_GAUGE_GATE_RUNNING]);
+}
+
 /* An order whose answer is lost is sent nowhere again; a read is. */
 TEST_F(Front, RepeatsOnlyWhatMayBeRepeated)
 {
 	for (const char *path : {"/order/1", "/get/1"}) {
 		SCOPED_TRACE(path);
 		RawSocket client = open();
-		uint64_t repeats = front.counts.repeats;
+		uint64_t repeats = counted(QL_COUNT_RETRIES);
 
 		client.send(request(path, "x"));
 		auto server = accept_one();
@@ -147,7 +170,7 @@
 		ASSERT_TRUE(world.turn_until(
 			[&] { return client.has("\r\n\r\n"); }));
 		EXPECT_EQ(strcmp(path, "/get/1") ? 0u : 1u,
-			  front.counts.repeats - repeats);
+			  counted(QL_COUNT_RETRIES) - repeats);
 	}
 }
 
@@ -156,7 +179,7 @@
 	for (const char *path : {"/get/1", "/order/1"}) {
 		SCOPED_TRACE(path);
 		std::unique_ptr<RawSocket> server;
-		uint64_t abandoned = gate.counts.abandoned;
+		uint64_t abandoned = counted(QL_COUNT_ABANDONED);
 
 		{
 			RawSocket client = open();
@@ -167,13 +190,13 @@
 				[&] { return server->has("\r\n\r\n"); }));
 		}
 		ASSERT_TRUE(world.turn_until([&] {
-			return front.counts.cancelled ==
+			return counted(QL_COUNT_CLIENT_CANCELLED) ==
 			       (strcmp(path, "/get/1") ? 2u : 1u);
 		}));
 		if (!strcmp(path, "/get/1")) {
 			EXPECT_TRUE(world.turn_until(
 				[&] { return server->has_ended(); }));
-			EXPECT_EQ(abandoned + 1, gate.counts.abandoned);
+			EXPECT_EQ(abandoned + 1, counted(QL_COUNT_ABANDONED));
 			continue;
 		}
 		world.turn(20);
--- a/tests/path/path_world.h
+++ b/tests/path/path_world.h
@@ -45,6 +45,7 @@
 	ql_hops_t hops;
 	ql_front_t front;
 	ql_listener_t listener;
+	ql_counters_t counters = {};
 	int changes = 0;
 
 	void SetUp() override
@@ -67,6 +68,7 @@
 			static_cast<PathWorld *>(data)->changes++;
 		};
 		gate_opts.data = this;
+		gate_opts.counters = &counters;
 		ql_local_gate_init(&gate, &world.loop, &gate_opts);
 		ql_hops_init(&hops, &world.loop);
 		front_opts.dialect = test_dialect();
@@ -75,6 +77,7 @@
 		strcpy(front_opts.failure_domain, "d");
 		front_opts.local = &gate;
 		front_opts.hops = &hops;
+		front_opts.counters = &counters;
 		ql_front_init(&front, &world.loop, &front_opts);
 		opts.address = loopback(0);
 		opts.head_limit_bytes = 16384;
@@ -100,6 +103,11 @@
 		close(endpoint);
 	}
 
+	uint64_t counted(ql_counter_t counter)
+	{
+		return ql_counter_value(&counters, counter);
+	}
+
 	void set_document(const char *routes)
 	{
 		std::string text =
