End no endpoint for a lease that its node has left behind

The lease that it leaves runs out 3 s later, and that registrar told all others that the endpoint was gone, for half a second, until one where the lease was live refuted it. Ruled out: leaving or silent endpoints (no stop, leave or draining report near that time).

Change: a node names one registrar that holds its endpoints, the first in its order that answers; the others store that and end nothing while the holder is heard of. Who was asked lately by the node waits for one lease of silence, others for two. A registrar hears of another also when it is asked by it, and two that stored the same version agree on the holder.

Logs: endpoint_up says when a node learns of an endpoint.

--- a/src/control/exchange.c
+++ b/src/control/exchange.c
@@ -221,6 +221,7 @@
 		return;
 	}
 	res->detail = strdup("");
+	ql_registrar__heard(registrar, args->greeting.incarnation, now_ms);
 	if (args->registrar_incarnation != registrar->opts.incarnation ||
 	    since > registrar->number)
 		since = 0;
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -104,6 +104,31 @@
 	return link->renewals >= RENEWALS_PER_DIGEST * factor;
 }
 
+/* Incarnation of the registrar that it prefers of those that answer, or 0. */
+static uint64_t first_that_answers(const ql_member_t *member)
+{
+	const ql_member_link_t *link;
+	size_t place;
+
+	for (place = 0; place < member->opts.n_registrars; place++) {
+		link = &member->links[registrar_at(member, place)];
+		if (link->incarnation && !link->failures)
+			return link->incarnation;
+	}
+	return 0;
+}
+
+/* Both registrars that it leases at are told which of them holds its endpoints,
+ * so that one that it has left ends none of them. */
+static void name_holder(const ql_member_t *member, ql_rpc_lease_args *args)
+{
+	uint64_t holder = first_that_answers(member);
+	u_int i;
+
+	for (i = 0; i < args->endpoints.endpoints_len; i++)
+		args->endpoints.endpoints_val[i].holder = holder;
+}
+
 void ql_member_fill_lease(ql_member_t *member, int index,
 			  ql_rpc_lease_args *args)
 {
@@ -113,6 +138,7 @@
 				       args->endpoints.endpoints_len))
 		ql_member__drop_uninteresting(member);
 	fill_greeting(member, &args->greeting);
+	name_holder(member, args);
 	args->config_version = member->config.doc->version;
 	args->config_digest = member->config.doc->digest;
 	args->want_whole_document = member->want_whole_document;
--- a/src/control/registrar_leases.c
+++ b/src/control/registrar_leases.c
@@ -109,6 +109,7 @@
 	return record->version.incarnation < endpoint->incarnation ||
 	       record->slots != endpoint->slots ||
 	       record->connections != endpoint->connections ||
+	       record->holder != endpoint->holder ||
 	       strcmp(record->node, endpoint->node) != 0;
 }
 
@@ -157,10 +158,11 @@
 		res->epoch = MAX(res->epoch, record->version.epoch);
 		return;
 	}
-	next.holder = registrar->opts.incarnation;
-	next.epoch = next_epoch(record, endpoint, known_epoch);
+	if (!next.holder)
+		next.holder = registrar->opts.incarnation;
+	next.epoch = next_epoch(record, &next, known_epoch);
 	res->epoch = MAX(res->epoch, next.epoch);
-	if (!record || is_described_anew(record, endpoint) ||
+	if (!record || is_described_anew(record, &next) ||
 	    record->version.state != endpoint->state ||
 	    record->version.incarnation != endpoint->incarnation)
 		ql_registrar__store(registrar, &next, now_ms);
@@ -287,6 +289,15 @@
 	       now_ms - lease->renewed_ms < registrar->opts.lease_ms / 2;
 }
 
+/* A holder that this registrar has not spoken to yet has spoken to others. */
+static void hear_of_holder(ql_registrar_t *registrar, uint64_t holder,
+			   uint64_t now_ms)
+{
+	if (holder != registrar->opts.incarnation &&
+	    !g_hash_table_lookup(registrar->holders, &holder))
+		ql_registrar__heard(registrar, holder, now_ms);
+}
+
 static void adopt(ql_registrar_t *registrar, const ql_rpc_endpoint *endpoint,
 		  uint64_t now_ms)
 {
@@ -296,6 +307,7 @@
 	    strcmp(endpoint->failure_domain, registrar->opts.failure_domain) !=
 		    0)
 		return;
+	hear_of_holder(registrar, endpoint->holder, now_ms);
 	lease = add_lease(registrar, endpoint->node);
 	if (lease->adopted)
 		lease->expires_ms =
@@ -304,11 +316,22 @@
 	hold_record(registrar, lease, endpoint->service, endpoint->gate);
 }
 
+/* Two registrars that stored the same version must not wait for each other. */
+static void agree_on_holder(ql_registrar_t *registrar, ql_record_t *record,
+			    const ql_rpc_endpoint *endpoint, uint64_t now_ms)
+{
+	if (endpoint->holder <= record->holder)
+		return;
+	record->holder = endpoint->holder;
+	adopt(registrar, endpoint, now_ms);
+}
+
 void ql_registrar__merge(ql_registrar_t *registrar,
 			 const ql_rpc_endpoint *endpoint, uint64_t now_ms)
 {
 	ql_record_version_t version = ql_record_version_of(endpoint);
 	ql_record_t *record;
+	int order;
 
 	if (ql_record_check(endpoint)) {
 		registrar->counts.malformed++;
@@ -316,8 +339,12 @@
 	}
 	record = ql_registrar__find(registrar, endpoint->service,
 				    endpoint->gate);
-	if (record &&
-	    registrar->opts.rules->compare(&version, &record->version) <= 0)
+	order = record ? registrar->opts.rules->compare(&version,
+							&record->version)
+		       : 1;
+	if (!order)
+		agree_on_holder(registrar, record, endpoint, now_ms);
+	if (order <= 0)
 		return;
 	if (refutes(registrar, record, endpoint, now_ms)) {
 		version.epoch++;
@@ -341,13 +368,31 @@
 			     g_memdup2(&now_ms, sizeof(now_ms)));
 }
 
+/*
+ * How long the holder of the endpoints of a node may be silent. A registrar
+ * that the node renewed at lately learns first when it turned to another.
+ */
+static uint64_t silence_max_ms(const ql_registrar_t *registrar,
+			       const ql_node_lease_t *lease, uint64_t now_ms)
+{
+	uint64_t lease_ms = registrar->opts.lease_ms;
+	bool was_here = !lease->adopted &&
+			now_ms - lease->renewed_ms < ADOPTED_LEASES * lease_ms;
+
+	return was_here ? lease_ms : ADOPTED_LEASES * lease_ms;
+}
+
 static bool is_held_elsewhere(const ql_registrar_t *registrar,
+			      const ql_node_lease_t *lease,
 			      const ql_record_t *record, uint64_t now_ms)
 {
-	const uint64_t *heard_ms =
-		g_hash_table_lookup(registrar->holders, &record->holder);
+	const uint64_t *heard_ms;
 
-	return heard_ms && now_ms - *heard_ms < registrar->opts.lease_ms;
+	if (record->holder == registrar->opts.incarnation)
+		return false;
+	heard_ms = g_hash_table_lookup(registrar->holders, &record->holder);
+	return heard_ms &&
+	       now_ms - *heard_ms < silence_max_ms(registrar, lease, now_ms);
 }
 
 /* Ends the endpoints of a lease that ran out; returns whether all ended. */
@@ -362,10 +407,10 @@
 		record = ql_table_get(&registrar->records,
 				      g_array_index(lease->records, ql_handle_t,
 						    i));
-		if (!record || strcmp(record->node, lease->name) != 0)
+		if (!record || strcmp(record->node, lease->name) != 0 ||
+		    record->version.state == QL_RPC_ENDPOINT_GONE)
 			continue;
-		if (lease->adopted &&
-		    is_held_elsewhere(registrar, record, now_ms))
+		if (is_held_elsewhere(registrar, lease, record, now_ms))
 			all = false;
 		else
 			end_record(registrar, record, now_ms);
--- a/src/control/rpc/control.x
+++ b/src/control/rpc/control.x
@@ -47,7 +47,8 @@
  * hold the lease; placement is that of its VM where the registrars serve
  * several, and else empty. The record with the higher epoch wins, then
  * the higher incarnation, then the later state; holder is the incarnation of
- * the registrar that holds the lease.
+ * the registrar that holds the lease. A node that leases at several names one
+ * of them, or 0 while none has answered.
  */
 struct ql_rpc_endpoint {
 	string service<QL_RPC_NAME_MAX>;
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -1,5 +1,6 @@
 #include "path/front.h"
 #include "quetzalloft/clock.h"
+#include "quetzalloft/log.h"
 
 #include <string.h>
 
@@ -122,8 +123,17 @@
 void ql_front_endpoint_up(ql_front_t *front, const char *service,
 			  const ql_target_info_t *info)
 {
-	ql_balancer_add(&ql_front_find_service(front, service)->balancer, info,
-			ql_loop_now_us(front->loop));
+	ql_balancer_t *balancer =
+		&ql_front_find_service(front, service)->balancer;
+	guint known = balancer->all->len;
+
+	ql_balancer_add(balancer, info, ql_loop_now_us(front->loop));
+	/* Most of what is told confirms what was known. */
+	if (balancer->all->len != known)
+		ql_log(LOG_NOTICE, "endpoint_up", QL_STR("service", service),
+		       QL_STR("gate", info->gate),
+		       QL_STR("placement", info->placement),
+		       QL_UINT("slots", info->slots));
 }
 
 void ql_front_endpoint_gone(ql_front_t *front, const char *service,
--- a/tests/control/membership_test.cc
+++ b/tests/control/membership_test.cc
@@ -296,6 +296,30 @@
 	EXPECT_TRUE(is_settled(world));
 }
 
+/*
+ * Nodes lease at two of four registrars, and at others while one of those is
+ * away. The leases that they leave behind run out and must end nothing.
+ */
+TEST(MembershipMove, LeavesNoEndpointGone)
+{
+	constexpr int FOUR = 4;
+
+	for (uint32_t seed = 1; seed <= 50; seed++) {
+		World world(seed, 1, FOUR, NODES);
+
+		SCOPED_TRACE(seed);
+		start_all(world);
+		for (int i = 0; i < FOUR; i++) {
+			world.kill_registrar(i);
+			world.run(4 * LEASE_MS);
+			world.start_registrar(i);
+			world.run(4 * LEASE_MS);
+		}
+		ASSERT_EQ(0, world.wrongly_gone);
+		ASSERT_TRUE(is_settled(world));
+	}
+}
+
 struct Scenario {
 	const char *name;
 	void (*run)(World &world);
