Give lower classes one in eight admissions from a crowded queue

Change: one of eight requests admitted from the queue is of a lower class than the highest that waits, each of the lower ones in turn; up to four of a class may wait for that while a higher one is refused. By class alone stays selectable (lower_every 0).

Tests: GateShare.OfACrowdedGate; by class alone the lower classes get under 0.01 of the capacity each, now over 0.04 and 0.05, the highest 0.84 or more.

--- a/include/quetzalloft/gate.h
+++ b/include/quetzalloft/gate.h
@@ -23,6 +23,9 @@
  * @queue_us: longest wait while no lower class waits or runs
  * @queue: policy of the queue; NULL is &ql_queue_fifo
  * @seed: of the jitter of Retry-After; different at each gate
+ * @lower_every: of so many requests that are admitted from the queue, one is of
+ *               a lower class than the highest that waits, each of them in
+ *               turn, so that none starves; 0 goes by class alone
  */
 typedef struct ql_gate_opts {
 	const ql_limiter_ops_t *limiter;
@@ -31,6 +34,7 @@
 	uint64_t queue_us;
 	const ql_queue_ops_t *queue;
 	uint32_t seed;
+	uint32_t lower_every;
 } ql_gate_opts_t;
 
 /**
@@ -88,7 +92,9 @@
  * @n_taken: decisions at the start of @decided that were handed out
  * @random: source of jitter
  * @in_progress: admitted requests
- * @running: admitted requests by shed order
+ * @running: admitted requests by shed order, but for those in their turn
+ * @n_passed: requests that were admitted since while a lower class waited
+ * @last_lower: the lower class whose turn it was last
  * @service_times: by shed order
  * @mean_us: moving mean of the service time of all classes
  * @draining: no new request is admitted
@@ -105,6 +111,8 @@
 	GRand *random;
 	uint32_t in_progress;
 	uint32_t running[QL_SHED_ORDERS];
+	uint32_t n_passed;
+	uint32_t last_lower;
 	ql_gate_service_time_t service_times[QL_SHED_ORDERS];
 	double mean_us;
 	bool draining;
--- a/include/quetzalloft/gate_queue.h
+++ b/include/quetzalloft/gate_queue.h
@@ -39,6 +39,7 @@
  * @since_us: when it was offered, or admitted if it runs
  * @expires_us: when waiting ends
  * @in_progress: requests in progress when it was admitted, itself included
+ * @in_turn: admitted before a higher class that waited
  * @previous: before it in the list of its rank
  * @next: behind it
  * @heap_index: its place in the heap
@@ -49,6 +50,7 @@
 	uint64_t since_us;
 	uint64_t expires_us;
 	uint32_t in_progress;
+	bool in_turn;
 	ql_handle_t previous;
 	ql_handle_t next;
 	guint heap_index;
@@ -86,6 +88,7 @@
  * @tickets: table of &struct ql_gate_ticket; borrowed
  * @ranks: one list a rank
  * @occupied: one bit for each rank that is not empty
+ * @waiting: requests by shed order
  * @expiry: heap of handles by @expires_us
  * @queue_us: longest wait, from which the policies derive their times
  * @standing_us: when the first request came after it was empty
@@ -98,6 +101,7 @@
 	ql_table_t *tickets;
 	ql_gate_list_t ranks[QL_GATE_RANKS];
 	uint64_t occupied[QL_GATE_RANK_WORDS];
+	uint32_t waiting[QL_SHED_ORDERS];
 	GArray *expiry;
 	uint64_t queue_us;
 	uint64_t standing_us;
@@ -162,6 +166,18 @@
  */
 ql_handle_t ql_gate_queue_head(const ql_gate_queue_t *queue, uint64_t now_us);
 
+/**
+ * ql_gate_queue_lower() - The next of the classes below the highest that waits.
+ * @queue: the queue
+ * @last: shed order of the one that was next before
+ * @now_us: the time
+ *
+ * Return: the ticket to admit of the class below @last, or of the highest of
+ * them when there is none; QL_HANDLE_NONE when only one class waits.
+ */
+ql_handle_t ql_gate_queue_lower(const ql_gate_queue_t *queue, uint32_t last,
+				uint64_t now_us);
+
 /**
  * ql_gate_queue_lowest() - The request to refuse first: the newest one of the
  * lowest rank.
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -13,6 +13,7 @@
 #define IDLE_MS 4000u
 #define QUEUE_MAX 1024u
 #define QUEUE_US (300 * QL_US_PER_MS)
+#define LOWER_EVERY 8u
 
 typedef enum {
 	WAITING,
@@ -450,6 +451,7 @@
 		.slots = (uint32_t)MAX(gate->report.slots, 1),
 		.queue_max = QUEUE_MAX,
 		.queue_us = QUEUE_US,
+		.lower_every = LOWER_EVERY,
 		.seed = g_random_int(),
 	};
 }
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -11,6 +11,7 @@
 #define RETRY_AFTER_JITTER 0.5
 #define POSTPONE_US (10 * QL_US_PER_MS)
 #define RESERVE_DIVISOR 10u
+#define WAITING_FOR_TURN_MAX 4u
 #define WAIT_SERVICE_TIMES 1.0
 #define SERVICE_TIME_SMOOTHING 0.1
 #define BEARABLE_SERVICE_TIMES 1.0
@@ -166,7 +167,8 @@
 	ticket->admitted = true;
 	ticket->since_us = now_us;
 	ticket->in_progress = ++gate->in_progress;
-	gate->running[order_of(&ticket->request)]++;
+	if (!ticket->in_turn)
+		gate->running[order_of(&ticket->request)]++;
 }
 
 /* Whether a higher class was refused lately and the reserve is in use. */
@@ -176,6 +178,10 @@
 	uint32_t limit = ql_limiter_get(&gate->limiter);
 	uint32_t reserve = 1 + limit / RESERVE_DIVISOR;
 
+	/* A few of each class may wait for their turn. */
+	if (gate->opts.lower_every &&
+	    gate->queue.waiting[order_of(request)] < WAITING_FOR_TURN_MAX)
+		return false;
 	return order_of(request) + 1 < ql_gate_level(gate, now_us) &&
 	       gate->in_progress + reserve >= limit;
 }
@@ -286,7 +292,8 @@
 	if (end != QL_GATE_FAILED)
 		observe(gate, ticket, end, now_us);
 	gate->in_progress--;
-	gate->running[order_of(&ticket->request)]--;
+	if (!ticket->in_turn)
+		gate->running[order_of(&ticket->request)]--;
 	ql_table_remove(&gate->tickets, handle);
 }
 
@@ -307,7 +314,9 @@
 	ql_handle_t lowest = ql_gate_queue_lowest(&gate->queue);
 	uint32_t i;
 
-	if (order_of(&get_ticket(gate, lowest)->request) < order)
+	/* What waits for its turn takes no place of others. */
+	if (!gate->opts.lower_every &&
+	    order_of(&get_ticket(gate, lowest)->request) < order)
 		return true;
 	for (i = 0; i < order; i++)
 		if (gate->running[i])
@@ -353,11 +362,44 @@
 	return true;
 }
 
+static ql_handle_t lower_class(const ql_gate_t *gate, uint64_t now_us)
+{
+	if (!gate->opts.lower_every)
+		return QL_HANDLE_NONE;
+	return ql_gate_queue_lower(&gate->queue, gate->last_lower, now_us);
+}
+
+static ql_handle_t next_in_turn(const ql_gate_t *gate, uint64_t now_us)
+{
+	ql_handle_t lower = lower_class(gate, now_us);
+
+	if (lower != QL_HANDLE_NONE &&
+	    gate->n_passed + 1 >= gate->opts.lower_every)
+		return lower;
+	return ql_gate_queue_head(&gate->queue, now_us);
+}
+
+/* Notes whether a request that is to be admitted goes before a higher class. */
+static void count_turn(ql_gate_t *gate, ql_gate_ticket_t *ticket,
+		       uint64_t now_us)
+{
+	ql_handle_t head = ql_gate_queue_head(&gate->queue, now_us);
+	uint32_t order = order_of(&ticket->request);
+
+	ticket->in_turn = order < order_of(&get_ticket(gate, head)->request);
+	if (ticket->in_turn) {
+		gate->last_lower = order;
+		gate->n_passed = 0;
+	} else if (lower_class(gate, now_us) != QL_HANDLE_NONE) {
+		gate->n_passed++;
+	}
+}
+
 /* Admits the head of the queue if it can still finish. */
 static bool take_head(ql_gate_t *gate, ql_gate_decision_t *decision,
 		      uint64_t now_us)
 {
-	ql_handle_t handle = ql_gate_queue_head(&gate->queue, now_us);
+	ql_handle_t handle = next_in_turn(gate, now_us);
 	ql_gate_ticket_t *ticket = get_ticket(gate, handle);
 
 	if (last_start_us(gate, &ticket->request, now_us) < now_us) {
@@ -370,6 +412,7 @@
 			      QL_REASON_OVERLOAD, now_us);
 		return take_decided(gate, decision);
 	}
+	count_turn(gate, ticket, now_us);
 	ql_gate_queue_remove(&gate->queue, handle);
 	admit(gate, ticket, now_us);
 	memset(decision, 0, sizeof(*decision));
--- a/src/policy/gate_queue.c
+++ b/src/policy/gate_queue.c
@@ -182,6 +182,7 @@
 		get_ticket(queue, list->last)->next = handle;
 	list->last = handle;
 	queue->occupied[rank / 64] |= 1ULL << rank % 64;
+	queue->waiting[rank / 2]++;
 }
 
 static void unlink_ticket(ql_gate_queue_t *queue,
@@ -200,6 +201,7 @@
 		get_ticket(queue, ticket->next)->previous = ticket->previous;
 	if (list->first == QL_HANDLE_NONE)
 		queue->occupied[rank / 64] &= ~(1ULL << rank % 64);
+	queue->waiting[rank / 2]--;
 }
 
 void ql_gate_queue_push(ql_gate_queue_t *queue, ql_handle_t handle,
@@ -233,22 +235,65 @@
 	sift_down(queue, ticket->heap_index);
 }
 
+static ql_handle_t next_of(const ql_gate_queue_t *queue, uint32_t rank,
+			   uint64_t now_us)
+{
+	const ql_gate_list_t *list = &queue->ranks[rank];
+
+	return queue->ops->newest_first(queue, now_us) ? list->last
+						       : list->first;
+}
+
 ql_handle_t ql_gate_queue_head(const ql_gate_queue_t *queue, uint64_t now_us)
 {
-	const ql_gate_list_t *list;
 	int word;
 
 	for (word = QL_GATE_RANK_WORDS - 1; word >= 0; word--) {
 		if (!queue->occupied[word])
 			continue;
-		list = &queue->ranks[64 * word + 63 -
-				     __builtin_clzll(queue->occupied[word])];
-		return queue->ops->newest_first(queue, now_us) ? list->last
-							       : list->first;
+		return next_of(queue,
+			       (uint32_t)(64 * word + 63 -
+					  __builtin_clzll(
+						  queue->occupied[word])),
+			       now_us);
 	}
 	return QL_HANDLE_NONE;
 }
 
+static bool is_occupied(const ql_gate_queue_t *queue, uint32_t rank)
+{
+	return queue->occupied[rank / 64] & 1ULL << rank % 64;
+}
+
+/* The highest class that waits below one, or that one if there is none. */
+static uint32_t class_below(const ql_gate_queue_t *queue, uint32_t order)
+{
+	uint32_t below;
+
+	for (below = order; below > 0; below--)
+		if (queue->waiting[below - 1])
+			return below - 1;
+	return order;
+}
+
+ql_handle_t ql_gate_queue_lower(const ql_gate_queue_t *queue, uint32_t last,
+				uint64_t now_us)
+{
+	uint32_t top = class_below(queue, QL_SHED_ORDERS);
+	uint32_t order = class_below(queue, MIN(last, top));
+
+	if (top == QL_SHED_ORDERS)
+		return QL_HANDLE_NONE;
+	if (order == MIN(last, top))
+		order = class_below(queue, top);
+	if (order == top)
+		return QL_HANDLE_NONE;
+	return next_of(queue,
+		       is_occupied(queue, 2 * order + 1) ? 2 * order + 1
+							 : 2 * order,
+		       now_us);
+}
+
 ql_handle_t ql_gate_queue_lowest(const ql_gate_queue_t *queue)
 {
 	unsigned int word;
--- a/tests/policy/gate_test.cc
+++ b/tests/policy/gate_test.cc
@@ -17,7 +17,7 @@
 	void SetUp() override
 	{
 		ql_gate_opts_t opts = {&ql_limiter_fixed, 2, 2, 50 * MS,
-				       &ql_queue_fifo,	  1};
+				       &ql_queue_fifo,	  1, 0};
 
 		ql_gate_init(&gate, &opts);
 	}
@@ -236,7 +236,7 @@
 TEST_F(Gate, IsConfiguredWithoutLosingTickets)
 {
 	ql_gate_opts_t opts = {&ql_limiter_gradient, 1, 1, 20 * MS,
-			       &ql_queue_codel,	     1};
+			       &ql_queue_codel,	     1, 0};
 	ql_gate_decision_t low, high, next;
 
 	fill();
@@ -254,6 +254,87 @@
 	EXPECT_EQ(QL_GATE_ADMIT, next.verdict);
 }
 
+struct ShareCase {
+	const char *name;
+	uint32_t lower_every;
+	/* Requests a second of the highest class, as a part of what it can do.
+	 */
+	double load;
+	double least[3];
+	double most[3];
+};
+
+class GateShare : public testing::TestWithParam<ShareCase>
+{
+};
+
+/*
+ * The pattern: the highest class asks for more than a narrow service can do.
+ * What each class gets of its capacity; the two lower ones offer 5% and 50%.
+ */
+TEST_P(GateShare, OfACrowdedGate)
+{
+	constexpr uint32_t kSlots = 10;
+	constexpr uint64_t kServiceUs = 15 * MS;
+	constexpr double kCapacityPerUs = (double)kSlots / kServiceUs;
+	constexpr uint64_t kEndUs = 20 * 1000 * MS;
+	const uint32_t orders[] = {9, 5, 1};
+	const double loads[] = {GetParam().load, 0.05, 0.5};
+	ql_gate_opts_t opts = {
+		&ql_limiter_fixed,     kSlots, 1024, 300 * MS, nullptr, 1,
+		GetParam().lower_every};
+	std::multimap<uint64_t, ql_handle_t> running;
+	std::map<ql_handle_t, int> classes;
+	std::mt19937 random(1);
+	double served[3] = {};
+	ql_gate_decision_t decision;
+	ql_gate_t gate;
+
+	ql_gate_init(&gate, &opts);
+	for (uint64_t now_us = MS; now_us < kEndUs; now_us += 100) {
+		while (!running.empty() && running.begin()->first <= now_us) {
+			ql_gate_finish_request(&gate, running.begin()->second,
+					       QL_GATE_SERVED, now_us);
+			served[classes[running.begin()->second]]++;
+			running.erase(running.begin());
+		}
+		for (int i = 0; i < 3; i++) {
+			ql_gate_request_t request = {orders[i], true,
+						     now_us + 700 * MS};
+
+			if (std::uniform_real_distribution<>()(random) >=
+			    100 * loads[i] * kCapacityPerUs)
+				continue;
+			decision = ql_gate_offer(&gate, &request, now_us);
+			if (decision.verdict == QL_GATE_REFUSE)
+				continue;
+			classes[decision.ticket] = i;
+			if (decision.verdict == QL_GATE_ADMIT)
+				running.emplace(now_us + kServiceUs,
+						decision.ticket);
+		}
+		while (ql_gate_next(&gate, &decision, now_us))
+			if (decision.verdict == QL_GATE_ADMIT)
+				running.emplace(now_us + kServiceUs,
+						decision.ticket);
+	}
+	for (int i = 0; i < 3; i++) {
+		double share = served[i] / (kCapacityPerUs * kEndUs);
+
+		EXPECT_GE(share, GetParam().least[i]) << i;
+		EXPECT_LE(share, GetParam().most[i]) << i;
+	}
+	ql_gate_finish(&gate);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, GateShare,
+	testing::Values(
+		ShareCase{"ByClassAlone", 0, 2, {0.95, 0, 0}, {1, 0.01, 0.01}},
+		ShareCase{"Crowded", 8, 2, {0.84, 0.04, 0.05}, {1, 0.07, 0.09}},
+		ShareCase{"WithRoom", 8, 0.5, {0.45, 0.04, 0.3}, {1, 1, 1}}),
+	[](const auto &test) { return std::string(test.param.name); });
+
 /* A request that waits or runs, as the test remembers it. */
 struct Pending {
 	uint32_t shed_order;
@@ -273,9 +354,13 @@
       protected:
 	void SetUp() override
 	{
-		ql_gate_opts_t opts = {GetParam().limiter,   8,
-				       GetParam().queue_max, 30 * MS,
-				       GetParam().queue,     1};
+		ql_gate_opts_t opts = {GetParam().limiter,
+				       8,
+				       GetParam().queue_max,
+				       30 * MS,
+				       GetParam().queue,
+				       1,
+				       0};
 
 		random.seed(GetParam().seed);
 		ql_gate_init(&gate, &opts);
