Take over a probe of the gradient limiter in part only

Cause: a probe of 30 requests set the base latency outright.

Change: a probe takes 50 requests, and the base goes 0.65 of the way to what it shows.

Tests: the cases run with six of the seeds that failed; five fail before.

--- a/src/policy/limiter_gradient.c
+++ b/src/policy/limiter_gradient.c
@@ -2,11 +2,13 @@
 
 /* A window has at least so many samples, and one for each request allowed. */
 #define WINDOW_SAMPLES 40u
-#define PROBE_SAMPLES 30u
+#define PROBE_SAMPLES 50u
 /* Fewer requests in progress than that cannot be halved with any effect. */
 #define PROBE_MIN_IN_PROGRESS 4.0
 /* Latencies until the requests from before the probe have ended. */
 #define PROBE_SETTLE 2.0
+/* How much of what a probe shows the base takes over; one alone is noisy. */
+#define PROBE_SMOOTHING 0.65
 /* A probe helped if it lowered the latency to less than this part. */
 #define PROBE_HELPED 0.75
 /* Down to this part, half the requests halved the latency: they still wait. */
@@ -83,7 +85,9 @@
 
 	limiter->probe_latency_us = 0;
 	if (part > PROBE_QUEUED || latency_us < limiter->base_latency_us)
-		limiter->base_latency_us = latency_us;
+		limiter->base_latency_us +=
+			PROBE_SMOOTHING *
+			(latency_us - limiter->base_latency_us);
 	if (part < PROBE_HELPED) {
 		limiter->verified = 0;
 		shrink(limiter, in_progress);
--- a/tests/policy/limiter_test.cc
+++ b/tests/policy/limiter_test.cc
@@ -13,6 +13,7 @@
 	const char *name;
 	uint32_t slots;
 	uint32_t capacity;
+	uint32_t seed = 1;
 };
 
 /*
@@ -27,7 +28,7 @@
 		ql_limiter_opts_t opts = {GetParam().slots, 1,
 					  GetParam().slots};
 
-		random.seed(1);
+		random.seed(GetParam().seed);
 		ql_limiter_init(&limiter, ql_limiter_find(GetParam().name),
 				&opts);
 	}
@@ -205,6 +206,13 @@
 					 Case{"gradient", 60, 15},
 					 Case{"gradient", 60, 60},
 					 Case{"gradient", 300, 20},
-					 Case{"gradient", 300, 300}));
+					 Case{"gradient", 300, 300},
+					 /* Probes that were noisy by chance. */
+					 Case{"gradient", 60, 15, 6},
+					 Case{"gradient", 60, 15, 14},
+					 Case{"gradient", 60, 15, 27},
+					 Case{"gradient", 300, 20, 6},
+					 Case{"gradient", 300, 20, 23},
+					 Case{"gradient", 300, 20, 31}));
 
 } // namespace
