--- a/include/quetzalloft/limiter.h
+++ b/include/quetzalloft/limiter.h
@@ -9,6 +9,9 @@
 
 G_BEGIN_DECLS
 
+/** What ql_limiter_find() knows, for people. */
+#define QL_LIMITER_NAMES "fixed, headroom, aimd, gradient or gradient_drift"
+
 /**
  * struct ql_limiter_opts - Bounds of a limit.
  * @initial: limit at the start
--- a/src/cli/replay_command.c
+++ b/src/cli/replay_command.c
@@ -45,7 +45,7 @@
 		policy->limiter = ql_limiter_find(options->limiter->sval[0]);
 	if (options->limiter->count && !policy->limiter)
 		return complain("limiter", options->limiter->sval[0],
-				"fixed, aimd, gradient or gradient_drift");
+				QL_LIMITER_NAMES);
 	if (options->queue->count)
 		policy->queue = ql_queue_find(options->queue->sval[0]);
 	if (options->queue->count && !policy->queue)
@@ -178,8 +178,7 @@
 		arg_lit0("j", "json", "print JSON instead of a table"),
 		arg_str0("p", "policy", "NAME",
 			 "none, fixed or quetzalloft (default)"),
-		arg_str0(NULL, "limiter", "NAME",
-			 "fixed, aimd, gradient or gradient_drift"),
+		arg_str0(NULL, "limiter", "NAME", QL_LIMITER_NAMES),
 		arg_str0(NULL, "queue", "NAME", "fifo, adaptive_lifo or codel"),
 		arg_lit0(NULL, "no-early", "no refusal at the first node"),
 		arg_dbl0(NULL, "surge", "FACTOR",
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -319,10 +319,10 @@
 			", allowed at most half of lease_ms",
 			settings->renew_ms);
 	if (settings->limiter[0] && !ql_limiter_find(settings->limiter))
-		return ql_error_set(error, QL_E_NOT_FOUND,
-				    "settings.limiter: found \"%s\", allowed "
-				    "fixed, aimd, gradient",
-				    settings->limiter);
+		return ql_error_set(
+			error, QL_E_NOT_FOUND,
+			"settings.limiter: found \"%s\", allowed " QL_LIMITER_NAMES,
+			settings->limiter);
 	return 0;
 }
 
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -72,7 +72,7 @@
 	       QL_STR("service", call->call.service),
 	       QL_STR("outcome", ql_outcome_name(end->outcome)),
 	       QL_STR("reason", ql_reason_name(end->reason)),
-	       QL_UINT("sent", call->n_sent),
+	       QL_STR("gate", call->gate), QL_UINT("sent", call->n_sent),
 	       QL_UINT("reroutes", call->n_reroutes),
 	       QL_UINT("age_us", now_us(call) - call->exchange->received_us));
 }
@@ -358,7 +358,7 @@
 	.drained = on_drained,
 };
 
-static void call_gate(ql_front_call_t *call, const char *gate)
+static void call_gate(ql_front_call_t *call)
 {
 	ql_front_t *front = call->front;
 	ql_callee_call_t callee;
@@ -366,12 +366,12 @@
 	count(call, QL_COUNT_ATTEMPTS);
 	call->in_attempt = true;
 	call->attempt_us = now_us(call);
-	if (!strcmp(gate, front->opts.own_gate))
+	if (!strcmp(call->gate, front->opts.own_gate))
 		ql_local_gate_call(front->opts.local, &call->call, &sink, call,
 				   &callee);
 	else
-		ql_hops_call(front->opts.hops, gate, &call->call, &sink, call,
-			     &callee);
+		ql_hops_call(front->opts.hops, call->gate, &call->call, &sink,
+			     call, &callee);
 	/* Otherwise it has ended, and the memory may be gone. */
 	if (callee.call)
 		call->callee = callee;
@@ -385,7 +385,6 @@
 		.n_tried = call->n_tried,
 		.typical_us = typical_us(call),
 	};
-	char gate[QL_ADDRESS_MAX];
 	const ql_target_t *target;
 	ql_handle_t handle;
 
@@ -396,8 +395,8 @@
 	}
 	call->tried[call->n_tried++] = handle;
 	target = ql_table_get(&balancer->targets, handle);
-	memcpy(gate, target->info.gate, sizeof(gate));
-	call_gate(call, gate);
+	memcpy(call->gate, target->info.gate, sizeof(call->gate));
+	call_gate(call);
 }
 
 static ql_front_call_t *call_new(ql_front_t *front,
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -27,6 +27,7 @@
  * @let_through: early refusal is told how it ends
  * @in_attempt: an attempt is in progress
  * @tried: endpoints that were tried
+ * @gate: where the last attempt went, or ""
  * @n_sent: attempts that may have reached an endpoint
  * @n_reroutes: attempts that reached none
  * @may_have_run: an attempt ended without being known as not run
@@ -54,6 +55,7 @@
 	bool let_through;
 	bool in_attempt;
 	ql_handle_t tried[QL_FRONT_TRIED_MAX];
+	char gate[QL_ADDRESS_MAX];
 	uint32_t n_tried;
 	uint32_t n_sent;
 	uint32_t n_reroutes;
--- a/tests/node/settings_test.cc
+++ b/tests/node/settings_test.cc
@@ -64,7 +64,9 @@
 			     QL_E_UNKNOWN_KEY, "colour"},
 		SettingsCase{",\"registrar\":true,\"renew_ms\":2000",
 			     QL_E_RANGE, "settings.renew_ms"},
-		SettingsCase{",\"registrar\":true,\"limiter\":\"magic\"",
-			     QL_E_NOT_FOUND, "fixed, aimd, gradient"}));
+		SettingsCase{
+			",\"registrar\":true,\"limiter\":\"magic\"",
+			QL_E_NOT_FOUND,
+			"fixed, headroom, aimd, gradient or gradient_drift"}));
 
 } // namespace
