Keep one request of a refused route on its way, not one each 0.4 s

At each of 19 nodes a refused route let one request through every 0.4 s, 47 a second, and two were always allowed: about what stock had room for.

Change: a probe goes only when nothing of the route is on its way (then after 0.35 s), one request in progress is always allowed in place of two, and the share grows by 0.4 a second for 0.3, so that recovery does not suffer.

LetsOneThroughToLearn asks for one probe at a time now.

--- a/src/policy/throttle.c
+++ b/src/policy/throttle.c
@@ -7,19 +7,19 @@
 /* How fast the share falls, for each 1 that the pressure is above 1. */
 #define FALL_PER_S 0.3
 /* How fast it grows without pressure; twice as fast after each clear second. */
-#define GROWTH_PER_S 0.3
+#define GROWTH_PER_S 0.4
 #define GROWTH_MAX_PER_S 3.0
 /* An answer stands for the time since the last one, up to this. */
 #define ANSWER_MAX_US (1 * QL_US_PER_S)
 #define SHARE_MIN 0.02
 /* Requests in progress, by what the share keeps there when nothing waits, and
- * the few that a slow route may have in any case. */
+ * the one that a slow route may have in any case. */
 #define IN_PROGRESS_HEADROOM 1.5
-#define IN_PROGRESS_MIN 2
+#define IN_PROGRESS_MIN 1
 #define OFFERED_SMOOTHING_S 1.0
 #define CLEAR_SMOOTHING 0.1
-/* One request at least shows whether the pressure has gone. */
-#define PROBE_US (400 * QL_US_PER_MS)
+/* One request at least is on its way, to show whether the pressure has gone. */
+#define PROBE_US (350 * QL_US_PER_MS)
 /* The mean wait of a refused request: of its target, or where it has none. */
 #define RETRY_AFTER_TARGET_PART 0.4
 #define RETRY_AFTER_MS 1000.0
@@ -64,7 +64,8 @@
 static bool is_let_through(const ql_throttle_t *throttle, GRand *random,
 			   uint64_t now_us)
 {
-	if (now_us - throttle->admitted_us >= PROBE_US)
+	if (!throttle->in_progress &&
+	    now_us - throttle->admitted_us >= PROBE_US)
 		return true;
 	return has_room(throttle) && g_rand_double(random) < throttle->share;
 }
--- a/tests/policy/throttle_test.cc
+++ b/tests/policy/throttle_test.cc
@@ -154,7 +154,12 @@
 		decision = ql_throttle_offer(&throttle, 0, random, now_us);
 		EXPECT_EQ(decision.refuse, decision.retry_after_ms > 0);
 	}
+	/* Not before the one that is on its way has ended. */
+	throttle.share = 0;
 	now_us += QL_US_PER_S;
+	EXPECT_TRUE(ql_throttle_offer(&throttle, 0, random, now_us).refuse);
+	while (throttle.in_progress)
+		ql_throttle_end(&throttle);
 	EXPECT_FALSE(ql_throttle_offer(&throttle, 0, random, now_us).refuse);
 	g_rand_free(random);
 }
