--- a/src/node/metrics_http.c
+++ b/src/node/metrics_http.c
@@ -47,14 +47,10 @@
 	inet_ntop(AF_INET, &bound.sin_addr, ip, sizeof(ip));
 	opts.port = ntohs(bound.sin_port);
 	metrics->counters = counters;
-	ret = ql_http_server_start(&metrics->server, &opts, error);
-	metrics->started = !ret;
-	return ret;
+	return ql_http_server_start(&metrics->server, &opts, error);
 }
 
 void ql_metrics_http_stop(ql_metrics_http_t *metrics)
 {
-	if (metrics->started)
-		ql_http_server_stop(&metrics->server);
-	metrics->started = false;
+	ql_http_server_stop(&metrics->server);
 }
--- a/src/node/metrics_http.h
+++ b/src/node/metrics_http.h
@@ -18,7 +18,6 @@
 typedef struct ql_metrics_http {
 	ql_http_server_t server;
 	const ql_counters_t *counters;
-	bool started;
 } ql_metrics_http_t;
 
 /**
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -14,9 +14,6 @@
 #define HELD_MAX_BYTES (128u << 10)
 /* Bytes of an answer that may wait for a slow client. */
 #define PENDING_MAX_BYTES (256u << 10)
-#define TYPICAL_SMOOTHING 0.1
-/* The pressure at least, where an answer came too late. */
-#define LATE_PRESSURE 2.0
 /* Another node takes the request at once. */
 #define LEAVING_RETRY_MS 50u
 
@@ -27,17 +24,9 @@
 	return ql_loop_now_us(call->front->loop);
 }
 
-/* What is kept of its route, or NULL when that is of an older document. */
-static ql_front_route_t *kept_route(const ql_front_call_t *call)
-{
-	return call->doc == call->front->doc
-		       ? &call->front->routes[call->route_index]
-		       : NULL;
-}
-
 static void call_free(ql_front_call_t *call)
 {
-	ql_front_route_t *kept = kept_route(call);
+	ql_front_route_t *kept = ql_front__kept_route(call);
 
 	if (call->let_through && kept)
 		ql_throttle_end(&kept->throttle);
@@ -77,20 +66,6 @@
 	       QL_UINT("age_us", now_us(call) - call->exchange->received_us));
 }
 
-/* Tells the request above and those to come what this one met with. */
-static void note_pressure(ql_front_call_t *call, double pressure)
-{
-	ql_front_route_t *kept = kept_route(call);
-
-	if (call->let_through && kept)
-		ql_throttle_note(&kept->throttle, pressure,
-				 now_us(call) - call->exchange->received_us,
-				 now_us(call));
-	if (call->call.under_way && pressure > 0)
-		ql_local_gate_press(call->front->opts.local, call->parent_id,
-				    pressure);
-}
-
 /* Calls of the endpoint beside this node are counted where they were begun. */
 static void count_end(const ql_front_call_t *call, ql_outcome_t outcome)
 {
@@ -101,11 +76,6 @@
 			 now_us(call) - call->exchange->received_us);
 }
 
-static bool is_for_lack_of_room(ql_reason_t reason)
-{
-	return reason == QL_REASON_OVERLOAD || reason == QL_REASON_DEADLINE;
-}
-
 static void end_in_failure(ql_front_call_t *call, ql_reason_t reason)
 {
 	ql_call_end_t end = {
@@ -116,8 +86,7 @@
 	};
 
 	log_failure(call, &end);
-	if (is_for_lack_of_room(reason))
-		note_pressure(call, QL_PRESSURE_MAX);
+	ql_front__note_failure(call, reason);
 	count_end(call, call->streaming ? QL_OUTCOME_UNKNOWN : end.outcome);
 	if (call->streaming)
 		ql_http_exchange_abort(call->exchange);
@@ -126,25 +95,6 @@
 	call_free(call);
 }
 
-static double typical_us(const ql_front_call_t *call)
-{
-	const ql_front_route_t *kept = kept_route(call);
-
-	return kept ? kept->typical_us : 0;
-}
-
-static void note_typical(const ql_front_call_t *call, uint64_t latency_us)
-{
-	ql_front_route_t *kept = kept_route(call);
-
-	if (!kept)
-		return;
-	if (kept->typical_us <= 0)
-		kept->typical_us = (double)latency_us;
-	kept->typical_us +=
-		TYPICAL_SMOOTHING * ((double)latency_us - kept->typical_us);
-}
-
 static void report_attempt(ql_front_call_t *call, const ql_call_end_t *end)
 {
 	ql_attempt_result_t result = {
@@ -153,7 +103,7 @@
 		.failed = end->outcome == QL_OUTCOME_ANSWERED &&
 			  call->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR,
 		.latency_us = now_us(call) - call->attempt_us,
-		.typical_us = typical_us(call),
+		.typical_us = ql_front__typical_us(call),
 		.has_level = end->has_level,
 		.level = end->level,
 		.retry_after_us = end->retry_after_ms * QL_US_PER_MS,
@@ -164,7 +114,7 @@
 	call->in_attempt = false;
 	call->callee.call = NULL;
 	if (end->outcome == QL_OUTCOME_ANSWERED)
-		note_typical(call, result.latency_us);
+		ql_front__note_typical(call, result.latency_us);
 	ql_balancer_done(&call->service->balancer,
 			 call->tried[call->n_tried - 1], &result, now_us(call));
 }
@@ -211,26 +161,6 @@
 	}
 }
 
-/* An answer behind the target of the route has waited somewhere. */
-static double pressure_of(const ql_front_call_t *call, const ql_call_end_t *end)
-{
-	uint64_t age_us = now_us(call) - call->exchange->received_us;
-
-	if (call->route->target_ms &&
-	    age_us > call->route->target_ms * QL_US_PER_MS)
-		return MAX(end->pressure, LATE_PRESSURE);
-	return end->pressure;
-}
-
-/* A failure that met with no pressure says nothing of the load. */
-static void note_answer(ql_front_call_t *call, const ql_call_end_t *end)
-{
-	double pressure = pressure_of(call, end);
-
-	if (call->status < HTTP_STATUS_INTERNAL_SERVER_ERROR || pressure > 1)
-		note_pressure(call, pressure);
-}
-
 static void on_complete(void *data, const ql_call_end_t *end)
 {
 	ql_front_call_t *call = data;
@@ -238,7 +168,7 @@
 
 	report_attempt(call, end);
 	count_end(call, QL_OUTCOME_ANSWERED);
-	note_answer(call, end);
+	ql_front__note_answer(call, end);
 	if (!call->streaming) {
 		if (call->held->len)
 			length = call->held->len;
@@ -383,7 +313,7 @@
 	const ql_pick_t pick = {
 		.tried = call->tried,
 		.n_tried = call->n_tried,
-		.typical_us = typical_us(call),
+		.typical_us = ql_front__typical_us(call),
 	};
 	const ql_target_t *target;
 	ql_handle_t handle;
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -84,6 +84,33 @@
  */
 void ql_front__prepare(ql_front_call_t *call, const char *service);
 
+/**
+ * ql_front__kept_route() - What is kept of the route of a request, or NULL
+ * when that is of an older document.
+ */
+ql_front_route_t *ql_front__kept_route(const ql_front_call_t *call);
+
+/**
+ * ql_front__typical_us() - Latency that is typical of its route, or 0.
+ */
+double ql_front__typical_us(const ql_front_call_t *call);
+
+/**
+ * ql_front__note_typical() - Learn from an attempt that was answered.
+ */
+void ql_front__note_typical(const ql_front_call_t *call, uint64_t latency_us);
+
+/**
+ * ql_front__note_failure() - Tell the request above and those to come why this
+ * one failed, as far as that says something of the load.
+ */
+void ql_front__note_failure(ql_front_call_t *call, ql_reason_t reason);
+
+/**
+ * ql_front__note_answer() - Tell them what an answer says of the load.
+ */
+void ql_front__note_answer(ql_front_call_t *call, const ql_call_end_t *end);
+
 /**
  * ql_front__count_outcome() - Count how a request of a client ended.
  */
--- /dev/null
+++ b/src/path/front_learn.c
@@ -0,0 +1,79 @@
+#include "path/front_internal.h"
+#include "quetzalloft/clock.h"
+
+#define TYPICAL_SMOOTHING 0.1
+/* The pressure at least, where an answer came too late. */
+#define LATE_PRESSURE 2.0
+
+static uint64_t age_us(const ql_front_call_t *call)
+{
+	return ql_loop_now_us(call->front->loop) - call->exchange->received_us;
+}
+
+ql_front_route_t *ql_front__kept_route(const ql_front_call_t *call)
+{
+	return call->doc == call->front->doc
+		       ? &call->front->routes[call->route_index]
+		       : NULL;
+}
+
+double ql_front__typical_us(const ql_front_call_t *call)
+{
+	const ql_front_route_t *kept = ql_front__kept_route(call);
+
+	return kept ? kept->typical_us : 0;
+}
+
+void ql_front__note_typical(const ql_front_call_t *call, uint64_t latency_us)
+{
+	ql_front_route_t *kept = ql_front__kept_route(call);
+
+	if (!kept)
+		return;
+	if (kept->typical_us <= 0)
+		kept->typical_us = (double)latency_us;
+	kept->typical_us +=
+		TYPICAL_SMOOTHING * ((double)latency_us - kept->typical_us);
+}
+
+/* Tells the request above and those to come what this one met with. */
+static void note_pressure(ql_front_call_t *call, double pressure)
+{
+	ql_front_route_t *kept = ql_front__kept_route(call);
+
+	if (call->let_through && kept)
+		ql_throttle_note(&kept->throttle, pressure, age_us(call),
+				 ql_loop_now_us(call->front->loop));
+	if (call->call.under_way && pressure > 0)
+		ql_local_gate_press(call->front->opts.local, call->parent_id,
+				    pressure);
+}
+
+static bool is_for_lack_of_room(ql_reason_t reason)
+{
+	return reason == QL_REASON_OVERLOAD || reason == QL_REASON_DEADLINE;
+}
+
+void ql_front__note_failure(ql_front_call_t *call, ql_reason_t reason)
+{
+	if (is_for_lack_of_room(reason))
+		note_pressure(call, QL_PRESSURE_MAX);
+}
+
+/* An answer behind the target of the route has waited somewhere. */
+static double pressure_of(const ql_front_call_t *call, const ql_call_end_t *end)
+{
+	if (call->route->target_ms &&
+	    age_us(call) > call->route->target_ms * QL_US_PER_MS)
+		return MAX(end->pressure, LATE_PRESSURE);
+	return end->pressure;
+}
+
+/* A failure that met with no pressure says nothing of the load. */
+void ql_front__note_answer(ql_front_call_t *call, const ql_call_end_t *end)
+{
+	double pressure = pressure_of(call, end);
+
+	if (call->status < HTTP_STATUS_INTERNAL_SERVER_ERROR || pressure > 1)
+		note_pressure(call, pressure);
+}
--- a/tests/node/metrics_test.cc
+++ b/tests/node/metrics_test.cc
@@ -17,13 +17,14 @@
 	/* The first port of a range that nobody else listens at. */
 	void SetUp() override
 	{
-		for (unsigned int i = 0; i < kPorts && !metrics.started; i++) {
+		for (unsigned int i = 0; i < kPorts && !metrics.server.running;
+		     i++) {
 			address = "127.0.0.1:" + std::to_string(kFirstPort + i);
 			metrics = {};
 			ql_metrics_http_start(&metrics, address.c_str(),
 					      &counters, nullptr);
 		}
-		ASSERT_TRUE(metrics.started);
+		ASSERT_TRUE(metrics.server.running);
 		ql_http_client_init(&client);
 	}
 
