Write the moving mean of values above 0 once

throttle.c, front_learn.c and gate.c had a copy each from this change, beside those of the balancer and of two limiters: take the first value as it is, then go a part of the way to each. ql_mean_moved() in src/util/mean.h serves all six.

--- a/src/path/front_learn.c
+++ b/src/path/front_learn.c
@@ -1,5 +1,6 @@
 #include "path/front_internal.h"
 #include "quetzalloft/clock.h"
+#include "util/mean.h"
 
 #define TYPICAL_SMOOTHING 0.1
 /* The pressure at least, where an answer came too late. */
@@ -28,12 +29,10 @@
 {
 	ql_front_route_t *kept = ql_front__kept_route(call);
 
-	if (!kept)
-		return;
-	if (kept->typical_us <= 0)
-		kept->typical_us = (double)latency_us;
-	kept->typical_us +=
-		TYPICAL_SMOOTHING * ((double)latency_us - kept->typical_us);
+	if (kept)
+		kept->typical_us =
+			ql_mean_moved(kept->typical_us, (double)latency_us,
+				      TYPICAL_SMOOTHING);
 }
 
 /* Tells the request above and those to come what this one met with. */
--- a/src/policy/balancer_learn.c
+++ b/src/policy/balancer_learn.c
@@ -1,5 +1,6 @@
 #include "policy/balancer_internal.h"
 #include "quetzalloft/clock.h"
+#include "util/mean.h"
 
 #include <math.h>
 
@@ -87,7 +88,7 @@
 
 static double moved(double mean, double value)
 {
-	return mean <= 0 ? value : mean + LATENCY_SMOOTHING * (value - mean);
+	return ql_mean_moved(mean, value, LATENCY_SMOOTHING);
 }
 
 static void note_slowness(const ql_balancer_t *balancer, ql_target_t *target,
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -1,5 +1,6 @@
 #include "quetzalloft/gate.h"
 #include "quetzalloft/clock.h"
+#include "util/mean.h"
 
 #include <math.h>
 #include <string.h>
@@ -277,10 +278,8 @@
 	ql_limiter_observe(&gate->limiter, &sample, now_us);
 	observe_service_time(gate, order_of(&ticket->request),
 			     (double)sample.latency_us, now_us);
-	if (gate->mean_us <= 0)
-		gate->mean_us = (double)sample.latency_us;
-	gate->mean_us += SERVICE_TIME_SMOOTHING *
-			 ((double)sample.latency_us - gate->mean_us);
+	gate->mean_us = ql_mean_moved(gate->mean_us, (double)sample.latency_us,
+				      SERVICE_TIME_SMOOTHING);
 }
 
 void ql_gate_finish_request(ql_gate_t *gate, ql_handle_t handle,
--- a/src/policy/limiter_gradient.c
+++ b/src/policy/limiter_gradient.c
@@ -1,4 +1,5 @@
 #include "limiter_internal.h"
+#include "util/mean.h"
 
 /* A window has at least so many samples, and one for each request allowed. */
 #define WINDOW_SAMPLES 40u
@@ -85,9 +86,9 @@
 
 	limiter->probe_latency_us = 0;
 	if (part > PROBE_QUEUED || latency_us < limiter->base_latency_us)
-		limiter->base_latency_us +=
-			PROBE_SMOOTHING *
-			(latency_us - limiter->base_latency_us);
+		limiter->base_latency_us =
+			ql_mean_moved(limiter->base_latency_us, latency_us,
+				      PROBE_SMOOTHING);
 	if (part < PROBE_HELPED) {
 		limiter->verified = 0;
 		shrink(limiter, in_progress);
@@ -111,10 +112,8 @@
 
 static void follow_base(ql_limiter_t *limiter, double latency_us)
 {
-	if (limiter->base_latency_us <= 0)
-		limiter->base_latency_us = latency_us;
-	limiter->base_latency_us +=
-		BASE_SMOOTHING * (latency_us - limiter->base_latency_us);
+	limiter->base_latency_us = ql_mean_moved(limiter->base_latency_us,
+						 latency_us, BASE_SMOOTHING);
 }
 
 /*
--- a/src/policy/limiter_gradient_drift.c
+++ b/src/policy/limiter_gradient_drift.c
@@ -1,4 +1,5 @@
 #include "limiter_internal.h"
+#include "util/mean.h"
 
 #define WINDOW_SAMPLES 20u
 #define TOLERANCE 1.5
@@ -14,10 +15,8 @@
 
 static void observe_latency(ql_limiter_t *limiter, double latency_us)
 {
-	if (limiter->mean_latency_us <= 0)
-		limiter->mean_latency_us = latency_us;
-	limiter->mean_latency_us +=
-		LATENCY_SMOOTHING * (latency_us - limiter->mean_latency_us);
+	limiter->mean_latency_us = ql_mean_moved(limiter->mean_latency_us,
+						 latency_us, LATENCY_SMOOTHING);
 }
 
 /* Ends a window: moves the limit by the ratio of base to present latency. */
--- a/src/policy/throttle.c
+++ b/src/policy/throttle.c
@@ -1,5 +1,6 @@
 #include "quetzalloft/throttle.h"
 #include "quetzalloft/clock.h"
+#include "util/mean.h"
 
 #include <math.h>
 #include <string.h>
@@ -100,14 +101,6 @@
 	return growth * (1 - pressure);
 }
 
-static void note_clear(ql_throttle_t *throttle, double latency_us)
-{
-	if (throttle->clear_us <= 0)
-		throttle->clear_us = latency_us;
-	throttle->clear_us +=
-		CLEAR_SMOOTHING * (latency_us - throttle->clear_us);
-}
-
 void ql_throttle_note(ql_throttle_t *throttle, double pressure,
 		      uint64_t latency_us, uint64_t now_us)
 {
@@ -119,7 +112,9 @@
 	if (pressure > 1)
 		throttle->pressed_us = now_us;
 	else
-		note_clear(throttle, (double)latency_us);
+		throttle->clear_us =
+			ql_mean_moved(throttle->clear_us, (double)latency_us,
+				      CLEAR_SMOOTHING);
 	throttle->share = CLAMP(throttle->share * factor, SHARE_MIN, 1);
 }
 
