Spread the return of refused callers in one place

throttle.c and front_answer.c wrote the jitter of Retry-After again beside gate.c and level.c, with the same constant. ql_retry_after_ms() serves the four. The same random draws in the same order, so no behaviour changes.

--- a/include/quetzalloft/retry.h
+++ b/include/quetzalloft/retry.h
@@ -73,6 +73,16 @@
 				    const ql_retry_failure_t *failure,
 				    GRand *random);
 
+/**
+ * ql_retry_after_ms() - Spread the return of those who are refused.
+ * @mean_ms: when they may come again, on average
+ * @random: source of the jitter
+ *
+ * Return: half of the mean to half more than it, so that they do not come in
+ * one wave.
+ */
+uint32_t ql_retry_after_ms(double mean_ms, GRand *random);
+
 G_END_DECLS
 
 #endif
--- a/src/path/front_answer.c
+++ b/src/path/front_answer.c
@@ -2,7 +2,6 @@
 #include "quetzalloft/metadata.h"
 
 #define RETRY_AFTER_DEFAULT_MS 500u
-#define RETRY_AFTER_JITTER 0.5
 
 static unsigned int status_of(ql_outcome_t outcome, ql_reason_t reason)
 {
@@ -27,10 +26,7 @@
 {
 	if (end->retry_after_ms)
 		return end->retry_after_ms;
-	return (uint32_t)(RETRY_AFTER_DEFAULT_MS *
-			  g_rand_double_range(front->random,
-					      1 - RETRY_AFTER_JITTER,
-					      1 + RETRY_AFTER_JITTER));
+	return ql_retry_after_ms(RETRY_AFTER_DEFAULT_MS, front->random);
 }
 
 void ql_front__count_outcome(ql_front_t *front, ql_outcome_t outcome)
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -1,5 +1,6 @@
 #include "quetzalloft/gate.h"
 #include "quetzalloft/clock.h"
+#include "quetzalloft/retry.h"
 #include "util/mean.h"
 
 #include <math.h>
@@ -9,7 +10,6 @@
 #define LEVEL_HOLD_US (200 * QL_US_PER_MS)
 #define RETRY_AFTER_MIN_MS 100u
 #define RETRY_AFTER_MAX_MS 10000u
-#define RETRY_AFTER_JITTER 0.5
 #define POSTPONE_US (10 * QL_US_PER_MS)
 #define RESERVE_DIVISOR 10u
 #define WAITING_FOR_TURN_MAX 4u
@@ -122,12 +122,9 @@
 			  ql_limiter_get(&gate->limiter);
 	double wait_ms = (2.0 * (double)gate->opts.queue_us + drain_us) /
 			 (double)QL_US_PER_MS;
-	double jitter =
-		g_rand_double_range(gate->random, 1 - RETRY_AFTER_JITTER,
-				    1 + RETRY_AFTER_JITTER);
 
 	wait_ms = CLAMP(wait_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-	return (uint32_t)(wait_ms * jitter);
+	return ql_retry_after_ms(wait_ms, gate->random);
 }
 
 static ql_gate_decision_t refusal(ql_gate_t *gate,
--- a/src/policy/level.c
+++ b/src/policy/level.c
@@ -1,5 +1,6 @@
 #include "quetzalloft/level.h"
 #include "quetzalloft/clock.h"
+#include "quetzalloft/retry.h"
 
 #include <math.h>
 
@@ -16,7 +17,6 @@
 /* One request is let through at least this often. */
 #define PROBE_US (100 * QL_US_PER_MS)
 #define RETRY_AFTER_MS 1000u
-#define RETRY_AFTER_JITTER 0.5
 
 void ql_level_init(ql_level_t *level, size_t n_routes, GRand *random)
 {
@@ -75,10 +75,7 @@
 	decision.refuse = true;
 	decision.reason = QL_REASON_OVERLOAD;
 	decision.retry_after_ms =
-		(uint32_t)(RETRY_AFTER_MS *
-			   g_rand_double_range(level->random,
-					       1 - RETRY_AFTER_JITTER,
-					       1 + RETRY_AFTER_JITTER));
+		ql_retry_after_ms(RETRY_AFTER_MS, level->random);
 	return decision;
 }
 
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -4,6 +4,7 @@
 #define BACKOFF_BASE_US (5 * QL_US_PER_MS)
 #define BACKOFF_MAX_US (500 * QL_US_PER_MS)
 #define BACKOFF_SHIFT_MAX 10u
+#define RETRY_AFTER_JITTER 0.5
 
 void ql_retry_budget_init(ql_retry_budget_t *budget, double ratio, double burst)
 {
@@ -77,3 +78,10 @@
 	decision.retry = true;
 	return decision;
 }
+
+uint32_t ql_retry_after_ms(double mean_ms, GRand *random)
+{
+	return (uint32_t)(mean_ms *
+			  g_rand_double_range(random, 1 - RETRY_AFTER_JITTER,
+					      1 + RETRY_AFTER_JITTER));
+}
--- a/src/policy/throttle.c
+++ b/src/policy/throttle.c
@@ -1,5 +1,6 @@
 #include "quetzalloft/throttle.h"
 #include "quetzalloft/clock.h"
+#include "quetzalloft/retry.h"
 #include "util/mean.h"
 
 #include <math.h>
@@ -24,7 +25,6 @@
 /* The mean wait of a refused request: of its target, or where it has none. */
 #define RETRY_AFTER_TARGET_PART 0.4
 #define RETRY_AFTER_MS 1000.0
-#define RETRY_AFTER_JITTER 0.5
 
 void ql_throttle_init(ql_throttle_t *throttle)
 {
@@ -36,10 +36,8 @@
 {
 	double mean_ms = target_ms ? RETRY_AFTER_TARGET_PART * (double)target_ms
 				   : RETRY_AFTER_MS;
-	double jitter = g_rand_double_range(random, 1 - RETRY_AFTER_JITTER,
-					    1 + RETRY_AFTER_JITTER);
 
-	return (uint32_t)MAX(mean_ms * jitter, 1);
+	return MAX(ql_retry_after_ms(mean_ms, random), 1);
 }
 
 static void count_offer(ql_throttle_t *throttle, uint64_t now_us)
