Look for the next request of a crowded queue once

take_head() asked for the head and for the next lower class when it chose, and count_turn() asked for both again to learn what had been chosen: four walks over the classes for each admission from the queue. find_next() tells the request with its turn. Also: the page of least_time named a member that is gone, and two headers stood out of order. The tests of the gate pass as they were.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -134,7 +134,7 @@
 extern const ql_balancer_ops_t ql_balancer_two_choices;
 /**
  * The least expected time, of two drawn in the own failure domain and two drawn
- * in the others, which have to save more than &struct ql_pick says.
+ * in the others, which have to save a multiple of what is typical of the route.
  */
 extern const ql_balancer_ops_t ql_balancer_least_time;
 
--- a/src/node/context.h
+++ b/src/node/context.h
@@ -6,11 +6,11 @@
  * life cycles, and the document in force.
  */
 
-#include "util/counters.h"
 #include "node/life_cycle.h"
 #include "node/settings.h"
 #include "quetzalloft/metadata.h"
 #include "quetzalloft/timeline.h"
+#include "util/counters.h"
 
 #include <pthread.h>
 
--- a/src/node/lease_service.h
+++ b/src/node/lease_service.h
@@ -5,12 +5,12 @@
  * DOC: The thread that renews this node's lease, and what it learns thereby.
  */
 
-#include "util/counters.h"
 #include "node/gate_service.h"
 #include "node/settings.h"
 #include "quetzalloft/ring.h"
 
 #include "control/rpc_client.h"
+#include "util/counters.h"
 
 #include <pthread.h>
 
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -358,35 +358,37 @@
 	return true;
 }
 
-static ql_handle_t lower_class(const ql_gate_t *gate, uint64_t now_us)
-{
-	if (!gate->opts.lower_every)
-		return QL_HANDLE_NONE;
-	return ql_gate_queue_lower(&gate->queue, gate->last_lower, now_us);
-}
+/* What is to be admitted next from the queue. */
+typedef struct {
+	ql_handle_t handle;
+	/* It goes before a higher class. */
+	bool in_turn;
+	/* A lower class waits while it goes. */
+	bool passes;
+} next_t;
 
-static ql_handle_t next_in_turn(const ql_gate_t *gate, uint64_t now_us)
+static next_t find_next(const ql_gate_t *gate, uint64_t now_us)
 {
-	ql_handle_t lower = lower_class(gate, now_us);
+	next_t next = {.handle = ql_gate_queue_head(&gate->queue, now_us)};
+	ql_handle_t lower = QL_HANDLE_NONE;
 
-	if (lower != QL_HANDLE_NONE &&
-	    gate->n_passed + 1 >= gate->opts.lower_every)
-		return lower;
-	return ql_gate_queue_head(&gate->queue, now_us);
+	if (gate->opts.lower_every)
+		lower = ql_gate_queue_lower(&gate->queue, gate->last_lower,
+					    now_us);
+	next.passes = lower != QL_HANDLE_NONE;
+	if (next.passes && gate->n_passed + 1 >= gate->opts.lower_every)
+		next = (next_t){.handle = lower, .in_turn = true};
+	return next;
 }
 
-/* Notes whether a request that is to be admitted goes before a higher class. */
 static void count_turn(ql_gate_t *gate, ql_gate_ticket_t *ticket,
-		       uint64_t now_us)
+		       const next_t *next)
 {
-	ql_handle_t head = ql_gate_queue_head(&gate->queue, now_us);
-	uint32_t order = order_of(&ticket->request);
-
-	ticket->in_turn = order < order_of(&get_ticket(gate, head)->request);
-	if (ticket->in_turn) {
-		gate->last_lower = order;
+	ticket->in_turn = next->in_turn;
+	if (next->in_turn) {
+		gate->last_lower = order_of(&ticket->request);
 		gate->n_passed = 0;
-	} else if (lower_class(gate, now_us) != QL_HANDLE_NONE) {
+	} else if (next->passes) {
 		gate->n_passed++;
 	}
 }
@@ -395,11 +397,11 @@
 static bool take_head(ql_gate_t *gate, ql_gate_decision_t *decision,
 		      uint64_t now_us)
 {
-	ql_handle_t handle = next_in_turn(gate, now_us);
-	ql_gate_ticket_t *ticket = get_ticket(gate, handle);
+	next_t next = find_next(gate, now_us);
+	ql_gate_ticket_t *ticket = get_ticket(gate, next.handle);
 
 	if (last_start_us(gate, &ticket->request, now_us) < now_us) {
-		refuse_queued(gate, handle, QL_REASON_DEADLINE, now_us);
+		refuse_queued(gate, next.handle, QL_REASON_DEADLINE, now_us);
 		return take_decided(gate, decision);
 	}
 	if (gate->queue.ops->shed(&gate->queue, now_us - ticket->since_us,
@@ -408,12 +410,12 @@
 			      QL_REASON_OVERLOAD, now_us);
 		return take_decided(gate, decision);
 	}
-	count_turn(gate, ticket, now_us);
-	ql_gate_queue_remove(&gate->queue, handle);
+	count_turn(gate, ticket, &next);
+	ql_gate_queue_remove(&gate->queue, next.handle);
 	admit(gate, ticket, now_us);
 	memset(decision, 0, sizeof(*decision));
 	decision->verdict = QL_GATE_ADMIT;
-	decision->ticket = handle;
+	decision->ticket = next.handle;
 	return true;
 }
 
--- a/src/policy/gate_queue.c
+++ b/src/policy/gate_queue.c
@@ -280,11 +280,10 @@
 				uint64_t now_us)
 {
 	uint32_t top = class_below(queue, QL_SHED_ORDERS);
-	uint32_t order = class_below(queue, MIN(last, top));
+	uint32_t bound = MIN(last, top);
+	uint32_t order = class_below(queue, bound);
 
-	if (top == QL_SHED_ORDERS)
-		return QL_HANDLE_NONE;
-	if (order == MIN(last, top))
+	if (order == bound)
 		order = class_below(queue, top);
 	if (order == top)
 		return QL_HANDLE_NONE;
