Listen at an address of the settings in one place

metrics_http.c read "IP:port" again beside path_node.c and operator_http.c, and left the server with a pointer to a buffer on its stack (not read after the start). ql_http_server_start_at() serves the three. The test of the metrics keeps its assertions and hands over settings.

--- a/src/node/core_node.c
+++ b/src/node/core_node.c
@@ -50,8 +50,7 @@
 	node->operators.replica = &node->control.replica;
 	ret = ql_operator_http_start(&node->operators, error);
 	if (!ret)
-		ret = ql_metrics_http_start(&node->metrics,
-					    settings->listen.metrics,
+		ret = ql_metrics_http_start(&node->metrics, settings,
 					    &node->context.counters, error);
 	if (!ret)
 		ql_log(LOG_NOTICE, "core_started",
--- a/src/node/http_server.c
+++ b/src/node/http_server.c
@@ -215,6 +215,20 @@
 	return 0;
 }
 
+int ql_http_server_start_at(ql_http_server_t *server,
+			    const ql_http_server_opts_t *opts,
+			    const char *where, GError **error)
+{
+	ql_http_server_opts_t at = *opts;
+	struct sockaddr_in address;
+	int ret = ql_address_parse(&address, where, error);
+
+	if (ret)
+		return ret;
+	at.port = ntohs(address.sin_port);
+	return ql_http_server_start(server, &at, error);
+}
+
 void ql_http_server_stop(ql_http_server_t *server)
 {
 	if (!server->running)
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -65,6 +65,19 @@
 int ql_http_server_start(ql_http_server_t *server,
 			 const ql_http_server_opts_t *opts, GError **error);
 
+/**
+ * ql_http_server_start_at() - Listen at the port of an address.
+ * @server: the listener
+ * @opts: settings; the port is not used
+ * @where: "IP:port"; the IP number that is bound to is that of @opts
+ * @error: detail of a failure
+ *
+ * Return: as ql_http_server_start().
+ */
+int ql_http_server_start_at(ql_http_server_t *server,
+			    const ql_http_server_opts_t *opts,
+			    const char *where, GError **error);
+
 /**
  * ql_http_server_peer_gone() - Whether the peer closed its connection.
  * @server: the listener
--- a/src/node/metrics_http.c
+++ b/src/node/metrics_http.c
@@ -1,8 +1,6 @@
 #include "node/metrics_http.h"
 #include "node/answer.h"
-#include "quetzalloft/address.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 #define PATH_METRICS "/metrics"
@@ -25,29 +23,23 @@
 	g_free(text);
 }
 
-int ql_metrics_http_start(ql_metrics_http_t *metrics, const char *address,
+int ql_metrics_http_start(ql_metrics_http_t *metrics,
+			  const ql_settings_t *settings,
 			  const ql_counters_t *counters, GError **error)
 {
-	char ip[INET_ADDRSTRLEN];
-	struct sockaddr_in bound;
-	ql_http_server_opts_t opts = {
-		.address = ip,
+	const ql_http_server_opts_t opts = {
+		.address = settings->address,
 		.connections = CONNECTIONS,
 		.body_limit_bytes = BODY_LIMIT_BYTES,
 		.handle = handle,
 		.data = metrics,
 	};
-	int ret;
 
-	if (!address[0])
+	if (!settings->listen.metrics[0])
 		return 0;
-	ret = ql_address_parse(&bound, address, error);
-	if (ret)
-		return ret;
-	inet_ntop(AF_INET, &bound.sin_addr, ip, sizeof(ip));
-	opts.port = ntohs(bound.sin_port);
 	metrics->counters = counters;
-	return ql_http_server_start(&metrics->server, &opts, error);
+	return ql_http_server_start_at(&metrics->server, &opts,
+				       settings->listen.metrics, error);
 }
 
 void ql_metrics_http_stop(ql_metrics_http_t *metrics)
--- a/src/node/metrics_http.h
+++ b/src/node/metrics_http.h
@@ -7,6 +7,7 @@
  */
 
 #include "node/http_server.h"
+#include "node/settings.h"
 #include "util/counters.h"
 
 G_BEGIN_DECLS
@@ -23,13 +24,14 @@
 /**
  * ql_metrics_http_start() - Serve metrics.
  * @metrics: zeros
- * @address: "IP:port", or "" to serve none
+ * @settings: where, if at all; borrowed
  * @counters: what is served
  * @error: filled in on failure
  *
  * Return: 0, or why it cannot listen there.
  */
-int ql_metrics_http_start(ql_metrics_http_t *metrics, const char *address,
+int ql_metrics_http_start(ql_metrics_http_t *metrics,
+			  const ql_settings_t *settings,
 			  const ql_counters_t *counters, GError **error);
 
 void ql_metrics_http_stop(ql_metrics_http_t *metrics);
--- a/src/node/operator_http.c
+++ b/src/node/operator_http.c
@@ -1,6 +1,5 @@
 #include "node/operator_http.h"
 #include "node/answer.h"
-#include "quetzalloft/address.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
 #include "quetzalloft/log.h"
@@ -245,22 +244,17 @@
 
 int ql_operator_http_start(ql_operator_http_t *operators, GError **error)
 {
-	struct sockaddr_in address;
-	ql_http_server_opts_t opts = {
+	const ql_http_server_opts_t opts = {
 		.address = operators->settings->address,
 		.connections = CONNECTIONS,
 		.body_limit_bytes = BODY_LIMIT_BYTES,
 		.handle = handle,
 		.data = operators,
 	};
-	int ret =
-		ql_address_parse(&address,
-				 operators->settings->listen.operator_, error);
 
-	if (ret)
-		return ret;
-	opts.port = ntohs(address.sin_port);
-	return ql_http_server_start(&operators->server, &opts, error);
+	return ql_http_server_start_at(&operators->server, &opts,
+				       operators->settings->listen.operator_,
+				       error);
 }
 
 void ql_operator_http_stop(ql_operator_http_t *operators)
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -325,20 +325,15 @@
 		      const char *where, ql_http_handler_t handle,
 		      GError **error)
 {
-	struct sockaddr_in address;
-	ql_http_server_opts_t opts = {
+	const ql_http_server_opts_t opts = {
 		.address = node->context.settings->address,
 		.connections = DUTY_CONNECTIONS,
 		.body_limit_bytes = BODY_LIMIT_BYTES,
 		.handle = handle,
 		.data = node,
 	};
-	int ret = ql_address_parse(&address, where, error);
 
-	if (ret)
-		return ret;
-	opts.port = ntohs(address.sin_port);
-	return ql_http_server_start(server, &opts, error);
+	return ql_http_server_start_at(server, &opts, where, error);
 }
 
 static int start_control(ql_path_node_t *node, GError **error)
@@ -398,7 +393,8 @@
 		ret = start_duty(node, &node->announce_server, listen->announce,
 				 handle_announce, error);
 	return ret ? ret
-		   : ql_metrics_http_start(&node->metrics, listen->metrics,
+		   : ql_metrics_http_start(&node->metrics,
+					   node->context.settings,
 					   &node->context.counters, error);
 }
 
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -1,11 +1,8 @@
 #include "path/front_internal.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/log.h"
-#include "quetzalloft/metadata.h"
 
-#include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 /* Gates that may refuse one request before the client is told. */
 #define REROUTES_MAX 3u
--- a/tests/node/metrics_test.cc
+++ b/tests/node/metrics_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <string>
 
 namespace
@@ -11,6 +12,12 @@
 constexpr unsigned int kFirstPort = 22900;
 constexpr unsigned int kPorts = 50;
 
+void set_address(ql_settings_t *settings, const char *address)
+{
+	strcpy(settings->address, "127.0.0.1");
+	strcpy(settings->listen.metrics, address);
+}
+
 class Metrics : public testing::Test
 {
       protected:
@@ -21,8 +28,9 @@
 		     i++) {
 			address = "127.0.0.1:" + std::to_string(kFirstPort + i);
 			metrics = {};
-			ql_metrics_http_start(&metrics, address.c_str(),
-					      &counters, nullptr);
+			set_address(&settings, address.c_str());
+			ql_metrics_http_start(&metrics, &settings, &counters,
+					      nullptr);
 		}
 		ASSERT_TRUE(metrics.server.running);
 		ql_http_client_init(&client);
@@ -57,6 +65,7 @@
 
 	ql_counters_t counters = {};
 	ql_metrics_http_t metrics = {};
+	ql_settings_t settings = {};
 	ql_http_client_t client;
 	std::string address;
 };
@@ -92,12 +101,15 @@
 TEST(MetricsAddress, MayBeLeftOutButNotWrong)
 {
 	ql_metrics_http_t metrics = {};
+	ql_settings_t settings = {};
 	ql_counters_t counters = {};
 	GError *error = nullptr;
 
-	EXPECT_EQ(0, ql_metrics_http_start(&metrics, "", &counters, nullptr));
+	EXPECT_EQ(0, ql_metrics_http_start(&metrics, &settings, &counters,
+					   nullptr));
 	ql_metrics_http_stop(&metrics);
-	EXPECT_NE(0, ql_metrics_http_start(&metrics, "127.0.0.1", &counters,
+	set_address(&settings, "127.0.0.1");
+	EXPECT_NE(0, ql_metrics_http_start(&metrics, &settings, &counters,
 					   &error));
 	ASSERT_NE(nullptr, error);
 	g_error_free(error);
