--- a/include/quetzalloft/gate.h
+++ b/include/quetzalloft/gate.h
@@ -100,6 +100,7 @@
  * @draining: no new request is admitted
  * @level: one above the highest shed order refused for overload lately
  * @level_us: when that was
+ * @usage: what was done so far
  */
 typedef struct ql_gate {
 	ql_gate_opts_t opts;
@@ -118,6 +119,7 @@
 	bool draining;
 	uint32_t level;
 	uint64_t level_us;
+	ql_gate_usage_t usage;
 } ql_gate_t;
 
 void ql_gate_init(ql_gate_t *gate, const ql_gate_opts_t *opts);
@@ -197,6 +199,15 @@
  */
 void ql_gate_drain(ql_gate_t *gate);
 
+/**
+ * ql_gate_read_usage() - Tell what was done with the slots up to now.
+ * @gate: the gate
+ * @usage: set to the account
+ * @now_us: the time
+ */
+void ql_gate_read_usage(ql_gate_t *gate, ql_gate_usage_t *usage,
+			uint64_t now_us);
+
 /**
  * ql_gate_pressure() - How long a request waited, as a part of what is
  * bearable.
--- a/include/quetzalloft/gate_queue.h
+++ b/include/quetzalloft/gate_queue.h
@@ -7,12 +7,11 @@
  * logarithmic time.
  */
 
+#include "quetzalloft/gate_usage.h"
 #include "quetzalloft/table.h"
 
 G_BEGIN_DECLS
 
-/** Shed orders are 0 to 64; a larger one is treated as the largest. */
-#define QL_SHED_ORDERS 65u
 /** Two ranks a shed order: new work, and above it work under way. */
 #define QL_GATE_RANKS 130u
 #define QL_GATE_RANK_WORDS 3u
--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -235,6 +235,7 @@
 
 static void stop(ql_path_node_t *node)
 {
+	ql_load_log_stop(&node->load_log);
 	ql_listener_stop(&node->clients);
 	ql_listener_stop(&node->gates);
 	ql_hops_finish(&node->hops);
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -269,6 +269,8 @@
 	ql_local_gate_init(&node->gate, &node->loop, &gate);
 	ql_hops_init(&node->hops, &node->loop);
 	ql_front_init(&node->front, &node->loop, &front);
+	ql_load_log_start(&node->load_log, &node->loop, &node->front,
+			  &node->gate);
 	node->hop_server = (ql_hop_server_t){
 		.gate = &node->gate,
 		.document = document,
--- a/src/node/path_node.h
+++ b/src/node/path_node.h
@@ -13,6 +13,7 @@
 #include "node/metrics_http.h"
 #include "path/front.h"
 #include "path/hop_server.h"
+#include "path/load_log.h"
 
 G_BEGIN_DECLS
 
@@ -51,6 +52,7 @@
 	ql_hops_t hops;
 	ql_front_t front;
 	ql_hop_server_t hop_server;
+	ql_load_log_t load_log;
 	ql_listener_t clients;
 	ql_listener_t gates;
 	ql_http_server_t ready_server;
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -102,6 +102,7 @@
 			continue;
 		routes[i].typical_us = old->typical_us;
 		routes[i].throttle = old->throttle;
+		routes[i].usage = old->usage;
 		/* Those of the old document do not report their end here. */
 		routes[i].throttle.in_progress = 0;
 	}
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -50,16 +50,33 @@
 	ql_retry_budget_t budget;
 } ql_front_service_t;
 
+/**
+ * struct ql_front_usage - Requests and calls on a route since the start.
+ * @offered: those that came
+ * @refused_early: those refused before anything was done for them
+ * @answered: those that an endpoint answered, in whole and without a failure of
+ * its own
+ * @failed: those that failed after something had been done for them
+ */
+typedef struct ql_front_usage {
+	uint64_t offered;
+	uint64_t refused_early;
+	uint64_t answered;
+	uint64_t failed;
+} ql_front_usage_t;
+
 /**
  * struct ql_front_route - What the front keeps of a route.
  * @credit: for each part of its split; the one with the most is next
  * @typical_us: moving mean of the time in which an attempt is answered
  * @throttle: early refusal of its requests
+ * @usage: what became of them
  */
 typedef struct ql_front_route {
 	int64_t credit[QL_ROUTE_PARTS_MAX];
 	double typical_us;
 	ql_throttle_t throttle;
+	ql_front_usage_t usage;
 } ql_front_route_t;
 
 /**
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -73,6 +73,21 @@
 			 now_us(call) - call->exchange->received_us);
 }
 
+/* What becomes of requests by their route, for ql_load_log_t. */
+static void count_outcome(const ql_front_call_t *call, bool answered)
+{
+	ql_front_route_t *kept = ql_front__kept_route(call);
+
+	if (!kept)
+		return;
+	if (answered)
+		kept->usage.answered++;
+	else if (call->n_tried)
+		kept->usage.failed++;
+	else
+		kept->usage.refused_early++;
+}
+
 static void end_in_failure(ql_front_call_t *call, ql_reason_t reason)
 {
 	ql_call_end_t end = {
@@ -83,6 +98,7 @@
 	};
 
 	log_failure(call, &end);
+	count_outcome(call, false);
 	ql_front__note_failure(call, reason);
 	count_end(call, call->streaming ? QL_OUTCOME_UNKNOWN : end.outcome);
 	if (call->streaming)
@@ -165,6 +181,7 @@
 
 	report_attempt(call, end);
 	count_end(call, QL_OUTCOME_ANSWERED);
+	count_outcome(call, call->status < HTTP_STATUS_INTERNAL_SERVER_ERROR);
 	ql_front__note_answer(call, end);
 	if (!call->streaming) {
 		if (call->held->len)
@@ -388,6 +405,7 @@
 
 	count(call, call->call.under_way ? QL_COUNT_LOCAL_CALLS
 					 : QL_COUNT_CLIENT_REQUESTS);
+	call->front->routes[call->route_index].usage.offered++;
 	if (is_refused_early(call)) {
 		count(call, QL_COUNT_EARLY_REFUSALS);
 		end_in_failure(call, QL_REASON_OVERLOAD);
--- /dev/null
+++ b/src/path/load_log.c
@@ -0,0 +1,105 @@
+#include "path/load_log.h"
+#include "quetzalloft/log.h"
+
+#include <string.h>
+
+#define PERIOD_MS 1000u
+
+static void log_class(const ql_load_log_t *log, const ql_gate_usage_t *usage,
+		      uint32_t order)
+{
+	const ql_gate_usage_class_t done =
+		ql_gate_usage_since(&log->seen, usage, order);
+
+	if (!done.offered && !done.admitted)
+		return;
+	ql_log(LOG_NOTICE, "gate_load",
+	       QL_STR("service", log->gate->opts.service),
+	       QL_REAL("busy",
+		       ql_gate_usage_busy(&log->seen, usage,
+					  (uint32_t)log->gate->report.slots)),
+	       QL_UINT("slots", log->gate->report.slots),
+	       QL_UINT("shed_order", order), QL_UINT("offered", done.offered),
+	       QL_UINT("admitted", done.admitted),
+	       QL_UINT("refused", done.refused), QL_UINT("late", done.late),
+	       QL_UINT("wait_us",
+		       done.admitted ? done.waited_us / done.admitted : 0));
+}
+
+static void log_gate(ql_load_log_t *log)
+{
+	ql_gate_usage_t usage;
+	uint32_t order;
+
+	ql_gate_read_usage(&log->gate->gate, &usage, ql_loop_now_us(log->loop));
+	for (order = 0; order < QL_SHED_ORDERS; order++)
+		log_class(log, &usage, order);
+	log->seen = usage;
+}
+
+static ql_front_usage_t *seen_of(ql_load_log_t *log, const char *name)
+{
+	ql_front_usage_t *seen = g_hash_table_lookup(log->routes, name);
+
+	if (seen)
+		return seen;
+	seen = g_new0(ql_front_usage_t, 1);
+	g_hash_table_insert(log->routes, g_strdup(name), seen);
+	return seen;
+}
+
+static void log_route(ql_load_log_t *log, size_t index)
+{
+	const ql_route_t *route = &log->front->doc->routes[index];
+	const ql_front_route_t *kept = &log->front->routes[index];
+	const ql_front_usage_t *now = &kept->usage;
+	ql_front_usage_t *seen;
+
+	if (!now->offered)
+		return;
+	seen = seen_of(log, route->name);
+	if (now->offered > seen->offered)
+		ql_log(LOG_NOTICE, "route_load", QL_STR("route", route->name),
+		       QL_STR("class",
+			      log->front->doc->classes[route->class_index]
+				      .name),
+		       QL_UINT("offered", now->offered - seen->offered),
+		       QL_UINT("refused_early",
+			       now->refused_early - seen->refused_early),
+		       QL_UINT("answered", now->answered - seen->answered),
+		       QL_UINT("failed", now->failed - seen->failed),
+		       QL_REAL("share", kept->throttle.share),
+		       QL_UINT("in_progress", kept->throttle.in_progress));
+	*seen = *now;
+}
+
+static void on_timer(void *data)
+{
+	ql_load_log_t *log = data;
+	size_t i;
+
+	log_gate(log);
+	for (i = 0; log->front->doc && i < log->front->doc->n_routes; i++)
+		log_route(log, i);
+	ql_loop_start_timer(log->loop, &log->timer, PERIOD_MS);
+}
+
+void ql_load_log_start(ql_load_log_t *log, ql_loop_t *loop, ql_front_t *front,
+		       ql_local_gate_t *gate)
+{
+	memset(log, 0, sizeof(*log));
+	log->loop = loop;
+	log->front = front;
+	log->gate = gate;
+	log->routes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	log->timer.expired = on_timer;
+	log->timer.data = log;
+	ql_loop_start_timer(loop, &log->timer, PERIOD_MS);
+}
+
+void ql_load_log_stop(ql_load_log_t *log)
+{
+	ql_loop_stop_timer(log->loop, &log->timer);
+	g_hash_table_destroy(log->routes);
+}
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -127,10 +127,21 @@
 	return ql_retry_after_ms(wait_ms, gate->random);
 }
 
+static void count_refusal(ql_gate_t *gate, uint32_t order, ql_reason_t reason)
+{
+	ql_gate_usage_class_t *class = &gate->usage.classes[order];
+
+	if (reason == QL_REASON_OVERLOAD)
+		class->refused++;
+	else if (reason == QL_REASON_DEADLINE)
+		class->late++;
+}
+
 static ql_gate_decision_t refusal(ql_gate_t *gate,
 				  const ql_gate_request_t *request,
 				  ql_reason_t reason, uint64_t now_us)
 {
+	count_refusal(gate, order_of(request), reason);
 	if (reason == QL_REASON_OVERLOAD)
 		raise_level(gate, order_of(request), now_us);
 	return (ql_gate_decision_t){
@@ -162,6 +173,12 @@
 
 static void admit(ql_gate_t *gate, ql_gate_ticket_t *ticket, uint64_t now_us)
 {
+	ql_gate_usage_class_t *class =
+		&gate->usage.classes[order_of(&ticket->request)];
+
+	class->admitted++;
+	class->waited_us += now_us - ticket->since_us;
+	ql_gate_usage_count(&gate->usage, gate->in_progress, now_us);
 	ticket->admitted = true;
 	ticket->since_us = now_us;
 	ticket->in_progress = ++gate->in_progress;
@@ -236,6 +253,7 @@
 {
 	ql_gate_decision_t decision = {0};
 
+	gate->usage.classes[order_of(request)].offered++;
 	if (gate->draining)
 		return refusal(gate, request, QL_REASON_DRAINING, now_us);
 	if (request->deadline_us <= now_us ||
@@ -287,6 +305,7 @@
 	g_assert(ticket && ticket->admitted);
 	if (end != QL_GATE_FAILED)
 		observe(gate, ticket, end, now_us);
+	ql_gate_usage_count(&gate->usage, gate->in_progress, now_us);
 	gate->in_progress--;
 	if (!ticket->in_turn)
 		gate->running[order_of(&ticket->request)]--;
@@ -468,6 +487,13 @@
 	cut_queue(gate, opts->queue_max, QL_REASON_OVERLOAD, now_us);
 }
 
+void ql_gate_read_usage(ql_gate_t *gate, ql_gate_usage_t *usage,
+			uint64_t now_us)
+{
+	ql_gate_usage_count(&gate->usage, gate->in_progress, now_us);
+	*usage = gate->usage;
+}
+
 double ql_gate_pressure(const ql_gate_t *gate, uint64_t waited_us)
 {
 	double bearable_us = BEARABLE_SERVICE_TIMES * gate->mean_us;
