Tell what calls met with on the whole, not the longest wait of them

Cause: a request told the longest wait of all its calls. Of ten waits with a mean of 6 ms the longest is above the 17 ms that are bearable, so first nodes throttled routes with many calls down to 0.02 of their requests, and orders, whose calls are admitted first, down to 0.4.

Now it tells the mean of its calls, at each level, and the most of the levels. A call that was refused or ran out of time still counts in full, and a wait behind which a call was served is told as less than that.

The test fails with the longest wait (OneLongWaitOfTen: 3 for 0.3).

--- a/include/quetzalloft/throttle.h
+++ b/include/quetzalloft/throttle.h
@@ -18,13 +18,10 @@
  * once.
  */
 
-#include "quetzalloft/types.h"
+#include "quetzalloft/pressure.h"
 
 G_BEGIN_DECLS
 
-/** The pressure where work was refused or ran out of time. */
-#define QL_PRESSURE_MAX 4.0
-
 /**
  * struct ql_throttle - What is known of one route.
  * @share: of the requests that is let through, up to 1
--- a/src/path/call.h
+++ b/src/path/call.h
@@ -49,7 +49,7 @@
  * @retry_after_ms: when to come again; 0 when nothing is known
  * @has_level: whether the gate told its level
  * @level: the load level of the gate
- * @pressure: on its way, see quetzalloft/throttle.h
+ * @pressure: on its way, see quetzalloft/pressure.h
  */
 typedef struct ql_call_end {
 	ql_outcome_t outcome;
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -57,12 +57,18 @@
  * @answered: those that an endpoint answered, in whole and without a failure of
  * its own
  * @failed: those that failed after something had been done for them
+ * @noted: those that told of a pressure, see quetzalloft/pressure.h
+ * @pressed: those of them that told of more than is bearable
+ * @pressure: what they told, added up
  */
 typedef struct ql_front_usage {
 	uint64_t offered;
 	uint64_t refused_early;
 	uint64_t answered;
 	uint64_t failed;
+	uint64_t noted;
+	uint64_t pressed;
+	double pressure;
 } ql_front_usage_t;
 
 /**
--- a/src/path/front_learn.c
+++ b/src/path/front_learn.c
@@ -40,10 +40,16 @@
 {
 	ql_front_route_t *kept = ql_front__kept_route(call);
 
+	/* One that was refused early met with nothing. */
+	if (kept && (call->let_through || call->call.under_way)) {
+		kept->usage.noted++;
+		kept->usage.pressed += pressure > 1;
+		kept->usage.pressure += pressure;
+	}
 	if (call->let_through && kept)
 		ql_throttle_note(&kept->throttle, pressure, age_us(call),
 				 ql_loop_now_us(call->front->loop));
-	if (call->call.under_way && pressure > 0)
+	if (call->call.under_way)
 		ql_local_gate_press(call->front->opts.local, call->parent_id,
 				    pressure);
 }
--- a/src/path/load_log.c
+++ b/src/path/load_log.c
@@ -68,6 +68,9 @@
 			       now->refused_early - seen->refused_early),
 		       QL_UINT("answered", now->answered - seen->answered),
 		       QL_UINT("failed", now->failed - seen->failed),
+		       QL_UINT("noted", now->noted - seen->noted),
+		       QL_UINT("pressed", now->pressed - seen->pressed),
+		       QL_REAL("pressure", now->pressure - seen->pressure),
 		       QL_REAL("share", kept->throttle.share),
 		       QL_UINT("in_progress", kept->throttle.in_progress));
 	*seen = *now;
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -4,6 +4,7 @@
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
 #include "quetzalloft/metadata.h"
+#include "quetzalloft/pressure.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -33,7 +34,7 @@
 	bool bodiless;
 	bool told_head;
 	bool shed;
-	double pressure;
+	ql_pressure_t pressure;
 	uint64_t offered_us;
 	uint64_t admitted_us;
 	uint64_t deadline_us;
@@ -140,7 +141,7 @@
 		.status = ql_http_reader_status(reader),
 		.headers = &reader->headers,
 		.length = call->bodiless ? 0 : ql_http_reader_length(reader),
-		.pressure = call->pressure,
+		.pressure = ql_pressure_get(&call->pressure),
 	};
 
 	if (is_shed(call, reader)) {
@@ -180,7 +181,7 @@
 	}
 	end_running(call, QL_GATE_SERVED);
 	end = make_end(call->gate, QL_OUTCOME_ANSWERED, QL_REASON_NONE);
-	end.pressure = call->pressure;
+	end.pressure = ql_pressure_get(&call->pressure);
 	if (call->sink)
 		call->sink->complete(call->data, &end);
 	finish(call);
@@ -244,7 +245,7 @@
 
 	call->state = RUNNING;
 	call->admitted_us = now_us(call);
-	call->pressure = ql_gate_pressure(&gate->gate, waited_us);
+	call->pressure.own = ql_gate_pressure(&gate->gate, waited_us);
 	g_hash_table_replace(gate->running, call->id, call);
 	count(gate, QL_COUNT_GATE_ADMITTED);
 	ql_count_latency(gate->opts.counters, QL_LATENCY_GATE_WAIT, waited_us);
@@ -522,7 +523,7 @@
 	running_t *call = g_hash_table_lookup(gate->running, id);
 
 	if (call)
-		call->pressure = MAX(call->pressure, pressure);
+		ql_pressure_add_call(&call->pressure, pressure);
 }
 
 const ql_running_call_t *ql_local_gate_find(const ql_local_gate_t *gate,
--- a/src/path/local_gate.h
+++ b/src/path/local_gate.h
@@ -129,7 +129,7 @@
  * ql_local_gate_press() - A call that the endpoint made met with pressure.
  * @gate: the gate
  * @id: of the request that the call serves; one that runs no more tells nobody
- * @pressure: see quetzalloft/throttle.h
+ * @pressure: see quetzalloft/pressure.h
  */
 void ql_local_gate_press(ql_local_gate_t *gate, const char *id,
 			 double pressure);
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -1,5 +1,6 @@
 #include "quetzalloft/gate.h"
 #include "quetzalloft/clock.h"
+#include "quetzalloft/pressure.h"
 #include "quetzalloft/retry.h"
 #include "util/mean.h"
 
@@ -498,7 +499,9 @@
 {
 	double bearable_us = BEARABLE_SERVICE_TIMES * gate->mean_us;
 
-	return bearable_us > 0 ? (double)waited_us / bearable_us : 0;
+	if (bearable_us <= 0)
+		return 0;
+	return MIN((double)waited_us / bearable_us, QL_PRESSURE_SERVED_MAX);
 }
 
 uint32_t ql_gate_level(const ql_gate_t *gate, uint64_t now_us)
--- /dev/null
+++ b/tests/policy/pressure_test.cc
@@ -0,0 +1,66 @@
+#include "quetzalloft/gate.h"
+#include "quetzalloft/pressure.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+struct Case {
+	const char *name;
+	double own;
+	std::vector<double> calls;
+	double expected;
+};
+
+class PressureTest : public testing::TestWithParam<Case>
+{
+};
+
+/*
+ * Guards against: requests with many calls were refused early while slots of
+ * the narrowest service were free (incident SHORT of tandfe). The longest of
+ * ten waits was taken for all of them.
+ */
+TEST_P(PressureTest, TellsWhatCallsMetWithOnTheWhole)
+{
+	const Case &test = GetParam();
+	ql_pressure_t pressure = {};
+
+	pressure.own = test.own;
+	for (double call : test.calls)
+		ql_pressure_add_call(&pressure, call);
+	EXPECT_DOUBLE_EQ(test.expected, ql_pressure_get(&pressure));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, PressureTest,
+	testing::Values(Case{"NoCalls", 0.5, {}, 0.5},
+			Case{"OneCall", 0.5, {2}, 2},
+			Case{"OneLongWaitOfTen",
+			     0,
+			     {3, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+			     0.3},
+			Case{"AllWaitLong", 0, {2, 2, 2, 2}, 2},
+			Case{"OwnWaitIsLonger", 1.5, {1, 0}, 1.5},
+			Case{"OneCallLost",
+			     0,
+			     {0, 0, QL_PRESSURE_MAX},
+			     QL_PRESSURE_MAX}),
+	[](const auto &test) { return test.param.name; });
+
+/* A long wait behind which a call was served is not a lost call. */
+TEST(Pressure, ServedCallsAreNotLost)
+{
+	ql_gate_opts_t opts = {&ql_limiter_fixed, 2, 2, 50000,
+			       &ql_queue_fifo,	  1, 0};
+	ql_gate_t gate;
+
+	ql_gate_init(&gate, &opts);
+	gate.mean_us = 10;
+	EXPECT_LT(ql_gate_pressure(&gate, 1000000), QL_PRESSURE_MAX);
+	EXPECT_DOUBLE_EQ(0.5, ql_gate_pressure(&gate, 5));
+	ql_gate_finish(&gate);
+}
+
+} // namespace
