Keep what is known of a route while its configuration changes

Cause: a request found what the front keeps of its route by the document that it was begun under. After a change of the document nothing was learned of its answer, its end was not counted, and the requests in progress counted from 0 again.

What is kept of a route now lives as long as any document in force or any request on its way refers to it, found by the name of the route.

LearnsFromRequestsThatCrossAChangeOfTheDocument fails when each document gets new state, as before. The class of fault: state of something that lasts was held by a version of its description. Elsewhere: the balancers and retry budgets are held by the name of the service, the gate by its endpoint; none is lost with a document.

--- a/src/path/front.c
+++ b/src/path/front.c
@@ -1,4 +1,4 @@
-#include "path/front.h"
+#include "path/front_internal.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/log.h"
 
@@ -30,12 +30,27 @@
 						service_free);
 }
 
+void ql_front__route_unref(ql_front_route_t *route)
+{
+	if (!--route->references)
+		g_free(route);
+}
+
+static void drop_routes(ql_front_t *front)
+{
+	size_t i;
+
+	for (i = 0; i < front->n_routes; i++)
+		ql_front__route_unref(front->routes[i]);
+	g_free(front->routes);
+}
+
 void ql_front_finish(ql_front_t *front)
 {
 	g_hash_table_destroy(front->services);
 	g_hash_table_destroy(front->calls);
+	drop_routes(front);
 	ql_document_unref(front->doc);
-	g_free(front->routes);
 	g_rand_free(front->random);
 }
 
@@ -80,42 +95,39 @@
 	GHashTable *routes = g_hash_table_new(g_str_hash, g_str_equal);
 	size_t i;
 
-	for (i = 0; front->doc && i < front->doc->n_routes; i++)
+	for (i = 0; i < front->n_routes; i++)
 		g_hash_table_insert(routes, front->doc->routes[i].name,
-				    &front->routes[i]);
+				    front->routes[i]);
 	return routes;
 }
 
-/* What was learned of a route outlives the document. */
-static ql_front_route_t *keep_routes(const ql_front_t *front,
-				     const ql_document_t *doc)
+static ql_front_route_t *keep_route(GHashTable *known, const char *name)
 {
-	ql_front_route_t *routes = g_new0(ql_front_route_t, doc->n_routes + 1);
-	GHashTable *known = routes_by_name(front);
-	const ql_front_route_t *old;
-	size_t i;
+	ql_front_route_t *route = g_hash_table_lookup(known, name);
 
-	for (i = 0; i < doc->n_routes; i++) {
-		old = g_hash_table_lookup(known, doc->routes[i].name);
-		ql_throttle_init(&routes[i].throttle);
-		if (!old)
-			continue;
-		routes[i].typical_us = old->typical_us;
-		routes[i].throttle = old->throttle;
-		routes[i].usage = old->usage;
-		/* Those of the old document do not report their end here. */
-		routes[i].throttle.in_progress = 0;
+	if (!route) {
+		route = g_new0(ql_front_route_t, 1);
+		ql_throttle_init(&route->throttle);
 	}
-	g_hash_table_destroy(known);
-	return routes;
+	memset(route->credit, 0, sizeof(route->credit));
+	route->references++;
+	return route;
 }
 
+/* What was learned of a route outlives the document, and so do its requests. */
 void ql_front_set_document(ql_front_t *front, ql_document_t *doc)
 {
-	ql_front_route_t *routes = keep_routes(front, doc);
+	ql_front_route_t **routes =
+		g_new0(ql_front_route_t *, doc->n_routes + 1);
+	GHashTable *known = routes_by_name(front);
+	size_t i;
 
-	g_free(front->routes);
+	for (i = 0; i < doc->n_routes; i++)
+		routes[i] = keep_route(known, doc->routes[i].name);
+	g_hash_table_destroy(known);
+	drop_routes(front);
 	front->routes = routes;
+	front->n_routes = doc->n_routes;
 	ql_document_unref(front->doc);
 	front->doc = ql_document_ref(doc);
 	set_ratios(front);
@@ -148,7 +160,7 @@
 uint16_t ql_front_choose_part(ql_front_t *front, size_t index)
 {
 	const ql_route_t *route = &front->doc->routes[index];
-	int64_t *credit = front->routes[index].credit;
+	int64_t *credit = front->routes[index]->credit;
 	uint16_t i, best = 0;
 	int64_t sum = 0;
 
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -72,13 +72,16 @@
 } ql_front_usage_t;
 
 /**
- * struct ql_front_route - What the front keeps of a route.
+ * struct ql_front_route - What the front keeps of a route, over all documents
+ * that have a route of this name.
+ * @references: the document in force, and the requests on their way
  * @credit: for each part of its split; the one with the most is next
  * @typical_us: moving mean of the time in which an attempt is answered
  * @throttle: early refusal of its requests
  * @usage: what became of them
  */
 typedef struct ql_front_route {
+	uint32_t references;
 	int64_t credit[QL_ROUTE_PARTS_MAX];
 	double typical_us;
 	ql_throttle_t throttle;
@@ -91,7 +94,8 @@
  * @ready: requests may be served
  * @leaving: no request is begun any more
  * @services: &struct ql_front_service by name
- * @routes: by index of the route in @doc
+ * @routes: by index of the route in @doc, each with a reference
+ * @n_routes: their number
  * @calls: set of requests in progress
  */
 typedef struct ql_front {
@@ -101,7 +105,8 @@
 	bool ready;
 	bool leaving;
 	GHashTable *services;
-	ql_front_route_t *routes;
+	ql_front_route_t **routes;
+	size_t n_routes;
 	GHashTable *calls;
 	GRand *random;
 } ql_front_t;
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -23,10 +23,9 @@
 
 static void call_free(ql_front_call_t *call)
 {
-	ql_front_route_t *kept = ql_front__kept_route(call);
-
-	if (call->let_through && kept)
-		ql_throttle_end(&kept->throttle);
+	if (call->let_through)
+		ql_throttle_end(&call->kept->throttle);
+	ql_front__route_unref(call->kept);
 	g_hash_table_remove(call->front->calls, call);
 	ql_loop_stop_timer(call->front->loop, &call->deadline);
 	ql_headers_finish(&call->headers);
@@ -76,16 +75,14 @@
 /* What becomes of requests by their route, for ql_load_log_t. */
 static void count_outcome(const ql_front_call_t *call, bool answered)
 {
-	ql_front_route_t *kept = ql_front__kept_route(call);
+	ql_front_usage_t *usage = &call->kept->usage;
 
-	if (!kept)
-		return;
 	if (answered)
-		kept->usage.answered++;
+		usage->answered++;
 	else if (call->n_tried)
-		kept->usage.failed++;
+		usage->failed++;
 	else
-		kept->usage.refused_early++;
+		usage->refused_early++;
 }
 
 static void end_in_failure(ql_front_call_t *call, ql_reason_t reason)
@@ -349,15 +346,18 @@
 {
 	ql_front_call_t *call = g_new0(ql_front_call_t, 1);
 	uint16_t service;
+	size_t index;
 
 	call->front = front;
 	call->exchange = exchange;
 	call->doc = ql_document_ref(front->doc);
 	call->route = route;
-	call->route_index = (size_t)(route - front->doc->routes);
+	index = (size_t)(route - front->doc->routes);
+	call->kept = front->routes[index];
+	call->kept->references++;
 	call->lines = g_byte_array_new();
 	call->held = g_byte_array_new();
-	service = ql_front_choose_part(front, call->route_index);
+	service = ql_front_choose_part(front, index);
 	ql_front__prepare(call, call->doc->services[service].name);
 	call->service = ql_front_find_service(front, call->call.service);
 	g_hash_table_add(front->calls, call);
@@ -385,15 +385,14 @@
 /* Whether a request is refused before anything was done for it. */
 static bool is_refused_early(ql_front_call_t *call)
 {
-	ql_front_t *front = call->front;
 	ql_throttle_decision_t decision;
 
 	/* Refusing a call would throw away the work above it. */
 	if (call->call.under_way)
 		return false;
-	decision = ql_throttle_offer(&front->routes[call->route_index].throttle,
-				     call->route->target_ms, front->random,
-				     now_us(call));
+	decision =
+		ql_throttle_offer(&call->kept->throttle, call->route->target_ms,
+				  call->front->random, now_us(call));
 	call->retry_after_ms = decision.retry_after_ms;
 	call->let_through = !decision.refuse;
 	return decision.refuse;
@@ -405,7 +404,7 @@
 
 	count(call, call->call.under_way ? QL_COUNT_LOCAL_CALLS
 					 : QL_COUNT_CLIENT_REQUESTS);
-	call->front->routes[call->route_index].usage.offered++;
+	call->kept->usage.offered++;
 	if (is_refused_early(call)) {
 		count(call, QL_COUNT_EARLY_REFUSALS);
 		end_in_failure(call, QL_REASON_OVERLOAD);
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -17,7 +17,7 @@
  * @exchange: the request and its answer
  * @doc: the document that it is handled by
  * @route: its route
- * @route_index: of @route
+ * @kept: what the front keeps of @route, with a reference
  * @service: where it goes
  * @headers: that are passed on
  * @call: what each attempt calls
@@ -45,7 +45,7 @@
 	ql_http_exchange_t *exchange;
 	ql_document_t *doc;
 	const ql_route_t *route;
-	size_t route_index;
+	ql_front_route_t *kept;
 	ql_front_service_t *service;
 	ql_headers_t headers;
 	ql_path_call_t call;
@@ -85,10 +85,9 @@
 void ql_front__prepare(ql_front_call_t *call, const char *service);
 
 /**
- * ql_front__kept_route() - What is kept of the route of a request, or NULL
- * when that is of an older document.
+ * ql_front__route_unref() - Let go of what is kept of a route.
  */
-ql_front_route_t *ql_front__kept_route(const ql_front_call_t *call);
+void ql_front__route_unref(ql_front_route_t *route);
 
 /**
  * ql_front__typical_us() - Latency that is typical of its route, or 0.
--- a/src/path/front_learn.c
+++ b/src/path/front_learn.c
@@ -11,43 +11,34 @@
 	return ql_loop_now_us(call->front->loop) - call->exchange->received_us;
 }
 
-ql_front_route_t *ql_front__kept_route(const ql_front_call_t *call)
-{
-	return call->doc == call->front->doc
-		       ? &call->front->routes[call->route_index]
-		       : NULL;
-}
-
 double ql_front__typical_us(const ql_front_call_t *call)
 {
-	const ql_front_route_t *kept = ql_front__kept_route(call);
-
-	return kept ? kept->typical_us : 0;
+	return call->kept->typical_us;
 }
 
 void ql_front__note_typical(const ql_front_call_t *call, uint64_t latency_us)
 {
-	ql_front_route_t *kept = ql_front__kept_route(call);
+	call->kept->typical_us =
+		ql_mean_moved(call->kept->typical_us, (double)latency_us,
+			      TYPICAL_SMOOTHING);
+}
 
-	if (kept)
-		kept->typical_us =
-			ql_mean_moved(kept->typical_us, (double)latency_us,
-				      TYPICAL_SMOOTHING);
+static void count_pressure(ql_front_usage_t *usage, double pressure)
+{
+	usage->noted++;
+	usage->pressed += pressure > 1;
+	usage->pressure += pressure;
 }
 
 /* Tells the request above and those to come what this one met with. */
 static void note_pressure(ql_front_call_t *call, double pressure)
 {
-	ql_front_route_t *kept = ql_front__kept_route(call);
-
 	/* One that was refused early met with nothing. */
-	if (kept && (call->let_through || call->call.under_way)) {
-		kept->usage.noted++;
-		kept->usage.pressed += pressure > 1;
-		kept->usage.pressure += pressure;
-	}
-	if (call->let_through && kept)
-		ql_throttle_note(&kept->throttle, pressure, age_us(call),
+	if (!call->let_through && !call->call.under_way)
+		return;
+	count_pressure(&call->kept->usage, pressure);
+	if (call->let_through)
+		ql_throttle_note(&call->kept->throttle, pressure, age_us(call),
 				 ql_loop_now_us(call->front->loop));
 	if (call->call.under_way)
 		ql_local_gate_press(call->front->opts.local, call->parent_id,
--- a/src/path/load_log.c
+++ b/src/path/load_log.c
@@ -51,7 +51,7 @@
 static void log_route(ql_load_log_t *log, size_t index)
 {
 	const ql_route_t *route = &log->front->doc->routes[index];
-	const ql_front_route_t *kept = &log->front->routes[index];
+	const ql_front_route_t *kept = log->front->routes[index];
 	const ql_front_usage_t *now = &kept->usage;
 	ql_front_usage_t *seen;
 
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -21,6 +21,14 @@
 		announce();
 	}
 
+	const ql_front_route_t *kept(const char *name)
+	{
+		for (size_t i = 0; i < front.doc->n_routes; i++)
+			if (!strcmp(front.doc->routes[i].name, name))
+				return front.routes[i];
+		return nullptr;
+	}
+
 	static std::string request(const char *path, const char *id)
 	{
 		return std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\n" +
@@ -262,12 +270,7 @@
 TEST_F(Front, PressureOfACallIsThatOfTheRequestAboveIt)
 {
 	RawSocket parent = open(), other = open(), child = open();
-	auto share = [&] {
-		return front
-			.routes[strcmp(front.doc->routes[0].name, "order") ? 1
-									   : 0]
-			.throttle.share;
-	};
+	auto share = [&] { return kept("order")->throttle.share; };
 
 	gate.gate.mean_us = 1;
 	parent.send(request("/order/1", "p"));
@@ -293,6 +296,49 @@
 	EXPECT_LT(share(), 1);
 }
 
+/*
+ * Guards against: overloads went unnoticed while configurations came faster
+ * than requests were answered (incident SHORT of tandfe).
+ */
+TEST_F(Front, LearnsFromRequestsThatCrossAChangeOfTheDocument)
+{
+	RawSocket client = open(), second = open();
+
+	client.send(request("/order/1", "p"));
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	set_document(ROUTES);
+	EXPECT_EQ(1u, kept("order")->throttle.in_progress);
+	second.send(request("/order/2", "q"));
+	auto other = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return other->has("\r\n\r\n"); }));
+	set_document(ROUTES);
+	EXPECT_EQ(2u, kept("order")->throttle.in_progress);
+	world.turn(5);
+	ql_local_gate_press(&gate, "p", QL_PRESSURE_MAX);
+	server->send(answer("p", "Seal: s\r\n"));
+	ASSERT_TRUE(world.turn_until([&] { return client.has("ok"); }));
+	EXPECT_EQ(1u, kept("order")->throttle.in_progress);
+	EXPECT_LT(kept("order")->throttle.share, 1);
+	EXPECT_GT(kept("order")->typical_us, 0);
+}
+
+/* A request whose route is gone ends as it would have. */
+TEST_F(Front, AnswersRequestsOfARouteThatIsGone)
+{
+	RawSocket client = open();
+
+	client.send(request("/order/1", "p"));
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	set_document("{\"get\":{\"path\":\"/get/\",\"service\":\"a\","
+		     "\"class\":\"low\",\"idempotent\":true,"
+		     "\"deadline_ms\":60000}}");
+	server->send(answer("p", "Seal: s\r\n"));
+	ASSERT_TRUE(world.turn_until([&] { return client.has("ok"); }));
+	EXPECT_EQ(1u, counted(QL_COUNT_CLIENT_ANSWERED));
+}
+
 /* A call whose request has gone says nothing of the others that run. */
 TEST_F(Front, PressureOfAnOrphanIsNobodys)
 {
@@ -305,7 +351,7 @@
 	server->send(answer("p", "Seal: s\r\n"));
 	ASSERT_TRUE(world.turn_until([&] { return client.has("ok"); }));
 	for (size_t i = 0; i < front.doc->n_routes; i++)
-		EXPECT_EQ(1, front.routes[i].throttle.share);
+		EXPECT_EQ(1, front.routes[i]->throttle.share);
 }
 
 TEST_F(Front, PartsOfASplitGetTheirWeights)
