Give up a peer that sends bytes without end and nothing of the answer

Callers: a request whose endpoint sends interim answers, or answers of other requests, without end stayed open until its time limit, and its slot with it.

Cause: the head of an answer was bounded by the parser (80 KiB), bytes before and behind it were not: interim answers, answers that belong to another request and are skipped, chunk sizes, extensions and trailers.

The client side now counts the bytes since the last one of the answer's body, or since the request, and takes more than 256 KiB of them for bytes that are no answer. The class of fault: a bound on one form of input, not on all that one peer can send.

--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -9,6 +9,8 @@
 #define MS_PER_S 1000u
 /* A peer that closes idle connections after a time is not raced for it. */
 #define KEEP_ALIVE_SHARE 0.6
+/* A peer that sends so much without a byte of the answer is given up. */
+#define BYTES_IN_VAIN_MAX (256u << 10)
 
 struct ql_upstream_connection {
 	ql_upstream_t *upstream;
@@ -24,6 +26,7 @@
 	bool reusable;
 	uint32_t idle_ms;
 	bool skipping;
+	size_t bytes_in_vain;
 };
 
 struct ql_upstream_request {
@@ -162,8 +165,10 @@
 	ql_upstream_connection_t *connection = data;
 	ql_upstream_request_t *request = connection->request;
 
-	if (request && !connection->skipping)
-		request->ops->body(request->data, bytes, length);
+	if (!request || connection->skipping)
+		return;
+	connection->bytes_in_vain = 0;
+	request->ops->body(request->data, bytes, length);
 }
 
 static bool on_complete(void *data, ql_http_reader_t *reader)
@@ -219,12 +224,14 @@
 		close_connection(connection);
 		return;
 	}
+	connection->bytes_in_vain += length;
 	result = ql_http_reader_feed(&connection->reader, bytes, length, &used);
 	if (connection->stream.closing)
 		return;
 	if (result == QL_HTTP_READ_STOPPED && is_answered(connection))
 		finish_answer(connection, used < length);
-	else if (result != QL_HTTP_READ_MORE)
+	else if (result != QL_HTTP_READ_MORE ||
+		 connection->bytes_in_vain > BYTES_IN_VAIN_MAX)
 		fail(connection, QL_UPSTREAM_MALFORMED);
 }
 
@@ -345,6 +352,7 @@
 	request->bodiless = call->bodiless;
 	connection->request = request;
 	connection->reader.bodiless = false;
+	connection->bytes_in_vain = 0;
 	if (!connection->connected) {
 		connection->unsent = g_byte_array_new();
 		g_byte_array_append(connection->unsent, call->bytes->data,
