Take the slot back from a request that runs on behind its client

Callers: none sees it at once; a slot of the endpoint was lost for good each time that a client left a request that must not be repeated and the endpoint never ended its answer, or never began it. A service whose endpoints fall silent lost its room bit by bit.

Cause: such a request runs to its end, as it has to, but nothing said when that end is due: its deadline is the caller's, and the caller had gone. If the answer was paused for a slow client, nobody read it any more.

The gate now reads on, and closes the connection 1 s behind the deadline that the endpoint was given (endpoint_silent). AbandonedRequestGivesItsSlotBack and BodyEndsWithTheTimeOfTheRequest fail without it: the gate still has a request in progress after 20,000 turns of the loop. The class of fault: a resource that only its user's timer frees. Elsewhere: calls of other nodes end with their connection, which the caller's deadline closes.

--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -15,6 +15,8 @@
 #define QUEUE_MAX 1024u
 #define QUEUE_US (300 * QL_US_PER_MS)
 #define LOWER_EVERY 8u
+/* The endpoint stops at the time limit; its answer needs a moment more. */
+#define ABANDONED_MS 1000u
 
 typedef enum {
 	WAITING,
@@ -38,6 +40,7 @@
 	uint64_t offered_us;
 	uint64_t admitted_us;
 	uint64_t deadline_us;
+	ql_wheel_timer_t abandoned;
 	ql_upstream_request_t *request;
 	const ql_call_sink_t *sink;
 	void *data;
@@ -78,6 +81,7 @@
 
 	ql_count_latency(gate->opts.counters, QL_LATENCY_ENDPOINT,
 			 now_us(call) - call->admitted_us);
+	ql_loop_stop_timer(gate->loop, &call->abandoned);
 	ql_gate_finish_request(&gate->gate, call->ticket, how, now_us(call));
 	if (g_hash_table_lookup(gate->running, call->id) == call)
 		g_hash_table_remove(gate->running, call->id);
@@ -327,6 +331,35 @@
 	ql_local_gate__pump(data);
 }
 
+static void stop_running(running_t *call)
+{
+	count(call->gate, QL_COUNT_ABANDONED);
+	ql_upstream_cancel(call->request);
+	end_running(call, QL_GATE_FAILED);
+	finish(call);
+}
+
+/* The answer should have ended long ago, and nobody waits for it. */
+static void on_abandoned(void *data)
+{
+	running_t *call = data;
+
+	ql_log(LOG_WARNING, "endpoint_silent",
+	       QL_STR("service", call->gate->opts.service),
+	       QL_STR("instance", call->gate->report.instance),
+	       QL_STR("id", call->id));
+	stop_running(call);
+}
+
+/* What must not be repeated runs to its end, if it has one. */
+static void let_run(running_t *call)
+{
+	ql_upstream_resume(call->request);
+	ql_loop_start_timer(call->gate->loop, &call->abandoned,
+			    ql_remaining_ms(call->deadline_us, now_us(call)) +
+				    ABANDONED_MS);
+}
+
 static void cancel(void *data)
 {
 	running_t *call = data;
@@ -340,13 +373,10 @@
 		finish(call);
 		return;
 	}
-	/* What must not be repeated runs to its end. */
-	if (!call->idempotent)
-		return;
-	count(gate, QL_COUNT_ABANDONED);
-	ql_upstream_cancel(call->request);
-	end_running(call, QL_GATE_FAILED);
-	finish(call);
+	if (call->idempotent)
+		stop_running(call);
+	else
+		let_run(call);
 }
 
 static void pause_answer(void *data)
@@ -381,6 +411,8 @@
 	out->bodiless = !strcmp(call->method, "HEAD");
 	out->deadline_us = call->deadline_us;
 	out->offered_us = now_us(out);
+	out->abandoned.expired = on_abandoned;
+	out->abandoned.data = out;
 	out->serves.shed_order = call->shed_order;
 	g_strlcpy(out->serves.class_name, call->class_name,
 		  sizeof(out->serves.class_name));
@@ -490,6 +522,7 @@
 		call = link->data;
 		if (call->request)
 			ql_upstream_cancel(call->request);
+		ql_loop_stop_timer(gate->loop, &call->abandoned);
 		call_free(call);
 	}
 	g_list_free(calls);
--- a/tests/path/endless_test.cc
+++ b/tests/path/endless_test.cc
@@ -123,4 +123,58 @@
 		      "T: aaaaaaaaaaaa\r\n"}),
 	[](const auto &test) { return test.param.name; });
 
+/* A body that does not end is passed on, and breaks off with the request. */
+TEST_F(Endless, BodyEndsWithTheTimeOfTheRequest)
+{
+	RawSocket client = open();
+
+	client.send(request("/soon/1"));
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	server->send("HTTP/1.1 200 OK\r\nId: x\r\nSeal: s\r\n\r\n");
+	EXPECT_TRUE(world.turn_until([&] {
+		::send(server->fd, "aaaaaaaaaaaaaaaa", 16, MSG_NOSIGNAL);
+		return client.has("\r\n\r\n");
+	}));
+	EXPECT_EQ(0u, client.received.find("HTTP/1.1 504"));
+	EXPECT_TRUE(world.turn_until([&] {
+		::send(server->fd, "aaaaaaaaaaaaaaaa", 16, MSG_NOSIGNAL);
+		return !gate.gate.in_progress;
+	}));
+}
+
+/*
+ * Guards against: a request that must not be repeated runs on behind its
+ * client, and an endpoint that never ends its answer, or never begins it, keeps
+ * the slot for good.
+ */
+TEST_F(Endless, AbandonedRequestGivesItsSlotBack)
+{
+	for (const char *piece : {"aaaaaaaaaaaaaaaa", ""}) {
+		SCOPED_TRACE(piece);
+		{
+			RawSocket client = open();
+
+			client.send(request("/soon/1"));
+			auto server = accept_one();
+			ASSERT_TRUE(world.turn_until(
+				[&] { return server->has("\r\n\r\n"); }));
+			server->send(*piece ? "HTTP/1.1 200 OK\r\nId: x\r\n"
+					      "Seal: s\r\n\r\n"
+					    : "");
+			close(client.fd);
+			client.fd = -1;
+			EXPECT_TRUE(world.turn_until([&] {
+				return !g_hash_table_size(front.calls);
+			}));
+			EXPECT_EQ(1u, gate.gate.in_progress);
+			EXPECT_TRUE(world.turn_until([&] {
+				::send(server->fd, piece, strlen(piece),
+				       MSG_NOSIGNAL);
+				return !gate.gate.in_progress;
+			}));
+		}
+	}
+}
+
 } // namespace
