Guarantee each route a part of its requests, whole, with the highest class

Cause: a gate gave lower classes one of eight admissions, call by call. A letter-status needs ten of them, and first nodes let through what pressure at the gates allowed, which by class alone was next to nothing. The share was held by neither of the two places that decide.

Now the first node decides once: one in eight requests of each route (guaranteed_share of the configuration) travels with the highest class, it and all its calls, and is throttled only where waits are twice what the others bear. The class that travels with a request carries the decision, so no gate has to know.

What it costs: where orders alone ask for too much, an eighth of every other route's requests goes before a part of them.

--- a/include/quetzalloft/document.h
+++ b/include/quetzalloft/document.h
@@ -175,6 +175,8 @@
  * @version: its number; 0 is the empty document before the first patch
  * @site: name of the site
  * @attempts: allowance of attempts of one client request
+ * @guaranteed_share: part of the requests of each route that goes with the
+ * highest class, see quetzalloft/route_admission.h
  * @keepers: who keeps claims on idempotency keys
  * @limits: of clients
  * @json: the source
@@ -185,6 +187,7 @@
 	uint64_t version;
 	char site[QL_NAME_MAX];
 	uint64_t attempts;
+	double guaranteed_share;
 	ql_class_t *classes;
 	size_t n_classes;
 	ql_service_t *services;
@@ -233,6 +236,14 @@
  */
 int ql_document_find_service(const ql_document_t *doc, const char *name);
 
+/**
+ * ql_document_top_class() - The class that is shed last.
+ * @doc: a document with a class
+ *
+ * Return: the class.
+ */
+const ql_class_t *ql_document_top_class(const ql_document_t *doc);
+
 /**
  * ql_document_match() - Find the route of a request.
  * @doc: the document
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -107,7 +107,7 @@
 
 	if (!route) {
 		route = g_new0(ql_front_route_t, 1);
-		ql_throttle_init(&route->throttle);
+		ql_route_admission_init(&route->admission);
 	}
 	memset(route->credit, 0, sizeof(route->credit));
 	route->references++;
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -12,7 +12,7 @@
 #include "path/local_gate.h"
 #include "quetzalloft/balancer.h"
 #include "quetzalloft/retry.h"
-#include "quetzalloft/throttle.h"
+#include "quetzalloft/route_admission.h"
 #include "util/counters.h"
 
 G_BEGIN_DECLS
@@ -77,14 +77,14 @@
  * @references: the document in force, and the requests on their way
  * @credit: for each part of its split; the one with the most is next
  * @typical_us: moving mean of the time in which an attempt is answered
- * @throttle: early refusal of its requests
+ * @admission: early refusal of its requests
  * @usage: what became of them
  */
 typedef struct ql_front_route {
 	uint32_t references;
 	int64_t credit[QL_ROUTE_PARTS_MAX];
 	double typical_us;
-	ql_throttle_t throttle;
+	ql_route_admission_t admission;
 	ql_front_usage_t usage;
 } ql_front_route_t;
 
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -24,7 +24,8 @@
 static void call_free(ql_front_call_t *call)
 {
 	if (call->let_through)
-		ql_throttle_end(&call->kept->throttle);
+		ql_route_admission_end(&call->kept->admission,
+				       call->guaranteed);
 	ql_front__route_unref(call->kept);
 	g_hash_table_remove(call->front->calls, call);
 	ql_loop_stop_timer(call->front->loop, &call->deadline);
@@ -53,6 +54,7 @@
 	ql_log(LOG_INFO, failure_event(call), QL_STR("id", call->call.id),
 	       QL_STR("route", call->route->name),
 	       QL_STR("class", call->call.class_name),
+	       QL_INT("guaranteed", call->guaranteed),
 	       QL_UINT("version", call->doc->version),
 	       QL_STR("service", call->call.service),
 	       QL_STR("outcome", ql_outcome_name(end->outcome)),
@@ -382,19 +384,36 @@
 	ql_front__answer_failure(front, exchange, &end);
 }
 
+/* Its calls are served before those of its own class. */
+static void raise_class(ql_front_call_t *call)
+{
+	const ql_class_t *top = ql_document_top_class(call->doc);
+
+	call->guaranteed = true;
+	call->call.class_name = top->name;
+	call->call.shed_order = (uint32_t)top->shed_order;
+}
+
 /* Whether a request is refused before anything was done for it. */
 static bool is_refused_early(ql_front_call_t *call)
 {
-	ql_throttle_decision_t decision;
+	ql_front_t *front = call->front;
+	const ql_admission_offer_t offer = {
+		.guaranteed_share = call->doc->guaranteed_share,
+		.target_ms = call->route->target_ms,
+		.random = front->random,
+		.now_us = now_us(call),
+	};
+	ql_admission_decision_t decision;
 
 	/* Refusing a call would throw away the work above it. */
 	if (call->call.under_way)
 		return false;
-	decision =
-		ql_throttle_offer(&call->kept->throttle, call->route->target_ms,
-				  call->front->random, now_us(call));
+	decision = ql_route_admission_offer(&call->kept->admission, &offer);
 	call->retry_after_ms = decision.retry_after_ms;
 	call->let_through = !decision.refuse;
+	if (decision.guaranteed && !decision.refuse)
+		raise_class(call);
 	return decision.refuse;
 }
 
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -25,6 +25,8 @@
  * @parent: that request, if it runs beside this node
  * @callee: the attempt in progress
  * @let_through: early refusal is told how it ends
+ * @guaranteed: it goes with the highest class, see
+ * quetzalloft/route_admission.h
  * @in_attempt: an attempt is in progress
  * @tried: endpoints that were tried
  * @gate: where the last attempt went, or ""
@@ -53,6 +55,7 @@
 	ql_running_call_t parent;
 	ql_callee_call_t callee;
 	bool let_through;
+	bool guaranteed;
 	bool in_attempt;
 	ql_handle_t tried[QL_FRONT_TRIED_MAX];
 	char gate[QL_ADDRESS_MAX];
--- a/src/path/front_learn.c
+++ b/src/path/front_learn.c
@@ -38,8 +38,10 @@
 		return;
 	count_pressure(&call->kept->usage, pressure);
 	if (call->let_through)
-		ql_throttle_note(&call->kept->throttle, pressure, age_us(call),
-				 ql_loop_now_us(call->front->loop));
+		ql_route_admission_note(&call->kept->admission,
+					call->guaranteed, pressure,
+					age_us(call),
+					ql_loop_now_us(call->front->loop));
 	if (call->call.under_way)
 		ql_local_gate_press(call->front->opts.local, call->parent_id,
 				    pressure);
--- a/src/policy/document.c
+++ b/src/policy/document.c
@@ -13,6 +13,8 @@
 #define QUEUE_MAX_MS 10000
 #define DEADLINE_MAX_MS 600000
 #define RETRY_RATIO_DEFAULT 0.1
+#define GUARANTEED_SHARE_DEFAULT 0.125
+#define GUARANTEED_SHARE_MAX 0.5
 #define LIMITER_DEFAULT "gradient"
 #define CONNECTIONS_MAX 65535
 #define WEIGHT_MAX 1000000
@@ -29,6 +31,7 @@
 typedef struct {
 	char site[QL_NAME_MAX];
 	uint64_t attempts;
+	double guaranteed_share;
 	json_t *classes;
 	json_t *services;
 	json_t *routes;
@@ -40,6 +43,8 @@
 static const ql_json_member_t root_members[] = {
 	QL_MEMBER_STRING(root_t, site, true, 1),
 	QL_MEMBER_UINT(root_t, attempts, true, 1, QL_ATTEMPTS_MAX),
+	QL_MEMBER_REAL(root_t, guaranteed_share, false, 0,
+		       GUARANTEED_SHARE_MAX),
 	QL_MEMBER_OBJECT(root_t, classes, true),
 	QL_MEMBER_OBJECT(root_t, services, true),
 	QL_MEMBER_OBJECT(root_t, routes, true),
@@ -481,7 +486,7 @@
 
 static int compile_root(ql_document_t *doc, json_t *json, GError **error)
 {
-	root_t root = {0};
+	root_t root = {.guaranteed_share = GUARANTEED_SHARE_DEFAULT};
 	int ret;
 
 	if (json_is_object(json) && !json_object_size(json))
@@ -492,6 +497,7 @@
 		return ret;
 	memcpy(doc->site, root.site, sizeof(doc->site));
 	doc->attempts = root.attempts;
+	doc->guaranteed_share = root.guaranteed_share;
 	if (root.limits)
 		ret = ql_json_read(&doc->limits, root.limits, "limits",
 				   limit_members, G_N_ELEMENTS(limit_members),
@@ -583,6 +589,17 @@
 	return -1;
 }
 
+const ql_class_t *ql_document_top_class(const ql_document_t *doc)
+{
+	const ql_class_t *top = &doc->classes[0];
+	size_t i;
+
+	for (i = 1; i < doc->n_classes; i++)
+		if (doc->classes[i].shed_order > top->shed_order)
+			top = &doc->classes[i];
+	return top;
+}
+
 /* Length of the matched path, doubled, plus one for a matched host. */
 static size_t match_score(const ql_route_t *route, const char *host,
 			  const char *method, const char *path)
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -266,11 +266,35 @@
 	ASSERT_TRUE(world.turn_until([&] { return child.has("ok"); }));
 }
 
+/* Guards against: a class got its share call by call and no request of it whole
+ * (incident SHORT of tandfe). */
+TEST_F(Front, GuaranteedRequestsGoWithTheHighestClass)
+{
+	constexpr int kRequests = 16;
+	std::vector<RawSocket> clients;
+	std::vector<std::unique_ptr<RawSocket>> servers;
+	int raised = 0;
+
+	gate.report.slots = kRequests;
+	for (int i = 0; i < kRequests; i++) {
+		clients.push_back(open());
+		clients.back().send(request("/get/1", "x"));
+		ASSERT_TRUE(world.turn_until([&] {
+			return gate.gate.in_progress +
+				       ql_gate_queue_length(&gate.gate.queue) ==
+			       (uint32_t)i + 1;
+		}));
+		raised = (int)(gate.gate.running[5] +
+			       gate.gate.queue.waiting[5]);
+	}
+	EXPECT_EQ(kRequests / 8, raised);
+}
+
 /* What a call waited for is told of the request that it serves. */
 TEST_F(Front, PressureOfACallIsThatOfTheRequestAboveIt)
 {
 	RawSocket parent = open(), other = open(), child = open();
-	auto share = [&] { return kept("order")->throttle.share; };
+	auto share = [&] { return kept("order")->admission.rest.share; };
 
 	gate.gate.mean_us = 1;
 	parent.send(request("/order/1", "p"));
@@ -308,18 +332,18 @@
 	auto server = accept_one();
 	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
 	set_document(ROUTES);
-	EXPECT_EQ(1u, kept("order")->throttle.in_progress);
+	EXPECT_EQ(1u, kept("order")->admission.rest.in_progress);
 	second.send(request("/order/2", "q"));
 	auto other = accept_one();
 	ASSERT_TRUE(world.turn_until([&] { return other->has("\r\n\r\n"); }));
 	set_document(ROUTES);
-	EXPECT_EQ(2u, kept("order")->throttle.in_progress);
+	EXPECT_EQ(2u, kept("order")->admission.rest.in_progress);
 	world.turn(5);
 	ql_local_gate_press(&gate, "p", QL_PRESSURE_MAX);
 	server->send(answer("p", "Seal: s\r\n"));
 	ASSERT_TRUE(world.turn_until([&] { return client.has("ok"); }));
-	EXPECT_EQ(1u, kept("order")->throttle.in_progress);
-	EXPECT_LT(kept("order")->throttle.share, 1);
+	EXPECT_EQ(1u, kept("order")->admission.rest.in_progress);
+	EXPECT_LT(kept("order")->admission.rest.share, 1);
 	EXPECT_GT(kept("order")->typical_us, 0);
 }
 
@@ -351,7 +375,7 @@
 	server->send(answer("p", "Seal: s\r\n"));
 	ASSERT_TRUE(world.turn_until([&] { return client.has("ok"); }));
 	for (size_t i = 0; i < front.doc->n_routes; i++)
-		EXPECT_EQ(1, front.routes[i]->throttle.share);
+		EXPECT_EQ(1, front.routes[i]->admission.rest.share);
 }
 
 TEST_F(Front, PartsOfASplitGetTheirWeights)
--- a/tests/policy/document_test.cc
+++ b/tests/policy/document_test.cc
@@ -55,6 +55,38 @@
 	EXPECT_NE(std::string::npos, detail.find(GetParam().part)) << detail;
 }
 
+struct ShareCase {
+	const char *member;
+	int ret;
+	double share;
+};
+
+TEST(Document, GuaranteesAShareOfEachRoute)
+{
+	const ShareCase cases[] = {
+		{"", 0, 0.125},
+		{"\"guaranteed_share\":0,", 0, 0},
+		{"\"guaranteed_share\":0.5,", 0, 0.5},
+		{"\"guaranteed_share\":0.6,", QL_E_RANGE, 0},
+		{"\"guaranteed_share\":\"much\",", QL_E_TYPE, 0},
+	};
+
+	for (const ShareCase &test : cases) {
+		SCOPED_TRACE(test.member);
+		std::string text = document("", ""), detail;
+		ql_document_t *doc;
+		int ret;
+
+		doc = compile(text.insert(1, test.member), &ret, &detail);
+		EXPECT_EQ(test.ret, ret) << detail;
+		if (!doc)
+			continue;
+		EXPECT_EQ(test.share, doc->guaranteed_share);
+		EXPECT_STREQ("order", ql_document_top_class(doc)->name);
+		ql_document_unref(doc);
+	}
+}
+
 INSTANTIATE_TEST_SUITE_P(
 	Documents, DocumentRefuses,
 	testing::Values(
