Measure waits at a gate by its quicker requests

Cause: the pressure of a wait was its part of the mean service time. Where an endpoint waits for calls of its own, a crowd further down makes its service times long, and with them the waits that pass for bearable: photo-fetch took 0.5 s for 0.13 s, all 331 slots of both endpoints were in use, calls waited 250 to 400 ms there, and the first nodes heard of a pressure below 1.

Now a wait is measured by the time that the quicker quarter of the requests takes, which follows a change of the service by 5% a second only.

StaysWhileTheEndpointsBelowAreCrowded fails with the mean (0.75 for more than 1). The class of fault: a yardstick that is learned in the state that it is to judge.

--- a/include/quetzalloft/gate.h
+++ b/include/quetzalloft/gate.h
@@ -96,7 +96,9 @@
  * @n_passed: requests that were admitted since while a lower class waited
  * @last_lower: the lower class whose turn it was last
  * @service_times: by shed order
- * @mean_us: moving mean of the service time of all classes
+ * @quick_us: service time of the quicker requests of all classes
+ * @quick_seen_us: when it was observed last
+ * @n_observed: of the first requests, those that were observed
  * @draining: no new request is admitted
  * @level: one above the highest shed order refused for overload lately
  * @level_us: when that was
@@ -115,7 +117,9 @@
 	uint32_t n_passed;
 	uint32_t last_lower;
 	ql_gate_service_time_t service_times[QL_SHED_ORDERS];
-	double mean_us;
+	double quick_us;
+	uint64_t quick_seen_us;
+	uint32_t n_observed;
 	bool draining;
 	uint32_t level;
 	uint64_t level_us;
@@ -214,7 +218,8 @@
  * @gate: the gate
  * @waited_us: from its offer to its admission
  *
- * Return: 1 where it waited as long as requests take here.
+ * Return: 1 where it waited as long as requests take here when neither this
+ * endpoint nor those that it calls are crowded.
  */
 double ql_gate_pressure(const ql_gate_t *gate, uint64_t waited_us);
 
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -16,7 +16,14 @@
 #define WAITING_FOR_TURN_MAX 4u
 #define WAIT_SERVICE_TIMES 1.0
 #define SERVICE_TIME_SMOOTHING 0.1
-#define BEARABLE_SERVICE_TIMES 1.0
+/* Of the quick service time. */
+#define BEARABLE_SERVICE_TIMES 2.0
+/* A quarter of the requests is quicker than the quick service time: it falls
+ * three times as fast for one that was quicker as it grows for another one. */
+#define QUICK_GROWTH_PER_S 0.05
+#define QUICK_FALL_PER_S 0.15
+/* Of the first requests the mean is taken, to begin somewhere. */
+#define QUICK_FIRST 32u
 #define SERVICE_TIME_HOLD_US (1 * QL_US_PER_S)
 
 static void limiter_opts(const ql_gate_opts_t *opts, ql_limiter_opts_t *out)
@@ -280,6 +287,26 @@
 	return decision;
 }
 
+/*
+ * Waits are measured by the quicker requests: where endpoints further down are
+ * crowded all of them take longer, and a mean would make long waits bearable.
+ */
+static void observe_quick(ql_gate_t *gate, double latency_us, uint64_t now_us)
+{
+	double since_s = (double)(now_us - gate->quick_seen_us) / QL_US_PER_S;
+	double per_s = latency_us < gate->quick_us ? -QUICK_FALL_PER_S
+						   : QUICK_GROWTH_PER_S;
+
+	gate->quick_seen_us = now_us;
+	if (gate->n_observed < QUICK_FIRST) {
+		gate->n_observed++;
+		gate->quick_us = ql_mean_moved(gate->quick_us, latency_us,
+					       SERVICE_TIME_SMOOTHING);
+	} else {
+		gate->quick_us *= exp(per_s * MIN(since_s, 1));
+	}
+}
+
 static void observe(ql_gate_t *gate, const ql_gate_ticket_t *ticket,
 		    ql_gate_end_t end, uint64_t now_us)
 {
@@ -294,8 +321,7 @@
 	ql_limiter_observe(&gate->limiter, &sample, now_us);
 	observe_service_time(gate, order_of(&ticket->request),
 			     (double)sample.latency_us, now_us);
-	gate->mean_us = ql_mean_moved(gate->mean_us, (double)sample.latency_us,
-				      SERVICE_TIME_SMOOTHING);
+	observe_quick(gate, (double)sample.latency_us, now_us);
 }
 
 void ql_gate_finish_request(ql_gate_t *gate, ql_handle_t handle,
@@ -497,7 +523,7 @@
 
 double ql_gate_pressure(const ql_gate_t *gate, uint64_t waited_us)
 {
-	double bearable_us = BEARABLE_SERVICE_TIMES * gate->mean_us;
+	double bearable_us = BEARABLE_SERVICE_TIMES * gate->quick_us;
 
 	if (bearable_us <= 0)
 		return 0;
