--- a/include/quetzalloft/gate.h
+++ b/include/quetzalloft/gate.h
@@ -11,6 +11,7 @@
 
 #include "quetzalloft/gate_queue.h"
 #include "quetzalloft/limiter.h"
+#include "quetzalloft/service_times.h"
 #include "quetzalloft/table.h"
 
 G_BEGIN_DECLS
@@ -70,18 +71,6 @@
 	uint32_t retry_after_ms;
 } ql_gate_decision_t;
 
-/**
- * struct ql_gate_service_time - Observed service time of one class.
- * @mean_us: moving mean
- * @deviation_us: moving mean of the absolute deviation
- * @seen_us: when a request of the class ended last
- */
-typedef struct ql_gate_service_time {
-	double mean_us;
-	double deviation_us;
-	uint64_t seen_us;
-} ql_gate_service_time_t;
-
 /**
  * struct ql_gate - The gate of one endpoint. It must not move in memory.
  * @opts: settings
@@ -95,10 +84,7 @@
  * @running: admitted requests by shed order, but for those in their turn
  * @n_passed: requests that were admitted since while a lower class waited
  * @last_lower: the lower class whose turn it was last
- * @service_times: by shed order
- * @quick_us: service time of the quicker requests of all classes
- * @quick_seen_us: when it was observed last
- * @n_observed: of the first requests, those that were observed
+ * @times: of the endpoint
  * @draining: no new request is admitted
  * @level: one above the highest shed order refused for overload lately
  * @level_us: when that was
@@ -116,10 +102,7 @@
 	uint32_t running[QL_SHED_ORDERS];
 	uint32_t n_passed;
 	uint32_t last_lower;
-	ql_gate_service_time_t service_times[QL_SHED_ORDERS];
-	double quick_us;
-	uint64_t quick_seen_us;
-	uint32_t n_observed;
+	ql_service_times_t times;
 	bool draining;
 	uint32_t level;
 	uint64_t level_us;
@@ -212,17 +195,6 @@
 void ql_gate_read_usage(ql_gate_t *gate, ql_gate_usage_t *usage,
 			uint64_t now_us);
 
-/**
- * ql_gate_pressure() - How long a request waited, as a part of what is
- * bearable.
- * @gate: the gate
- * @waited_us: from its offer to its admission
- *
- * Return: 1 where it waited as long as requests take here when neither this
- * endpoint nor those that it calls are crowded.
- */
-double ql_gate_pressure(const ql_gate_t *gate, uint64_t waited_us);
-
 /**
  * ql_gate_level() - The present load level.
  * @gate: the gate
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -249,7 +249,8 @@
 
 	call->state = RUNNING;
 	call->admitted_us = now_us(call);
-	call->pressure.own = ql_gate_pressure(&gate->gate, waited_us);
+	call->pressure.own =
+		ql_service_times_pressure(&gate->gate.times, waited_us);
 	g_hash_table_replace(gate->running, call->id, call);
 	count(gate, QL_COUNT_GATE_ADMITTED);
 	ql_count_latency(gate->opts.counters, QL_LATENCY_GATE_WAIT, waited_us);
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -1,10 +1,7 @@
 #include "quetzalloft/gate.h"
 #include "quetzalloft/clock.h"
-#include "quetzalloft/pressure.h"
 #include "quetzalloft/retry.h"
-#include "util/mean.h"
 
-#include <math.h>
 #include <string.h>
 
 #define TICKETS_MAX 65536u
@@ -15,16 +12,6 @@
 #define RESERVE_DIVISOR 10u
 #define WAITING_FOR_TURN_MAX 4u
 #define WAIT_SERVICE_TIMES 1.0
-#define SERVICE_TIME_SMOOTHING 0.1
-/* Of the quick service time. */
-#define BEARABLE_SERVICE_TIMES 2.0
-/* A quarter of the requests is quicker than the quick service time: it falls
- * three times as fast for one that was quicker as it grows for another one. */
-#define QUICK_GROWTH_PER_S 0.05
-#define QUICK_FALL_PER_S 0.15
-/* Of the first requests the mean is taken, to begin somewhere. */
-#define QUICK_FIRST 32u
-#define SERVICE_TIME_HOLD_US (1 * QL_US_PER_S)
 
 static void limiter_opts(const ql_gate_opts_t *opts, ql_limiter_opts_t *out)
 {
@@ -71,43 +58,13 @@
 	return MIN(request->shed_order, QL_SHED_ORDERS - 1);
 }
 
-/*
- * The least time that a request of the class is likely to need. It is
- * forgotten after a while without an answer, so that one is tried again.
- */
-static double least_service_us(const ql_gate_t *gate, uint32_t order,
-			       uint64_t now_us)
-{
-	const ql_gate_service_time_t *time = &gate->service_times[order];
-
-	if (now_us - time->seen_us > SERVICE_TIME_HOLD_US)
-		return 0;
-	return MAX(time->mean_us - time->deviation_us, 0);
-}
-
-static void observe_service_time(ql_gate_t *gate, uint32_t order,
-				 double latency_us, uint64_t now_us)
-{
-	ql_gate_service_time_t *time = &gate->service_times[order];
-
-	time->seen_us = now_us;
-	if (time->mean_us <= 0) {
-		time->mean_us = latency_us;
-		time->deviation_us = latency_us / 2;
-		return;
-	}
-	time->deviation_us +=
-		SERVICE_TIME_SMOOTHING *
-		(fabs(latency_us - time->mean_us) - time->deviation_us);
-	time->mean_us += SERVICE_TIME_SMOOTHING * (latency_us - time->mean_us);
-}
-
 /* The last moment at which the request can start and still finish. */
 static uint64_t last_start_us(const ql_gate_t *gate,
 			      const ql_gate_request_t *request, uint64_t now_us)
 {
 	uint64_t service_us =
-		(uint64_t)least_service_us(gate, order_of(request), now_us);
+		(uint64_t)ql_service_times_least_us(&gate->times,
+						    order_of(request), now_us);
 
 	return request->deadline_us > service_us
 		       ? request->deadline_us - service_us
@@ -126,7 +83,7 @@
 static uint32_t retry_after_ms(const ql_gate_t *gate, uint32_t order)
 {
 	double queued = ql_gate_queue_length(&gate->queue);
-	double drain_us = queued * gate->service_times[order].mean_us /
+	double drain_us = queued * gate->times.classes[order].mean_us /
 			  ql_limiter_get(&gate->limiter);
 	double wait_ms = (2.0 * (double)gate->opts.queue_us + drain_us) /
 			 (double)QL_US_PER_MS;
@@ -230,7 +187,7 @@
 static uint64_t longest_wait_us(const ql_gate_t *gate,
 				const ql_gate_request_t *request)
 {
-	double service_us = gate->service_times[order_of(request)].mean_us;
+	double service_us = gate->times.classes[order_of(request)].mean_us;
 
 	return MAX(gate->opts.queue_us,
 		   (uint64_t)(WAIT_SERVICE_TIMES * service_us));
@@ -287,26 +244,6 @@
 	return decision;
 }
 
-/*
- * Waits are measured by the quicker requests: where endpoints further down are
- * crowded all of them take longer, and a mean would make long waits bearable.
- */
-static void observe_quick(ql_gate_t *gate, double latency_us, uint64_t now_us)
-{
-	double since_s = (double)(now_us - gate->quick_seen_us) / QL_US_PER_S;
-	double per_s = latency_us < gate->quick_us ? -QUICK_FALL_PER_S
-						   : QUICK_GROWTH_PER_S;
-
-	gate->quick_seen_us = now_us;
-	if (gate->n_observed < QUICK_FIRST) {
-		gate->n_observed++;
-		gate->quick_us = ql_mean_moved(gate->quick_us, latency_us,
-					       SERVICE_TIME_SMOOTHING);
-	} else {
-		gate->quick_us *= exp(per_s * MIN(since_s, 1));
-	}
-}
-
 static void observe(ql_gate_t *gate, const ql_gate_ticket_t *ticket,
 		    ql_gate_end_t end, uint64_t now_us)
 {
@@ -319,9 +256,8 @@
 	};
 
 	ql_limiter_observe(&gate->limiter, &sample, now_us);
-	observe_service_time(gate, order_of(&ticket->request),
-			     (double)sample.latency_us, now_us);
-	observe_quick(gate, (double)sample.latency_us, now_us);
+	ql_service_times_observe(&gate->times, order_of(&ticket->request),
+				 (double)sample.latency_us, now_us);
 }
 
 void ql_gate_finish_request(ql_gate_t *gate, ql_handle_t handle,
@@ -521,15 +457,6 @@
 	*usage = gate->usage;
 }
 
-double ql_gate_pressure(const ql_gate_t *gate, uint64_t waited_us)
-{
-	double bearable_us = BEARABLE_SERVICE_TIMES * gate->quick_us;
-
-	if (bearable_us <= 0)
-		return 0;
-	return MIN((double)waited_us / bearable_us, QL_PRESSURE_SERVED_MAX);
-}
-
 uint32_t ql_gate_level(const ql_gate_t *gate, uint64_t now_us)
 {
 	return now_us - gate->level_us < LEVEL_HOLD_US ? gate->level : 0;
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -296,7 +296,7 @@
 	RawSocket parent = open(), other = open(), child = open();
 	auto share = [&] { return kept("order")->admission.rest.share; };
 
-	gate.gate.quick_us = 1;
+	gate.gate.times.quick_us = 1;
 	parent.send(request("/order/1", "p"));
 	auto runs = accept_one();
 	other.send(request("/get/1", "q"));
--- a/tests/policy/pressure_test.cc
+++ b/tests/policy/pressure_test.cc
@@ -57,10 +57,11 @@
 	ql_gate_t gate;
 
 	ql_gate_init(&gate, &opts);
-	gate.quick_us = 10;
-	EXPECT_LT(ql_gate_pressure(&gate, 1000000), QL_PRESSURE_MAX);
-	EXPECT_GT(ql_gate_pressure(&gate, 1000000), 1);
-	EXPECT_LT(ql_gate_pressure(&gate, 5), 1);
+	gate.times.quick_us = 10;
+	EXPECT_LT(ql_service_times_pressure(&gate.times, 1000000),
+		  QL_PRESSURE_MAX);
+	EXPECT_GT(ql_service_times_pressure(&gate.times, 1000000), 1);
+	EXPECT_LT(ql_service_times_pressure(&gate.times, 5), 1);
 	ql_gate_finish(&gate);
 }
 
@@ -90,13 +91,13 @@
 
 	ql_gate_init(&gate, &opts);
 	serve(100000, 50);
-	before = ql_gate_pressure(&gate, 300000);
+	before = ql_service_times_pressure(&gate.times, 300000);
 	EXPECT_GT(before, 1);
 	serve(500000, 4);
-	EXPECT_GT(ql_gate_pressure(&gate, 300000), 1);
+	EXPECT_GT(ql_service_times_pressure(&gate.times, 300000), 1);
 	/* What stays slow is what it takes. */
 	serve(500000, 200);
-	EXPECT_LT(ql_gate_pressure(&gate, 300000), 1);
+	EXPECT_LT(ql_service_times_pressure(&gate.times, 300000), 1);
 	ql_gate_finish(&gate);
 }
 
--- a/tests/policy/tree_world.h
+++ b/tests/policy/tree_world.h
@@ -219,7 +219,8 @@
 	void Serve(Gate *gate, ql_handle_t ticket, uint64_t waited_us)
 	{
 		auto tree = gate->calls[ticket];
-		double pressure = ql_gate_pressure(&gate->gate, waited_us);
+		double pressure =
+			ql_service_times_pressure(&gate->gate.times, waited_us);
 		uint64_t service_us = (uint64_t)(Exponential(kServiceMs) * kMs);
 
 		At(service_us, [this, gate, ticket, tree, pressure] {
