Keep what the load log has told with the route, and resume paused answers only

Reading the change again: the load log kept a table of routes by name that only grew, and would have told wrong differences of a route that went and came back. What was logged last now stands beside what is counted. The gate resumed the answer of each abandoned request, paused or not; a test shows that one which was abandoned before its connection stood gets its slot back (it passes either way: the library reads on from the connection).

--- a/src/path/front.h
+++ b/src/path/front.h
@@ -79,6 +79,7 @@
  * @typical_us: moving mean of the time in which an attempt is answered
  * @admission: early refusal of its requests
  * @usage: what became of them
+ * @logged: the same, when it was logged last
  */
 typedef struct ql_front_route {
 	uint32_t references;
@@ -86,6 +87,7 @@
 	double typical_us;
 	ql_route_admission_t admission;
 	ql_front_usage_t usage;
+	ql_front_usage_t logged;
 } ql_front_route_t;
 
 /**
--- a/src/path/load_log.c
+++ b/src/path/load_log.c
@@ -37,27 +37,13 @@
 	log->seen = usage;
 }
 
-static ql_front_usage_t *seen_of(ql_load_log_t *log, const char *name)
-{
-	ql_front_usage_t *seen = g_hash_table_lookup(log->routes, name);
-
-	if (seen)
-		return seen;
-	seen = g_new0(ql_front_usage_t, 1);
-	g_hash_table_insert(log->routes, g_strdup(name), seen);
-	return seen;
-}
-
 static void log_route(ql_load_log_t *log, size_t index)
 {
 	const ql_route_t *route = &log->front->doc->routes[index];
-	const ql_front_route_t *kept = log->front->routes[index];
+	ql_front_route_t *kept = log->front->routes[index];
 	const ql_front_usage_t *now = &kept->usage;
-	ql_front_usage_t *seen;
+	ql_front_usage_t *seen = &kept->logged;
 
-	if (!now->offered)
-		return;
-	seen = seen_of(log, route->name);
 	if (now->offered > seen->offered)
 		ql_log(LOG_NOTICE, "route_load", QL_STR("route", route->name),
 		       QL_STR("class",
@@ -98,8 +84,6 @@
 	log->loop = loop;
 	log->front = front;
 	log->gate = gate;
-	log->routes =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	log->timer.expired = on_timer;
 	log->timer.data = log;
 	ql_loop_start_timer(loop, &log->timer, PERIOD_MS);
@@ -108,5 +92,4 @@
 void ql_load_log_stop(ql_load_log_t *log)
 {
 	ql_loop_stop_timer(log->loop, &log->timer);
-	g_hash_table_destroy(log->routes);
 }
--- a/src/path/load_log.h
+++ b/src/path/load_log.h
@@ -17,7 +17,6 @@
  * @front: whose routes are read; borrowed
  * @gate: whose slots are read; borrowed
  * @seen: what the gate had done at the last line
- * @routes: &struct ql_front_usage at the last line, by name of the route
  */
 typedef struct ql_load_log {
 	ql_loop_t *loop;
@@ -25,7 +24,6 @@
 	ql_local_gate_t *gate;
 	ql_wheel_timer_t timer;
 	ql_gate_usage_t seen;
-	GHashTable *routes;
 } ql_load_log_t;
 
 /**
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -36,6 +36,7 @@
 	bool bodiless;
 	bool told_head;
 	bool shed;
+	bool paused;
 	ql_pressure_t pressure;
 	uint64_t offered_us;
 	uint64_t admitted_us;
@@ -332,6 +333,26 @@
 	ql_local_gate__pump(data);
 }
 
+static void pause_answer(void *data)
+{
+	running_t *call = data;
+
+	if (!call->request)
+		return;
+	call->paused = true;
+	ql_upstream_pause(call->request);
+}
+
+static void resume_answer(void *data)
+{
+	running_t *call = data;
+
+	if (!call->paused)
+		return;
+	call->paused = false;
+	ql_upstream_resume(call->request);
+}
+
 static void stop_running(running_t *call)
 {
 	count(call->gate, QL_COUNT_ABANDONED);
@@ -355,7 +376,7 @@
 /* What must not be repeated runs to its end, if it has one. */
 static void let_run(running_t *call)
 {
-	ql_upstream_resume(call->request);
+	resume_answer(call);
 	ql_loop_start_timer(call->gate->loop, &call->abandoned,
 			    ql_remaining_ms(call->deadline_us, now_us(call)) +
 				    ABANDONED_MS);
@@ -380,22 +401,6 @@
 		let_run(call);
 }
 
-static void pause_answer(void *data)
-{
-	running_t *call = data;
-
-	if (call->request)
-		ql_upstream_pause(call->request);
-}
-
-static void resume_answer(void *data)
-{
-	running_t *call = data;
-
-	if (call->request)
-		ql_upstream_resume(call->request);
-}
-
 static const ql_callee_ops_t callee_ops = {
 	.cancel = cancel,
 	.pause = pause_answer,
--- a/tests/path/local_gate_test.cc
+++ b/tests/path/local_gate_test.cc
@@ -65,4 +65,35 @@
 	EXPECT_FALSE(ql_local_gate_serves(&gate));
 }
 
+/* The client has gone before the connection to the endpoint stands. */
+TEST_F(LocalGate, ReadsTheAnswerOfARequestThatWasAbandonedAtOnce)
+{
+	const ql_call_sink_t sink = {};
+	GByteArray *body = g_byte_array_new();
+	ql_path_call_t call = {};
+	ql_callee_call_t callee;
+	ql_headers_t headers;
+
+	announce();
+	ql_headers_init(&headers);
+	call.method = "POST";
+	call.target = "/order/1";
+	call.headers = &headers;
+	call.body = body;
+	call.id = "x";
+	call.service = "a";
+	call.class_name = "high";
+	call.deadline_us = ql_loop_now_us(&world.loop) + 60000000;
+	ql_local_gate_call(&gate, &call, &sink, nullptr, &callee);
+	callee.ops->cancel(callee.call);
+	EXPECT_EQ(1u, gate.gate.in_progress);
+	auto server = accept_one();
+	ASSERT_TRUE(world.turn_until([&] { return server->has("\r\n\r\n"); }));
+	server->send("HTTP/1.1 200 OK\r\nId: x\r\nSeal: s\r\n"
+		     "Content-Length: 2\r\n\r\nok");
+	EXPECT_TRUE(world.turn_until([&] { return !gate.gate.in_progress; }));
+	ql_headers_finish(&headers);
+	g_byte_array_free(body, TRUE);
+}
+
 } // namespace
