Give each test process a loopback number of its own

Descriptors.AreUsedAgainByTheDisk had begun just before it and took the first free port from 22001 on, which is the gate port of the first node of path/whole. Ruled out: a port taken for an outgoing connection (they begin at 32768). Reproduced each time with a process that holds 22001: the same message.

The class: tests that run side by side and take ports of one address. The same in four more places, each with a window between looking for a port and taking it (RpcServer, Metrics, Keepers) or a range that a script might reach.

--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -5,6 +5,7 @@
 #include "quetzalloft/timeline.h"
 
 #include "replication.h"
+#include "support/own_address.h"
 
 #include <gtest/gtest.h>
 
@@ -19,17 +20,6 @@
 namespace
 {
 
-/* A loopback number of this process's own, as tests run side by side. */
-std::string own_address(unsigned int port)
-{
-	unsigned int pid = (unsigned int)getpid();
-	char text[QL_ADDRESS_MAX];
-
-	snprintf(text, sizeof(text), "127.%u.%u.%u:%u", 64 + (pid >> 16 & 63),
-		 pid >> 8 & 255, pid & 255, port);
-	return text;
-}
-
 const std::string ADDRESS = own_address(27981);
 const std::string SILENT = own_address(27980);
 const char MEMBERS[] =
--- a/tests/control/descriptor_test.cc
+++ b/tests/control/descriptor_test.cc
@@ -1,6 +1,7 @@
 #include "control/rpc_server.h"
 #include "quetzalloft/address.h"
 #include "store/disk.h"
+#include "support/own_address.h"
 
 #include <gtest/gtest.h>
 
@@ -14,6 +15,7 @@
 {
 
 constexpr int kRounds = 300;
+constexpr unsigned int kPort = 27982;
 
 /*
  * A replica's disk thread opens files while its RPC thread closes connections:
@@ -25,17 +27,13 @@
 	char folder[] = "/tmp/descriptors-XXXXXX";
 	ql_rpc_server_t server = {};
 	ql_folder_disk_t disk = {};
-	std::string address;
+	std::string address = own_address(kPort);
 	sockaddr_in where = {};
-	int port = 22000;
 	char byte;
 
 	ASSERT_NE(nullptr, mkdtemp(folder));
 	ASSERT_EQ(0, ql_folder_disk_init(&disk, folder, nullptr));
-	do {
-		ASSERT_LT(++port, 22099);
-		address = "127.0.0.1:" + std::to_string(port);
-	} while (ql_rpc_server_start(&server, address.c_str(), nullptr));
+	ASSERT_EQ(0, ql_rpc_server_start(&server, address.c_str(), nullptr));
 	ASSERT_EQ(0, ql_address_parse(&where, address.c_str(), nullptr));
 	for (int i = 0; i < kRounds; i++) {
 		std::string name = "file-" + std::to_string(i % 2);
--- a/tests/control/rpc_server_test.cc
+++ b/tests/control/rpc_server_test.cc
@@ -1,9 +1,10 @@
 #include "control/rpc_server.h"
+#include "quetzalloft/address.h"
 #include "quetzalloft/error.h"
 
 #include "control/rpc_client.h"
+#include "support/own_address.h"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,6 +18,7 @@
 
 const uint32_t PROGRAM = 0x20517a7e;
 const u_int LARGE_BYTES = 4u << 20;
+const unsigned int PORT = 27983;
 
 /* A text of the length that the argument asks for. */
 void repeat(void *, const void *in, void *out)
@@ -58,24 +60,14 @@
 {
       protected:
 	ql_rpc_server_t server = {};
-	std::string address;
+	std::string address = own_address(PORT);
 
 	void SetUp() override
 	{
-		sockaddr_in bound = {};
-		int length = sizeof(bound);
-
 		server.programs[0] = {PROGRAM, 1, PROCEDURES, 1, nullptr};
 		server.n_programs = 1;
-		/* Port 0 is refused in addresses, so one is looked for. */
-		for (int port = 21900; port < 21999; port++) {
-			address = "127.0.0.1:" + std::to_string(port);
-			if (!ql_rpc_server_start(&server, address.c_str(),
-						 nullptr))
-				break;
-		}
-		ASSERT_EQ(0, uv_tcp_getsockname(&server.socket,
-						(sockaddr *)&bound, &length));
+		ASSERT_EQ(0, ql_rpc_server_start(&server, address.c_str(),
+						 nullptr));
 	}
 
 	void TearDown() override
@@ -88,10 +80,8 @@
 		int fd = socket(AF_INET, SOCK_STREAM, 0);
 		sockaddr_in where = {};
 
-		where.sin_family = AF_INET;
-		where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		where.sin_port = htons((uint16_t)std::stoi(
-			address.substr(address.find(':') + 1)));
+		EXPECT_EQ(0,
+			  ql_address_parse(&where, address.c_str(), nullptr));
 		EXPECT_EQ(0, connect(fd, (sockaddr *)&where, sizeof(where)));
 		return fd;
 	}
--- a/tests/node/metrics_test.cc
+++ b/tests/node/metrics_test.cc
@@ -1,5 +1,6 @@
 #include "node/http_client.h"
 #include "node/metrics_http.h"
+#include "support/own_address.h"
 
 #include <gtest/gtest.h>
 
@@ -9,30 +10,24 @@
 namespace
 {
 
-constexpr unsigned int kFirstPort = 22900;
-constexpr unsigned int kPorts = 50;
+constexpr unsigned int kPort = 27984;
 
-void set_address(ql_settings_t *settings, const char *address)
+void set_address(ql_settings_t *settings, const std::string &address)
 {
-	strcpy(settings->address, "127.0.0.1");
-	strcpy(settings->listen.metrics, address);
+	std::string host = address.substr(0, address.find(':'));
+
+	strcpy(settings->address, host.c_str());
+	strcpy(settings->listen.metrics, address.c_str());
 }
 
 class Metrics : public testing::Test
 {
       protected:
-	/* The first port of a range that nobody else listens at. */
 	void SetUp() override
 	{
-		for (unsigned int i = 0; i < kPorts && !metrics.server.running;
-		     i++) {
-			address = "127.0.0.1:" + std::to_string(kFirstPort + i);
-			metrics = {};
-			set_address(&settings, address.c_str());
-			ql_metrics_http_start(&metrics, &settings, &counters,
-					      nullptr);
-		}
-		ASSERT_TRUE(metrics.server.running);
+		set_address(&settings, address);
+		ASSERT_EQ(0, ql_metrics_http_start(&metrics, &settings,
+						   &counters, nullptr));
 		ql_http_client_init(&client);
 	}
 
@@ -67,7 +62,7 @@
 	ql_metrics_http_t metrics = {};
 	ql_settings_t settings = {};
 	ql_http_client_t client;
-	std::string address;
+	std::string address = own_address(kPort);
 };
 
 TEST_F(Metrics, ServesCountersGaugesAndLatencies)
--- a/tests/support/keepers.h
+++ b/tests/support/keepers.h
@@ -7,8 +7,8 @@
 #include "node/claim_codec.h"
 #include "node/claim_service.h"
 #include "quetzalloft/json.h"
+#include "support/own_address.h"
 
-#include <arpa/inet.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -22,24 +22,7 @@
 {
 
 constexpr int kKeepers = 3;
-constexpr int kFirstPort = 24100;
-constexpr int kPorts = 800;
-
-inline bool IsFree(int port)
-{
-	struct sockaddr_in where = {};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	int one = 1;
-	bool free;
-
-	where.sin_family = AF_INET;
-	where.sin_port = htons((uint16_t)port);
-	where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	free = !bind(fd, (struct sockaddr *)&where, sizeof(where));
-	close(fd);
-	return free;
-}
+constexpr unsigned int kFirstPort = 27990;
 
 class Keepers
 {
@@ -47,11 +30,8 @@
 	/* Must be called before the process has threads. */
 	Keepers()
 	{
-		int port = kFirstPort + getpid() * 7 % kPorts;
-
-		for (int i = 0; i < kKeepers; port++)
-			if (IsFree(port))
-				ports_[i++] = port;
+		for (unsigned int i = 0; i < kKeepers; i++)
+			addresses_[i] = own_address(kFirstPort + i);
 		MakeDocument();
 		for (int i = 0; i < kKeepers; i++)
 			Start(i);
@@ -111,8 +91,7 @@
 
 		for (int i = 0; i < kKeepers; i++)
 			text += (i ? ",\"k" : "\"k") + std::to_string(i) +
-				"\":{\"address\":\"127.0.0.1:" +
-				std::to_string(ports_[i]) +
+				"\":{\"address\":\"" + addresses_[i] +
 				"\",\"failure_domain\":\"d" +
 				std::to_string(i) + "\"}";
 		text += "},\"slots\":[[\"k0\",\"k1\",\"k2\"]]}}";
@@ -161,8 +140,6 @@
 	{
 		static ql_claim_service_t child;
 		static ql_rpc_server_t rpc;
-		std::string address =
-			"127.0.0.1:" + std::to_string(ports_[keeper]);
 
 		/* A parent that ends early leaves no keeper behind. */
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -170,14 +147,15 @@
 		Init(&child);
 		ql_claim_service_program(&rpc.programs[0], &child);
 		rpc.n_programs = 1;
-		if (ql_rpc_server_start(&rpc, address.c_str(), nullptr) ||
+		if (ql_rpc_server_start(&rpc, addresses_[keeper].c_str(),
+					nullptr) ||
 		    write(ready, "r", 1) != 1)
 			_exit(1);
 		for (;;)
 			pause();
 	}
 
-	int ports_[kKeepers];
+	std::string addresses_[kKeepers];
 	pid_t pids_[kKeepers] = {};
 	ql_hlc_t hlc_;
 };
