End a process within its grace time, whatever it waits for

The signals now have a thread of their own from before the start. The grace time also follows a reload for all roles.

--- a/src/node/main.c
+++ b/src/node/main.c
@@ -2,12 +2,13 @@
 #include "node/node.h"
 #include "node/path_node.h"
 #include "node/reload.h"
+#include "node/signals.h"
 #include "platform/adapter.h"
+#include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
 
 #include <argtable2.h>
-#include <signal.h>
 #include <stdio.h>
 #include <sysexits.h>
 #include <unistd.h>
@@ -23,7 +24,7 @@
 
 #define ARGUMENT_ERRORS_MAX 8
 /* Time between two looks at the settings file. */
-#define RELOAD_PAUSE_S 1
+#define RELOAD_PAUSE_US (1 * QL_US_PER_S)
 
 static void arguments_init(arguments_t *args)
 {
@@ -47,6 +48,7 @@
 /* What runs, and how changed settings are put in force there. */
 typedef struct {
 	ql_reload_t *reload;
+	ql_signals_t *signals;
 	void (*apply)(void *data, const ql_settings_t *settings);
 	void *data;
 } process_t;
@@ -55,8 +57,10 @@
 {
 	ql_settings_t settings;
 
-	if (ql_reload_check(process->reload, &settings) == QL_RELOAD_CHANGED &&
-	    process->apply)
+	if (ql_reload_check(process->reload, &settings) != QL_RELOAD_CHANGED)
+		return;
+	ql_signals_set_grace(process->signals, settings.grace_ms);
+	if (process->apply)
 		process->apply(process->data, &settings);
 }
 
@@ -66,37 +70,9 @@
  */
 static void wait_for_stop(const process_t *process)
 {
-	const struct timespec pause = {.tv_sec = RELOAD_PAUSE_S};
-	sigset_t signals;
-	int received;
-
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	sigaddset(&signals, SIGHUP);
-	for (;;) {
-		received = sigtimedwait(&signals, NULL, &pause);
-		if (received == SIGTERM || received == SIGINT)
-			break;
-		if (received == SIGHUP)
-			ql_log(LOG_NOTICE, "reload_requested",
-			       QL_INT("signal", received));
+	while (ql_signals_wait(process->signals, RELOAD_PAUSE_US) !=
+	       QL_SIGNAL_STOP)
 		reload(process);
-	}
-	ql_log(LOG_NOTICE, "stop_requested", QL_INT("signal", received));
-}
-
-/* Every thread inherits the mask, so that only sigwait() takes the signals. */
-static void block_signals(void)
-{
-	sigset_t signals;
-
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	sigaddset(&signals, SIGHUP);
-	sigaddset(&signals, SIGPIPE);
-	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 }
 
 static int fail_start(GError *error)
@@ -111,15 +87,16 @@
 	ql_path_node_reload(node, settings);
 }
 
-static int run_path_node(const ql_settings_t *settings, ql_reload_t *file)
+static int run_path_node(const ql_settings_t *settings, process_t *process)
 {
 	ql_path_node_t *node = g_new0(ql_path_node_t, 1);
-	const process_t process = {file, apply_to_path_node, node};
 	GError *error = NULL;
 
+	process->apply = apply_to_path_node;
+	process->data = node;
 	if (ql_path_node_start(node, settings, &ql_platform_dialect, &error))
 		return fail_start(error);
-	wait_for_stop(&process);
+	wait_for_stop(process);
 	ql_path_node_drain(node);
 	ql_path_node_stop(node);
 	g_free(node);
@@ -131,24 +108,24 @@
 	ql_core_node_reload(node, settings);
 }
 
-static int run_core_node(const ql_settings_t *settings, ql_reload_t *file)
+static int run_core_node(const ql_settings_t *settings, process_t *process)
 {
 	ql_core_node_t *node = g_new0(ql_core_node_t, 1);
-	const process_t process = {file, apply_to_core_node, node};
 	GError *error = NULL;
 
+	process->apply = apply_to_core_node;
+	process->data = node;
 	if (ql_core_node_start(node, settings, &ql_platform_dialect, &error))
 		return fail_start(error);
-	wait_for_stop(&process);
+	wait_for_stop(process);
 	ql_core_node_stop(node);
 	g_free(node);
 	return EX_OK;
 }
 
-static int run_all(const ql_settings_t *settings, ql_reload_t *file)
+static int run_all(const ql_settings_t *settings, process_t *process)
 {
 	ql_node_t *node = g_new0(ql_node_t, 1);
-	const process_t process = {file, NULL, NULL};
 	GError *error = NULL;
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -156,7 +133,7 @@
 		g_free(node);
 		return fail_start(error);
 	}
-	wait_for_stop(&process);
+	wait_for_stop(process);
 	ql_node_drain(node);
 	ql_node_stop(node);
 	g_free(node);
@@ -166,18 +143,21 @@
 
 static int run(const ql_settings_t *settings, ql_reload_t *file)
 {
+	static ql_signals_t signals;
+	process_t process = {.reload = file, .signals = &signals};
+
 	ql_log_set_process(settings->node);
-	block_signals();
 	if (settings->role != QL_ROLE_ALL)
 		ql_log_set_output(STDOUT_FILENO);
+	ql_signals_start(&signals, settings->grace_ms);
 	switch (settings->role) {
 	case QL_ROLE_NODE:
-		return run_path_node(settings, file);
+		return run_path_node(settings, &process);
 	case QL_ROLE_REPLICA:
-		return run_core_node(settings, file);
+		return run_core_node(settings, &process);
 	case QL_ROLE_ALL:
 	default:
-		return run_all(settings, file);
+		return run_all(settings, &process);
 	}
 }
 
