Tell which part of a process a stop has come to

A stop that is overdue says so, but not what it waits for. Each part that is joined now leaves a line, so that the one behind the last is known.

--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -279,10 +279,14 @@
 {
 	if (control->has_lease)
 		ql_lease_service_stop(&control->lease);
+	ql_log(LOG_INFO, "part_stopped", QL_STR("part", "lease"));
 	ql_registrar_service_stop(&control->registrar);
+	ql_log(LOG_INFO, "part_stopped", QL_STR("part", "registrar"));
 	if (control->settings->replica)
 		ql_replica_service_stop(&control->replica);
+	ql_log(LOG_INFO, "part_stopped", QL_STR("part", "replica"));
 	ql_rpc_server_stop(&control->rpc);
+	ql_log(LOG_INFO, "part_stopped", QL_STR("part", "control"));
 	if (control->has_lease)
 		ql_lease_service_finish(&control->lease);
 	ql_registrar_service_finish(&control->registrar);
--- a/src/node/core_node.c
+++ b/src/node/core_node.c
@@ -71,7 +71,9 @@
 {
 	ql_metrics_http_stop(&node->metrics);
 	ql_operator_http_stop(&node->operators);
+	ql_log(LOG_INFO, "part_stopped", QL_STR("part", "http"));
 	ql_replica_steward_stop(&node->steward);
+	ql_log(LOG_INFO, "part_stopped", QL_STR("part", "steward"));
 	ql_control_service_stop(&node->control);
 	ql_log(LOG_NOTICE, "core_stopped",
 	       QL_STR("node", node->context.settings->node));
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -467,6 +467,7 @@
 	ql_metrics_http_stop(&node->metrics);
 	ql_http_server_stop(&node->announce_server);
 	ql_http_server_stop(&node->ready_server);
+	ql_log(LOG_INFO, "part_stopped", QL_STR("part", "http"));
 	ql_control_service_stop(&node->control);
 	ql_path_jobs_stop(node);
 	g_thread_join(node->thread);
