Guarantee only what is missing of a route's share

The first node now counts what it serves of each route; requests are guaranteed only while that is behind the share.

--- a/include/quetzalloft/route_admission.h
+++ b/include/quetzalloft/route_admission.h
@@ -5,11 +5,13 @@
  * DOC: Which requests of a route the first node lets through: the higher
  * classes first, and no class without a part.
  *
- * A part of the requests of each route is guaranteed. Such a request travels
- * with the highest class, it and all calls made for it, so that it is served in
- * whole. It is refused only where waits are far above what is bearable, and all
- * routes alike have given up the rest. The rest travels with its own class and
- * is refused as soon as that class waits longer than is bearable.
+ * A part of the requests of each route is served in any case. Where fewer are,
+ * one of them is made a guaranteed one: it travels with the highest class, it
+ * and all calls made for it, so that it is served in whole. It is refused only
+ * where waits are far above what is bearable, and all routes alike have given
+ * up the rest. The rest travels with its own class and is refused as soon as
+ * that class waits longer than is bearable; what is served of it counts towards
+ * the part.
  */
 
 #include "quetzalloft/throttle.h"
@@ -20,7 +22,8 @@
  * struct ql_route_admission - What is known of one route.
  * @guaranteed: early refusal of its guaranteed requests
  * @rest: early refusal of the others
- * @credit: when it reaches 1, the next request is a guaranteed one
+ * @credit: requests that the guaranteed part is behind, or below 0 ahead; when
+ * it reaches 1, the next request is a guaranteed one
  */
 typedef struct ql_route_admission {
 	ql_throttle_t guaranteed;
@@ -30,7 +33,7 @@
 
 /**
  * struct ql_admission_offer - A request that asks to be let through.
- * @guaranteed_share: part of the requests of each route that is guaranteed
+ * @guaranteed_share: part of the requests of each route that is served first
  * @target_ms: the latency target of the route, or 0
  * @random: source of the choice and of the jitter
  * @now_us: the time
@@ -85,8 +88,10 @@
  * ended.
  * @admission: of its route
  * @guaranteed: what was decided on it
+ * @served: it was answered whole, and not too late
  */
-void ql_route_admission_end(ql_route_admission_t *admission, bool guaranteed);
+void ql_route_admission_end(ql_route_admission_t *admission, bool guaranteed,
+			    bool served);
 
 G_END_DECLS
 
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -24,8 +24,8 @@
 static void call_free(ql_front_call_t *call)
 {
 	if (call->let_through)
-		ql_route_admission_end(&call->kept->admission,
-				       call->guaranteed);
+		ql_route_admission_end(&call->kept->admission, call->guaranteed,
+				       call->served);
 	ql_front__route_unref(call->kept);
 	g_hash_table_remove(call->front->calls, call);
 	ql_loop_stop_timer(call->front->loop, &call->deadline);
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -27,6 +27,7 @@
  * @let_through: early refusal is told how it ends
  * @guaranteed: it goes with the highest class, see
  * quetzalloft/route_admission.h
+ * @served: it was answered by an endpoint, and not behind its target
  * @in_attempt: an attempt is in progress
  * @tried: endpoints that were tried
  * @gate: where the last attempt went, or ""
@@ -56,6 +57,7 @@
 	ql_callee_call_t callee;
 	bool let_through;
 	bool guaranteed;
+	bool served;
 	bool in_attempt;
 	ql_handle_t tried[QL_FRONT_TRIED_MAX];
 	char gate[QL_ADDRESS_MAX];
--- a/src/path/front_learn.c
+++ b/src/path/front_learn.c
@@ -58,13 +58,17 @@
 		note_pressure(call, QL_PRESSURE_MAX);
 }
 
+static bool is_late(const ql_front_call_t *call)
+{
+	return call->route->target_ms &&
+	       age_us(call) > call->route->target_ms * QL_US_PER_MS;
+}
+
 /* An answer behind the target of the route has waited somewhere. */
 static double pressure_of(const ql_front_call_t *call, const ql_call_end_t *end)
 {
-	if (call->route->target_ms &&
-	    age_us(call) > call->route->target_ms * QL_US_PER_MS)
-		return MAX(end->pressure, LATE_PRESSURE);
-	return end->pressure;
+	return is_late(call) ? MAX(end->pressure, LATE_PRESSURE)
+			     : end->pressure;
 }
 
 /* A failure that met with no pressure says nothing of the load. */
@@ -72,6 +76,8 @@
 {
 	double pressure = pressure_of(call, end);
 
+	call->served = call->status < HTTP_STATUS_INTERNAL_SERVER_ERROR &&
+		       !is_late(call);
 	if (call->status < HTTP_STATUS_INTERNAL_SERVER_ERROR || pressure > 1)
 		note_pressure(call, pressure);
 }
--- a/src/policy/route_admission.c
+++ b/src/policy/route_admission.c
@@ -4,6 +4,8 @@
 
 /* What a guaranteed request bears, where the others bear 1. */
 #define GUARANTEED_BEARABLE 2.0
+/* Requests served beyond the guaranteed part that are remembered. */
+#define AHEAD_MAX 8.0
 
 void ql_route_admission_init(ql_route_admission_t *admission)
 {
@@ -52,7 +54,11 @@
 			 latency_us, now_us);
 }
 
-void ql_route_admission_end(ql_route_admission_t *admission, bool guaranteed)
+void ql_route_admission_end(ql_route_admission_t *admission, bool guaranteed,
+			    bool served)
 {
 	ql_throttle_end(find(admission, guaranteed));
+	/* A guaranteed one was counted as it began. */
+	if (served && !guaranteed)
+		admission->credit = MAX(admission->credit - 1, -AHEAD_MAX);
 }
