Let a long read give way to a ready answer behind it

Ruled out: that the close came from the letter-status themselves (4.5 s), and that clients would not pipeline on connections that are closed after one answer (half of it happens on fresh ones, before any answer).

So when an answer is ready behind a request that may be repeated and is usually not answered before the client behind it leaves, the front gives that one up at once: 502, reason gave-way, counted. Its client sends it again on another connection, some 30 ms later instead of 400.

--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -251,6 +251,32 @@
 
 static void resume_reading(ql_listener_connection_t *connection);
 
+/* The earliest end of the wait for an answer that is ready, or UINT64_MAX. */
+static uint64_t first_deadline_us(const ql_listener_connection_t *connection)
+{
+	uint64_t first_us = UINT64_MAX;
+	const ql_http_exchange_t *exchange;
+	const GList *link;
+
+	for (link = connection->exchanges.head; link; link = link->next) {
+		exchange = link->data;
+		if (exchange->ended && exchange->deadline_us)
+			first_us = MIN(first_us, exchange->deadline_us);
+	}
+	return first_us;
+}
+
+/* Tells whoever answers the first request that answers behind it are ready. */
+static void tell_overtaken(ql_listener_connection_t *connection)
+{
+	ql_http_exchange_t *first = g_queue_peek_head(&connection->exchanges);
+	uint64_t until_us = first_deadline_us(connection);
+
+	if (until_us != UINT64_MAX && !first->ended && first->ops &&
+	    first->ops->overtaken)
+		first->ops->overtaken(first->data, until_us);
+}
+
 void ql_http_exchange_end(ql_http_exchange_t *exchange)
 {
 	ql_listener_connection_t *connection = exchange->connection;
@@ -258,11 +284,13 @@
 	if (exchange->chunked && !exchange->bodiless)
 		append(exchange, "0\r\n\r\n", 5);
 	exchange->ended = true;
-	if (!is_first(exchange))
-		return;
-	flush(connection);
+	if (is_first(exchange)) {
+		flush(connection);
+		if (!connection->gone)
+			resume_reading(connection);
+	}
 	if (!connection->gone)
-		resume_reading(connection);
+		tell_overtaken(connection);
 }
 
 void ql_http_exchange_abort(ql_http_exchange_t *exchange)
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -19,10 +19,13 @@
  * struct ql_http_exchange_ops - What the answering side is told.
  * @cancelled: the client has gone; the exchange is not to be used any more
  * @drained: what was written has left; may be NULL
+ * @overtaken: an answer behind this one is ready, and its client is likely to
+ * close the connection at @until_us; may be NULL
  */
 typedef struct ql_http_exchange_ops {
 	void (*cancelled)(void *data);
 	void (*drained)(void *data);
+	void (*overtaken)(void *data, uint64_t until_us);
 } ql_http_exchange_ops_t;
 
 /**
@@ -33,6 +36,8 @@
  * @headers: its headers
  * @body: its whole body
  * @received_us: when it was read to its end
+ * @deadline_us: how long its client waits, as far as the answering side knows,
+ * or 0
  * @ops: set by the answering side; NULL until then
  * @data: passed to @ops
  */
@@ -43,6 +48,7 @@
 	ql_headers_t headers;
 	GByteArray *body;
 	uint64_t received_us;
+	uint64_t deadline_us;
 	const ql_http_exchange_ops_t *ops;
 	void *data;
 	/* Private to the listener. */
--- a/src/node/signals.c
+++ b/src/node/signals.c
@@ -18,13 +18,18 @@
 	sigaddset(set, SIGHUP);
 }
 
+static bool is_stopping(const ql_signals_t *signals)
+{
+	return __atomic_load_n(&signals->stop, __ATOMIC_ACQUIRE);
+}
+
 /* Told here, as nobody may be there to look at it. */
-static void tell(ql_signals_t *signals, bool *asked, const char *event,
-		 int received)
+static void tell(ql_signals_t *signals, const char *event, int received)
 {
 	ql_log(LOG_NOTICE, event, QL_INT("signal", received));
 	pthread_mutex_lock(&signals->lock);
-	*asked = true;
+	if (received == SIGHUP)
+		signals->reload = true;
 	pthread_cond_signal(&signals->changed);
 	pthread_mutex_unlock(&signals->lock);
 }
@@ -54,9 +59,10 @@
 			continue;
 		if (received != SIGHUP)
 			break;
-		tell(signals, &signals->reload, "reload_requested", received);
+		tell(signals, "reload_requested", received);
 	}
-	tell(signals, &signals->stop, "stop_requested", received);
+	__atomic_store_n(&signals->stop, 1, __ATOMIC_RELEASE);
+	tell(signals, "stop_requested", received);
 	end_in_time(signals);
 	return NULL;
 }
@@ -68,7 +74,7 @@
 	pthread_mutex_init(&signals->lock, NULL);
 	ql_cond_init(&signals->changed);
 	signals->reload = false;
-	signals->stop = false;
+	signals->stop = 0;
 	signals->grace_ms = grace_ms;
 	fill(&set);
 	sigaddset(&set, SIGPIPE);
@@ -90,10 +96,10 @@
 	ql_signal_t asked = QL_SIGNAL_NONE;
 
 	pthread_mutex_lock(&signals->lock);
-	while (!signals->stop && !signals->reload &&
+	while (!is_stopping(signals) && !signals->reload &&
 	       ql_clock_now_us() < until_us)
 		ql_cond_wait_until(&signals->changed, &signals->lock, until_us);
-	if (signals->stop)
+	if (is_stopping(signals))
 		asked = QL_SIGNAL_STOP;
 	else if (signals->reload)
 		asked = QL_SIGNAL_RELOAD;
@@ -101,3 +107,13 @@
 	pthread_mutex_unlock(&signals->lock);
 	return asked;
 }
+
+bool ql_signals_stop_requested(const ql_signals_t *signals)
+{
+	sigset_t pending;
+
+	if (sigpending(&pending))
+		sigemptyset(&pending);
+	return sigismember(&pending, SIGTERM) ||
+	       sigismember(&pending, SIGINT) || is_stopping(signals);
+}
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -28,6 +28,8 @@
  * @local: the gate of this node; borrowed
  * @hops: connections to other gates; borrowed
  * @counters: what happens is counted there; borrowed
+ * @is_stopping: whether the process was asked to stop; NULL if never
+ * @data: passed to @is_stopping
  */
 typedef struct ql_front_opts {
 	const ql_dialect_t *dialect;
@@ -38,6 +40,8 @@
 	ql_local_gate_t *local;
 	ql_hops_t *hops;
 	ql_counters_t *counters;
+	bool (*is_stopping)(void *data);
+	void *data;
 } ql_front_opts_t;
 
 /**
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -296,9 +296,42 @@
 	call->callee.ops->resume(call->callee.call);
 }
 
+/* Whether it will hold up an answer behind it until nobody waits for that. */
+static bool will_be_too_late(const ql_front_call_t *call, uint64_t until_us)
+{
+	uint64_t typical_us = (uint64_t)ql_front__typical_us(call);
+
+	return now_us(call) < until_us &&
+	       call->exchange->received_us + typical_us > until_us;
+}
+
+static bool is_stopping(const ql_front_t *front)
+{
+	return front->opts.is_stopping &&
+	       front->opts.is_stopping(front->opts.data);
+}
+
+/*
+ * A client that no longer waits for an answer behind this one closes the
+ * connection, and both are lost. One that may be repeated gives way in time,
+ * but for that of a node that finishes what it has begun.
+ */
+static void on_overtaken(void *data, uint64_t until_us)
+{
+	ql_front_call_t *call = data;
+
+	if (!call->route->idempotent || call->streaming ||
+	    !will_be_too_late(call, until_us) || is_stopping(call->front))
+		return;
+	count(call, QL_COUNT_GAVE_WAY);
+	cancel_attempt(call, QL_REASON_GAVE_WAY);
+	end_in_failure(call, QL_REASON_GAVE_WAY);
+}
+
 static const ql_http_exchange_ops_t exchange_ops = {
 	.cancelled = on_cancelled,
 	.drained = on_drained,
+	.overtaken = on_overtaken,
 };
 
 static void call_gate(ql_front_call_t *call)
--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -24,21 +24,31 @@
 			       call->front->opts.caller);
 }
 
-static uint64_t deadline_us(const ql_front_call_t *call)
+/* How long the client says that it waits, or 0. */
+static uint64_t client_deadline_us(const ql_front_call_t *call)
 {
 	const ql_http_exchange_t *exchange = call->exchange;
 	const char *value =
 		ql_headers_get(&exchange->headers,
 			       call->front->opts.dialect->timeout_ms);
-	uint64_t timeout_ms = call->route->deadline_ms;
-	guint64 stated;
+	guint64 timeout_ms;
 
-	if (value &&
-	    g_ascii_string_to_unsigned(value, 10, 0, UINT32_MAX, &stated, NULL))
-		timeout_ms = MIN(timeout_ms, stated);
+	if (!value || !g_ascii_string_to_unsigned(value, 10, 0, UINT32_MAX,
+						  &timeout_ms, NULL))
+		return 0;
 	return exchange->received_us + timeout_ms * QL_US_PER_MS;
 }
 
+static uint64_t deadline_us(const ql_front_call_t *call)
+{
+	const ql_http_exchange_t *exchange = call->exchange;
+	uint64_t latest_us =
+		exchange->received_us + call->route->deadline_ms * QL_US_PER_MS;
+
+	return exchange->deadline_us ? MIN(latest_us, exchange->deadline_us)
+				     : latest_us;
+}
+
 /*
  * A call of the endpoint beside this node serves a request that runs there: it
  * is as important as that request, and its work is under way. Where the
@@ -69,6 +79,7 @@
 	const char *id =
 		ql_headers_get(&exchange->headers, dialect->request_id);
 
+	exchange->deadline_us = client_deadline_us(call);
 	copy_headers(call);
 	call->call = (ql_path_call_t){
 		.method = exchange->method,
--- a/src/util/types.c
+++ b/src/util/types.c
@@ -26,6 +26,7 @@
 	[QL_REASON_CONNECTION_LOST] = "connection-lost",
 	[QL_REASON_BAD_ANSWER] = "bad-answer",
 	[QL_REASON_CANCELLED] = "cancelled",
+	[QL_REASON_GAVE_WAY] = "gave-way",
 	[QL_REASON_KEY_CONFLICT] = "key-conflict",
 	[QL_REASON_KEY_IN_PROGRESS] = "key-in-progress",
 	[QL_REASON_NO_QUORUM] = "no-quorum",
--- a/tests/http/listener_test.cc
+++ b/tests/http/listener_test.cc
@@ -46,7 +46,7 @@
 			[](void *self) {
 				static_cast<Listener *>(self)->cancelled++;
 			},
-			nullptr};
+			nullptr, nullptr};
 		auto *self = static_cast<Listener *>(data);
 
 		exchange->ops = &ops;
