--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -1,5 +1,6 @@
 #include "path/front_internal.h"
 #include "quetzalloft/clock.h"
+#include "quetzalloft/give_way.h"
 #include "quetzalloft/log.h"
 
 #include <string.h>
@@ -296,13 +297,17 @@
 	call->callee.ops->resume(call->callee.call);
 }
 
-/* Whether it will hold up an answer behind it until nobody waits for that. */
-static bool will_be_too_late(const ql_front_call_t *call, uint64_t until_us)
+static bool gives_way(const ql_front_call_t *call, uint64_t until_us)
 {
-	uint64_t typical_us = (uint64_t)ql_front__typical_us(call);
+	const ql_give_way_t request = {
+		.now_us = now_us(call),
+		.begun_us = call->exchange->received_us,
+		.typical_us = (uint64_t)ql_front__typical_us(call),
+		.until_us = until_us,
+	};
 
-	return now_us(call) < until_us &&
-	       call->exchange->received_us + typical_us > until_us;
+	return call->route->idempotent && !call->streaming &&
+	       ql_gives_way(&request);
 }
 
 static bool is_stopping(const ql_front_t *front)
@@ -311,17 +316,12 @@
 	       front->opts.is_stopping(front->opts.data);
 }
 
-/*
- * A client that no longer waits for an answer behind this one closes the
- * connection, and both are lost. One that may be repeated gives way in time,
- * but for that of a node that finishes what it has begun.
- */
+/* A node that stops finishes what it has begun. */
 static void on_overtaken(void *data, uint64_t until_us)
 {
 	ql_front_call_t *call = data;
 
-	if (!call->route->idempotent || call->streaming ||
-	    !will_be_too_late(call, until_us) || is_stopping(call->front))
+	if (!gives_way(call, until_us) || is_stopping(call->front))
 		return;
 	count(call, QL_COUNT_GAVE_WAY);
 	cancel_attempt(call, QL_REASON_GAVE_WAY);
