Let a long read give way before it is sent, not while it runs

Cause: the front breaks work off for an answer that is ready behind it, but not behind a request to stop. The signal comes at any moment, the answer is some milliseconds on its way, and the endpoint is still at work: looking at pending signals narrows that, and cannot close it. The class: a decision that holds only if nothing happens for some milliseconds.

So nothing that was sent on is given up any more. One that is followed meanwhile is refused: not run, truthfully, and its client sends it again at once.

--- a/include/quetzalloft/give_way.h
+++ b/include/quetzalloft/give_way.h
@@ -2,14 +2,17 @@
 #define QUETZALLOFT_GIVE_WAY_H
 
 /**
- * DOC: Whether a request is given up for an answer that is ready behind it on
- * the connection of their client.
+ * DOC: Whether a request gives way to another one that a client sends behind it
+ * on the same connection.
  *
  * HTTP/1.1 answers in order. A client that no longer waits for the answer
  * behind closes the connection, and both requests are lost; so one that will
- * not be ready until then gives way, and its client sends it again. An answer
- * that would only be late waits: clients send again once or twice, and one that
- * gave way for so little could be lost by it.
+ * not be ready until then is refused, and its client sends it again. Only one
+ * that has not been sent on can be refused truthfully. So where that happens,
+ * the requests of a route are held back for a small part of their time.
+ *
+ * An answer that would only be late waits: clients send again once or twice,
+ * and a request that gave way for so little could be lost by it.
  */
 
 #include <glib.h>
@@ -19,11 +22,11 @@
 G_BEGIN_DECLS
 
 /**
- * struct ql_give_way - A request and the answers behind it.
+ * struct ql_give_way - A request and another one behind it.
  * @now_us: the time
  * @begun_us: when the request came
  * @typical_us: how long requests like it take, or 0
- * @until_us: when its client no longer waits for one of the answers behind it
+ * @until_us: when the client no longer waits for the one behind it
  */
 typedef struct ql_give_way {
 	uint64_t now_us;
@@ -33,13 +36,33 @@
 } ql_give_way_t;
 
 /**
- * ql_gives_way() - Decide on a request that may be repeated.
- * @request: the request and the answers behind it
+ * ql_gives_way() - Decide on a request that has not been sent on.
+ * @request: the request and another one behind it
  *
- * Return: whether it is given up.
+ * Return: whether it is refused for that.
  */
 bool ql_gives_way(const ql_give_way_t *request);
 
+/**
+ * struct ql_give_way_route - What is known of the requests of a route.
+ * @now_us: the time
+ * @followed_us: when one would have given way last; 0 if never
+ * @typical_us: how long they take, or 0
+ */
+typedef struct ql_give_way_route {
+	uint64_t now_us;
+	uint64_t followed_us;
+	uint64_t typical_us;
+} ql_give_way_route_t;
+
+/**
+ * ql_give_way_hold_us() - How long to hold back a request that may be repeated.
+ * @route: its route
+ *
+ * Return: microseconds; 0 where nothing has come behind such requests lately.
+ */
+uint64_t ql_give_way_hold_us(const ql_give_way_route_t *route);
+
 G_END_DECLS
 
 #endif
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -251,32 +251,6 @@
 
 static void resume_reading(ql_listener_connection_t *connection);
 
-/* The earliest end of the wait for an answer that is ready, or UINT64_MAX. */
-static uint64_t first_deadline_us(const ql_listener_connection_t *connection)
-{
-	uint64_t first_us = UINT64_MAX;
-	const ql_http_exchange_t *exchange;
-	const GList *link;
-
-	for (link = connection->exchanges.head; link; link = link->next) {
-		exchange = link->data;
-		if (exchange->ended && exchange->deadline_us)
-			first_us = MIN(first_us, exchange->deadline_us);
-	}
-	return first_us;
-}
-
-/* Tells whoever answers the first request that answers behind it are ready. */
-static void tell_overtaken(ql_listener_connection_t *connection)
-{
-	ql_http_exchange_t *first = g_queue_peek_head(&connection->exchanges);
-	uint64_t until_us = first_deadline_us(connection);
-
-	if (until_us != UINT64_MAX && !first->ended && first->ops &&
-	    first->ops->overtaken)
-		first->ops->overtaken(first->data, until_us);
-}
-
 void ql_http_exchange_end(ql_http_exchange_t *exchange)
 {
 	ql_listener_connection_t *connection = exchange->connection;
@@ -284,13 +258,11 @@
 	if (exchange->chunked && !exchange->bodiless)
 		append(exchange, "0\r\n\r\n", 5);
 	exchange->ended = true;
-	if (is_first(exchange)) {
-		flush(connection);
-		if (!connection->gone)
-			resume_reading(connection);
-	}
+	if (!is_first(exchange))
+		return;
+	flush(connection);
 	if (!connection->gone)
-		tell_overtaken(connection);
+		resume_reading(connection);
 }
 
 void ql_http_exchange_abort(ql_http_exchange_t *exchange)
@@ -395,6 +367,30 @@
 			    (guint)length);
 }
 
+/* Tells one request that another one follows; returns whether that ended it. */
+static bool tell_followed(ql_http_exchange_t *exchange, uint64_t until_us)
+{
+	return !exchange->ended && exchange->ops && exchange->ops->followed &&
+	       exchange->ops->followed(exchange->data, until_us);
+}
+
+/* What an ended one lets out may be gone, so it begins anew behind each. */
+static void tell_all_followed(ql_listener_connection_t *connection,
+			      const ql_http_exchange_t *last)
+{
+	uint64_t until_us = last->deadline_us;
+	GList *link = connection->exchanges.head;
+
+	while (link && link->data != last) {
+		if (!tell_followed(link->data, until_us))
+			link = link->next;
+		else if (connection->gone)
+			return;
+		else
+			link = connection->exchanges.head;
+	}
+}
+
 static bool on_complete(void *data, ql_http_reader_t *reader G_GNUC_UNUSED)
 {
 	ql_listener_connection_t *connection = data;
@@ -409,6 +405,10 @@
 	g_queue_push_tail(&connection->exchanges, exchange);
 	connection->listener->opts.handle(connection->listener->opts.data,
 					  exchange);
+	if (!connection->gone &&
+	    g_queue_peek_tail(&connection->exchanges) == exchange &&
+	    exchange->deadline_us)
+		tell_all_followed(connection, exchange);
 	return !connection->gone && !connection->last_read;
 }
 
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -19,13 +19,14 @@
  * struct ql_http_exchange_ops - What the answering side is told.
  * @cancelled: the client has gone; the exchange is not to be used any more
  * @drained: what was written has left; may be NULL
- * @overtaken: an answer behind this one is ready, and its client is likely to
- * close the connection at @until_us; may be NULL
+ * @followed: another request was read behind this one, whose client is likely
+ * to close the connection at @until_us; returns whether this one was ended for
+ * it; may be NULL
  */
 typedef struct ql_http_exchange_ops {
 	void (*cancelled)(void *data);
 	void (*drained)(void *data);
-	void (*overtaken)(void *data, uint64_t until_us);
+	bool (*followed)(void *data, uint64_t until_us);
 } ql_http_exchange_ops_t;
 
 /**
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -92,7 +92,6 @@
 	ql_path_node_t *node = g_new0(ql_path_node_t, 1);
 	GError *error = NULL;
 
-	node->signals = process->signals;
 	process->apply = apply_to_path_node;
 	process->data = node;
 	if (ql_path_node_start(node, settings, &ql_platform_dialect, &error))
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -237,13 +237,6 @@
 	return json;
 }
 
-static bool is_stopping(void *data)
-{
-	const ql_path_node_t *node = data;
-
-	return ql_signals_stop_requested(node->signals);
-}
-
 static int init_path(ql_path_node_t *node, GError **error)
 {
 	const ql_settings_t *settings = node->context.settings;
@@ -259,8 +252,6 @@
 		.local = &node->gate,
 		.hops = &node->hops,
 		.counters = &node->context.counters,
-		.is_stopping = is_stopping,
-		.data = node,
 	};
 	int ret = ql_address_parse(&gate.address, settings->endpoint.address,
 				   error);
--- a/src/node/path_node.h
+++ b/src/node/path_node.h
@@ -11,7 +11,6 @@
 #include "node/control_service.h"
 #include "node/http_server.h"
 #include "node/metrics_http.h"
-#include "node/signals.h"
 #include "path/front.h"
 #include "path/hop_server.h"
 #include "path/load_log.h"
@@ -35,7 +34,6 @@
 /**
  * struct ql_path_node - The node.
  * @dialect: of the site; borrowed
- * @signals: of the process; borrowed, set before the start
  * @clients: listener for clients and the endpoint
  * @gates: listener for other nodes
  * @lock: guards @announced and @repeat_ratio
@@ -48,7 +46,6 @@
 typedef struct ql_path_node {
 	ql_context_t context;
 	const ql_dialect_t *dialect;
-	const ql_signals_t *signals;
 	ql_control_service_t control;
 	ql_loop_t loop;
 	ql_local_gate_t gate;
@@ -73,7 +70,7 @@
 
 /**
  * ql_path_node_start() - Listen and serve.
- * @node: the node, zeros but for @signals
+ * @node: the node, zeros
  * @settings: borrowed
  * @dialect: borrowed
  * @error: detail of a failure
--- a/src/node/signals.c
+++ b/src/node/signals.c
@@ -18,11 +18,6 @@
 	sigaddset(set, SIGHUP);
 }
 
-static bool is_stopping(const ql_signals_t *signals)
-{
-	return __atomic_load_n(&signals->stop, __ATOMIC_ACQUIRE);
-}
-
 /* Told here, as nobody may be there to look at it. */
 static void tell(ql_signals_t *signals, const char *event, int received)
 {
@@ -30,6 +25,8 @@
 	pthread_mutex_lock(&signals->lock);
 	if (received == SIGHUP)
 		signals->reload = true;
+	else
+		signals->stop = true;
 	pthread_cond_signal(&signals->changed);
 	pthread_mutex_unlock(&signals->lock);
 }
@@ -61,7 +58,6 @@
 			break;
 		tell(signals, "reload_requested", received);
 	}
-	__atomic_store_n(&signals->stop, 1, __ATOMIC_RELEASE);
 	tell(signals, "stop_requested", received);
 	end_in_time(signals);
 	return NULL;
@@ -74,7 +70,7 @@
 	pthread_mutex_init(&signals->lock, NULL);
 	ql_cond_init(&signals->changed);
 	signals->reload = false;
-	signals->stop = 0;
+	signals->stop = false;
 	signals->grace_ms = grace_ms;
 	fill(&set);
 	sigaddset(&set, SIGPIPE);
@@ -96,10 +92,10 @@
 	ql_signal_t asked = QL_SIGNAL_NONE;
 
 	pthread_mutex_lock(&signals->lock);
-	while (!is_stopping(signals) && !signals->reload &&
+	while (!signals->stop && !signals->reload &&
 	       ql_clock_now_us() < until_us)
 		ql_cond_wait_until(&signals->changed, &signals->lock, until_us);
-	if (is_stopping(signals))
+	if (signals->stop)
 		asked = QL_SIGNAL_STOP;
 	else if (signals->reload)
 		asked = QL_SIGNAL_RELOAD;
@@ -107,13 +103,3 @@
 	pthread_mutex_unlock(&signals->lock);
 	return asked;
 }
-
-bool ql_signals_stop_requested(const ql_signals_t *signals)
-{
-	sigset_t pending;
-
-	if (sigpending(&pending))
-		sigemptyset(&pending);
-	return sigismember(&pending, SIGTERM) ||
-	       sigismember(&pending, SIGINT) || is_stopping(signals);
-}
--- a/src/node/signals.h
+++ b/src/node/signals.h
@@ -24,7 +24,7 @@
  * @lock: held for what follows
  * @changed: signalled when a signal has come
  * @reload: the settings are to be read again
- * @stop: the process is to stop; also read without the lock
+ * @stop: the process is to stop
  * @grace_ms: longest time between the request to stop and the exit
  */
 typedef struct ql_signals {
@@ -32,7 +32,7 @@
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 	bool reload;
-	int stop;
+	bool stop;
 	uint64_t grace_ms;
 } ql_signals_t;
 
@@ -71,14 +71,6 @@
  */
 ql_signal_t ql_signals_wait(ql_signals_t *signals, uint64_t timeout_us);
 
-/**
- * ql_signals_stop_requested() - Whether the process was asked to stop.
- * @signals: the signals
- *
- * Also true for a signal that is still on its way to the thread.
- */
-bool ql_signals_stop_requested(const ql_signals_t *signals);
-
 G_END_DECLS
 
 #endif
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -28,8 +28,6 @@
  * @local: the gate of this node; borrowed
  * @hops: connections to other gates; borrowed
  * @counters: what happens is counted there; borrowed
- * @is_stopping: whether the process was asked to stop; NULL if never
- * @data: passed to @is_stopping
  */
 typedef struct ql_front_opts {
 	const ql_dialect_t *dialect;
@@ -40,8 +38,6 @@
 	ql_local_gate_t *local;
 	ql_hops_t *hops;
 	ql_counters_t *counters;
-	bool (*is_stopping)(void *data);
-	void *data;
 } ql_front_opts_t;
 
 /**
@@ -81,6 +77,7 @@
  * @references: the document in force, and the requests on their way
  * @credit: for each part of its split; the one with the most is next
  * @typical_us: moving mean of the time in which an attempt is answered
+ * @followed_us: when a request was read last behind one that would hold it up
  * @admission: early refusal of its requests
  * @usage: what became of them
  * @logged: the same, when it was logged last
@@ -89,6 +86,7 @@
 	uint32_t references;
 	int64_t credit[QL_ROUTE_PARTS_MAX];
 	double typical_us;
+	uint64_t followed_us;
 	ql_route_admission_t admission;
 	ql_front_usage_t usage;
 	ql_front_usage_t logged;
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -14,6 +14,8 @@
 #define PENDING_MAX_BYTES (256u << 10)
 /* Another node takes the request at once. */
 #define LEAVING_RETRY_MS 50u
+/* So does another connection. */
+#define GAVE_WAY_RETRY_MS 10u
 
 static void start_attempt(ql_front_call_t *call);
 
@@ -30,6 +32,7 @@
 	ql_front__route_unref(call->kept);
 	g_hash_table_remove(call->front->calls, call);
 	ql_loop_stop_timer(call->front->loop, &call->deadline);
+	ql_loop_stop_timer(call->front->loop, &call->hold);
 	ql_headers_finish(&call->headers);
 	g_byte_array_free(call->lines, TRUE);
 	g_byte_array_free(call->held, TRUE);
@@ -306,32 +309,28 @@
 		.until_us = until_us,
 	};
 
-	return call->route->idempotent && !call->streaming &&
-	       ql_gives_way(&request);
+	return ql_gives_way(&request);
 }
 
-static bool is_stopping(const ql_front_t *front)
-{
-	return front->opts.is_stopping &&
-	       front->opts.is_stopping(front->opts.data);
-}
-
-/* A node that stops finishes what it has begun. */
-static void on_overtaken(void *data, uint64_t until_us)
+static bool on_followed(void *data, uint64_t until_us)
 {
 	ql_front_call_t *call = data;
 
-	if (!gives_way(call, until_us) || is_stopping(call->front))
-		return;
+	if (!gives_way(call, until_us))
+		return false;
+	call->kept->followed_us = now_us(call);
+	if (!call->held_back)
+		return false;
 	count(call, QL_COUNT_GAVE_WAY);
-	cancel_attempt(call, QL_REASON_GAVE_WAY);
+	call->retry_after_ms = GAVE_WAY_RETRY_MS;
 	end_in_failure(call, QL_REASON_GAVE_WAY);
+	return true;
 }
 
 static const ql_http_exchange_ops_t exchange_ops = {
 	.cancelled = on_cancelled,
 	.drained = on_drained,
-	.overtaken = on_overtaken,
+	.followed = on_followed,
 };
 
 static void call_gate(ql_front_call_t *call)
@@ -375,6 +374,40 @@
 	call_gate(call);
 }
 
+static void on_held_long_enough(void *data)
+{
+	ql_front_call_t *call = data;
+
+	call->held_back = false;
+	start_attempt(call);
+}
+
+/* How long a request waits for another one that it would hold up. */
+static uint64_t hold_ms(const ql_front_call_t *call)
+{
+	const ql_give_way_route_t route = {
+		.now_us = now_us(call),
+		.followed_us = call->kept->followed_us,
+		.typical_us = (uint64_t)ql_front__typical_us(call),
+	};
+
+	if (!call->route->idempotent || call->call.under_way)
+		return 0;
+	return ql_give_way_hold_us(&route) / QL_US_PER_MS;
+}
+
+static void hold_or_start(ql_front_call_t *call)
+{
+	uint64_t held_ms = hold_ms(call);
+
+	if (!held_ms) {
+		start_attempt(call);
+		return;
+	}
+	call->held_back = true;
+	ql_loop_start_timer(call->front->loop, &call->hold, held_ms);
+}
+
 static ql_front_call_t *call_new(ql_front_t *front,
 				 ql_http_exchange_t *exchange,
 				 const ql_route_t *route)
@@ -398,6 +431,8 @@
 	g_hash_table_add(front->calls, call);
 	call->deadline.expired = on_deadline;
 	call->deadline.data = call;
+	call->hold.expired = on_held_long_enough;
+	call->hold.data = call;
 	exchange->ops = &exchange_ops;
 	exchange->data = call;
 	return call;
@@ -469,7 +504,7 @@
 	}
 	ql_loop_start_timer(call->front->loop, &call->deadline,
 			    (call->call.deadline_us - now) / QL_US_PER_MS);
-	start_attempt(call);
+	hold_or_start(call);
 }
 
 void ql_front_handle(void *data, ql_http_exchange_t *exchange)
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -28,6 +28,7 @@
  * @guaranteed: it goes with the highest class, see
  * quetzalloft/route_admission.h
  * @served: it was answered by an endpoint, and not behind its target
+ * @held_back: its first attempt waits for @hold, and it may still give way
  * @in_attempt: an attempt is in progress
  * @tried: endpoints that were tried
  * @gate: where the last attempt went, or ""
@@ -58,6 +59,7 @@
 	bool let_through;
 	bool guaranteed;
 	bool served;
+	bool held_back;
 	bool in_attempt;
 	ql_handle_t tried[QL_FRONT_TRIED_MAX];
 	char gate[QL_ADDRESS_MAX];
@@ -68,6 +70,7 @@
 	uint64_t attempt_us;
 	uint32_t retry_after_ms;
 	ql_wheel_timer_t deadline;
+	ql_wheel_timer_t hold;
 	unsigned int status;
 	GByteArray *lines;
 	GByteArray *held;
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -19,8 +19,7 @@
 				     "Calls refused before any attempt, from "
 				     "the levels that gates reported."},
 	[QL_COUNT_GAVE_WAY] = {"gave_way",
-			       "Requests given up for a ready answer behind "
-			       "them."},
+			       "Requests refused for one behind them."},
 	[QL_COUNT_GATE_ADMITTED] = {"gate_admitted",
 				    "Calls that the gates admitted."},
 	[QL_COUNT_GATE_REFUSED] = {"gate_refused",
--- a/tests/policy/give_way_test.cc
+++ b/tests/policy/give_way_test.cc
@@ -32,4 +32,29 @@
 		Case{"NothingIsKnownOfIt", {30, 0, 0, 400}, false}),
 	[](const auto &test) { return test.param.name; });
 
+struct HoldCase {
+	const char *name;
+	ql_give_way_route_t route;
+	uint64_t hold_us;
+};
+
+class GiveWayHold : public testing::TestWithParam<HoldCase>
+{
+};
+
+TEST_P(GiveWayHold, WhereOthersComeBehind)
+{
+	EXPECT_EQ(GetParam().hold_us, ql_give_way_hold_us(&GetParam().route));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, GiveWayHold,
+	testing::Values(
+		HoldCase{"Never", {20000000, 0, 640000}, 0},
+		HoldCase{"JustNow", {20000000, 20000000, 640000}, 20000},
+		HoldCase{"Lately", {20000000, 10000000, 640000}, 20000},
+		HoldCase{"LongAgo", {20000001, 10000000, 640000}, 0},
+		HoldCase{"NothingIsKnownOfIt", {20000000, 20000000, 0}, 0}),
+	[](const auto &test) { return test.param.name; });
+
 } // namespace
