Count a lost guaranteed request in full

Traced with a log of all calls: a call to stock took 162 ms for 30 in calm, 120 of them in the queue of the highest class; an order makes eight, its route allows 1.2 s. What filled that queue: guaranteed requests halve what they are told, also where they are lost, so their share fell from 1 to 0.5 in 12 s while nearly all of them failed, and that of orders themselves stood at 0.02.

A wait is bearable to them up to twice as long; a loss is a loss. RouteAdmissionNote/Lost fails without it.

--- a/src/policy/route_admission.c
+++ b/src/policy/route_admission.c
@@ -48,10 +48,11 @@
 			     double pressure, uint64_t latency_us,
 			     uint64_t now_us)
 {
-	double bearable = guaranteed ? GUARANTEED_BEARABLE : 1;
-
-	ql_throttle_note(find(admission, guaranteed), pressure / bearable,
-			 latency_us, now_us);
+	/* A lost request was lost, whatever it bears. */
+	if (guaranteed && pressure < QL_PRESSURE_MAX)
+		pressure /= GUARANTEED_BEARABLE;
+	ql_throttle_note(find(admission, guaranteed), pressure, latency_us,
+			 now_us);
 }
 
 void ql_route_admission_end(ql_route_admission_t *admission, bool guaranteed,
--- a/tests/policy/route_admission_test.cc
+++ b/tests/policy/route_admission_test.cc
@@ -88,4 +88,45 @@
 			Case{"NoShare", 0, 0, 0, 0}),
 	[](const auto &test) { return test.param.name; });
 
+struct NoteCase {
+	const char *name;
+	double pressure;
+	/* Whether guaranteed requests give way as fast as the others. */
+	bool alike;
+};
+
+class RouteAdmissionNote : public testing::TestWithParam<NoteCase>
+{
+};
+
+/*
+ * Guards against: guaranteed requests that all fail take the room of those that
+ * could be served, for ten seconds and more (kask, narrow-service-shrinks).
+ */
+TEST_P(RouteAdmissionNote, GuaranteedOnesBearWaitsButNoLosses)
+{
+	ql_route_admission_t admission;
+	uint64_t now_us = 60 * QL_US_PER_S;
+
+	ql_route_admission_init(&admission);
+	for (int i = 0; i < 1000; i++, now_us += kGapUs)
+		for (bool guaranteed : {false, true})
+			ql_route_admission_note(&admission, guaranteed,
+						GetParam().pressure, 0, now_us);
+	EXPECT_LT(admission.rest.share, 1);
+	if (GetParam().alike)
+		EXPECT_DOUBLE_EQ(admission.rest.share,
+				 admission.guaranteed.share);
+	else
+		EXPECT_LT(1.2 * admission.rest.share,
+			  admission.guaranteed.share);
+}
+
+INSTANTIATE_TEST_SUITE_P(Pressures, RouteAdmissionNote,
+			 testing::Values(NoteCase{"Waits", 1.9, false},
+					 NoteCase{"LongWaits", 3, false},
+					 NoteCase{"Lost", QL_PRESSURE_MAX,
+						  true}),
+			 [](const auto &test) { return test.param.name; });
+
 } // namespace
