Test more rarely for room while every test is lost

The gap between tests (350 ms) doubles with each one that was lost, up to 1 s, and is as before with the first that was not pressed: a recovery is noticed within that second. Throttle.TestsMoreRarelyWhileAllAreLost fails without it.

--- a/include/quetzalloft/throttle.h
+++ b/include/quetzalloft/throttle.h
@@ -31,6 +31,7 @@
  * @offered_us: when a request was offered last
  * @offered_per_s: moving mean of the requests offered
  * @clear_us: moving mean of the latency where the pressure was not above 1
+ * @probe_us: with none in progress, one is let through this long after the last
  * @in_progress: requests that were let through and have not ended
  */
 typedef struct ql_throttle {
@@ -41,6 +42,7 @@
 	uint64_t offered_us;
 	double offered_per_s;
 	double clear_us;
+	uint64_t probe_us;
 	uint32_t in_progress;
 } ql_throttle_t;
 
--- a/src/policy/throttle.c
+++ b/src/policy/throttle.c
@@ -20,8 +20,10 @@
 #define IN_PROGRESS_MIN 1
 #define OFFERED_SMOOTHING_S 1.0
 #define CLEAR_SMOOTHING 0.1
-/* One request at least is on its way, to show whether the pressure has gone. */
+/* One request at least is on its way, to show whether the pressure has gone;
+ * twice as rarely after each one that was lost. */
 #define PROBE_US (350 * QL_US_PER_MS)
+#define PROBE_MAX_US (1000 * QL_US_PER_MS)
 /* The mean wait of a refused request: of its target, or where it has none. */
 #define RETRY_AFTER_TARGET_PART 0.4
 #define RETRY_AFTER_MS 1000.0
@@ -30,6 +32,7 @@
 {
 	memset(throttle, 0, sizeof(*throttle));
 	throttle->share = 1;
+	throttle->probe_us = PROBE_US;
 }
 
 static uint32_t retry_after_ms(uint64_t target_ms, GRand *random)
@@ -64,7 +67,7 @@
 			   uint64_t now_us)
 {
 	if (!throttle->in_progress &&
-	    now_us - throttle->admitted_us >= PROBE_US)
+	    now_us - throttle->admitted_us >= throttle->probe_us)
 		return true;
 	return has_room(throttle) && g_rand_double(random) < throttle->share;
 }
@@ -99,6 +102,14 @@
 	return growth * (1 - pressure);
 }
 
+static void space_probes(ql_throttle_t *throttle, double pressure)
+{
+	if (pressure >= QL_PRESSURE_MAX)
+		throttle->probe_us = MIN(2 * throttle->probe_us, PROBE_MAX_US);
+	else if (pressure <= 1)
+		throttle->probe_us = PROBE_US;
+}
+
 void ql_throttle_note(ql_throttle_t *throttle, double pressure,
 		      uint64_t latency_us, uint64_t now_us)
 {
@@ -107,6 +118,7 @@
 	double factor = exp(speed(throttle, pressure, now_us) * since_s);
 
 	throttle->heard_us = now_us;
+	space_probes(throttle, pressure);
 	if (pressure > 1)
 		throttle->pressed_us = now_us;
 	else
--- a/tests/policy/throttle_test.cc
+++ b/tests/policy/throttle_test.cc
@@ -164,6 +164,36 @@
 	g_rand_free(random);
 }
 
+/*
+ * Guards against: with many nodes the requests that only test whether the
+ * pressure has gone are more than a narrow service has room for.
+ */
+TEST(Throttle, TestsMoreRarelyWhileAllAreLost)
+{
+	constexpr uint64_t kStepUs = 10 * QL_US_PER_MS;
+	GRand *random = g_rand_new_with_seed(1);
+	uint64_t now_us = 60 * QL_US_PER_S;
+	int tests[] = {0, 0};
+	ql_throttle_t throttle;
+
+	ql_throttle_init(&throttle);
+	for (int lost : {0, 1})
+		for (int i = 0; i < 1000; i++, now_us += kStepUs) {
+			throttle.share = 0;
+			if (ql_throttle_offer(&throttle, 0, random, now_us)
+				    .refuse)
+				continue;
+			tests[lost]++;
+			ql_throttle_end(&throttle);
+			ql_throttle_note(&throttle, lost ? QL_PRESSURE_MAX : 1,
+					 0, now_us);
+		}
+	EXPECT_GE(tests[0], 25);
+	EXPECT_LE(tests[1], 12);
+	EXPECT_GE(tests[1], 9);
+	g_rand_free(random);
+}
+
 /* Pattern: callers that come back once must not come back too late. */
 TEST(Throttle, CallsBackWithinTheTarget)
 {
