Split the front of a call and the listener

No change of behaviour: what decides whether a request is begun (admission, holding back, refusing) goes from front_call.c to front_begin.c, the writing of answers from listener.c to exchange.c; the clock and counters of a call stand once.

--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -1,8 +1,7 @@
-#include "http/listener.h"
+#include "http/listener_internal.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #define BACKLOG 1024
@@ -10,19 +9,6 @@
 #define PIPELINED_MAX 64u
 /* How long a peer may take to close behind the last answer. */
 #define LINGER_MS 1000u
-#define OUT_BYTES 1024u
-
-struct ql_listener_connection {
-	ql_listener_t *listener;
-	ql_stream_t stream;
-	ql_http_reader_t reader;
-	ql_wheel_timer_t timer;
-	GQueue exchanges;
-	ql_http_exchange_t *reading;
-	bool last_read;
-	bool lingering;
-	bool gone;
-};
 
 static void exchange_free(ql_http_exchange_t *exchange)
 {
@@ -45,7 +31,7 @@
 	exchange->target = g_string_new(NULL);
 	ql_headers_init(&exchange->headers);
 	exchange->body = g_byte_array_new();
-	exchange->out = g_byte_array_sized_new(OUT_BYTES);
+	exchange->out = g_byte_array_sized_new(QL_EXCHANGE_OUT_BYTES);
 	connection->listener->n_exchanges++;
 	return exchange;
 }
@@ -124,8 +110,7 @@
 	start_timer(connection, LINGER_MS);
 }
 
-/* Sends what the first exchanges have ready. */
-static void flush(ql_listener_connection_t *connection)
+void ql_listener__flush(ql_listener_connection_t *connection)
 {
 	ql_http_exchange_t *first;
 	bool keeps_alive;
@@ -151,132 +136,11 @@
 	}
 }
 
-static const char *status_text(unsigned int status)
-{
-	switch (status) {
-#define QL_STATUS(number, name, text) \
-	case number:                  \
-		return #text;
-		HTTP_STATUS_MAP(QL_STATUS)
-#undef QL_STATUS
-	default:
-		return "Unknown";
-	}
-}
-
-static bool is_first(const ql_http_exchange_t *exchange)
+bool ql_listener__is_first(const ql_http_exchange_t *exchange)
 {
 	return g_queue_peek_head(&exchange->connection->exchanges) == exchange;
 }
 
-/* Whether no request behind it was read, or begun to be read. */
-static bool is_last(const ql_http_exchange_t *exchange)
-{
-	const ql_listener_connection_t *connection = exchange->connection;
-
-	return !connection->reading &&
-	       g_queue_peek_tail((GQueue *)&connection->exchanges) == exchange;
-}
-
-/* Whether connections are too many to be kept for later. */
-static bool is_crowded(const ql_listener_t *listener)
-{
-	return listener->opts.kept &&
-	       g_hash_table_size(listener->connections) > listener->opts.kept;
-}
-
-static void append(ql_http_exchange_t *exchange, const void *bytes,
-		   size_t length)
-{
-	g_byte_array_append(exchange->out, bytes, (guint)length);
-}
-
-static void write_framing(ql_http_exchange_t *exchange, unsigned int status,
-			  int64_t length)
-{
-	if (status == HTTP_STATUS_NO_CONTENT ||
-	    status == HTTP_STATUS_NOT_MODIFIED) {
-		exchange->bodiless = true;
-	} else if (length >= 0) {
-		ql_headers_write_uint(exchange->out, "Content-Length",
-				      (uint64_t)length);
-	} else if (exchange->is_http_1_0) {
-		exchange->keeps_alive = false;
-	} else {
-		exchange->chunked = true;
-		ql_headers_write(exchange->out, "Transfer-Encoding", "chunked");
-	}
-	if (!strcmp(exchange->method, "HEAD"))
-		exchange->bodiless = true;
-}
-
-void ql_http_exchange_begin(ql_http_exchange_t *exchange, unsigned int status,
-			    const GByteArray *headers, int64_t length)
-{
-	const ql_listener_t *listener = exchange->connection->listener;
-	char line[64];
-
-	if ((listener->closing || is_crowded(listener)) && is_last(exchange)) {
-		exchange->keeps_alive = false;
-		exchange->connection->last_read = true;
-	}
-	snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", status,
-		 status_text(status));
-	append(exchange, line, strlen(line));
-	if (headers)
-		append(exchange, headers->data, headers->len);
-	write_framing(exchange, status, length);
-	if (!exchange->keeps_alive)
-		ql_headers_write(exchange->out, "Connection", "close");
-	append(exchange, "\r\n", 2);
-}
-
-void ql_http_exchange_write(ql_http_exchange_t *exchange, const void *bytes,
-			    size_t length)
-{
-	char line[24];
-
-	if (exchange->bodiless || !length)
-		return;
-	if (exchange->chunked) {
-		snprintf(line, sizeof(line), "%zx\r\n", length);
-		append(exchange, line, strlen(line));
-	}
-	append(exchange, bytes, length);
-	if (exchange->chunked)
-		append(exchange, "\r\n", 2);
-	if (is_first(exchange) && exchange->out->len >= OUT_BYTES * 16)
-		flush(exchange->connection);
-}
-
-static void resume_reading(ql_listener_connection_t *connection);
-
-void ql_http_exchange_end(ql_http_exchange_t *exchange)
-{
-	ql_listener_connection_t *connection = exchange->connection;
-
-	if (exchange->chunked && !exchange->bodiless)
-		append(exchange, "0\r\n\r\n", 5);
-	exchange->ended = true;
-	if (!is_first(exchange))
-		return;
-	flush(connection);
-	if (!connection->gone)
-		resume_reading(connection);
-}
-
-void ql_http_exchange_abort(ql_http_exchange_t *exchange)
-{
-	exchange->broken = true;
-	if (is_first(exchange))
-		flush(exchange->connection);
-}
-
-size_t ql_http_exchange_pending(const ql_http_exchange_t *exchange)
-{
-	return exchange->out->len + exchange->connection->stream.pending;
-}
-
 /* Answers a request that is not handed out, and reads no further one. */
 static void refuse(ql_listener_connection_t *connection, unsigned int status)
 {
@@ -438,7 +302,7 @@
 	set_timer(connection);
 }
 
-static void resume_reading(ql_listener_connection_t *connection)
+void ql_listener__resume_reading(ql_listener_connection_t *connection)
 {
 	if (connection->exchanges.length < PIPELINED_MAX)
 		ql_stream_resume(&connection->stream);
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -79,6 +79,17 @@
 	bool paused;
 } ql_front_call_t;
 
+static inline uint64_t ql_front__now_us(const ql_front_call_t *call)
+{
+	return ql_loop_now_us(call->front->loop);
+}
+
+static inline void ql_front__count(const ql_front_call_t *call,
+				   ql_counter_t counter)
+{
+	ql_count(call->front->opts.counters, counter);
+}
+
 /**
  * ql_front__find_route() - The route of a request, or NULL.
  */
@@ -97,6 +108,35 @@
  */
 void ql_front__route_unref(ql_front_route_t *route);
 
+/**
+ * ql_front__start_attempt() - Choose an endpoint and call its gate.
+ *
+ * The request may have ended behind it.
+ */
+void ql_front__start_attempt(ql_front_call_t *call);
+
+/**
+ * ql_front__end_in_failure() - Tell the client, and let go of the request.
+ */
+void ql_front__end_in_failure(ql_front_call_t *call, ql_reason_t reason);
+
+/**
+ * ql_front__deadline_expired() - The time of a request is over.
+ * @data: the request
+ */
+void ql_front__deadline_expired(void *data);
+
+/**
+ * ql_front__followed() - Another request came behind one; see
+ * &struct ql_http_exchange_ops.
+ * @data: the request
+ * @until_us: when the client no longer waits for the other one
+ */
+bool ql_front__followed(void *data, uint64_t until_us);
+
+/* What the listener tells a request. */
+extern const ql_http_exchange_ops_t ql_front__exchange_ops;
+
 /**
  * ql_front__typical_us() - Latency that is typical of its route, or 0.
  */
--- a/src/path/front_learn.c
+++ b/src/path/front_learn.c
@@ -8,7 +8,7 @@
 
 static uint64_t age_us(const ql_front_call_t *call)
 {
-	return ql_loop_now_us(call->front->loop) - call->exchange->received_us;
+	return ql_front__now_us(call) - call->exchange->received_us;
 }
 
 double ql_front__typical_us(const ql_front_call_t *call)
@@ -40,8 +40,7 @@
 	if (call->let_through)
 		ql_route_admission_note(&call->kept->admission,
 					call->guaranteed, pressure,
-					age_us(call),
-					ql_loop_now_us(call->front->loop));
+					age_us(call), ql_front__now_us(call));
 	if (call->call.under_way)
 		ql_local_gate_press(call->front->opts.local, call->parent_id,
 				    pressure);
