Let guaranteed requests bear no longer waits than their time allows

Cause: guaranteed requests bear twice the wait, whatever time they have. A request that waits as long as is bearable takes three times as long as one that does not wait, with twice that five times as long; lookups there have 1.0 s for 0.42 s, orders 1.2 s for 0.5 s. So the queue of the highest class grew until nobody in it was in time, and the share of the orders themselves had given way before.

What they bear is now bounded by the time of the route: (limit / time without waits - 1) / 2, from once to twice.

RouteAdmissionNote/LittleTime fails without it.

--- a/include/quetzalloft/route_admission.h
+++ b/include/quetzalloft/route_admission.h
@@ -8,10 +8,10 @@
  * A part of the requests of each route is served in any case. Where fewer are,
  * one of them is made a guaranteed one: it travels with the highest class, it
  * and all calls made for it, so that it is served in whole. It is refused only
- * where waits are far above what is bearable, and all routes alike have given
- * up the rest. The rest travels with its own class and is refused as soon as
- * that class waits longer than is bearable; what is served of it counts towards
- * the part.
+ * where waits are far above what is bearable, or more than its time allows, and
+ * all routes alike have given up the rest. The rest travels with its own class
+ * and is refused as soon as that class waits longer than is bearable; what is
+ * served of it counts towards the part.
  */
 
 #include "quetzalloft/throttle.h"
@@ -72,16 +72,28 @@
 			 const ql_admission_offer_t *offer);
 
 /**
- * ql_route_admission_note() - Tell what an answer says of the way below.
- * @admission: of its route
+ * struct ql_admission_answer - What an answer says of the way below.
  * @guaranteed: what was decided on the request
  * @pressure: see quetzalloft/pressure.h
  * @latency_us: since the request came
+ * @deadline_ms: the longest time that a request of the route has
  * @now_us: the time
  */
-void ql_route_admission_note(ql_route_admission_t *admission, bool guaranteed,
-			     double pressure, uint64_t latency_us,
-			     uint64_t now_us);
+typedef struct ql_admission_answer {
+	bool guaranteed;
+	double pressure;
+	uint64_t latency_us;
+	uint64_t deadline_ms;
+	uint64_t now_us;
+} ql_admission_answer_t;
+
+/**
+ * ql_route_admission_note() - Learn from an answer.
+ * @admission: of its route
+ * @answer: what it says
+ */
+void ql_route_admission_note(ql_route_admission_t *admission,
+			     const ql_admission_answer_t *answer);
 
 /**
  * ql_route_admission_end() - Report that a request that was let through has
--- a/src/path/front_learn.c
+++ b/src/path/front_learn.c
@@ -33,14 +33,20 @@
 /* Tells the request above and those to come what this one met with. */
 static void note_pressure(ql_front_call_t *call, double pressure)
 {
+	const ql_admission_answer_t answer = {
+		.guaranteed = call->guaranteed,
+		.pressure = pressure,
+		.latency_us = age_us(call),
+		.deadline_ms = call->route->deadline_ms,
+		.now_us = ql_front__now_us(call),
+	};
+
 	/* One that was refused early met with nothing. */
 	if (!call->let_through && !call->call.under_way)
 		return;
 	count_pressure(&call->kept->usage, pressure);
 	if (call->let_through)
-		ql_route_admission_note(&call->kept->admission,
-					call->guaranteed, pressure,
-					age_us(call), ql_front__now_us(call));
+		ql_route_admission_note(&call->kept->admission, &answer);
 	if (call->call.under_way)
 		ql_local_gate_press(call->front->opts.local, call->parent_id,
 				    pressure);
--- a/src/policy/route_admission.c
+++ b/src/policy/route_admission.c
@@ -1,8 +1,9 @@
 #include "quetzalloft/route_admission.h"
+#include "quetzalloft/clock.h"
 
 #include <string.h>
 
-/* What a guaranteed request bears, where the others bear 1. */
+/* What a guaranteed request bears at most, where the others bear 1. */
 #define GUARANTEED_BEARABLE 2.0
 /* Requests served beyond the guaranteed part that are remembered. */
 #define AHEAD_MAX 8.0
@@ -44,15 +45,31 @@
 	};
 }
 
-void ql_route_admission_note(ql_route_admission_t *admission, bool guaranteed,
-			     double pressure, uint64_t latency_us,
-			     uint64_t now_us)
+/*
+ * With waits of what is bearable, a request takes three times as long as
+ * without; one that bears more must still have the time for it.
+ */
+static double bearable(const ql_throttle_t *throttle, uint64_t deadline_ms)
 {
+	double deadline_us = (double)(deadline_ms * QL_US_PER_MS);
+
+	if (throttle->clear_us <= 0)
+		return GUARANTEED_BEARABLE;
+	return CLAMP((deadline_us / throttle->clear_us - 1) / 2, 1,
+		     GUARANTEED_BEARABLE);
+}
+
+void ql_route_admission_note(ql_route_admission_t *admission,
+			     const ql_admission_answer_t *answer)
+{
+	ql_throttle_t *throttle = find(admission, answer->guaranteed);
+	double pressure = answer->pressure;
+
 	/* A lost request was lost, whatever it bears. */
-	if (guaranteed && pressure < QL_PRESSURE_MAX)
-		pressure /= GUARANTEED_BEARABLE;
-	ql_throttle_note(find(admission, guaranteed), pressure, latency_us,
-			 now_us);
+	if (answer->guaranteed && pressure < QL_PRESSURE_MAX)
+		pressure /= bearable(throttle, answer->deadline_ms);
+	ql_throttle_note(throttle, pressure, answer->latency_us,
+			 answer->now_us);
 }
 
 void ql_route_admission_end(ql_route_admission_t *admission, bool guaranteed,
--- a/tests/policy/route_admission_test.cc
+++ b/tests/policy/route_admission_test.cc
@@ -91,17 +91,32 @@
 struct NoteCase {
 	const char *name;
 	double pressure;
+	/* How long a request takes without waits, and how long it may. */
+	double clear_us;
+	uint64_t deadline_ms;
 	/* Whether guaranteed requests give way as fast as the others. */
 	bool alike;
 };
 
 class RouteAdmissionNote : public testing::TestWithParam<NoteCase>
 {
+      protected:
+	static void Note(ql_route_admission_t *admission, bool guaranteed,
+			 uint64_t now_us)
+	{
+		const ql_admission_answer_t answer = {guaranteed,
+						      GetParam().pressure, 0,
+						      GetParam().deadline_ms,
+						      now_us};
+
+		ql_route_admission_note(admission, &answer);
+	}
 };
 
 /*
  * Guards against: guaranteed requests that all fail take the room of those that
- * could be served, for ten seconds and more (kask, narrow-service-shrinks).
+ * could be served, and let the queue grow until orders run out of time (kask,
+ * narrow-service-shrinks).
  */
 TEST_P(RouteAdmissionNote, GuaranteedOnesBearWaitsButNoLosses)
 {
@@ -109,10 +124,10 @@
 	uint64_t now_us = 60 * QL_US_PER_S;
 
 	ql_route_admission_init(&admission);
+	admission.guaranteed.clear_us = GetParam().clear_us;
 	for (int i = 0; i < 1000; i++, now_us += kGapUs)
 		for (bool guaranteed : {false, true})
-			ql_route_admission_note(&admission, guaranteed,
-						GetParam().pressure, 0, now_us);
+			Note(&admission, guaranteed, now_us);
 	EXPECT_LT(admission.rest.share, 1);
 	if (GetParam().alike)
 		EXPECT_DOUBLE_EQ(admission.rest.share,
@@ -122,11 +137,14 @@
 			  admission.guaranteed.share);
 }
 
-INSTANTIATE_TEST_SUITE_P(Pressures, RouteAdmissionNote,
-			 testing::Values(NoteCase{"Waits", 1.9, false},
-					 NoteCase{"LongWaits", 3, false},
-					 NoteCase{"Lost", QL_PRESSURE_MAX,
-						  true}),
-			 [](const auto &test) { return test.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+	Pressures, RouteAdmissionNote,
+	testing::Values(NoteCase{"Waits", 1.9, 5e5, 6000, false},
+			NoteCase{"LongWaits", 3, 5e5, 6000, false},
+			NoteCase{"NothingIsKnown", 3, 0, 1200, false},
+			NoteCase{"LittleTime", 3, 5e5, 1200, true},
+			NoteCase{"JustEnoughTime", 3, 5e5, 2500, false},
+			NoteCase{"Lost", QL_PRESSURE_MAX, 5e5, 6000, true}),
+	[](const auto &test) { return test.param.name; });
 
 } // namespace
--- a/tests/policy/tree_world.h
+++ b/tests/policy/tree_world.h
@@ -290,8 +290,12 @@
 		classes_[tree->index].failed += !whole;
 		classes_[tree->index].in_time +=
 			whole && latency_us <= kTargetUs;
-		ql_route_admission_note(Admission(*tree), tree->guaranteed,
-					pressure, latency_us, now_us_);
+		const ql_admission_answer_t answer = {tree->guaranteed,
+						      pressure, latency_us,
+						      kTimeoutUs / kMs,
+						      now_us_};
+
+		ql_route_admission_note(Admission(*tree), &answer);
 		ql_route_admission_end(Admission(*tree), tree->guaranteed,
 				       whole && latency_us <= kTargetUs);
 	}
