Give each stored answer of a claim one owner at a time

The bytes are now owned by the session, which counts with the compiler's own atomics; the answer of a keeper is handed over and let go under the lock of the session, and the verdict takes it instead of sharing it. Nobody shares a GBytes over threads here any more.

--- a/src/node/claim_peer.c
+++ b/src/node/claim_peer.c
@@ -47,8 +47,6 @@
 		return;
 	}
 	ql_claim_job_end(job, &reply);
-	if (reply.answer)
-		g_bytes_unref(reply.answer);
 }
 
 static void fill_greeting(const ql_claim_peer_t *peer,
--- a/src/node/claim_peer.h
+++ b/src/node/claim_peer.h
@@ -52,7 +52,8 @@
 /**
  * ql_claim_job_end() - Hand the reply to the claim and free the message.
  * @job: the message
- * @reply: the reply, or NULL when the keeper was not reached
+ * @reply: the reply, whose answer is owned from now on, or NULL when the keeper
+ * was not reached
  */
 void ql_claim_job_end(ql_claim_job_t *job, const ql_claim_reply_t *reply);
 
--- a/src/node/claim_service.c
+++ b/src/node/claim_service.c
@@ -18,6 +18,7 @@
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 	ql_claim_t claim;
+	GBytes *answer;
 	bool must_send;
 };
 
@@ -139,6 +140,8 @@
 	if (__atomic_sub_fetch(&session->references, 1, __ATOMIC_ACQ_REL))
 		return;
 	ql_claim_finish(&session->claim);
+	if (session->answer)
+		g_bytes_unref(session->answer);
 	ql_document_unref(session->doc);
 	pthread_cond_destroy(&session->changed);
 	pthread_mutex_destroy(&session->lock);
@@ -153,12 +156,20 @@
 		pthread_cond_signal(&session->changed);
 }
 
+static void drop_answer(const ql_claim_reply_t *reply)
+{
+	if (reply && reply->answer)
+		g_bytes_unref(reply->answer);
+}
+
+/* Under the lock to its end: whoever reads the answer next takes it too. */
 static void take_reply(ql_claim_session_t *session, uint32_t step,
 		       uint32_t keeper, const ql_claim_reply_t *reply)
 {
 	pthread_mutex_lock(&session->lock);
 	note_action(session, ql_claim_take(&session->claim, step, keeper, reply,
 					   ql_clock_now_us()));
+	drop_answer(reply);
 	pthread_mutex_unlock(&session->lock);
 }
 
@@ -168,8 +179,8 @@
 
 	if (job->request.op != QL_CLAIM_OP_NOTE)
 		take_reply(session, job->step, job->keeper, reply);
-	if (job->request.answer)
-		g_bytes_unref(job->request.answer);
+	else
+		drop_answer(reply);
 	session_unref(session);
 	g_free(job);
 }
@@ -202,8 +213,6 @@
 	job->step = step;
 	job->keeper = keeper;
 	job->request = *request;
-	if (request->answer)
-		g_bytes_ref(request->answer);
 	return job;
 }
 
@@ -311,12 +320,17 @@
 	pthread_mutex_unlock(&session->lock);
 }
 
-static void fill_verdict(ql_claim_verdict_t *verdict, const ql_claim_t *claim)
+static void fill_verdict(ql_claim_verdict_t *verdict,
+			 ql_claim_session_t *session)
 {
+	ql_claim_t *claim = &session->claim;
+
+	pthread_mutex_lock(&session->lock);
 	verdict->result = claim->result;
 	verdict->outcome = claim->opts.rules->outcome(claim->result);
 	verdict->reason = ql_claim_reason(claim->result);
-	verdict->answer = claim->answer ? g_bytes_ref(claim->answer) : NULL;
+	verdict->answer = g_steal_pointer(&claim->answer);
+	pthread_mutex_unlock(&session->lock);
 }
 
 ql_claim_session_t *ql_claim_service_begin(ql_claim_service_t *service,
@@ -330,7 +344,7 @@
 		settle(service, session, call->deadline_us);
 	else
 		ql_claim_give_up(&session->claim);
-	fill_verdict(verdict, &session->claim);
+	fill_verdict(verdict, session);
 	__atomic_add_fetch(&service->results[verdict->result], 1,
 			   __ATOMIC_RELAXED);
 	if (verdict->result == QL_CLAIM_WON)
@@ -353,6 +367,7 @@
 {
 	ql_claim_request_t request;
 
+	session->answer = answer;
 	if (note != QL_CLAIM_NOTE_NONE) {
 		ql_claim_note(&session->claim, &request, note, answer);
 		broadcast(service, session, &request, 0);
--- a/src/node/keyed.c
+++ b/src/node/keyed.c
@@ -72,8 +72,6 @@
 		note = QL_CLAIM_NOTE_FORFEITED;
 	}
 	ql_claim_service_end(keyed->claims, session, note, bytes);
-	if (bytes)
-		g_bytes_unref(bytes);
 }
 
 static bool run_claimed(const ql_keyed_t *keyed, ql_claim_session_t *session,
--- a/tests/node/claim_service_test.cc
+++ b/tests/node/claim_service_test.cc
@@ -64,7 +64,6 @@
 	packed = ql_claim_pack_answer(&answer);
 	ql_claim_service_end(&keepers_.service, session, QL_CLAIM_NOTE_ANSWERED,
 			     packed);
-	g_bytes_unref(packed);
 	ASSERT_EQ(QL_CLAIM_ANSWERED, RunUntil("k", "body", QL_CLAIM_ANSWERED));
 	EXPECT_EQ(nullptr,
 		  keepers_.Begin(QL_CLAIM_SEAL, "k", "body", &verdict));
