Keep the listener that tests answer in one place

followed_test.cc set up and took down the same listener as listener_test.cc. Both now derive from ListenerWorld; the tests and their assertions are as they were, and Followed also checks that no body is left. No change of the product.

--- a/tests/http/followed_test.cc
+++ b/tests/http/followed_test.cc
@@ -1,5 +1,4 @@
-#include "http/listener.h"
-#include "loop_world.h"
+#include "listener_world.h"
 
 #include <memory>
 #include <vector>
@@ -20,7 +19,7 @@
 };
 
 /* Three pipelined requests, each of which is told of those behind it. */
-class Followed : public testing::TestWithParam<Case>
+class Followed : public ListenerWorld, public testing::WithParamInterface<Case>
 {
       protected:
 	struct Request {
@@ -31,33 +30,11 @@
 		int told = 0;
 	};
 
-	LoopWorld world;
-	ql_listener_t listener;
 	std::vector<std::unique_ptr<Request>> requests;
 
 	void SetUp() override
 	{
-		ql_listener_opts_t opts = {};
-
-		opts.address = loopback(0);
-		opts.head_limit_bytes = 1000;
-		opts.body_limit_bytes = 2000;
-		opts.buffer_limit_bytes = 100000;
-		opts.head_timeout_ms = 60000;
-		opts.idle_timeout_ms = 60000;
-		opts.connections = 10;
-		opts.handle = take;
-		opts.data = this;
-		ASSERT_EQ(0, ql_listener_start(&listener, &world.loop, &opts,
-					       nullptr));
-	}
-
-	void TearDown() override
-	{
-		ql_listener_stop(&listener);
-		world.turn(20);
-		EXPECT_EQ(0u, listener.n_exchanges);
-		ql_listener_finish(&listener);
+		Listen(take, this);
 	}
 
 	static void answer(Request *request)
@@ -106,7 +83,7 @@
 
 TEST_P(Followed, IsToldAndMayEnd)
 {
-	RawSocket client = RawSocket::connect_to(port_of(&listener.socket));
+	RawSocket client = open();
 	size_t at = 0;
 
 	for (int i = 0; i < 3; i++)
--- a/tests/http/listener_test.cc
+++ b/tests/http/listener_test.cc
@@ -1,43 +1,19 @@
-#include "http/listener.h"
-#include "loop_world.h"
+#include "listener_world.h"
 
 #include <vector>
 
 namespace
 {
 
-class Listener : public testing::Test
+class Listener : public ListenerWorld
 {
       protected:
-	LoopWorld world;
-	ql_listener_t listener;
 	std::vector<ql_http_exchange_t *> taken;
 	int cancelled = 0;
 
 	void SetUp() override
 	{
-		ql_listener_opts_t opts = {};
-
-		opts.address = loopback(0);
-		opts.head_limit_bytes = 1000;
-		opts.body_limit_bytes = 2000;
-		opts.buffer_limit_bytes = 100000;
-		opts.head_timeout_ms = 60000;
-		opts.idle_timeout_ms = 60000;
-		opts.connections = 10;
-		opts.handle = take;
-		opts.data = this;
-		ASSERT_EQ(0, ql_listener_start(&listener, &world.loop, &opts,
-					       nullptr));
-	}
-
-	void TearDown() override
-	{
-		ql_listener_stop(&listener);
-		world.turn(20);
-		EXPECT_EQ(0u, listener.n_exchanges);
-		EXPECT_EQ(0u, listener.buffered);
-		ql_listener_finish(&listener);
+		Listen(take, this);
 	}
 
 	static void take(void *data, ql_http_exchange_t *exchange)
@@ -54,11 +30,6 @@
 		self->taken.push_back(exchange);
 	}
 
-	RawSocket open()
-	{
-		return RawSocket::connect_to(port_of(&listener.socket));
-	}
-
 	bool takes(size_t n)
 	{
 		return world.turn_until([&] { return taken.size() == n; });
