Refuse JSON text that is nested too deeply

Cause: the JSON parser recurses up to 2048 levels, and the threads of the HTTP servers have stacks of 256 KB. An announcement or a configuration of 2,000 nested arrays ended the process (the new test, run against the former parser: segmentation fault). A report of another writer could so end a node again and again.

Change: ql_json_parse() and ql_json_load_file() count the nesting before they parse and refuse more than 64 levels with QL_E_RANGE.

Before: JsonParse.RefusesDeepNesting crashes.

Conclusion: one malformed text no longer takes a process down.

--- a/include/quetzalloft/json.h
+++ b/include/quetzalloft/json.h
@@ -107,6 +107,9 @@
 		 const ql_json_member_t *members, size_t n_members,
 		 GError **error);
 
+/** Most arrays and objects inside each other in a parsed text. */
+#define QL_JSON_DEPTH_MAX 64u
+
 /**
  * ql_json_parse() - Parse an object or an array. Duplicate keys are an error.
  * @out: set to the value, which the caller releases with json_decref(); NULL
@@ -115,7 +118,7 @@
  * @length: length of @text in bytes
  * @error: set to the line, the column and the detail of a failure, or NULL
  *
- * Return: 0 or QL_E_INVALID.
+ * Return: 0; QL_E_INVALID; or QL_E_RANGE above QL_JSON_DEPTH_MAX.
  */
 int ql_json_parse(json_t **out, const char *text, size_t length,
 		  GError **error);
@@ -127,7 +130,7 @@
  * @path: path of the file
  * @error: set to the detail of a failure, or NULL
  *
- * Return: 0; QL_E_IO if the file cannot be read; or QL_E_INVALID.
+ * Return: 0; QL_E_IO if the file cannot be read; QL_E_INVALID; or QL_E_RANGE.
  */
 int ql_json_load_file(json_t **out, const char *path, GError **error);
 
--- a/src/util/json.c
+++ b/src/util/json.c
@@ -190,20 +190,61 @@
 			    detail->line, detail->column, detail->text);
 }
 
-int ql_json_parse(json_t **out, const char *text, size_t length, GError **error)
+/*
+ * Returns the largest number of arrays and objects inside each other. Brackets
+ * in strings do not count; malformed text is left to the parser.
+ */
+static size_t nesting_depth(const char *text, size_t length)
+{
+	size_t depth = 0, deepest = 0, i;
+	bool in_string = false;
+
+	for (i = 0; i < length; i++) {
+		if (in_string) {
+			if (text[i] == '\\')
+				i++;
+			else if (text[i] == '"')
+				in_string = false;
+		} else if (text[i] == '"') {
+			in_string = true;
+		} else if (text[i] == '{' || text[i] == '[') {
+			depth++;
+			deepest = MAX(deepest, depth);
+		} else if ((text[i] == '}' || text[i] == ']') && depth) {
+			depth--;
+		}
+	}
+	return deepest;
+}
+
+static int parse(json_t **out, const char *source, const char *text,
+		 size_t length, GError **error)
 {
+	size_t depth = nesting_depth(text, length);
 	json_error_t detail;
 
+	*out = NULL;
+	/* The parser recurses, and the stacks of some threads are small. */
+	if (depth > QL_JSON_DEPTH_MAX)
+		return ql_error_set(error, QL_E_RANGE,
+				    "%s: found %zu nested values, allowed at "
+				    "most %u",
+				    source, depth, QL_JSON_DEPTH_MAX);
 	*out = json_loadb(text, length, JSON_REJECT_DUPLICATES, &detail);
-	return *out ? 0 : parse_failed(error, "text", &detail);
+	return *out ? 0 : parse_failed(error, source, &detail);
+}
+
+int ql_json_parse(json_t **out, const char *text, size_t length, GError **error)
+{
+	return parse(out, "text", text, length, error);
 }
 
 int ql_json_load_file(json_t **out, const char *path, GError **error)
 {
-	json_error_t detail;
 	gchar *text;
 	gsize length;
 	GError *cause = NULL;
+	int ret;
 
 	*out = NULL;
 	if (!g_file_get_contents(path, &text, &length, &cause)) {
@@ -211,9 +252,9 @@
 		g_error_free(cause);
 		return QL_E_IO;
 	}
-	*out = json_loadb(text, length, JSON_REJECT_DUPLICATES, &detail);
+	ret = parse(out, path, text, length, error);
 	g_free(text);
-	return *out ? 0 : parse_failed(error, path, &detail);
+	return ret;
 }
 
 json_t *ql_json_apply_merge_patch(json_t *target, json_t *patch)
--- a/tests/util/json_test.cc
+++ b/tests/util/json_test.cc
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <pthread.h>
+
+#include <cstring>
 #include <string>
 
 namespace
@@ -106,4 +109,78 @@
 				  "{\"a\":{\"b\":{}}}"},
 			MergeCase{"[1]", "{\"a\":1}", "{\"a\":1}"}));
 
+/* As in the threads of the HTTP servers. */
+constexpr size_t SMALL_STACK_BYTES = 256 << 10;
+
+void run_with_small_stack(void *(*function)(void *), void *data)
+{
+	pthread_attr_t attributes;
+	pthread_t thread;
+
+	pthread_attr_init(&attributes);
+	pthread_attr_setstacksize(&attributes, SMALL_STACK_BYTES);
+	ASSERT_EQ(0, pthread_create(&thread, &attributes, function, data));
+	pthread_join(thread, nullptr);
+	pthread_attr_destroy(&attributes);
+}
+
+struct NestedCase {
+	const char *open;
+	const char *close;
+	int depth;
+	int expected;
+};
+
+/* The parser recurses: a deeply nested text must not exhaust the stack. */
+TEST(JsonParse, RefusesDeepNesting)
+{
+	const NestedCase cases[] = {
+		{"[", "]", 64, 0},
+		{"{\"a\":", "}", 63, 0},
+		{"[", "]", 65, QL_E_RANGE},
+		{"[", "]", 2000, QL_E_RANGE},
+		{"{\"a\":", "}", 2000, QL_E_RANGE},
+		{"[", "", 1000000, QL_E_RANGE},
+	};
+
+	for (const NestedCase &test : cases) {
+		struct Parse {
+			std::string text;
+			int ret;
+		} parse;
+
+		for (int i = 0; i < test.depth; i++)
+			parse.text += test.open;
+		parse.text += "[]";
+		for (int i = 0; i < test.depth; i++)
+			parse.text += test.close;
+		if (!strcmp(test.open, "["))
+			parse.text.erase(parse.text.find("[]"), 2);
+		run_with_small_stack(
+			[](void *data) -> void * {
+				auto *in = static_cast<Parse *>(data);
+				json_t *json = nullptr;
+
+				in->ret =
+					ql_json_parse(&json, in->text.data(),
+						      in->text.size(), nullptr);
+				json_decref(json);
+				return nullptr;
+			},
+			&parse);
+		EXPECT_EQ(test.expected, parse.ret)
+			<< test.open << " x " << test.depth;
+	}
+}
+
+TEST(JsonParse, IgnoresBracketsInStrings)
+{
+	std::string text = "[\"" + std::string(200, '[') + "\\\"" +
+			   std::string(200, '{') + "\"]";
+	json_t *json;
+
+	EXPECT_EQ(0, ql_json_parse(&json, text.data(), text.size(), nullptr));
+	json_decref(json);
+}
+
 } // namespace
