Refuse reports with an implausible incarnation, sequence or instance ID

Cause: reports are ordered by incarnation and sequence. One entry of another writer with a far too large number made all later reports of the endpoint look old, so that the node stopped following it. An instance ID of 128 bytes or more was cut to another ID, and one with a line break went into the headers of each request, where it was only blanked.

The incarnation is defined as Unix time in milliseconds, as the only dialect has it. RefusesReportsOfOtherEndpoints became rows of the larger table ChecksReports.

Before: the check did not exist; applied reports with these values were taken. After: 14 cases of LocalGate.ChecksReports and 6 of Report.RefusesDeepNestingAndLongNumbers pass.

Conclusion: an odd entry names no endpoint, and the others hold. A writer that uses the ID and the incarnation of the endpoint with a plausible sequence can still not be told from it.

--- a/include/quetzalloft/dialect.h
+++ b/include/quetzalloft/dialect.h
@@ -19,8 +19,7 @@
  * @instance: ID of this run of the endpoint process
  * @service: service that the endpoint serves
  * @address: address that the endpoint listens on, "IP:port"
- * @incarnation: start time of this run in the unit of the site; only compared,
- *               a later run has a higher value
+ * @incarnation: start time of this run, Unix time in milliseconds
  * @sequence: number of this report; higher than that of earlier reports of the
  *            same run
  * @slots: requests that the endpoint can run at once
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -184,25 +184,37 @@
 				     "not ready\n");
 }
 
+static int read_report(const ql_path_node_t *node, const char *instance,
+		       const struct _u_request *request,
+		       ql_instance_report_t *out, GError **error)
+{
+	int ret =
+		node->dialect->read_report(out, request->binary_body,
+					   request->binary_body_length, error);
+
+	if (ret)
+		return ret;
+	if (g_strlcpy(out->instance, instance, sizeof(out->instance)) >=
+	    sizeof(out->instance))
+		return ql_error_set(error, QL_E_RANGE,
+				    "instance ID: found %zu bytes, allowed at "
+				    "most %zu",
+				    strlen(instance),
+				    sizeof(out->instance) - 1);
+	return ql_local_gate_check_report(&node->gate, out, ql_clock_wall_ms(),
+					  error);
+}
+
 static void handle_report(ql_path_node_t *node, const char *instance,
 			  const struct _u_request *request,
 			  struct _u_response *response)
 {
-	const ql_endpoint_settings_t *own = &node->context.settings->endpoint;
 	ql_instance_report_t report = {0};
 	GError *error = NULL;
-	int ret =
-		node->dialect->read_report(&report, request->binary_body,
-					   request->binary_body_length, &error);
-
-	g_strlcpy(report.instance, instance, sizeof(report.instance));
-	if (!ret && (strcmp(report.service, own->service) != 0 ||
-		     strcmp(report.address, own->address) != 0))
-		ret = ql_error_set(&error, QL_E_DENIED,
-				   "%s at %s is not the local endpoint of this "
-				   "node",
-				   report.service, report.address);
-	if (ret) {
+
+	if (read_report(node, instance, request, &report, &error)) {
+		ql_counter_increment(&node->context.counters,
+				     QL_COUNT_REPORTS_REFUSED);
 		ql_log_error(LOG_NOTICE, "announcement_refused", error);
 		ql_response_set_text(response, 400, "text/plain",
 				     error->message);
--- a/src/path/local_gate.h
+++ b/src/path/local_gate.h
@@ -83,18 +83,33 @@
  */
 void ql_local_gate_finish(ql_local_gate_t *gate);
 
+/**
+ * ql_local_gate_check_report() - Check that a report can come from the local
+ * endpoint.
+ * @gate: the gate; only its settings are read, so any thread may call this
+ * @report: the report
+ * @wall_ms: current Unix time in milliseconds
+ * @error: set to the member and the values allowed, or NULL
+ *
+ * A report whose incarnation or sequence is far too high would make all later
+ * reports of the endpoint look old.
+ *
+ * Return: 0; QL_E_DENIED if the service or address is not that of the local
+ * endpoint; QL_E_INVALID if the instance ID is malformed; or QL_E_RANGE.
+ */
+int ql_local_gate_check_report(const ql_local_gate_t *gate,
+			       const ql_instance_report_t *report,
+			       uint64_t wall_ms, GError **error);
+
 /**
  * ql_local_gate_apply_report() - Apply a report of the endpoint.
  * @gate: the gate
  * @report: the report
  *
  * A report that is not newer than the latest one is ignored.
- *
- * Return: 0, or QL_E_DENIED if the service or address is not that of the local
- * endpoint.
  */
-int ql_local_gate_apply_report(ql_local_gate_t *gate,
-			       const ql_instance_report_t *report);
+void ql_local_gate_apply_report(ql_local_gate_t *gate,
+				const ql_instance_report_t *report);
 
 /**
  * ql_local_gate_deregister() - Deregister the endpoint and drain the gate.
--- a/src/path/local_gate_report.c
+++ b/src/path/local_gate_report.c
@@ -5,6 +5,11 @@
 
 #include <string.h>
 
+/* The clocks of the endpoint and of this node may differ by this. */
+#define INCARNATION_AHEAD_MAX_MS (24 * 3600 * 1000ULL)
+/* Largest integer that every JSON implementation represents exactly. */
+#define SEQUENCE_MAX ((1ULL << 53) - 1)
+
 /* Orders reports by the start of the endpoint, then by sequence. */
 static bool is_newer(const ql_local_gate_t *gate,
 		     const ql_instance_report_t *report)
@@ -46,23 +51,65 @@
 		ql_gate_drain(&gate->gate);
 }
 
-int ql_local_gate_apply_report(ql_local_gate_t *gate,
-			       const ql_instance_report_t *report)
+static bool is_local_endpoint(const ql_local_gate_t *gate,
+			      const ql_instance_report_t *report)
 {
+	const struct sockaddr_in *own = &gate->opts.address;
 	struct sockaddr_in address;
+
+	return !strcmp(report->service, gate->opts.service) &&
+	       !ql_address_parse(&address, report->address, NULL) &&
+	       address.sin_addr.s_addr == own->sin_addr.s_addr &&
+	       address.sin_port == own->sin_port;
+}
+
+/* The ID is sent in a header of each request to the endpoint. */
+static bool is_instance_id(const char *id)
+{
+	const char *p;
+
+	for (p = id; g_ascii_isgraph(*p); p++)
+		;
+	return *id && !*p;
+}
+
+int ql_local_gate_check_report(const ql_local_gate_t *gate,
+			       const ql_instance_report_t *report,
+			       uint64_t wall_ms, GError **error)
+{
+	if (!is_local_endpoint(gate, report))
+		return ql_error_set(error, QL_E_DENIED,
+				    "%s at %s is not the local endpoint of "
+				    "this node",
+				    report->service, report->address);
+	if (!is_instance_id(report->instance))
+		return ql_error_set(error, QL_E_INVALID,
+				    "instance ID: allowed printable ASCII "
+				    "without spaces");
+	if (report->incarnation > wall_ms + INCARNATION_AHEAD_MAX_MS)
+		return ql_error_set(error, QL_E_RANGE,
+				    "incarnation: found %" G_GUINT64_FORMAT
+				    ", allowed a start until now, in ms",
+				    report->incarnation);
+	if (report->sequence > SEQUENCE_MAX)
+		return ql_error_set(error, QL_E_RANGE,
+				    "sequence: found %" G_GUINT64_FORMAT
+				    ", allowed at most %llu",
+				    report->sequence, SEQUENCE_MAX);
+	return 0;
+}
+
+void ql_local_gate_apply_report(ql_local_gate_t *gate,
+				const ql_instance_report_t *report)
+{
 	bool was_serving;
 
-	if (strcmp(report->service, gate->opts.service) != 0 ||
-	    ql_address_parse(&address, report->address, NULL) ||
-	    address.sin_addr.s_addr != gate->opts.address.sin_addr.s_addr ||
-	    address.sin_port != gate->opts.address.sin_port)
-		return QL_E_DENIED;
 	if (!is_newer(gate, report))
-		return 0;
+		return;
 	was_serving = ql_local_gate_is_serving(gate);
 	store_report(gate, report);
 	if (was_serving == ql_local_gate_is_serving(gate))
-		return 0;
+		return;
 	ql_log(LOG_NOTICE, "endpoint_reported",
 	       QL_STR("instance", report->instance),
 	       QL_UINT("sequence", report->sequence),
@@ -70,7 +117,6 @@
 	       QL_INT("draining", report->draining));
 	gate->opts.state_changed(gate->opts.data);
 	ql_local_gate__apply_decisions(gate);
-	return 0;
 }
 
 void ql_local_gate_deregister(ql_local_gate_t *gate, const char *instance)
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -53,6 +53,8 @@
 				       "on and taken."},
 	[QL_COUNT_PATCHES_REFUSED] = {"patches_refused",
 				      "Changes of the configuration refused."},
+	[QL_COUNT_REPORTS_REFUSED] = {"reports_refused",
+				      "Reports of endpoints refused."},
 };
 
 static const ql_metric_t gauge_metrics[QL_N_GAUGES] = {
--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -43,6 +43,8 @@
  *                      for the answer
  * @QL_COUNT_PATCHES_ACCEPTED: patches of the configuration accepted
  * @QL_COUNT_PATCHES_REFUSED: patches of the configuration refused
+ * @QL_COUNT_REPORTS_REFUSED: reports that name no endpoint of this VM, or
+ *                            whose values are malformed or out of range
  * @QL_N_COUNTERS: number of counters
  */
 typedef enum ql_counter {
@@ -71,6 +73,7 @@
 	QL_COUNT_ABANDONED,
 	QL_COUNT_PATCHES_ACCEPTED,
 	QL_COUNT_PATCHES_REFUSED,
+	QL_COUNT_REPORTS_REFUSED,
 	QL_N_COUNTERS,
 } ql_counter_t;
 
--- a/tests/path/local_gate_test.cc
+++ b/tests/path/local_gate_test.cc
@@ -39,22 +39,75 @@
 			make_report(step.instance, step.incarnation,
 				    step.sequence, step.draining);
 
-		EXPECT_EQ(0, ql_local_gate_apply_report(&gate, &next));
+		ql_local_gate_apply_report(&gate, &next);
 		EXPECT_EQ(step.is_serving, ql_local_gate_is_serving(&gate));
 		EXPECT_STREQ(step.instance_after, gate.report.instance);
 	}
 }
 
-TEST_F(LocalGate, RefusesReportsOfOtherEndpoints)
+constexpr uint64_t WALL_MS = 1700000000000;
+
+struct ReportCase {
+	const char *description;
+	const char *instance;
+	const char *service;
+	/* NULL for the address of the local endpoint. */
+	const char *address;
+	uint64_t incarnation;
+	uint64_t sequence;
+	int status;
+};
+
+/*
+ * Another writer may report in the name of the endpoint. With an incarnation
+ * or a sequence that is far too high, its report would make all later ones of
+ * the endpoint look old.
+ */
+TEST_F(LocalGate, ChecksReports)
 {
-	ql_instance_report_t service = make_report("i-1", 1, 1),
-			     address = make_report("i-1", 1, 1);
+	const ReportCase cases[] = {
+		{"valid", "i-1", "a", nullptr, WALL_MS, 1, 0},
+		{"clock of the endpoint ahead", "i-1", "a", nullptr,
+		 WALL_MS + 3600000, 1, 0},
+		{"other service", "i-1", "b", nullptr, WALL_MS, 1, QL_E_DENIED},
+		{"other address", "i-1", "a", "127.0.0.1:1", WALL_MS, 1,
+		 QL_E_DENIED},
+		{"port 0", "i-1", "a", "127.0.0.1:0", WALL_MS, 1, QL_E_DENIED},
+		{"port above the range", "i-1", "a", "127.0.0.1:65536", WALL_MS,
+		 1, QL_E_DENIED},
+		{"port far above the range", "i-1", "a", "127.0.0.1:99999999",
+		 WALL_MS, 1, QL_E_DENIED},
+		{"negative port", "i-1", "a", "127.0.0.1:-1", WALL_MS, 1,
+		 QL_E_DENIED},
+		{"address of another family", "i-1", "a", "[::1]:80", WALL_MS,
+		 1, QL_E_DENIED},
+		{"incarnation in microseconds", "i-1", "a", nullptr,
+		 WALL_MS * 1000, 1, QL_E_RANGE},
+		{"largest incarnation", "i-1", "a", nullptr, INT64_MAX, 1,
+		 QL_E_RANGE},
+		{"largest sequence", "i-1", "a", nullptr, WALL_MS, INT64_MAX,
+		 QL_E_RANGE},
+		{"no instance ID", "", "a", nullptr, WALL_MS, 1, QL_E_INVALID},
+		{"line break in the instance ID", "i\r\nX: y", "a", nullptr,
+		 WALL_MS, 1, QL_E_INVALID},
+	};
 
-	strcpy(service.service, "b");
-	strcpy(address.address, "127.0.0.1:1");
-	EXPECT_EQ(QL_E_DENIED, ql_local_gate_apply_report(&gate, &service));
-	EXPECT_EQ(QL_E_DENIED, ql_local_gate_apply_report(&gate, &address));
-	EXPECT_FALSE(gate.has_report);
+	for (const ReportCase &test : cases) {
+		SCOPED_TRACE(test.description);
+		ql_instance_report_t report =
+			make_report(test.instance, test.incarnation,
+				    test.sequence);
+		GError *error = nullptr;
+
+		strcpy(report.service, test.service);
+		if (test.address)
+			strcpy(report.address, test.address);
+		EXPECT_EQ(test.status,
+			  ql_local_gate_check_report(&gate, &report, WALL_MS,
+						     &error));
+		EXPECT_EQ(test.status != 0, error != nullptr);
+		g_clear_error(&error);
+	}
 }
 
 TEST_F(LocalGate, DeregistersTheReportedInstanceOnly)
--- a/tests/platform/report_test.cc
+++ b/tests/platform/report_test.cc
@@ -53,15 +53,37 @@
 
 INSTANTIATE_TEST_SUITE_P(
 	Edits, InvalidReport,
-	testing::Values(Case{"\"draining\"", "\"asleep\""},
-			Case{"\"draining\"", "7"}, Case{"39", "\"39\""},
-			Case{"39", "0"}, Case{"39", "-1"}, Case{"39", "3.5"},
-			Case{"\"s\"", "[]"}, Case{"\"s\"", "\"\""},
-			Case{"1700000000123", "1.7e12"},
-			Case{"1700000000123", "null"}, Case{"4", "\"x\""},
-			Case{"\"1.5s\"", "\"soon\""}, Case{"\"1.5s\"", "15"},
-			Case{"\"address\"", "\"adress\""}, Case{"}}", "}"},
-			Case{"{\"service\"", "\xff\xfe{\"service\""}));
+	testing::Values(
+		Case{"\"draining\"", "\"asleep\""}, Case{"\"draining\"", "7"},
+		Case{"39", "\"39\""}, Case{"39", "0"}, Case{"39", "-1"},
+		Case{"39", "3.5"}, Case{"\"s\"", "[]"}, Case{"\"s\"", "\"\""},
+		Case{"1700000000123", "1.7e12"}, Case{"1700000000123", "null"},
+		Case{"4", "\"x\""}, Case{"\"1.5s\"", "\"soon\""},
+		Case{"\"1.5s\"", "15"}, Case{"\"address\"", "\"adress\""},
+		Case{"}}", "}"}, Case{"{\"service\"", "\xff\xfe{\"service\""},
+		Case{"1700000000123", "-1"},
+		Case{"1700000000123", "9223372036854775808"}, Case{"4", "1e3"},
+		Case{"39", "65536"}, Case{"39", "18446744073709551616"},
+		Case{"4,", "4,\"sequence\":5,"}));
+
+/* The report is read in a thread with a small stack. */
+TEST(Report, RefusesDeepNestingAndLongNumbers)
+{
+	std::string deep(10000, '['), objects, digits(400, '9');
+
+	for (int i = 0; i < 2000; i++)
+		objects += "{\"a\":";
+	for (const std::string &value :
+	     {deep, deep + std::string(10000, ']'), objects, digits,
+	      "1e" + digits, std::string(1 << 20, 'x')}) {
+		std::string text = VALID_REPORT;
+		ql_instance_report_t report = {};
+
+		text.replace(text.find("{\"x\":1}"), 7, value);
+		EXPECT_NE(0, ql_platform_read_report(&report, text.data(),
+						     text.size(), nullptr));
+	}
+}
 
 struct Duration {
 	const char *text;
