Choose subsets of endpoints by the failure domain of the node's VM

Cause: a node gets 32 to 64 endpoints of a large service, with those of its own failure domain preferred. The preference compared the failure domain of the registrars, which is the same for all endpoints where registrars serve several. With 102 endpoints in 6 failure domains a node got 35 at random, 2 to 10 of the 17 beside it. Calls left the failure domain for want of endpoints in it, and endpoints were loaded by the luck of the hash.

Change: the placement of the endpoints, and of the node's own endpoint, decides. Up to 24 endpoints of the node's failure domain come first, then the failure domains in turn.

Before: Registrar.SubsetHasAllEndpointsOfTheFailureDomainOfTheNode could not be met (the function had no domain to go by). After: 17 of 17 for 30 nodes, and 3 or more of each other failure domain.

Conclusion: the own failure domain is complete; the others remain for a spill.

--- a/src/control/registrar_view.c
+++ b/src/control/registrar_view.c
@@ -27,11 +27,17 @@
 	return (a->score > b->score) - (a->score < b->score);
 }
 
+/* Returns the failure domain of the VM of an endpoint. */
+static const char *record_domain(const ql_record_t *record)
+{
+	return record->placement[0] ? record->placement
+				    : record->failure_domain;
+}
+
 static gint compare_by_domain(gconstpointer left, gconstpointer right)
 {
 	const candidate_t *a = left, *b = right;
-	int order =
-		strcmp(a->record->failure_domain, b->record->failure_domain);
+	int order = strcmp(record_domain(a->record), record_domain(b->record));
 
 	return order ? order : compare_scores(a, b);
 }
@@ -68,8 +74,8 @@
 
 /*
  * Sorts the candidates by their rank inside their failure domain, so that the
- * failure domains are chosen in turn. Endpoints of the own failure domain get
- * half the rank and so are chosen twice as often.
+ * failure domains are chosen in turn. The first endpoints of the failure domain
+ * of the node have rank 0, so that its nodes share them all evenly.
  */
 static void rank_candidates(GArray *candidates, const char *own_domain)
 {
@@ -80,11 +86,12 @@
 	g_array_sort(candidates, compare_by_domain);
 	for (i = 0; i < candidates->len; i++) {
 		candidate = &g_array_index(candidates, candidate_t, i);
-		if (strcmp(domain, candidate->record->failure_domain) != 0)
+		if (strcmp(domain, record_domain(candidate->record)) != 0)
 			position = 0;
-		domain = candidate->record->failure_domain;
-		candidate->rank =
-			strcmp(domain, own_domain) ? position : position / 2;
+		domain = record_domain(candidate->record);
+		candidate->rank = strcmp(domain, own_domain)
+					  ? position
+					  : position / QL_SUBSET_OWN_DOMAIN_MIN;
 		position++;
 	}
 	g_array_sort(candidates, compare_by_rank);
@@ -100,7 +107,7 @@
 
 GArray *ql_registrar__choose_subset(const ql_registrar_t *registrar,
 				    const ql_service_set_t *set,
-				    const char *node)
+				    const char *node, const char *domain)
 {
 	const candidate_t *candidate;
 	GArray *candidates, *out;
@@ -111,7 +118,7 @@
 		return copy_handles(set);
 	out = g_array_new(FALSE, FALSE, sizeof(ql_handle_t));
 	candidates = list_candidates(registrar, set, node);
-	rank_candidates(candidates, registrar->opts.failure_domain);
+	rank_candidates(candidates, domain);
 	for (i = 0; i < candidates->len && i < QL_SUBSET_ENDPOINTS_MAX; i++) {
 		if (i >= QL_SUBSET_ENDPOINTS_MIN &&
 		    slots >= QL_SUBSET_SLOTS_TARGET)
@@ -181,6 +188,19 @@
 	registrar->counts.whole_lists++;
 }
 
+/* Returns the failure domain of the VM of a node: that of its endpoints. */
+static const char *node_domain(const ql_registrar_t *registrar,
+			       const ql_node_lease_t *lease)
+{
+	const ql_record_t *record =
+		lease->records->len
+			? get_record(registrar, g_array_index(lease->records,
+							      ql_handle_t, 0))
+			: NULL;
+
+	return record ? record_domain(record) : registrar->opts.failure_domain;
+}
+
 /* Sends the complete list of a service unless the node has it already. */
 static void send_whole_if_different(ql_registrar_t *registrar,
 				    const ql_service_set_t *set,
@@ -192,7 +212,8 @@
 	if (set->serving->len <= QL_SUBSET_ENDPOINTS_MIN &&
 	    set->digest == node_digest)
 		return;
-	handles = ql_registrar__choose_subset(registrar, set, lease->name);
+	handles = ql_registrar__choose_subset(registrar, set, lease->name,
+					      node_domain(registrar, lease));
 	if (digest_records(registrar, handles) != node_digest)
 		write_whole_service(registrar, res, set->name, handles);
 	g_array_free(handles, TRUE);
@@ -269,8 +290,10 @@
 				      value);
 			continue;
 		}
-		handles = ql_registrar__choose_subset(registrar, set,
-						      lease->name);
+		handles =
+			ql_registrar__choose_subset(registrar, set, lease->name,
+						    node_domain(registrar,
+								lease));
 		write_whole_service(registrar, res, set->name, handles);
 		g_array_free(handles, TRUE);
 	}
--- a/src/control/registrar_view.h
+++ b/src/control/registrar_view.h
@@ -16,6 +16,8 @@
 #define QL_SUBSET_ENDPOINTS_MIN 32u
 /** Most endpoints in a subset. */
 #define QL_SUBSET_ENDPOINTS_MAX 64u
+/** Endpoints of the failure domain of the node that are in its subset first. */
+#define QL_SUBSET_OWN_DOMAIN_MIN 24u
 /** Sum of the slots up to which endpoints are added to a subset. */
 #define QL_SUBSET_SLOTS_TARGET 1024u
 
@@ -24,16 +26,19 @@
  * @registrar: the registrar
  * @set: endpoints of the service
  * @node: name of the node
+ * @domain: failure domain of its VM
  *
- * The choice depends only on the endpoints and on the name of the node. When
- * one endpoint comes or goes, at most about one endpoint in each failure domain
- * changes. Endpoints of the registrar's failure domain have twice the weight.
+ * The choice depends only on the endpoints, the name and the failure domain of
+ * the node. When one endpoint comes or goes, at most about one endpoint in each
+ * failure domain changes. The first QL_SUBSET_OWN_DOMAIN_MIN endpoints are
+ * those of the failure domain of the node, if it has as many; the failure
+ * domains are chosen in turn for the others.
  *
  * Return: handles of the records, as ql_handle_t; freed by the caller.
  */
 GArray *ql_registrar__choose_subset(const ql_registrar_t *registrar,
 				    const ql_service_set_t *set,
-				    const char *node);
+				    const char *node, const char *domain);
 
 /**
  * ql_registrar__fill_services() - Write the endpoints of the followed services
--- a/tests/control/registrar_test.cc
+++ b/tests/control/registrar_test.cc
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <set>
 #include <string>
@@ -212,8 +213,12 @@
 	EXPECT_EQ(QL_E_EXISTS, offer_document(9, DOCUMENT, 0, START_MS));
 }
 
-/* Stores n endpoints of service "big" in n_domains failure domains. */
-void add_endpoints(ql_registrar_t *registrar, int first, int n, int n_domains)
+/*
+ * Stores n endpoints of service "big" in n_domains failure domains: that of
+ * their registrars, or those of their VMs if the registrars serve several.
+ */
+void add_endpoints(ql_registrar_t *registrar, int first, int n, int n_domains,
+		   bool shared_registrars = false)
 {
 	ql_rpc_endpoint endpoint = {};
 	int i;
@@ -225,18 +230,23 @@
 		endpoint.service = (char *)"big";
 		endpoint.gate = (char *)gate.c_str();
 		endpoint.node = (char *)"m";
-		endpoint.failure_domain = (char *)domain.c_str();
+		endpoint.failure_domain = shared_registrars
+						  ? (char *)"region"
+						  : (char *)domain.c_str();
+		endpoint.placement =
+			shared_registrars ? (char *)domain.c_str() : (char *)"";
 		endpoint.epoch = 1;
-		endpoint.slots = 10;
+		endpoint.slots = shared_registrars ? 30 : 10;
 		ql_registrar__merge_record(registrar, &endpoint, START_MS);
 	}
 }
 
 std::set<std::string> subset_gates(const ql_registrar_t *registrar,
-				   const char *node)
+				   const char *node, const char *domain)
 {
 	GArray *handles = ql_registrar__choose_subset(
-		registrar, ql_registrar__find_service(registrar, "big"), node);
+		registrar, ql_registrar__find_service(registrar, "big"), node,
+		domain);
 	std::set<std::string> gates;
 	guint i;
 
@@ -256,24 +266,95 @@
 	int i;
 
 	add_endpoints(&registrar, 0, 1000, 4);
-	before = subset_gates(&registrar, "n");
-	EXPECT_EQ(before, subset_gates(&registrar, "n"));
+	before = subset_gates(&registrar, "n", "d");
+	EXPECT_EQ(before, subset_gates(&registrar, "n", "d"));
 	EXPECT_EQ(QL_SUBSET_ENDPOINTS_MAX, before.size());
 	add_endpoints(&registrar, 1000, 1, 4);
-	after = subset_gates(&registrar, "n");
+	after = subset_gates(&registrar, "n", "d");
 	for (auto &gate : before)
 		kept += after.count(gate);
 	EXPECT_GE(kept, before.size() - 2);
 	for (i = 0; i < 200; i++) {
 		std::string node = "n" + std::to_string(i);
 
-		for (auto &gate : subset_gates(&registrar, node.c_str()))
+		for (auto &gate : subset_gates(&registrar, node.c_str(), "d"))
 			used.insert(gate);
 	}
 	EXPECT_GE(used.size(), 990u)
 		<< "some endpoints are in no node's subset";
 }
 
+/*
+ * Guards against subsets that ignore where endpoints run: with 17 endpoints in
+ * each of 6 failure domains, some nodes knew 2 and some 10 of their own, so
+ * that these were loaded unevenly and calls left the failure domain although
+ * there was room in it.
+ */
+TEST_F(Registrar, SubsetHasAllEndpointsOfTheFailureDomainOfTheNode)
+{
+	constexpr int kDomains = 6, kEndpoints = 102;
+
+	add_endpoints(&registrar, 0, kEndpoints, kDomains, true);
+	for (int i = 0; i < 30; i++) {
+		std::string node = "n" + std::to_string(i);
+		std::string domain = "e" + std::to_string(i % kDomains);
+		std::set<std::string> gates =
+			subset_gates(&registrar, node.c_str(), domain.c_str());
+		int own = 0, others[kDomains] = {};
+
+		for (auto &gate : gates) {
+			int index = std::stoi(gate.substr(10)) - 1000;
+
+			if (index % kDomains == i % kDomains)
+				own++;
+			else
+				others[index % kDomains]++;
+		}
+		EXPECT_EQ(kEndpoints / kDomains, own);
+		others[i % kDomains] = own;
+		EXPECT_GE(*std::min_element(others, others + kDomains), 3);
+	}
+}
+
+/* The failure domain of a node is that of its endpoint. */
+TEST_F(Registrar, SendsTheSubsetOfTheFailureDomainOfTheNode)
+{
+	ql_rpc_lease_args args = {};
+	ql_rpc_endpoint endpoint = {};
+	ql_rpc_interest interest = {};
+	ql_rpc_lease_res res = {};
+	int own = 0;
+
+	add_endpoints(&registrar, 0, 102, 6, true);
+	args.greeting.cluster = (char *)"c";
+	args.greeting.node = (char *)"n";
+	args.greeting.failure_domain = (char *)"d";
+	args.greeting.incarnation = 5;
+	args.greeting.protocol = QL_RPC_PROTOCOL_VERSION;
+	args.sequence = 1;
+	endpoint.service = (char *)"a";
+	endpoint.gate = (char *)"127.0.0.1:1";
+	endpoint.node = (char *)"n";
+	endpoint.failure_domain = (char *)"d";
+	endpoint.placement = (char *)"e3";
+	args.endpoints.endpoints_len = 1;
+	args.endpoints.endpoints_val = &endpoint;
+	args.has_interest = TRUE;
+	interest.service = (char *)"big";
+	args.interest.interest_len = 1;
+	args.interest.interest_val = &interest;
+	ql_registrar_handle_lease(&registrar, &args, &res, START_MS);
+	ASSERT_EQ(0, res.status);
+	ASSERT_EQ(1u, res.services.services_len);
+	for (u_int i = 0;
+	     i < res.services.services_val[0].endpoints.endpoints_len; i++)
+		own += !strcmp("e3", res.services.services_val[0]
+					     .endpoints.endpoints_val[i]
+					     .placement);
+	EXPECT_EQ(17, own);
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_res, &res);
+}
+
 TEST_F(Registrar, SplitsExchangeIntoBoundedReplies)
 {
 	ql_registrar_opts_t opts = registrar.opts;
