Take no refusal of an endpoint for that of another request

Cause: a response without a request ID counted as that of the call in flight. A faulty endpoint that writes an earlier refusal once more, without the ID, made the node tell a client that its order had not run while it ran, and 503 for 502 let the client send it again. The same holds for a copy with the ID when the same request goes to the same endpoint again on a kept connection.

Change: a response without the ID of the call is malformed (outcome unknown), and its connection is closed. A refusal closes its connection, so that a copy of it meets no other call. A request that is not idempotent goes to each endpoint once at most (once_per_endpoint of the balancer). The former case of a 421 without an ID now has the ID, and without it expects 502.

Conclusion: 'not run' is said only for a refusal that bears the request's ID on a connection that carried no earlier refusal.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -89,12 +89,14 @@
  * struct ql_pick_request - An attempt that needs an endpoint.
  * @tried: handles of the endpoints that the call has tried, in order; borrowed
  * @n_tried: number of elements of @tried
+ * @once_per_endpoint: no endpoint is chosen that the call has tried
  * @typical_latency_us: typical latency of the route over all endpoints; 0 if
  *                      not known
  */
 typedef struct ql_pick_request {
 	const ql_handle_t *tried;
 	size_t n_tried;
+	bool once_per_endpoint;
 	double typical_latency_us;
 } ql_pick_request_t;
 
@@ -204,7 +206,8 @@
  * @now_us: current time
  *
  * Prefers endpoints that the call has not tried, then any except the one it
- * tried last; the latter is chosen only if it is the only endpoint.
+ * tried last; the latter is chosen only if it is the only endpoint. With
+ * @request->once_per_endpoint only endpoints that it has not tried are chosen.
  *
  * Return: the handle of the endpoint, to be passed to
  * ql_balancer_record_result(); QL_HANDLE_NONE if there is no endpoint that may
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -404,6 +404,11 @@
 	g_free(request);
 }
 
+void ql_upstream_retire(ql_upstream_request_t *request)
+{
+	request->connection->reusable = false;
+}
+
 void ql_upstream_pause(ql_upstream_request_t *request)
 {
 	ql_stream_pause(&request->connection->stream);
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -127,6 +127,13 @@
  */
 void ql_upstream_cancel(ql_upstream_request_t *request);
 
+/**
+ * ql_upstream_retire() - Close the connection of a request after its response,
+ * instead of using it for other requests.
+ * @request: the request, whose head callback has been called
+ */
+void ql_upstream_retire(ql_upstream_request_t *request);
+
 /**
  * ql_upstream_pause() - Pause reading the response.
  * @request: the request in flight
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -334,6 +334,11 @@
 	const ql_pick_request_t pick = {
 		.tried = call->tried,
 		.n_tried = call->n_tried,
+		/*
+		 * An endpoint that gets the same request ID twice could answer
+		 * the second one with a copy of its first refusal.
+		 */
+		.once_per_endpoint = !call->route->idempotent,
 		.typical_latency_us = ql_front__typical_latency_us(call),
 	};
 	const ql_endpoint_t *endpoint;
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -118,15 +118,31 @@
 	finish_call(call);
 }
 
+static const char *response_id(const gate_call_t *call,
+			       const ql_http_reader_t *reader)
+{
+	return ql_headers_get(&reader->headers,
+			      call->gate->opts.dialect->request_id);
+}
+
 static bool is_response_to_call(void *data, const ql_http_reader_t *reader)
 {
 	const gate_call_t *call = data;
-	const char *id = ql_headers_get(&reader->headers,
-					call->gate->opts.dialect->request_id);
+	const char *id = response_id(call, reader);
 
 	return !id || !call->id[0] || !strcmp(id, call->id);
 }
 
+/*
+ * Endpoints echo the request ID. A response without it proves nothing about the
+ * call: it may be a late copy of the response to an earlier request.
+ */
+static bool identifies_call(const gate_call_t *call,
+			    const ql_http_reader_t *reader)
+{
+	return !call->id[0] || response_id(call, reader);
+}
+
 /*
  * Checks that a response was produced by the endpoint itself: the body is not
  * encoded, and a successful response carries the seal and a request ID.
@@ -142,7 +158,7 @@
 	if (status < 200 || status > 299 || !dialect->seal)
 		return true;
 	return ql_headers_get(&reader->headers, dialect->seal) &&
-	       ql_headers_get(&reader->headers, dialect->request_id);
+	       response_id(call, reader);
 }
 
 static bool is_endpoint_refusal(const gate_call_t *call,
@@ -164,11 +180,14 @@
 		.pressure = ql_pressure_get(&call->pressure),
 	};
 
-	if (is_endpoint_refusal(call, reader)) {
+	if (identifies_call(call, reader) &&
+	    is_endpoint_refusal(call, reader)) {
 		call->refused_by_endpoint = true;
+		/* A late copy of the refusal must not meet another call. */
+		ql_upstream_retire(call->request);
 		return;
 	}
-	if (!is_from_endpoint(call, reader)) {
+	if (!identifies_call(call, reader) || !is_from_endpoint(call, reader)) {
 		count(call->gate, QL_COUNT_BAD_ANSWERS);
 		ql_upstream_cancel(call->request);
 		fail_call(call, QL_OUTCOME_UNKNOWN, QL_REASON_BAD_ANSWER,
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -316,7 +316,8 @@
 	ql_handle_t handle;
 
 	find_candidates(balancer, &search);
-	if (!balancer->candidates->len && request->n_tried) {
+	if (!balancer->candidates->len && request->n_tried &&
+	    !request->once_per_endpoint) {
 		search.tried = request->tried + request->n_tried - 1;
 		search.n_tried = balancer->all->len > 1 ? 1 : 0;
 		find_candidates(balancer, &search);
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -115,10 +115,26 @@
 			     "HTTP/1.1 503 Busy\r\nId: x\r\nNot-Run: 1\r\n"
 			     "Content-Length: 0\r\n\r\n",
 			     false, "503", "not-run"},
+		ResponseCase{"AnotherInstance", "/order/1",
+			     "HTTP/1.1 421 Misdirected\r\nId: x\r\n"
+			     "Content-Length: 0\r\n\r\n",
+			     false, "503", "not-run"},
+		ResponseCase{"RefusalWithoutId", "/order/1",
+			     "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
+			     "Content-Length: 0\r\n\r\n",
+			     false, "502", "unknown"},
+		ResponseCase{"RateLimitWithoutId", "/order/1",
+			     "HTTP/1.1 429 Slow down\r\nNot-Run: 1\r\n"
+			     "Content-Length: 0\r\n\r\n",
+			     false, "502", "unknown"},
 		ResponseCase{
-			"AnotherInstance", "/order/1",
+			"AnotherInstanceWithoutId", "/order/1",
 			"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
-			false, "503", "not-run"},
+			false, "502", "unknown"},
+		ResponseCase{"ServerErrorWithoutId", "/order/1",
+			     "HTTP/1.1 500 Oops\r\nSeal: s\r\n"
+			     "Content-Length: 0\r\n\r\n",
+			     false, "502", "unknown"},
 		ResponseCase{"ServerError", "/order/1",
 			     "HTTP/1.1 500 Oops\r\nId: x\r\nSeal: s\r\n"
 			     "Content-Length: 0\r\n\r\n",
@@ -196,6 +212,49 @@
 	}
 }
 
+/*
+ * Guards against a copy of an earlier refusal that an endpoint writes late on
+ * its connection: the next call there could be taken for refused while it runs.
+ */
+TEST_F(Front, RefusalClosesTheConnectionToTheEndpoint)
+{
+	for (const char *refusal :
+	     {"503 Busy\r\nNot-Run: 1", "429 Slow down\r\nNot-Run: 1",
+	      "421 Misdirected"}) {
+		SCOPED_TRACE(refusal);
+		RawSocket client = connect_client();
+
+		client.send(request("/order/1", "x"));
+		auto server = accept_connection();
+		ASSERT_TRUE(event_loop.run_until(
+			[&] { return server->has("\r\n\r\n"); }));
+		server->send(std::string("HTTP/1.1 ") + refusal +
+			     "\r\nId: x\r\nContent-Length: 0\r\n\r\n");
+		ASSERT_TRUE(event_loop.run_until(
+			[&] { return client.has("HTTP/1.1 503"); }));
+		EXPECT_TRUE(event_loop.run_until(
+			[&] { return server->is_closed_by_peer(); }));
+	}
+}
+
+/* The only endpoint refuses; a copy of its refusal could answer a retry. */
+TEST_F(Front, RefusedOrderIsNotSentToTheSameEndpointAgain)
+{
+	RawSocket client = connect_client();
+
+	ql_front_find_service(&front, "a")->budget.tokens = 1;
+	client.send(request("/order/1", "x"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	server->send("HTTP/1.1 503 Busy\r\nId: x\r\nNot-Run: 1\r\n"
+		     "Content-Length: 0\r\n\r\n");
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return client.has("\r\n\r\n"); }));
+	EXPECT_EQ(0u, client.received.find("HTTP/1.1 503")) << client.received;
+	EXPECT_EQ(1u, counter_value(QL_COUNT_ATTEMPTS));
+}
+
 TEST_F(Front, DisconnectCancelsIdempotentRequestsOnly)
 {
 	for (const char *path : {"/get/1", "/order/1"}) {
--- a/tests/policy/balancer_test.cc
+++ b/tests/policy/balancer_test.cc
@@ -61,7 +61,7 @@
 
 	ql_handle_t PickFor(const ql_handle_t *tried, size_t n_tried)
 	{
-		ql_pick_request_t request = {tried, n_tried, 0};
+		ql_pick_request_t request = {tried, n_tried, false, 0};
 
 		return ql_balancer_pick(&balancer_, &request, now_us_);
 	}
@@ -385,7 +385,7 @@
 
 		for (int i = 0; i < n; i++, now_us_ += kMs) {
 			double factor = g_rand_boolean(random_) ? 10 : 1;
-			ql_pick_request_t request = {nullptr, 0,
+			ql_pick_request_t request = {nullptr, 0, false,
 						     factor * 10 * kMs};
 			ql_handle_t handle =
 				ql_balancer_pick(&balancer_, &request, now_us_);
@@ -498,7 +498,7 @@
 						  in_flight.begin()->first);
 			in_flight.erase(in_flight.begin());
 		}
-		ql_pick_request_t request = {nullptr, 0, typical_us[i]};
+		ql_pick_request_t request = {nullptr, 0, false, typical_us[i]};
 		ql_handle_t handle =
 			ql_balancer_pick(&balancers[i], &request, now_us);
 		auto *endpoint = (const ql_endpoint_t *)
@@ -523,6 +523,25 @@
 }
 
 /* The rest of a Retry-After delay is added to the expected latency. */
+/* A call that must run once is never sent to an endpoint that it has tried. */
+TEST_F(BalancerTest, ChoosesEachEndpointOnceIfRequested)
+{
+	ql_handle_t tried[2];
+	ql_pick_request_t request = {tried, 0, true, 0};
+
+	AddMany(2);
+	tried[0] = ql_balancer_pick(&balancer_, &request, now_us_);
+	request.n_tried = 1;
+	tried[1] = ql_balancer_pick(&balancer_, &request, now_us_);
+	EXPECT_NE(tried[0], tried[1]);
+	request.n_tried = 2;
+	EXPECT_EQ(QL_HANDLE_NONE,
+		  ql_balancer_pick(&balancer_, &request, now_us_));
+	request.once_per_endpoint = false;
+	EXPECT_NE(QL_HANDLE_NONE,
+		  ql_balancer_pick(&balancer_, &request, now_us_));
+}
+
 TEST_F(BalancerTest, LeastTimeObservesRetryAfter)
 {
 	ql_attempt_result_t result = {};
@@ -546,7 +565,7 @@
  */
 TEST_F(BalancerTest, LeastTimeAvoidsUnresponsiveEndpoint)
 {
-	ql_pick_request_t request = {nullptr, 0, 100.0 * kMs};
+	ql_pick_request_t request = {nullptr, 0, false, 100.0 * kMs};
 	ql_attempt_result_t result = {};
 	ql_handle_t unresponsive, handle;
 
@@ -577,7 +596,7 @@
  */
 TEST_F(BalancerTest, LeastTimeAvoidsFailingEndpoint)
 {
-	ql_pick_request_t request = {nullptr, 0, 50.0 * kMs};
+	ql_pick_request_t request = {nullptr, 0, false, 50.0 * kMs};
 	std::map<std::string, int> counts;
 	bool is_failing = true;
 
