Keep as many voters as the tolerated losses ask, and use the whole grace time

Causes, found by reading for a deployment with other terms than the first ones: three voters whatever the deployment has to bear, so that two lost disks take an acknowledged configuration with them; a grace time of 6 s in the templates where the platform gives 10 s, so that a stop failed requests 4 s early; drain steps with fixed delays, which a shorter grace time cut off.

The count of requests in flight is unknown, not zero, until the loop has counted.

Before: voters 3 with two losses to bear (now refused as a setting), grace 6000.

--- a/include/quetzalloft/json.h
+++ b/include/quetzalloft/json.h
@@ -19,6 +19,9 @@
  * @QL_JSON_STRING: a string, stored in a char array in the struct
  * @QL_JSON_UINT: an integer, stored in a uint64_t
  * @QL_JSON_REAL: a number, stored in a double
+ * @QL_JSON_DURATION: an integer in milliseconds or a text such as "2.5s", see
+ *                    quetzalloft/duration.h, stored in a uint64_t in
+ *                    milliseconds
  * @QL_JSON_BOOL: a boolean, stored in a bool
  * @QL_JSON_OBJECT: an object, stored as a borrowed json_t pointer
  * @QL_JSON_ARRAY: an array, stored as a borrowed json_t pointer
@@ -27,6 +30,7 @@
 	QL_JSON_STRING,
 	QL_JSON_UINT,
 	QL_JSON_REAL,
+	QL_JSON_DURATION,
 	QL_JSON_BOOL,
 	QL_JSON_OBJECT,
 	QL_JSON_ARRAY,
@@ -71,6 +75,11 @@
 #field_, QL_JSON_REAL, required_, offsetof(type_, field_), 0, \
 			min_, max_                                            \
 	}
+#define QL_MEMBER_DURATION(type_, field_, required_, min_, max_)     \
+	{                                                            \
+#field_, QL_JSON_DURATION, required_,                \
+			offsetof(type_, field_), 0, min_, max_       \
+	}
 #define QL_MEMBER_BOOL(type_, field_, required_)                              \
 	{                                                                     \
 #field_, QL_JSON_BOOL, required_, offsetof(type_, field_), 0, \
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -2,6 +2,7 @@
 #include "node/http_response.h"
 #include "node/path_jobs.h"
 #include "quetzalloft/address.h"
+#include "quetzalloft/drain_schedule.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
 
@@ -32,25 +33,6 @@
 #define GATE_IDLE_TIMEOUT_MS 60000u
 /* Interval at which a drain checks for requests in flight. */
 #define DRAIN_POLL_US (20 * QL_US_PER_MS)
-/*
- * Delay before the endpoint is announced as leaving. Until then clients still
- * send requests to this node, so the endpoint keeps serving other nodes.
- */
-#define LEAVE_DELAY_US (1000 * QL_US_PER_MS)
-/*
- * Delay before the gate is drained. By then other nodes have received the
- * announcement that the endpoint is leaving.
- */
-#define GATE_DRAIN_DELAY_US (2000 * QL_US_PER_MS)
-/*
- * Delay before new client requests are refused. By then two readiness probes of
- * the clients have failed.
- */
-#define CLIENT_REFUSAL_DELAY_US (2300 * QL_US_PER_MS)
-/* Time reserved for sending the final responses of failed requests. */
-#define FINAL_RESPONSES_US (200 * QL_US_PER_MS)
-/* Part of the grace time reserved for the exit of the process. */
-#define EXIT_RESERVE_MS 500u
 /* Connections announced for an endpoint if the document sets no limit. */
 #define ENDPOINT_CONNECTIONS_DEFAULT 256u
 
@@ -471,42 +453,42 @@
 	return __atomic_load_n(&node->requests_in_flight, __ATOMIC_ACQUIRE) > 0;
 }
 
-/*
- * Waits until the earliest time has come and no request is in flight, but no
- * longer than until the latest time. Two equal times make it a fixed delay.
- */
-static void wait_for_requests(ql_path_node_t *node, uint64_t earliest_us,
-			      uint64_t latest_us)
+static void wait_until(uint64_t at_us)
 {
-	while (ql_clock_now_us() < latest_us &&
-	       (has_requests_in_flight(node) ||
-		ql_clock_now_us() < earliest_us))
+	uint64_t now_us = ql_clock_now_us();
+
+	if (now_us < at_us)
+		g_usleep(at_us - now_us);
+}
+
+/* Waits until no request is in flight, but no longer than until a time. */
+static void wait_for_requests(ql_path_node_t *node, uint64_t latest_us)
+{
+	while (ql_clock_now_us() < latest_us && has_requests_in_flight(node))
 		g_usleep(DRAIN_POLL_US);
 }
 
 void ql_path_node_drain(ql_path_node_t *node)
 {
-	uint64_t now_us = ql_clock_now_us();
-	uint64_t grace_ms =
-		node->grace_ms - MIN(node->grace_ms, EXIT_RESERVE_MS);
-	uint64_t latest_us = now_us + grace_ms * QL_US_PER_MS;
-	uint64_t earliest_us = now_us + node->drain_ms * QL_US_PER_MS;
+	ql_drain_schedule_t schedule;
 
+	ql_drain_schedule_init(&schedule, node->drain_ms, node->grace_ms,
+			       ql_clock_now_us());
 	__atomic_store_n(&node->draining, 1, __ATOMIC_RELEASE);
 	ql_path_jobs_disable_keep_alive(node);
-	wait_for_requests(node, now_us + LEAVE_DELAY_US,
-			  now_us + LEAVE_DELAY_US);
+	wait_until(schedule.leave_us);
 	ql_lease_service_leave(&node->control.lease);
-	wait_for_requests(node, now_us + GATE_DRAIN_DELAY_US,
-			  now_us + GATE_DRAIN_DELAY_US);
+	wait_until(schedule.drain_gate_us);
 	ql_path_jobs_drain_gate(node);
-	wait_for_requests(node, now_us + CLIENT_REFUSAL_DELAY_US,
-			  now_us + CLIENT_REFUSAL_DELAY_US);
+	wait_until(schedule.refuse_clients_us);
 	ql_path_jobs_refuse_new_requests(node);
-	wait_for_requests(node, earliest_us, latest_us - FINAL_RESPONSES_US);
+	/* Not known until the loop has counted them. */
+	__atomic_store_n(&node->requests_in_flight, 1, __ATOMIC_RELEASE);
+	wait_until(schedule.exit_us);
+	wait_for_requests(node, schedule.fail_us);
 	/* The grace time is nearly over: fail the requests in flight. */
 	ql_path_jobs_fail_all(node);
-	wait_for_requests(node, 0, latest_us);
+	wait_for_requests(node, schedule.latest_exit_us);
 	ql_log(LOG_NOTICE, "drain_finished",
 	       QL_INT("in_progress", node->requests_in_flight));
 }
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -13,6 +13,7 @@
 #define RENEW_DEFAULT_MS 500
 #define DRAIN_DEFAULT_MS 1500
 #define VOTERS_DEFAULT 3
+#define VOTERS_MAX 9
 #define GRACE_DEFAULT_MS 30000
 
 static const ql_json_member_t members[] = {
@@ -34,11 +35,13 @@
 	QL_MEMBER_UINT(ql_settings_t, queue, false, 0, 65535),
 	QL_MEMBER_UINT(ql_settings_t, lease_ms, false, 100, 60000),
 	QL_MEMBER_UINT(ql_settings_t, renew_ms, false, 10, 60000),
-	QL_MEMBER_UINT(ql_settings_t, drain_ms, false, 0, 600000),
+	QL_MEMBER_DURATION(ql_settings_t, drain_ms, false, 0, 600000),
 	QL_MEMBER_STRING(ql_settings_t, placement, false, 1),
 	QL_MEMBER_BOOL(ql_settings_t, bootstrap, false),
-	QL_MEMBER_UINT(ql_settings_t, voters, false, 1, 9),
-	QL_MEMBER_UINT(ql_settings_t, grace_ms, false, 0, 600000),
+	QL_MEMBER_UINT(ql_settings_t, voters, false, 1, VOTERS_MAX),
+	QL_MEMBER_UINT(ql_settings_t, replica_losses, false, 0,
+		       (VOTERS_MAX - 1) / 2),
+	QL_MEMBER_DURATION(ql_settings_t, grace_ms, false, 0, 600000),
 	QL_MEMBER_REAL(ql_settings_t, repeat_ratio, false, 0, 1),
 };
 
@@ -287,6 +290,26 @@
 	settings->n_registrars = settings->n_seeds;
 }
 
+/*
+ * A quorum of the voters has to survive the losses: of 2n + 1 voters, n may be
+ * lost.
+ */
+static int apply_voters(ql_settings_t *settings, GError **error)
+{
+	uint64_t required = 2 * settings->replica_losses + 1;
+
+	if (!settings->voters)
+		settings->voters = MAX(VOTERS_DEFAULT, required);
+	if (settings->voters >= required)
+		return 0;
+	return ql_error_set(error, QL_E_RANGE,
+			    "settings.voters: found %" G_GUINT64_FORMAT
+			    ", allowed at least %" G_GUINT64_FORMAT
+			    ", as replica_losses is %" G_GUINT64_FORMAT,
+			    settings->voters, required,
+			    settings->replica_losses);
+}
+
 /* A replica that forms a cluster of its own may have an empty list. */
 static int check_replicas(const ql_settings_t *settings, GError **error)
 {
@@ -353,7 +376,6 @@
 	settings->lease_ms = LEASE_DEFAULT_MS;
 	settings->renew_ms = RENEW_DEFAULT_MS;
 	settings->drain_ms = DRAIN_DEFAULT_MS;
-	settings->voters = VOTERS_DEFAULT;
 	settings->grace_ms = GRACE_DEFAULT_MS;
 	remaining = json_is_object(json) ? json_copy(json) : json_incref(json);
 	ret = read_address_lists(settings, remaining, error);
@@ -367,6 +389,8 @@
 		ret = replace_seed_ports(settings, error);
 	if (!ret)
 		ret = check_role(settings, error);
+	if (!ret)
+		ret = apply_voters(settings, error);
 	if (ret)
 		return ret;
 	apply_role(settings);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -94,6 +94,8 @@
  * @n_seeds: number of @seeds
  * @bootstrap: this is the first start of the cluster, which the seeds form
  * @voters: number of voting replicas to maintain, odd
+ * @replica_losses: number of replicas that may be lost at once, with their
+ *                  disks; @voters is at least twice as many and one
  * @listen: addresses on which a process with a role listens
  * @endpoint: the endpoint beside a node
  * @repeat_ratio: retry budget of a service: retries for each first attempt,
@@ -137,6 +139,7 @@
 	size_t n_seeds;
 	bool bootstrap;
 	uint64_t voters;
+	uint64_t replica_losses;
 	ql_listen_settings_t listen;
 	ql_endpoint_settings_t endpoint;
 	double repeat_ratio;
--- a/src/util/json.c
+++ b/src/util/json.c
@@ -1,4 +1,5 @@
 #include "quetzalloft/json.h"
+#include "quetzalloft/duration.h"
 #include "quetzalloft/error.h"
 
 #include <math.h>
@@ -75,6 +76,26 @@
 	return 0;
 }
 
+static int read_duration(uint64_t *out, const json_t *value, const char *path,
+			 const ql_json_member_t *member, GError **error)
+{
+	uint64_t duration_ms;
+
+	if (!json_is_string(value))
+		return read_uint(out, value, path, member, error);
+	if (ql_duration_parse(&duration_ms, json_string_value(value)))
+		return ql_error_set(error, QL_E_INVALID,
+				    "%s.%s: found \"%.32s\", allowed "
+				    "milliseconds or a text such as \"2.5s\"",
+				    path, member->key,
+				    json_string_value(value));
+	if ((double)duration_ms < member->min ||
+	    (double)duration_ms > member->max)
+		return out_of_range(error, path, member, (double)duration_ms);
+	*out = duration_ms;
+	return 0;
+}
+
 static int read_real(double *out, const json_t *value, const char *path,
 		     const ql_json_member_t *member, GError **error)
 {
@@ -101,6 +122,8 @@
 		return read_uint(field, value, path, member, error);
 	case QL_JSON_REAL:
 		return read_real(field, value, path, member, error);
+	case QL_JSON_DURATION:
+		return read_duration(field, value, path, member, error);
 	case QL_JSON_BOOL:
 		if (!json_is_boolean(value))
 			return wrong_type(error, path, member, "a boolean",
--- a/tests/node/settings_test.cc
+++ b/tests/node/settings_test.cc
@@ -65,9 +65,55 @@
 			     QL_E_UNKNOWN_KEY, "colour"},
 		SettingsCase{",\"registrar\":true,\"renew_ms\":2000",
 			     QL_E_RANGE, "settings.renew_ms"},
+		SettingsCase{",\"registrar\":true,\"grace_ms\":\"10s\"", 0,
+			     nullptr},
+		SettingsCase{",\"registrar\":true,\"grace_ms\":\"ten\"",
+			     QL_E_INVALID, "settings.grace_ms: found \"ten\""},
+		SettingsCase{",\"registrar\":true,\"grace_ms\":\"601s\"",
+			     QL_E_RANGE, "settings.grace_ms: found 601000"},
+		SettingsCase{",\"registrar\":true,\"replica_losses\":5",
+			     QL_E_RANGE, "settings.replica_losses"},
+		SettingsCase{
+			",\"registrar\":true,\"voters\":3,\"replica_losses\":2",
+			QL_E_RANGE,
+			"settings.voters: found 3, allowed at least 5"},
 		SettingsCase{
 			",\"registrar\":true,\"limiter\":\"magic\"",
 			QL_E_NOT_FOUND,
 			"fixed, headroom, aimd, gradient or gradient_drift"}));
 
+struct VotersCase {
+	const char *more_json;
+	uint64_t voters;
+};
+
+/* A quorum survives the losses that the settings name. */
+TEST(Settings, VotersSurviveTheLosses)
+{
+	const VotersCase cases[] = {
+		{"", 3},
+		{",\"replica_losses\":0", 3},
+		{",\"replica_losses\":1", 3},
+		{",\"replica_losses\":2", 5},
+		{",\"replica_losses\":4", 9},
+		{",\"voters\":7,\"replica_losses\":2", 7},
+		{",\"voters\":1", 1},
+	};
+
+	for (const VotersCase &test : cases) {
+		SCOPED_TRACE(test.more_json);
+		std::string text = "{" + BASE + ",\"registrar\":true" +
+				   test.more_json + ",\"grace_ms\":\"2.5s\"}";
+		ql_settings_t settings;
+		json_t *json;
+
+		ASSERT_EQ(0, ql_json_parse(&json, text.c_str(), text.size(),
+					   nullptr));
+		ASSERT_EQ(0, ql_settings_parse(&settings, json, nullptr));
+		EXPECT_EQ(test.voters, settings.voters);
+		EXPECT_EQ(2500u, settings.grace_ms);
+		json_decref(json);
+	}
+}
+
 } // namespace
