Match every response to its call by the request ID, also between nodes

Cause: gates answered failures without the request ID, and a node took any response on a kept connection to a gate for that of the call in flight. A copy of an earlier response there would have gone to the next caller, or told it that its order had not run. The gate beside an endpoint and the calls between nodes had two versions of the check.

Change: ql_call_match_response() serves both. Gates put the request ID into their failures; a response of another ID is dropped, one without an ID makes the outcome unknown and closes the connection. 100 Continue waits for the responses to earlier requests. A frame behind the end of its file is not read.

Conclusion: a response reaches only the caller whose request ID it bears.

--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -113,6 +113,20 @@
 	start_timer(connection, LINGER_TIMEOUT_MS);
 }
 
+/*
+ * Asks the client for the body of the request that is being read, once all
+ * responses to earlier requests have been sent.
+ */
+static void send_continue_if_due(ql_listener_connection_t *connection)
+{
+	static const char response[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+	if (!connection->must_continue || connection->exchanges.length)
+		return;
+	connection->must_continue = false;
+	ql_stream_write(&connection->stream, response, strlen(response));
+}
+
 void ql_listener__flush(ql_listener_connection_t *connection)
 {
 	ql_http_exchange_t *first;
@@ -137,6 +151,7 @@
 			return;
 		}
 	}
+	send_continue_if_due(connection);
 }
 
 bool ql_listener__is_first(const ql_http_exchange_t *exchange)
@@ -209,9 +224,9 @@
 		reject_request(connection, status);
 		return false;
 	}
-	if (ql_headers_get(&exchange->headers, "expect"))
-		ql_stream_write(&connection->stream,
-				"HTTP/1.1 100 Continue\r\n\r\n", 25);
+	connection->must_continue =
+		ql_headers_get(&exchange->headers, "expect") != NULL;
+	send_continue_if_due(connection);
 	return true;
 }
 
@@ -276,6 +291,7 @@
 	if (!exchange)
 		return false;
 	connection->incoming = NULL;
+	connection->must_continue = false;
 	exchange->received_us = ql_clock_now_us();
 	if (!exchange->keep_alive)
 		connection->reading_ended = true;
--- a/src/http/listener_internal.h
+++ b/src/http/listener_internal.h
@@ -18,6 +18,8 @@
  * @timer: head timeout, idle timeout or linger timeout
  * @exchanges: exchanges in request order
  * @incoming: exchange whose body is being read, or NULL
+ * @must_continue: the client of @incoming waits for an interim response before
+ *                 it sends the body
  * @reading_ended: no further request is read
  * @lingering: the last response was sent; waits for the peer to close
  * @is_dropped: all exchanges were freed; the connection is being closed
@@ -29,6 +31,7 @@
 	ql_wheel_timer_t timer;
 	GQueue exchanges;
 	ql_http_exchange_t *incoming;
+	bool must_continue;
 	bool reading_ended;
 	bool lingering;
 	bool is_dropped;
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -197,7 +197,7 @@
 	if (read_report(node, instance, request, &report, &error)) {
 		ql_counter_increment(&node->context.counters,
 				     QL_COUNT_REPORTS_REFUSED);
-		ql_log_error(LOG_NOTICE, "announcement_refused", error);
+		ql_log_error(LOG_INFO, "announcement_refused", error);
 		ql_response_set_text(response, 400, "text/plain",
 				     error->message);
 		g_error_free(error);
@@ -286,7 +286,7 @@
 	g_strlcpy(front.failure_domain, settings->placement,
 		  sizeof(front.failure_domain));
 	ql_local_gate_init(&node->gate, &node->loop, &gate);
-	ql_hops_init(&node->hops, &node->loop);
+	ql_hops_init(&node->hops, &node->loop, node->dialect->request_id);
 	ql_front_init(&node->front, &node->loop, &front);
 	ql_load_log_start(&node->load_log, &node->loop, &node->front,
 			  &node->gate);
--- a/src/path/call.c
+++ b/src/path/call.c
@@ -12,6 +12,17 @@
 	g_byte_array_append(out, (const guint8 *)text, (guint)strlen(text));
 }
 
+ql_response_match_t ql_call_match_response(const char *call_id,
+					   const char *response_id)
+{
+	if (!call_id[0])
+		return QL_RESPONSE_OWN;
+	if (!response_id)
+		return QL_RESPONSE_UNIDENTIFIED;
+	return strcmp(call_id, response_id) ? QL_RESPONSE_OTHER
+					    : QL_RESPONSE_OWN;
+}
+
 bool ql_call_is_protocol_header(const char *name)
 {
 	return !strncasecmp(name, PROTOCOL_PREFIX, strlen(PROTOCOL_PREFIX));
--- a/src/path/call.h
+++ b/src/path/call.h
@@ -113,6 +113,27 @@
 	void *call;
 } ql_call_handle_t;
 
+/**
+ * typedef ql_response_match_t - Whether a response belongs to a call.
+ * @QL_RESPONSE_OWN: it bears the request ID of the call, or the call has none
+ * @QL_RESPONSE_OTHER: it bears another ID
+ * @QL_RESPONSE_UNIDENTIFIED: it bears no ID; it may be a late copy of the
+ *                            response to an earlier call, so it proves nothing
+ */
+typedef enum ql_response_match {
+	QL_RESPONSE_OWN,
+	QL_RESPONSE_OTHER,
+	QL_RESPONSE_UNIDENTIFIED,
+} ql_response_match_t;
+
+/**
+ * ql_call_match_response() - Check whether a response belongs to a call.
+ * @call_id: request ID of the call, or ""
+ * @response_id: request ID in the response, or NULL
+ */
+ql_response_match_t ql_call_match_response(const char *call_id,
+					   const char *response_id);
+
 /**
  * ql_call_is_protocol_header() - Check whether a header belongs to the protocol
  * between nodes, see quetzalloft/metadata.h.
--- a/src/path/hop.c
+++ b/src/path/hop.c
@@ -17,6 +17,8 @@
  * are malformed or its outcome is not QL_OUTCOME_ANSWERED.
  */
 typedef struct {
+	const char *request_id;
+	char id[QL_KEY_MAX];
 	ql_upstream_request_t *request;
 	const ql_call_sink_t *sink;
 	void *data;
@@ -30,8 +32,9 @@
 	ql_upstream_free(upstream);
 }
 
-void ql_hops_init(ql_hops_t *hops, ql_loop_t *loop)
+void ql_hops_init(ql_hops_t *hops, ql_loop_t *loop, const char *request_id)
 {
+	hops->request_id = request_id;
 	hops->loop = loop;
 	hops->gates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    free_upstream);
@@ -75,6 +78,19 @@
 			(uint32_t)(g_ascii_strtod(value, NULL) * MS_PER_S);
 }
 
+static ql_response_match_t match_response(const hop_call_t *call,
+					  const ql_http_reader_t *reader)
+{
+	return ql_call_match_response(call->id,
+				      ql_headers_get(&reader->headers,
+						     call->request_id));
+}
+
+static bool may_be_response(void *data, const ql_http_reader_t *reader)
+{
+	return match_response(data, reader) != QL_RESPONSE_OTHER;
+}
+
 static void on_head(void *data, ql_http_reader_t *reader)
 {
 	hop_call_t *call = data;
@@ -85,6 +101,10 @@
 	};
 
 	read_result(call, &reader->headers);
+	if (match_response(call, reader) != QL_RESPONSE_OWN)
+		call->malformed = true;
+	if (call->malformed)
+		ql_upstream_retire(call->request);
 	head.pressure = call->result.pressure;
 	if (!call->malformed && call->result.outcome == QL_OUTCOME_ANSWERED)
 		call->sink->head(call->data, &head);
@@ -135,6 +155,7 @@
 }
 
 static const ql_upstream_ops_t upstream_ops = {
+	.accepts = may_be_response,
 	.head = on_head,
 	.body = on_body,
 	.complete = on_complete,
@@ -220,6 +241,8 @@
 	};
 
 	*out = (ql_call_handle_t){&handle_ops, hop};
+	hop->request_id = hops->request_id;
+	g_strlcpy(hop->id, call->id, sizeof(hop->id));
 	hop->sink = sink;
 	hop->data = data;
 	hop->bodiless = send.bodiless;
--- a/src/path/hop.h
+++ b/src/path/hop.h
@@ -13,14 +13,16 @@
 /**
  * struct ql_hops - Connections to the gates of other nodes.
  * @loop: loop that the connections run on
+ * @request_id: name of the header with the request ID; borrowed
  * @gates: &struct ql_upstream by "IP:port"
  */
 typedef struct ql_hops {
 	ql_loop_t *loop;
+	const char *request_id;
 	GHashTable *gates;
 } ql_hops_t;
 
-void ql_hops_init(ql_hops_t *hops, ql_loop_t *loop);
+void ql_hops_init(ql_hops_t *hops, ql_loop_t *loop, const char *request_id);
 void ql_hops_finish(ql_hops_t *hops);
 
 /**
--- a/src/path/hop_server.c
+++ b/src/path/hop_server.c
@@ -10,6 +10,7 @@
 
 /* A call of another node that is served by the local gate. */
 typedef struct {
+	const char *request_id;
 	ql_http_exchange_t *exchange;
 	ql_call_handle_t handle;
 	bool head_sent;
@@ -35,11 +36,14 @@
 		ql_call_write_retry_after(out, result->retry_after_ms);
 }
 
-static void send_failure(ql_http_exchange_t *exchange,
+static void send_failure(ql_http_exchange_t *exchange, const char *request_id,
 			 const ql_call_result_t *result)
 {
+	const char *id = ql_headers_get(&exchange->headers, request_id);
 	GByteArray *headers = g_byte_array_new();
 
+	if (id)
+		ql_headers_write(headers, request_id, id);
 	write_result(headers, result);
 	ql_http_exchange_write_head(exchange, HTTP_STATUS_SERVICE_UNAVAILABLE,
 				    headers, 0);
@@ -93,7 +97,7 @@
 	if (served->head_sent)
 		ql_http_exchange_abort(served->exchange);
 	else
-		send_failure(served->exchange, result);
+		send_failure(served->exchange, served->request_id, result);
 	g_free(served);
 }
 
@@ -160,8 +164,8 @@
 void ql_hop_server_handle(void *data, ql_http_exchange_t *exchange)
 {
 	ql_hop_server_t *server = data;
-	const char *id = ql_headers_get(&exchange->headers,
-					server->gate->opts.dialect->request_id);
+	const char *request_id = server->gate->opts.dialect->request_id;
+	const char *id = ql_headers_get(&exchange->headers, request_id);
 	const ql_call_result_t malformed = {
 		.outcome = QL_OUTCOME_NOT_RUN,
 		.reason = QL_REASON_BAD_REQUEST,
@@ -172,7 +176,7 @@
 	ql_path_call_t call;
 
 	if (!read_metadata(&metadata, &exchange->headers)) {
-		send_failure(exchange, &malformed);
+		send_failure(exchange, request_id, &malformed);
 		return;
 	}
 	if (metadata.has & QL_HAS_VERSION)
@@ -192,6 +196,7 @@
 			       metadata.timeout_ms * QL_US_PER_MS,
 	};
 	served = g_new0(served_call_t, 1);
+	served->request_id = request_id;
 	served->exchange = exchange;
 	exchange->ops = &exchange_ops;
 	exchange->data = served;
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -125,22 +125,15 @@
 			      call->gate->opts.dialect->request_id);
 }
 
-static bool is_response_to_call(void *data, const ql_http_reader_t *reader)
+static ql_response_match_t match_response(const gate_call_t *call,
+					  const ql_http_reader_t *reader)
 {
-	const gate_call_t *call = data;
-	const char *id = response_id(call, reader);
-
-	return !id || !call->id[0] || !strcmp(id, call->id);
+	return ql_call_match_response(call->id, response_id(call, reader));
 }
 
-/*
- * Endpoints echo the request ID. A response without it proves nothing about the
- * call: it may be a late copy of the response to an earlier request.
- */
-static bool identifies_call(const gate_call_t *call,
-			    const ql_http_reader_t *reader)
+static bool may_be_response(void *data, const ql_http_reader_t *reader)
 {
-	return !call->id[0] || response_id(call, reader);
+	return match_response(data, reader) != QL_RESPONSE_OTHER;
 }
 
 /*
@@ -179,15 +172,15 @@
 		.length = call->bodiless ? 0 : ql_http_reader_length(reader),
 		.pressure = ql_pressure_get(&call->pressure),
 	};
+	bool is_own = match_response(call, reader) == QL_RESPONSE_OWN;
 
-	if (identifies_call(call, reader) &&
-	    is_endpoint_refusal(call, reader)) {
+	if (is_own && is_endpoint_refusal(call, reader)) {
 		call->refused_by_endpoint = true;
 		/* A late copy of the refusal must not meet another call. */
 		ql_upstream_retire(call->request);
 		return;
 	}
-	if (!identifies_call(call, reader) || !is_from_endpoint(call, reader)) {
+	if (!is_own || !is_from_endpoint(call, reader)) {
 		count(call->gate, QL_COUNT_BAD_ANSWERS);
 		ql_upstream_cancel(call->request);
 		fail_call(call, QL_OUTCOME_UNKNOWN, QL_REASON_BAD_ANSWER,
@@ -263,7 +256,7 @@
 }
 
 static const ql_upstream_ops_t upstream_ops = {
-	.accepts = is_response_to_call,
+	.accepts = may_be_response,
 	.head = on_head,
 	.body = on_body,
 	.complete = on_complete,
--- a/src/store/frame.c
+++ b/src/store/frame.c
@@ -44,9 +44,12 @@
 bool ql_frame_read(const guint8 **payload, size_t *length,
 		   const GByteArray *file, const ql_frame_position_t *position)
 {
-	uint64_t remaining = file->len - position->offset;
 	const guint8 *frame;
+	uint64_t remaining;
 
+	if (position->offset > file->len)
+		return false;
+	remaining = file->len - position->offset;
 	if (remaining < QL_FRAME_HEADER_BYTES)
 		return false;
 	frame = file->data + position->offset;
--- a/tests/http/listener_test.cc
+++ b/tests/http/listener_test.cc
@@ -76,6 +76,29 @@
 	EXPECT_TRUE(event_loop.run_until([&] { return cancelled == 2; }));
 }
 
+/* An interim response must not come before the response to another request. */
+TEST_F(Listener, ContinueFollowsEarlierResponses)
+{
+	RawSocket client = connect_client();
+
+	client.send("GET /1 HTTP/1.1\r\n\r\n"
+		    "POST /2 HTTP/1.1\r\nExpect: 100-continue\r\n"
+		    "Content-Length: 2\r\n\r\n");
+	ASSERT_TRUE(wait_for_requests(1));
+	event_loop.run_iterations(10);
+	client.poll();
+	EXPECT_EQ("", client.received);
+	respond(0, "one");
+	ASSERT_TRUE(event_loop.run_until(
+		[&] { return client.has("100 Continue"); }));
+	EXPECT_LT(client.received.find("one"),
+		  client.received.find("100 Continue"));
+	client.send("ab");
+	ASSERT_TRUE(wait_for_requests(2));
+	respond(1, "two");
+	ASSERT_TRUE(event_loop.run_until([&] { return client.has("two"); }));
+}
+
 TEST_F(Listener, AbortedResponseIsNotComplete)
 {
 	RawSocket client = connect_client();
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -75,7 +75,8 @@
 		gate_opts.data = this;
 		gate_opts.counters = &counters;
 		ql_local_gate_init(&gate, &event_loop.loop, &gate_opts);
-		ql_hops_init(&hops, &event_loop.loop);
+		ql_hops_init(&hops, &event_loop.loop,
+			     test_dialect()->request_id);
 		front_opts.dialect = test_dialect();
 		strcpy(front_opts.caller, "a");
 		strcpy(front_opts.own_gate, "127.0.0.1:1");
