Share the retry budget of a service among the layers of its callers

Cause: a repeat repeats all calls below it, so the ratio of repeats that a service takes was split in four equal parts, one for each layer of callers. When one service loses answers, most requests through it failed although its budget was hardly used: a request needs eight calls there.

Change: a call says whether it is a repeat, or made by a run that is one (Quetzalloft-Repeat); such calls are charged to the shared part at the node that makes them, which other layers then do not spend.

--- a/include/quetzalloft/metadata.h
+++ b/include/quetzalloft/metadata.h
@@ -22,6 +22,7 @@
 #define QL_HEADER_VERSION "Quetzalloft-Config-Version"
 #define QL_HEADER_SERVICE "Quetzalloft-Service"
 #define QL_HEADER_UNDER_WAY "Quetzalloft-Under-Way"
+#define QL_HEADER_REPEAT "Quetzalloft-Repeat"
 #define QL_HEADER_IDEMPOTENT "Quetzalloft-Idempotent"
 #define QL_HEADER_SEAL "Quetzalloft-Seal"
 #define QL_HEADER_CLOCK "Quetzalloft-Clock"
@@ -54,6 +55,8 @@
  * @class_name: name of the class of the client request
  * @service: name of the called service
  * @under_way: 1 if other calls of the client request have already run, else 0
+ * @repeat: 1 if the call repeats one that may have reached an endpoint, or is
+ *          made by a run that does, else 0
  * @idempotent: 1 if the request may be retried, and cancelled while it runs,
  *              else 0
  * @seal: 1 if the idempotency key is to be sealed when the request is refused,
@@ -75,6 +78,7 @@
 	char class_name[QL_NAME_MAX];
 	char service[QL_NAME_MAX];
 	uint64_t under_way;
+	uint64_t repeat;
 	uint64_t idempotent;
 	uint64_t seal;
 	ql_outcome_t outcome;
@@ -101,6 +105,7 @@
 	QL_HAS_IDEMPOTENT = 1 << 13,
 	QL_HAS_SEAL = 1 << 14,
 	QL_HAS_PRESSURE = 1 << 15,
+	QL_HAS_REPEAT = 1 << 16,
 };
 
 /**
--- a/include/quetzalloft/retry.h
+++ b/include/quetzalloft/retry.h
@@ -11,37 +11,51 @@
 G_BEGIN_DECLS
 
 /**
- * struct ql_retry_budget - Token bucket for the retries to one callee.
+ * struct ql_retry_budget - Token buckets for the retries to one callee.
  * @tokens: retries currently allowed
- * @ratio: tokens added by each first attempt
- * @burst: maximum number of tokens
+ * @ratio: tokens added by each call
+ * @burst: maximum number of tokens, and of shared tokens
+ * @shared_tokens: further retries currently allowed. Calls made by runs that
+ *                 are repeats themselves take them too, so that the layers of
+ *                 callers share them; negative while the bucket is in debt.
+ * @shared_ratio: shared tokens added by each call that is not such a repeat
  */
 typedef struct ql_retry_budget {
 	double tokens;
 	double ratio;
 	double burst;
+	double shared_tokens;
+	double shared_ratio;
 } ql_retry_budget_t;
 
 /**
- * ql_retry_budget_init() - Initialize a budget with @burst tokens.
+ * ql_retry_budget_init() - Initialize a budget with @burst tokens and none that
+ * are shared.
  * @budget: retry budget
- * @ratio: tokens added by each first attempt
+ * @ratio: tokens added by each call
  * @burst: maximum number of tokens
  */
 void ql_retry_budget_init(ql_retry_budget_t *budget, double ratio,
 			  double burst);
 
 /**
- * ql_retry_budget_earn() - Add the tokens of one first attempt.
- * @budget: retry budget; stays at most at its burst
+ * ql_retry_budget_earn() - Add the tokens of one call.
+ * @budget: retry budget
  */
 void ql_retry_budget_earn(ql_retry_budget_t *budget);
 
 /**
- * ql_retry_budget_spend() - Take the token of one retry.
+ * ql_retry_budget_charge() - Add the tokens of one call that is made by a run
+ * that repeats another one, and take a shared token for it.
+ * @budget: retry budget; its debt is bounded
+ */
+void ql_retry_budget_charge(ql_retry_budget_t *budget);
+
+/**
+ * ql_retry_budget_spend() - Take the token of one retry, a shared one first.
  * @budget: retry budget
  *
- * Return: false if there is less than one token, in which case none is taken.
+ * Return: false if there is no token, in which case none is taken.
  */
 bool ql_retry_budget_spend(ql_retry_budget_t *budget);
 
--- a/src/path/call.h
+++ b/src/path/call.h
@@ -24,6 +24,8 @@
  * @shed_order: shed order of the class; lower numbers are shed first
  * @under_way: the call belongs to a client request that is being served
  *             already, so refusing the call would waste the work done so far
+ * @repeat: the call repeats one that may have reached an endpoint, or is made
+ * by a run that does; it counts against the retry budget of the service
  * @idempotent: the request may be repeated
  * @deadline_us: deadline of the call, as a time of ql_loop_now_us()
  * @version: configuration version of the caller
@@ -38,6 +40,7 @@
 	const char *class_name;
 	uint32_t shed_order;
 	bool under_way;
+	bool repeat;
 	bool idempotent;
 	uint64_t deadline_us;
 	uint64_t version;
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -7,10 +7,13 @@
 /* Retries that a node may make to one service without any first attempt. */
 #define RETRY_BUDGET_BURST 1.0
 /*
- * Each retry repeats all calls below it, so retries of several layers of
- * callers multiply. The layers share the retry ratio of a service equally.
+ * A retry repeats all calls below it, so retries of several layers of callers
+ * multiply. Each layer has a part of the retry ratio of a service to itself,
+ * and the layers share another part. With four layers, and losses at all of
+ * them, the parts add up to the ratio.
  */
-#define CALLER_LAYERS 4.0
+#define OWN_RATIO_PART 0.15
+#define SHARED_RATIO_PART 0.4
 
 static void service_free(void *data)
 {
@@ -73,16 +76,17 @@
 
 static void update_retry_ratios(ql_front_t *front)
 {
-	ql_front_service_t *service;
+	double site_ratio = front->opts.repeat_ratio;
+	const ql_service_t *service;
+	ql_retry_budget_t *budget;
 	size_t i;
 
 	for (i = 0; front->doc && i < front->doc->n_services; i++) {
-		service = ql_front_find_service(front,
-						front->doc->services[i].name);
-		service->budget.ratio =
-			front->opts.repeat_ratio > 0
-				? front->opts.repeat_ratio / CALLER_LAYERS
-				: front->doc->services[i].retry_ratio;
+		service = &front->doc->services[i];
+		budget = &ql_front_find_service(front, service->name)->budget;
+		budget->ratio = site_ratio > 0 ? site_ratio * OWN_RATIO_PART
+					       : service->retry_ratio;
+		budget->shared_ratio = site_ratio * SHARED_RATIO_PART;
 	}
 }
 
--- a/src/path/front_begin.c
+++ b/src/path/front_begin.c
@@ -167,7 +167,10 @@
 		ql_front__fail(call, QL_REASON_OVERLOAD);
 		return;
 	}
-	ql_retry_budget_earn(&call->service->budget);
+	if (call->downstream.repeat)
+		ql_retry_budget_charge(&call->service->budget);
+	else
+		ql_retry_budget_earn(&call->service->budget);
 	if (call->downstream.deadline_us <= now) {
 		ql_front__fail(call, QL_REASON_DEADLINE);
 		return;
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -235,6 +235,7 @@
 	if (!ql_retry_budget_spend(&call->service->budget))
 		return false;
 	ql_front__count(call, QL_COUNT_RETRIES);
+	call->downstream.repeat = true;
 	return true;
 }
 
--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -51,8 +51,9 @@
 
 /*
  * A call of the local endpoint belongs to a request that runs there, its
- * parent: it takes the class of the parent and is marked as under way. If the
- * parent is not known, the call keeps the class of its own route.
+ * parent: it takes the class of the parent, is a repeat if the parent is one,
+ * and is marked as under way. If the parent is not known, the call keeps the
+ * class of its own route.
  */
 static void inherit_class(ql_front_call_t *call, const char *id)
 {
@@ -71,6 +72,7 @@
 	call->parent = *parent;
 	call->downstream.class_name = call->parent.class_name;
 	call->downstream.shed_order = call->parent.shed_order;
+	call->downstream.repeat = call->parent.repeat;
 }
 
 void ql_front__prepare(ql_front_call_t *call, const char *service)
--- a/src/path/hop.c
+++ b/src/path/hop.c
@@ -195,12 +195,14 @@
 
 	ql_metadata_init(&metadata);
 	metadata.has = QL_HAS_TIMEOUT | QL_HAS_SERVICE | QL_HAS_CLASS |
-		       QL_HAS_VERSION | QL_HAS_IDEMPOTENT | QL_HAS_UNDER_WAY;
+		       QL_HAS_VERSION | QL_HAS_IDEMPOTENT | QL_HAS_UNDER_WAY |
+		       QL_HAS_REPEAT;
 	metadata.timeout_ms =
 		ql_remaining_ms(call->deadline_us, ql_loop_now_us(hops->loop));
 	metadata.version = call->version;
 	metadata.idempotent = call->idempotent;
 	metadata.under_way = call->under_way;
+	metadata.repeat = call->repeat;
 	g_strlcpy(metadata.service, call->service, sizeof(metadata.service));
 	g_strlcpy(metadata.class_name, call->class_name,
 		  sizeof(metadata.class_name));
--- a/src/path/hop_server.c
+++ b/src/path/hop_server.c
@@ -191,6 +191,7 @@
 		.class_name = metadata.class_name,
 		.shed_order = shed_order(server, metadata.class_name),
 		.under_way = metadata.under_way != 0,
+		.repeat = metadata.repeat != 0,
 		.idempotent = metadata.idempotent != 0,
 		.deadline_us = exchange->received_us +
 			       metadata.timeout_ms * QL_US_PER_MS,
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -36,7 +36,7 @@
 typedef struct {
 	ql_local_gate_t *gate;
 	call_state_t state;
-	ql_running_call_t class_info;
+	ql_running_call_t inherited;
 	ql_handle_t ticket;
 	GByteArray *head;
 	GByteArray *tail;
@@ -452,9 +452,10 @@
 	out->offered_us = now_us(out);
 	out->abandon_timer.expired = on_abandoned;
 	out->abandon_timer.data = out;
-	out->class_info.shed_order = call->shed_order;
-	g_strlcpy(out->class_info.class_name, call->class_name,
-		  sizeof(out->class_info.class_name));
+	out->inherited.shed_order = call->shed_order;
+	out->inherited.repeat = call->repeat;
+	g_strlcpy(out->inherited.class_name, call->class_name,
+		  sizeof(out->inherited.class_name));
 	g_strlcpy(out->id, call->id, sizeof(out->id));
 	out->head = g_byte_array_new();
 	out->tail = g_byte_array_new();
@@ -606,7 +607,7 @@
 {
 	const gate_call_t *call = g_hash_table_lookup(gate->running, id);
 
-	return call ? &call->class_info : NULL;
+	return call ? &call->inherited : NULL;
 }
 
 uint32_t ql_local_gate_load_level(const ql_local_gate_t *gate)
--- a/src/path/local_gate.h
+++ b/src/path/local_gate.h
@@ -148,13 +148,16 @@
 			ql_call_handle_t *out);
 
 /**
- * struct ql_running_call - Class of a call that runs at the endpoint.
+ * struct ql_running_call - What the calls made by a call that runs at the
+ * endpoint inherit from it.
  * @class_name: class of the client request that the call belongs to
  * @shed_order: shed order of that class
+ * @repeat: see &struct ql_path_call
  */
 typedef struct ql_running_call {
 	char class_name[QL_NAME_MAX];
 	uint32_t shed_order;
+	bool repeat;
 } ql_running_call_t;
 
 /**
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -6,29 +6,51 @@
 /* Bound of the backoff after any number of attempts. */
 #define BACKOFF_MAX_US (500 * QL_US_PER_MS)
 #define BACKOFF_DOUBLINGS_MAX 10u
+/* Most shared tokens by which a bucket is in debt. */
+#define DEBT_MAX_TOKENS 10.0
 /* The delay is the mean plus or minus up to this fraction of it. */
 #define RETRY_AFTER_JITTER_RATIO 0.5
 
 void ql_retry_budget_init(ql_retry_budget_t *budget, double ratio, double burst)
 {
-	budget->ratio = ratio;
-	budget->burst = burst;
-	budget->tokens = burst;
+	*budget = (ql_retry_budget_t){
+		.tokens = burst,
+		.ratio = ratio,
+		.burst = burst,
+	};
+}
+
+static void add(double *tokens, double ratio, double burst)
+{
+	*tokens = MIN(*tokens + ratio, burst);
 }
 
 void ql_retry_budget_earn(ql_retry_budget_t *budget)
 {
-	budget->tokens = MIN(budget->tokens + budget->ratio, budget->burst);
+	add(&budget->tokens, budget->ratio, budget->burst);
+	add(&budget->shared_tokens, budget->shared_ratio, budget->burst);
 }
 
-bool ql_retry_budget_spend(ql_retry_budget_t *budget)
+void ql_retry_budget_charge(ql_retry_budget_t *budget)
 {
-	if (budget->tokens < 1)
+	add(&budget->tokens, budget->ratio, budget->burst);
+	budget->shared_tokens =
+		MAX(budget->shared_tokens - 1, -DEBT_MAX_TOKENS);
+}
+
+static bool take(double *tokens)
+{
+	if (*tokens < 1)
 		return false;
-	budget->tokens -= 1;
+	*tokens -= 1;
 	return true;
 }
 
+bool ql_retry_budget_spend(ql_retry_budget_t *budget)
+{
+	return take(&budget->shared_tokens) || take(&budget->tokens);
+}
+
 static bool is_retryable(const ql_retry_failure_t *failure)
 {
 	switch (failure->outcome) {
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -348,6 +348,33 @@
 	ASSERT_TRUE(event_loop.run_until([&] { return child.has("ok"); }));
 }
 
+/* The calls of a run that is a repeat count as repeats of their service. */
+TEST_F(Front, CallsOfARepeatChargeTheRetryBudget)
+{
+	RawSocket client = connect_client(), child = connect_client();
+	ql_retry_budget_t *budget = &ql_front_find_service(&front, "a")->budget;
+
+	budget->ratio = 0;
+	client.send(request("/get/1", "p"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	shutdown(server->fd, SHUT_RDWR);
+	auto retry = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return retry->has("\r\n\r\n"); }));
+	EXPECT_EQ(0, budget->tokens);
+	EXPECT_EQ(0, budget->shared_tokens);
+	child.send(request("/get/2", "p.c"));
+	auto second = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return second->has("\r\n\r\n"); }));
+	EXPECT_EQ(-1, budget->shared_tokens);
+	retry->send(response("p", "Seal: s\r\n"));
+	second->send(response("p.c", "Seal: s\r\n"));
+	ASSERT_TRUE(event_loop.run_until([&] { return child.has("ok"); }));
+}
+
 /*
  * Guards against a guaranteed share that is applied to single calls: no request
  * of the class gets all of its calls admitted, so none succeeds (incident SHORT
--- a/tests/policy/retry_test.cc
+++ b/tests/policy/retry_test.cc
@@ -114,10 +114,11 @@
 
 	for (int i = 0; i < 2; i++)
 		for (int j = 0; j < 1000; j++) {
-			ql_retry_budget_t budget = {1, 0, 1};
+			ql_retry_budget_t budget;
 			ql_retry_failure_t failure = {};
 			ql_retry_decision_t decision;
 
+			ql_retry_budget_init(&budget, 0, 1);
 			failure.outcome = QL_OUTCOME_NOT_RUN;
 			failure.reason = QL_REASON_OVERLOAD;
 			failure.attempts_made = attempts[i];
