Know services of up to 128 endpoints whole, and slow-start by age

Subsets of services with 102 and 57 endpoints moved with every endpoint that came or went and with every registrar that answered with other records, at t=0 on 50 nodes at once; each endpoint that came back lost what was observed of it and began with a tenth of its load, as if it had just started.

Change: whole lists up to 128 endpoints, subsets of 128 to 192 above that, with up to 64 of the own failure domain; the slow start goes by the start of the endpoint (age_us), not by when the node heard of it; flags between nodes that are 0 are not sent.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -18,6 +18,8 @@
  * @placement: failure domain in which it runs, if the registrars serve several
  *             of them; empty if that is @failure_domain
  * @incarnation: start of its process; differs after a restart
+ * @age_us: how long it had been running when the record was received; 0 if not
+ *          known
  * @slots: requests that it can run at once
  * @connections: most connections that it accepts; 0 for no limit
  * @stale: there was no recent report from @failure_domain
@@ -27,6 +29,7 @@
 	char failure_domain[QL_NAME_MAX];
 	char placement[QL_NAME_MAX];
 	uint64_t incarnation;
+	uint64_t age_us;
 	uint32_t slots;
 	uint32_t connections;
 	bool stale;
@@ -52,7 +55,8 @@
  * @consecutive_failures: attempts whose connection failed or was lost, or whose
  *                        answer was malformed, since the last answer or
  * ejection
- * @added_us: time when it was added, for slow start
+ * @started_us: time since which it runs or, if that is not known, when it was
+ *              added; for slow start
  * @ejected_until_us: end of its ejection; until then it is chosen only if no
  *                    healthy endpoint can be chosen
  * @ejections: ejections since its last answer
@@ -73,7 +77,7 @@
 	uint64_t last_answer_us;
 	uint64_t unanswered_since_us;
 	uint32_t consecutive_failures;
-	uint64_t added_us;
+	uint64_t started_us;
 	uint64_t ejected_until_us;
 	uint32_t ejections;
 	uint64_t backoff_until_us;
--- a/src/control/registrar_view.h
+++ b/src/control/registrar_view.h
@@ -13,11 +13,11 @@
 G_BEGIN_DECLS
 
 /** Fewest endpoints in a subset; smaller services are sent completely. */
-#define QL_SUBSET_ENDPOINTS_MIN 32u
+#define QL_SUBSET_ENDPOINTS_MIN 128u
 /** Most endpoints in a subset. */
-#define QL_SUBSET_ENDPOINTS_MAX 64u
+#define QL_SUBSET_ENDPOINTS_MAX 192u
 /** Endpoints of the failure domain of the node that are in its subset first. */
-#define QL_SUBSET_OWN_DOMAIN_MIN 24u
+#define QL_SUBSET_OWN_DOMAIN_MIN 64u
 /** Sum of the slots up to which endpoints are added to a subset. */
 #define QL_SUBSET_SLOTS_TARGET 1024u
 
--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -65,6 +65,18 @@
 	g_free(path_job);
 }
 
+/*
+ * The incarnation of an endpoint is its start in microseconds of the wall clock
+ * of its node. An endpoint that is added again, after a network partition say,
+ * is not taken for one that starts.
+ */
+static uint64_t endpoint_age_us(const ql_endpoint_info_t *info)
+{
+	uint64_t wall_us = (uint64_t)g_get_real_time();
+
+	return wall_us - MIN(info->incarnation, wall_us);
+}
+
 void ql_path_jobs_add_endpoint(ql_path_node_t *node, const char *service,
 			       const ql_endpoint_info_t *info)
 {
@@ -72,6 +84,7 @@
 
 	g_strlcpy(path_job->service, service, sizeof(path_job->service));
 	path_job->info = *info;
+	path_job->info.age_us = endpoint_age_us(info);
 	post(path_job);
 }
 
--- a/src/path/hop.c
+++ b/src/path/hop.c
@@ -194,9 +194,12 @@
 	ql_metadata_t metadata;
 
 	ql_metadata_init(&metadata);
+	/* The default of the flags is 0. */
 	metadata.has = QL_HAS_TIMEOUT | QL_HAS_SERVICE | QL_HAS_CLASS |
-		       QL_HAS_VERSION | QL_HAS_IDEMPOTENT | QL_HAS_UNDER_WAY |
-		       QL_HAS_REPEAT;
+		       QL_HAS_VERSION |
+		       (call->idempotent ? QL_HAS_IDEMPOTENT : 0) |
+		       (call->under_way ? QL_HAS_UNDER_WAY : 0) |
+		       (call->repeat ? QL_HAS_REPEAT : 0);
 	metadata.timeout_ms =
 		ql_remaining_ms(call->deadline_us, ql_loop_now_us(hops->loop));
 	metadata.version = call->version;
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -127,7 +127,7 @@
 		return handle;
 	endpoint = row;
 	endpoint->info = *info;
-	endpoint->added_us = now_us;
+	endpoint->started_us = now_us - MIN(info->age_us, now_us);
 	g_hash_table_insert(balancer->by_gate, g_strdup(info->gate),
 			    GUINT_TO_POINTER(handle));
 	add_to_lists(balancer, endpoint, handle);
--- a/src/policy/balancer_estimates.c
+++ b/src/policy/balancer_estimates.c
@@ -17,7 +17,7 @@
 #define EJECTION_BASE_US (2 * QL_US_PER_S)
 #define EJECTED_MAX_PERCENT 50u
 #define EJECTION_DOUBLINGS_MAX 5u
-/* A new endpoint gets a share of its load that rises from the least to 1. */
+/* An endpoint that starts gets a share of its load that rises to 1. */
 #define SLOW_START_DURATION_US (5 * QL_US_PER_S)
 #define SLOW_START_FACTOR_MIN 0.1
 /* Time without further observations that halves the weight of an estimate. */
@@ -26,8 +26,8 @@
 double ql_balancer__slow_start_factor(const ql_endpoint_t *endpoint,
 				      uint64_t now_us)
 {
-	double age =
-		(double)(now_us - endpoint->added_us) / SLOW_START_DURATION_US;
+	double age = (double)(now_us - endpoint->started_us) /
+		     SLOW_START_DURATION_US;
 
 	return CLAMP(age, SLOW_START_FACTOR_MIN, 1.0);
 }
--- a/src/policy/balancer_internal.h
+++ b/src/policy/balancer_internal.h
@@ -62,7 +62,7 @@
  * @endpoint: endpoint
  * @now_us: current time
  *
- * Return: 0.1 after it was added, rising to 1 at the end of the slow start.
+ * Return: 0.1 after its start, rising to 1 at the end of the slow start.
  */
 double ql_balancer__slow_start_factor(const ql_endpoint_t *endpoint,
 				      uint64_t now_us);
--- a/tests/policy/balancer_test.cc
+++ b/tests/policy/balancer_test.cc
@@ -228,6 +228,28 @@
 	EXPECT_GT(late["d0/3"], 4000 / 4 / 2);
 }
 
+/*
+ * Guards against a slow start of endpoints that a node hears of again: they got
+ * a tenth of their load and the others more than they could take.
+ */
+TEST_F(BalancerTest, EndpointThatHasRunForLongStartsWithItsFullShare)
+{
+	ql_endpoint_info_t info = {};
+
+	AddMany(3);
+	now_us_ += 10 * QL_US_PER_S;
+	Call(1000, Succeed);
+	strcpy(info.gate, "d0/3");
+	strcpy(info.failure_domain, "d0");
+	info.incarnation = 1;
+	info.age_us = 60 * QL_US_PER_S;
+	info.slots = 8;
+	ql_balancer_add(&balancer_, &info, now_us_);
+	auto counts = Call(1000, Succeed);
+	EXPECT_GT(counts["d0/3"], 1000 / 4 / 2);
+	EXPECT_LT(counts["d0/3"], 1000 / 4 * 2);
+}
+
 TEST_F(BalancerTest, PrefersSameDomainWhileSlotsAreFree)
 {
 	std::map<std::string, int> counts;
