--- a/include/quetzalloft/json.h
+++ b/include/quetzalloft/json.h
@@ -75,10 +75,10 @@
 #field_, QL_JSON_REAL, required_, offsetof(type_, field_), 0, \
 			min_, max_                                            \
 	}
-#define QL_MEMBER_DURATION(type_, field_, required_, min_, max_)     \
-	{                                                            \
-#field_, QL_JSON_DURATION, required_,                \
-			offsetof(type_, field_), 0, min_, max_       \
+#define QL_MEMBER_DURATION(type_, field_, required_, min_, max_)               \
+	{                                                                      \
+#field_, QL_JSON_DURATION, required_, offsetof(type_, field_), \
+			0, min_, max_                                          \
 	}
 #define QL_MEMBER_BOOL(type_, field_, required_)                              \
 	{                                                                     \
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -14,6 +14,8 @@
 #define DRAIN_DEFAULT_MS 1500
 #define VOTERS_DEFAULT 3
 #define VOTERS_MAX 9
+/* A quorum of VOTERS_MAX survives as many. */
+#define REPLICA_LOSSES_MAX 4
 #define GRACE_DEFAULT_MS 30000
 
 static const ql_json_member_t members[] = {
@@ -40,7 +42,7 @@
 	QL_MEMBER_BOOL(ql_settings_t, bootstrap, false),
 	QL_MEMBER_UINT(ql_settings_t, voters, false, 1, VOTERS_MAX),
 	QL_MEMBER_UINT(ql_settings_t, replica_losses, false, 0,
-		       (VOTERS_MAX - 1) / 2),
+		       REPLICA_LOSSES_MAX),
 	QL_MEMBER_DURATION(ql_settings_t, grace_ms, false, 0, 600000),
 	QL_MEMBER_REAL(ql_settings_t, repeat_ratio, false, 0, 1),
 };
--- a/src/path/local_gate_report.c
+++ b/src/path/local_gate_report.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 /* The clocks of the endpoint and of this node may differ by this. */
-#define INCARNATION_AHEAD_MAX_MS (24 * 3600 * 1000ULL)
+#define INCARNATION_AHEAD_MAX_MS (24ULL * 3600 * 1000)
 /* Largest integer that every JSON implementation represents exactly. */
 #define SEQUENCE_MAX ((1ULL << 53) - 1)
 
