Mend what a reading of the whole change found

Causes and changes: - The gate no longer refused reports of other endpoints itself; it does again, and LocalGate.RefusesReportsOfOtherEndpoints stands as before, beside ChecksReports. - Two calls chose the subset of a node alike: one function.

--- a/src/control/registrar_view.c
+++ b/src/control/registrar_view.c
@@ -201,6 +201,14 @@
 	return record ? record_domain(record) : registrar->opts.failure_domain;
 }
 
+static GArray *choose_subset_for_node(const ql_registrar_t *registrar,
+				      const ql_service_set_t *set,
+				      const ql_node_lease_t *lease)
+{
+	return ql_registrar__choose_subset(registrar, set, lease->name,
+					   node_domain(registrar, lease));
+}
+
 /* Sends the complete list of a service unless the node has it already. */
 static void send_whole_if_different(ql_registrar_t *registrar,
 				    const ql_service_set_t *set,
@@ -212,8 +220,7 @@
 	if (set->serving->len <= QL_SUBSET_ENDPOINTS_MIN &&
 	    set->digest == node_digest)
 		return;
-	handles = ql_registrar__choose_subset(registrar, set, lease->name,
-					      node_domain(registrar, lease));
+	handles = choose_subset_for_node(registrar, set, lease);
 	if (digest_records(registrar, handles) != node_digest)
 		write_whole_service(registrar, res, set->name, handles);
 	g_array_free(handles, TRUE);
@@ -290,10 +297,7 @@
 				      value);
 			continue;
 		}
-		handles =
-			ql_registrar__choose_subset(registrar, set, lease->name,
-						    node_domain(registrar,
-								lease));
+		handles = choose_subset_for_node(registrar, set, lease);
 		write_whole_service(registrar, res, set->name, handles);
 		g_array_free(handles, TRUE);
 	}
--- a/src/path/local_gate.h
+++ b/src/path/local_gate.h
@@ -107,9 +107,12 @@
  * @report: the report
  *
  * A report that is not newer than the latest one is ignored.
+ *
+ * Return: 0, or QL_E_DENIED if the service or address is not that of the local
+ * endpoint.
  */
-void ql_local_gate_apply_report(ql_local_gate_t *gate,
-				const ql_instance_report_t *report);
+int ql_local_gate_apply_report(ql_local_gate_t *gate,
+			       const ql_instance_report_t *report);
 
 /**
  * ql_local_gate_deregister() - Deregister the endpoint and drain the gate.
--- a/src/path/local_gate_report.c
+++ b/src/path/local_gate_report.c
@@ -99,17 +99,19 @@
 	return 0;
 }
 
-void ql_local_gate_apply_report(ql_local_gate_t *gate,
-				const ql_instance_report_t *report)
+int ql_local_gate_apply_report(ql_local_gate_t *gate,
+			       const ql_instance_report_t *report)
 {
 	bool was_serving;
 
+	if (!is_local_endpoint(gate, report))
+		return QL_E_DENIED;
 	if (!is_newer(gate, report))
-		return;
+		return 0;
 	was_serving = ql_local_gate_is_serving(gate);
 	store_report(gate, report);
 	if (was_serving == ql_local_gate_is_serving(gate))
-		return;
+		return 0;
 	ql_log(LOG_NOTICE, "endpoint_reported",
 	       QL_STR("instance", report->instance),
 	       QL_UINT("sequence", report->sequence),
@@ -117,6 +119,7 @@
 	       QL_INT("draining", report->draining));
 	gate->opts.state_changed(gate->opts.data);
 	ql_local_gate__apply_decisions(gate);
+	return 0;
 }
 
 void ql_local_gate_deregister(ql_local_gate_t *gate, const char *instance)
--- a/tests/path/local_gate_test.cc
+++ b/tests/path/local_gate_test.cc
@@ -39,12 +39,24 @@
 			make_report(step.instance, step.incarnation,
 				    step.sequence, step.draining);
 
-		ql_local_gate_apply_report(&gate, &next);
+		EXPECT_EQ(0, ql_local_gate_apply_report(&gate, &next));
 		EXPECT_EQ(step.is_serving, ql_local_gate_is_serving(&gate));
 		EXPECT_STREQ(step.instance_after, gate.report.instance);
 	}
 }
 
+TEST_F(LocalGate, RefusesReportsOfOtherEndpoints)
+{
+	ql_instance_report_t service = make_report("i-1", 1, 1),
+			     address = make_report("i-1", 1, 1);
+
+	strcpy(service.service, "b");
+	strcpy(address.address, "127.0.0.1:1");
+	EXPECT_EQ(QL_E_DENIED, ql_local_gate_apply_report(&gate, &service));
+	EXPECT_EQ(QL_E_DENIED, ql_local_gate_apply_report(&gate, &address));
+	EXPECT_FALSE(gate.has_report);
+}
+
 constexpr uint64_t WALL_MS = 1700000000000;
 
 struct ReportCase {
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -158,7 +158,7 @@
 		ql_instance_report_t first = make_report("i-1", 1, 1);
 		ql_endpoint_info_t info = {};
 
-		ql_local_gate_apply_report(&gate, &first);
+		EXPECT_EQ(0, ql_local_gate_apply_report(&gate, &first));
 		strcpy(info.gate, "127.0.0.1:1");
 		strcpy(info.failure_domain, "d");
 		info.slots = 2;
