Show that a node crashes when an answer that waits for its turn breaks off

A pipelined answer of more than 128 KB that fails while it waits behind another one leaves a pointer to its freed call in the exchange; the next request on the connection uses it.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -407,10 +407,14 @@
                 "Response-Seal: %s\r\nContent-Length: %d\r\n"
                 "Keep-Alive: timeout=10\r\n\r\n" % (
                     request_id, seal_of(data), len(data)))
-        writer.write(head.encode() + data)
+        return await self.send_answer(writer, run, head.encode(), data)
+
+    async def send_answer(self, writer, run, head, data):
+        """Sends an answer; returns whether the connection stays open."""
+        writer.write(head + data)
         await writer.drain()
         run["ended"] = time.monotonic()
-        self.fleet.record("answered", server=self.id, id=request_id,
+        self.fleet.record("answered", server=self.id, id=run["id"],
                           bytes=len(data))
         return True
 
