--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -546,7 +546,7 @@
             loop.add_signal_handler(number, this.cancel)
         try:
             return await asyncio.wait_for(case(fleet), limit_s)
-        except (CaseError, OSError, asyncio.TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             fleet.record("could-not-run", error=repr(error))
             print("could not run: %r" % error)
             return NOT_RUN
