--- a/bench/membership.c
+++ b/bench/membership.c
@@ -161,12 +161,24 @@
 	g_snprintf(text, sizeof(text), "region-domain-%u",
 		   node % fleet->opts.domains);
 	out->failure_domain = strdup(text);
+	out->placement = strdup("");
 	out->incarnation = 1700000000000000ULL + node;
 	out->slots = 60;
 	out->connections = 450;
 	out->epoch = 1;
 }
 
+/* Tracks the withdrawals of the endpoint of a node, as a node does. */
+static void track_withdrawals(const fleet_t *fleet, uint32_t node,
+			      ql_member_t *member)
+{
+	ql_rpc_endpoint endpoint = {0};
+
+	describe(fleet, node, &endpoint);
+	ql_member_track_withdrawals(member, endpoint.service, endpoint.gate);
+	xdr_free((xdrproc_t)xdr_ql_rpc_endpoint, &endpoint);
+}
+
 static void init_fleet(fleet_t *fleet, const fleet_opts_t *opts)
 {
 	ql_registrar_opts_t registrar_opts = {
@@ -251,6 +263,7 @@
 		opts.started_ms = fleet->now_ms;
 		ql_member_init(&fleet->members[i], &opts, &ops, fleet,
 			       fleet->random);
+		track_withdrawals(fleet, node, &fleet->members[i]);
 	}
 }
 
--- a/include/quetzalloft/member.h
+++ b/include/quetzalloft/member.h
@@ -12,6 +12,7 @@
 #include "quetzalloft/balancer.h"
 #include "quetzalloft/config_state.h"
 #include "quetzalloft/record.h"
+#include "quetzalloft/withdrawal.h"
 
 #include "control.h"
 
@@ -34,6 +35,10 @@
  * @config_confirmed: a ready registrar, or another node of the failure domain,
  *                    has sent the configuration for the first time since the
  *                    start; may be NULL
+ * @withdrawal_received: a registrar knows a later withdrawal of the local
+ *                       endpoint than this node; may be NULL
+ * @withdrawal_agreed: as many registrars as the node renews at know the latest
+ *                     withdrawal, and the node knows theirs; may be NULL
  */
 typedef struct ql_member_ops {
 	void (*endpoint_up)(void *data, const char *service,
@@ -42,6 +47,9 @@
 			      const char *gate);
 	void (*config_changed)(void *data, ql_document_t *doc);
 	void (*config_confirmed)(void *data);
+	void (*withdrawal_received)(void *data,
+				    const ql_withdrawal_t *withdrawal);
+	void (*withdrawal_agreed)(void *data);
 } ql_member_ops_t;
 
 /**
@@ -78,6 +86,8 @@
  * @interest_number: @interest_number of the member when the interest was last
  *                   sent; 0 when it has to be sent
  * @renewals: successful renewals since the digests were last sent
+ * @withdrawal_sent: @number of &struct ql_member_withdrawal in the last renewal
+ * @withdrawal_number: the same in the last renewal that was granted
  * @failures: consecutive requests without a reply or with a refusal
  * @retry_ms: end of the backoff; the registrar is not called before
  */
@@ -86,10 +96,30 @@
 	uint64_t seen_change_number;
 	uint64_t interest_number;
 	uint32_t renewals;
+	uint64_t withdrawal_sent;
+	uint64_t withdrawal_number;
 	uint32_t failures;
 	uint64_t retry_ms;
 } ql_member_link_t;
 
+/**
+ * struct ql_member_withdrawal - The withdrawal of the local endpoint.
+ * @service: service of the endpoint
+ * @gate: "IP:port" of its gate
+ * @latest: the latest withdrawal that the node knows
+ * @number: number of the last change of @latest, from 1; 0 while withdrawals
+ *          are not tracked
+ * @agreed: as many registrars as the node renews at know @latest; with fewer
+ *          out of backoff, as many as those
+ */
+typedef struct ql_member_withdrawal {
+	char service[QL_NAME_MAX];
+	char gate[QL_ADDRESS_MAX];
+	ql_withdrawal_t latest;
+	uint64_t number;
+	bool agreed;
+} ql_member_withdrawal_t;
+
 /**
  * struct ql_member - A member.
  * @opts: options; registrars are added at run time
@@ -120,6 +150,7 @@
  *                           on a call
  * @want_whole_document: a change did not apply; the next renewal requests the
  *                       complete document
+ * @withdrawal: withdrawal of the local endpoint
  * @offer_registrar: index of the registrar that has requested the document, or
  *                   -1
  * @random: source of jitter; borrowed
@@ -145,6 +176,7 @@
 	uint64_t seen_version;
 	uint64_t last_version_renewal_ms;
 	bool want_whole_document;
+	ql_member_withdrawal_t withdrawal;
 	int offer_registrar;
 	GRand *random;
 } ql_member_t;
@@ -178,6 +210,37 @@
  */
 void ql_member_add_registrar(ql_member_t *member, const char *address);
 
+/**
+ * ql_member_track_withdrawals() - Keep the withdrawals of the local endpoint at
+ * the registrars.
+ * @member: the member, before its first renewal
+ * @service: service of the endpoint
+ * @gate: "IP:port" of its gate
+ *
+ * Until @withdrawal_agreed is called, a report of the endpoint may be one that
+ * it sent before it withdrew.
+ */
+void ql_member_track_withdrawals(ql_member_t *member, const char *service,
+				 const char *gate);
+
+/**
+ * ql_member_withdraw() - Keep a withdrawal of the local endpoint at the
+ * registrars. A renewal is due at once.
+ * @member: a member that tracks withdrawals
+ * @withdrawal: the withdrawal; ignored if a later one is known
+ */
+void ql_member_withdraw(ql_member_t *member, const ql_withdrawal_t *withdrawal);
+
+/**
+ * ql_member_is_withdrawal_agreed() - Check whether the latest withdrawal is
+ * kept at the registrars.
+ * @member: the member
+ *
+ * Return: false between a change of the withdrawal and the next call of
+ * @withdrawal_agreed; true if withdrawals are not tracked.
+ */
+bool ql_member_is_withdrawal_agreed(const ql_member_t *member);
+
 /**
  * ql_member_next_registrar() - Choose the registrar for the next renewal.
  * @member: the member
@@ -233,7 +296,7 @@
  *
  * Return: milliseconds with jitter, or until the first backoff ends when all
  * registrars are in backoff; 0 when the registrar that was called last needs
- * another request at once.
+ * another request at once, or when the withdrawal is not agreed.
  */
 uint32_t ql_member_renewal_delay_ms(ql_member_t *member, uint64_t now_ms);
 
--- a/src/control/exchange.c
+++ b/src/control/exchange.c
@@ -1,6 +1,7 @@
 #include "control/exchange.h"
 #include "control/greeting.h"
 #include "control/registrar_view.h"
+#include "control/registrar_withdrawals.h"
 #include "quetzalloft/error.h"
 
 #include <stdlib.h>
@@ -159,6 +160,10 @@
 		ql_registrar__merge_record(exchange->registrar,
 					   &res->endpoints.endpoints_val[i],
 					   now_ms);
+	for (i = 0; i < res->withdrawals.withdrawals_len; i++)
+		ql_registrar__merge_withdrawal(
+			exchange->registrar,
+			&res->withdrawals.withdrawals_val[i], now_ms);
 	peer->failures = 0;
 	peer->incarnation = res->registrar_incarnation;
 	peer->seen_change_number = res->number;
@@ -197,6 +202,19 @@
 	return found;
 }
 
+static void write_withdrawal(const ql_record_t *record,
+			     ql_rpc_exchange_res *res)
+{
+	u_int n = res->withdrawals.withdrawals_len;
+
+	if (!record->withdrawal)
+		return;
+	ql_withdrawal_fill_rpc(&res->withdrawals.withdrawals_val[n],
+			       record->set->name, record->gate,
+			       record->withdrawal);
+	res->withdrawals.withdrawals_len = n + 1;
+}
+
 static void write_records(const ql_registrar_t *registrar, uint64_t since,
 			  ql_rpc_exchange_res *res)
 {
@@ -205,11 +223,14 @@
 	const ql_record_t *record = find_first_after(registrar, since);
 	u_int n = 0;
 
-	g_assert(out);
+	res->withdrawals.withdrawals_val =
+		calloc(QL_RPC_EXCHANGE_MAX, sizeof(ql_rpc_withdrawal));
+	g_assert(out && res->withdrawals.withdrawals_val);
 	res->endpoints.endpoints_val = out;
 	res->number = registrar->change_number;
 	while (record && n < QL_RPC_EXCHANGE_MAX) {
 		ql_registrar__fill_endpoint(&out[n++], record);
+		write_withdrawal(record, res);
 		res->number = record->change_number;
 		record = ql_table_get(&registrar->records, record->newer);
 	}
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -2,6 +2,7 @@
 #include "control/greeting.h"
 #include "control/member_interest.h"
 #include "control/member_view.h"
+#include "control/member_withdrawal.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
 
@@ -167,6 +168,7 @@
 	args->members_number = link->seen_change_number;
 	args->epoch = member->epoch;
 	args->sequence = ++member->sequence;
+	ql_member__fill_withdrawal(member, index, args);
 	if (link->interest_number == member->interest_number &&
 	    !is_digest_due(member, link))
 		return;
@@ -320,6 +322,8 @@
 	if (res->want_document)
 		member->offer_registrar = index;
 	add_listed_registrars(member, res);
+	ql_member__apply_withdrawal(member, index, res);
+	ql_member__update_agreement(member, now_ms);
 	if (ql_member__update_view(member, res, now_ms))
 		member->links[index].renewals = RENEWALS_DIGEST_DUE;
 	ret = apply_config(member, res, error);
@@ -342,6 +346,7 @@
 	delay_ms = MIN(delay_ms, MAX(REGISTRAR_BACKOFF_MAX_MS,
 				     (uint64_t)member->opts.renew_ms));
 	link->retry_ms = now_ms + (uint64_t)((double)delay_ms * factor);
+	ql_member__update_agreement(member, now_ms);
 }
 
 /* Returns the time until the backoff of one of the registrars has ended. */
@@ -366,6 +371,8 @@
 	remaining_ms = backoff_remaining_ms(member, now_ms);
 	if (remaining_ms)
 		return (uint32_t)remaining_ms;
+	if (!ql_member_is_withdrawal_agreed(member))
+		return 0;
 	if (member->last_registrar >= 0) {
 		link = &member->links[member->last_registrar];
 		if (!link->failures && link->incarnation &&
@@ -415,8 +422,10 @@
 	ret = ql_config_reply_apply(&member->config, &reply,
 				    res->config_version, error);
 	notify_config_change(member, before);
-	if (!ret && member->config.doc->version)
+	if (!ret && member->config.doc->version) {
 		confirm_config(member);
+		ql_member__assume_agreement(member);
+	}
 	return ret;
 }
 
--- /dev/null
+++ b/src/control/member_withdrawal.c
@@ -0,0 +1,117 @@
+#include "control/member_withdrawal.h"
+#include "control/registrar_withdrawals.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void ql_member_track_withdrawals(ql_member_t *member, const char *service,
+				 const char *gate)
+{
+	ql_member_withdrawal_t *own = &member->withdrawal;
+
+	g_strlcpy(own->service, service, sizeof(own->service));
+	g_strlcpy(own->gate, gate, sizeof(own->gate));
+	own->number = 1;
+}
+
+/* The registrars have to be told of the new one. */
+static bool merge(ql_member_t *member, const ql_withdrawal_t *withdrawal)
+{
+	ql_member_withdrawal_t *own = &member->withdrawal;
+
+	if (!ql_withdrawal_merge(&own->latest, withdrawal))
+		return false;
+	own->number++;
+	own->agreed = false;
+	return true;
+}
+
+void ql_member_withdraw(ql_member_t *member, const ql_withdrawal_t *withdrawal)
+{
+	g_assert(member->withdrawal.number);
+	merge(member, withdrawal);
+}
+
+bool ql_member_is_withdrawal_agreed(const ql_member_t *member)
+{
+	return member->withdrawal.agreed || !member->withdrawal.number;
+}
+
+void ql_member__fill_withdrawal(ql_member_t *member, int index,
+				ql_rpc_lease_args *args)
+{
+	const ql_member_withdrawal_t *own = &member->withdrawal;
+	ql_rpc_withdrawal *out;
+
+	if (!own->number)
+		return;
+	out = calloc(1, sizeof(*out));
+	g_assert(out);
+	ql_withdrawal_fill_rpc(out, own->service, own->gate, &own->latest);
+	args->withdrawals.withdrawals_val = out;
+	args->withdrawals.withdrawals_len = 1;
+	member->links[index].withdrawal_sent = own->number;
+}
+
+static bool is_own(const ql_member_withdrawal_t *own,
+		   const ql_rpc_withdrawal *rpc)
+{
+	return !strcmp(rpc->service, own->service) &&
+	       !strcmp(rpc->gate, own->gate);
+}
+
+void ql_member__apply_withdrawal(ql_member_t *member, int index,
+				 const ql_rpc_lease_res *res)
+{
+	ql_member_link_t *link = &member->links[index];
+	const ql_rpc_withdrawal *rpc;
+	ql_withdrawal_t later;
+	u_int i;
+
+	link->withdrawal_number = link->withdrawal_sent;
+	for (i = 0; i < res->withdrawals.withdrawals_len; i++) {
+		rpc = &res->withdrawals.withdrawals_val[i];
+		if (!is_own(&member->withdrawal, rpc) ||
+		    ql_withdrawal_read_rpc(&later, rpc) ||
+		    !merge(member, &later))
+			continue;
+		/* This registrar knows it already. */
+		link->withdrawal_number = member->withdrawal.number;
+		if (member->ops->withdrawal_received)
+			member->ops->withdrawal_received(member->data, &later);
+	}
+}
+
+static void set_agreed(ql_member_t *member)
+{
+	member->withdrawal.agreed = true;
+	if (member->ops->withdrawal_agreed)
+		member->ops->withdrawal_agreed(member->data);
+}
+
+void ql_member__update_agreement(ql_member_t *member, uint64_t now_ms)
+{
+	ql_member_withdrawal_t *own = &member->withdrawal;
+	const ql_member_link_t *link;
+	size_t n_usable = 0, n_holders = 0;
+	size_t i;
+
+	if (!own->number || own->agreed)
+		return;
+	for (i = 0; i < member->opts.n_registrars; i++) {
+		link = &member->links[i];
+		if (link->retry_ms <= now_ms)
+			n_usable++;
+		if (!link->failures && link->withdrawal_number == own->number)
+			n_holders++;
+	}
+	if (!n_holders || n_holders < MIN(n_usable, QL_REGISTRARS_ACTIVE))
+		return;
+	set_agreed(member);
+}
+
+void ql_member__assume_agreement(ql_member_t *member)
+{
+	if (member->withdrawal.number && !member->withdrawal.agreed)
+		set_agreed(member);
+}
--- /dev/null
+++ b/src/control/member_withdrawal.h
@@ -0,0 +1,52 @@
+#ifndef QL_CONTROL_MEMBER_WITHDRAWAL_H
+#define QL_CONTROL_MEMBER_WITHDRAWAL_H
+
+/**
+ * DOC: The withdrawal of the local endpoint, which a member keeps at its
+ * registrars. Each renewal has the latest one that the member knows, each reply
+ * a later one that the registrar knows. As the member writes to and reads from
+ * as many registrars as it renews at, a restarted node learns from one of them
+ * what its earlier run had confirmed, while one of them may be lost.
+ */
+
+#include "quetzalloft/member.h"
+
+G_BEGIN_DECLS
+
+/**
+ * ql_member__fill_withdrawal() - Write the withdrawal to a renewal.
+ * @member: the member
+ * @index: index of the registrar
+ * @args: the renewal
+ */
+void ql_member__fill_withdrawal(ql_member_t *member, int index,
+				ql_rpc_lease_args *args);
+
+/**
+ * ql_member__apply_withdrawal() - Handle the withdrawal in a reply.
+ * @member: the member
+ * @index: index of the registrar
+ * @res: the reply
+ */
+void ql_member__apply_withdrawal(ql_member_t *member, int index,
+				 const ql_rpc_lease_res *res);
+
+/**
+ * ql_member__update_agreement() - Check whether enough registrars know the
+ * withdrawal, after a reply or a failure.
+ * @member: the member
+ * @now_ms: current time
+ */
+void ql_member__update_agreement(ql_member_t *member, uint64_t now_ms);
+
+/**
+ * ql_member__assume_agreement() - Stop waiting for the registrars, none of
+ * which has answered for so long since the start that no report from before it
+ * is still under way.
+ * @member: the member
+ */
+void ql_member__assume_agreement(ql_member_t *member);
+
+G_END_DECLS
+
+#endif
--- a/src/control/registrar.c
+++ b/src/control/registrar.c
@@ -1,6 +1,7 @@
 #include "quetzalloft/registrar.h"
 #include "control/greeting.h"
 #include "control/registrar_view.h"
+#include "control/registrar_withdrawals.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
 
@@ -165,6 +166,7 @@
 	 */
 	res->ready = registrar->config_current ||
 		     ql_registrar_is_ready(registrar, now_ms);
+	ql_registrar__renew_withdrawals(registrar, args, res, now_ms);
 	ql_registrar__fill_services(registrar, lease, args, res);
 	if (args->has_interest ||
 	    args->members_number < registrar->domains_change_number) {
--- a/src/control/registrar_records.c
+++ b/src/control/registrar_records.c
@@ -34,6 +34,12 @@
 
 void ql_registrar__records_finish(ql_registrar_t *registrar)
 {
+	uint32_t cursor = 0;
+	ql_handle_t handle;
+	ql_record_t *record;
+
+	while ((record = ql_table_next(&registrar->records, &cursor, &handle)))
+		g_free(record->withdrawal);
 	g_hash_table_destroy(registrar->by_key);
 	g_hash_table_destroy(registrar->services);
 	g_hash_table_destroy(registrar->domains);
@@ -256,6 +262,7 @@
 	unlink_record(registrar, handle, record);
 	ql_record_key(key, record->set->name, record->gate);
 	g_hash_table_remove(registrar->by_key, key);
+	g_free(record->withdrawal);
 	ql_table_remove(&registrar->records, handle);
 }
 
--- a/src/control/registrar_records.h
+++ b/src/control/registrar_records.h
@@ -7,6 +7,7 @@
  */
 
 #include "quetzalloft/registrar.h"
+#include "quetzalloft/withdrawal.h"
 
 G_BEGIN_DECLS
 
@@ -55,6 +56,7 @@
  * @set: set of its service; borrowed
  * @set_index: its index in @set->serving while it serves
  * @version: version of the record
+ * @withdrawal: latest withdrawal of the endpoint; owned, NULL for none
  * @holder: incarnation of the registrar that holds the lease
  * @slots: requests that the endpoint can run at once
  * @connections: most connections that it accepts; 0 for no limit
@@ -71,6 +73,7 @@
 	ql_service_set_t *set;
 	guint set_index;
 	ql_record_version_t version;
+	ql_withdrawal_t *withdrawal;
 	uint64_t holder;
 	uint32_t slots;
 	uint32_t connections;
--- a/src/control/rpc/control.h
+++ b/src/control/rpc/control.h
@@ -28,7 +28,7 @@
 #define QL_RPC_SERVICES_MAX 1024
 #define QL_RPC_EXCHANGE_MAX 256
 #define QL_RPC_REGISTRARS_MAX 32
-#define QL_RPC_PROTOCOL_VERSION 4
+#define QL_RPC_PROTOCOL_VERSION 5
 
 struct ql_rpc_greeting {
 	char *cluster;
@@ -73,6 +73,15 @@
 };
 typedef struct ql_rpc_endpoint ql_rpc_endpoint;
 
+struct ql_rpc_withdrawal {
+	char *service;
+	char *gate;
+	char *instance;
+	u_quad_t started_ms;
+	u_quad_t sequence;
+};
+typedef struct ql_rpc_withdrawal ql_rpc_withdrawal;
+
 struct ql_rpc_interest {
 	char *service;
 	u_quad_t digest;
@@ -117,6 +126,10 @@
 		u_int interest_len;
 		ql_rpc_interest *interest_val;
 	} interest;
+	struct {
+		u_int withdrawals_len;
+		ql_rpc_withdrawal *withdrawals_val;
+	} withdrawals;
 };
 typedef struct ql_rpc_lease_args ql_rpc_lease_args;
 
@@ -159,6 +172,10 @@
 		u_int registrars_len;
 		ql_rpc_registrar *registrars_val;
 	} registrars;
+	struct {
+		u_int withdrawals_len;
+		ql_rpc_withdrawal *withdrawals_val;
+	} withdrawals;
 };
 typedef struct ql_rpc_lease_res ql_rpc_lease_res;
 
@@ -199,6 +216,10 @@
 		u_int endpoints_len;
 		ql_rpc_endpoint *endpoints_val;
 	} endpoints;
+	struct {
+		u_int withdrawals_len;
+		ql_rpc_withdrawal *withdrawals_val;
+	} withdrawals;
 	struct {
 		u_int domains_len;
 		ql_rpc_domain *domains_val;
@@ -344,6 +365,7 @@
 extern  bool_t xdr_ql_rpc_change (XDR *, ql_rpc_change*);
 extern  bool_t xdr_ql_rpc_endpoint_state (XDR *, ql_rpc_endpoint_state*);
 extern  bool_t xdr_ql_rpc_endpoint (XDR *, ql_rpc_endpoint*);
+extern  bool_t xdr_ql_rpc_withdrawal (XDR *, ql_rpc_withdrawal*);
 extern  bool_t xdr_ql_rpc_interest (XDR *, ql_rpc_interest*);
 extern  bool_t xdr_ql_rpc_service (XDR *, ql_rpc_service*);
 extern  bool_t xdr_ql_rpc_domain (XDR *, ql_rpc_domain*);
@@ -368,6 +390,7 @@
 extern bool_t xdr_ql_rpc_change ();
 extern bool_t xdr_ql_rpc_endpoint_state ();
 extern bool_t xdr_ql_rpc_endpoint ();
+extern bool_t xdr_ql_rpc_withdrawal ();
 extern bool_t xdr_ql_rpc_interest ();
 extern bool_t xdr_ql_rpc_service ();
 extern bool_t xdr_ql_rpc_domain ();
--- a/src/control/rpc/control.x
+++ b/src/control/rpc/control.x
@@ -19,7 +19,7 @@
 const QL_RPC_SERVICES_MAX = 1024;
 const QL_RPC_EXCHANGE_MAX = 256;
 const QL_RPC_REGISTRARS_MAX = 32;
-const QL_RPC_PROTOCOL_VERSION = 4;
+const QL_RPC_PROTOCOL_VERSION = 5;
 
 struct ql_rpc_greeting {
 	string cluster<QL_RPC_NAME_MAX>;
@@ -70,6 +70,18 @@
 	unsigned hyper holder;
 };
 
+/*
+ * The latest withdrawal of the endpoint at a gate, see quetzalloft/withdrawal.h.
+ * instance: empty when none is known.
+ */
+struct ql_rpc_withdrawal {
+	string service<QL_RPC_NAME_MAX>;
+	string gate<QL_RPC_ADDRESS_MAX>;
+	string instance<QL_RPC_KEY_MAX>;
+	unsigned hyper started_ms;
+	unsigned hyper sequence;
+};
+
 /*
  * A service that a node follows, and the digest of the endpoints that it has.
  */
@@ -113,6 +125,9 @@
  * replies with conflict, it has an endpoint that serves recorded as leaving or
  * gone, or in a later incarnation. Only a renewal with a higher epoch replaces
  * that record, so that a delayed renewal cannot.
+ * withdrawals: the latest one that the node knows of each of its gates, also of
+ * those without an endpoint. The reply has those of which the registrar knows a
+ * later one.
  */
 struct ql_rpc_lease_args {
 	ql_rpc_greeting greeting;
@@ -127,6 +142,7 @@
 	bool want_whole_document;
 	bool has_interest;
 	ql_rpc_interest interest<QL_RPC_INTEREST_MAX>;
+	ql_rpc_withdrawal withdrawals<QL_RPC_LOCAL_ENDPOINTS_MAX>;
 };
 
 /* A registrar that nodes may renew at. */
@@ -153,6 +169,7 @@
 	ql_rpc_service services<QL_RPC_SERVICES_MAX>;
 	ql_rpc_domain domains<QL_RPC_DOMAINS_MAX>;
 	ql_rpc_registrar registrars<QL_RPC_REGISTRARS_MAX>;
+	ql_rpc_withdrawal withdrawals<QL_RPC_LOCAL_ENDPOINTS_MAX>;
 };
 
 /* A node sends its document to a registrar that has an older one. */
@@ -173,6 +190,7 @@
 /*
  * A registrar requests the records that have changed at another one after
  * change number. The number counts within registrar_incarnation.
+ * withdrawals: those of the endpoints in the same reply.
  */
 struct ql_rpc_exchange_args {
 	ql_rpc_greeting greeting;
@@ -188,6 +206,7 @@
 	unsigned hyper number;
 	bool more;
 	ql_rpc_endpoint endpoints<QL_RPC_EXCHANGE_MAX>;
+	ql_rpc_withdrawal withdrawals<QL_RPC_EXCHANGE_MAX>;
 	ql_rpc_domain domains<QL_RPC_DOMAINS_MAX>;
 };
 
--- a/src/control/rpc/control_xdr.c
+++ b/src/control/rpc/control_xdr.c
@@ -81,6 +81,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_ql_rpc_withdrawal (XDR *xdrs, ql_rpc_withdrawal *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, QL_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->gate, QL_RPC_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->instance, QL_RPC_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_ql_rpc_interest (XDR *xdrs, ql_rpc_interest *objp)
 {
@@ -157,6 +175,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->interest.interest_val, (u_int *) &objp->interest.interest_len, QL_RPC_INTEREST_MAX,
 		sizeof (ql_rpc_interest), (xdrproc_t) xdr_ql_rpc_interest))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->withdrawals.withdrawals_val, (u_int *) &objp->withdrawals.withdrawals_len, QL_RPC_LOCAL_ENDPOINTS_MAX,
+		sizeof (ql_rpc_withdrawal), (xdrproc_t) xdr_ql_rpc_withdrawal))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -226,6 +247,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->registrars.registrars_val, (u_int *) &objp->registrars.registrars_len, QL_RPC_REGISTRARS_MAX,
 			sizeof (ql_rpc_registrar), (xdrproc_t) xdr_ql_rpc_registrar))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->withdrawals.withdrawals_val, (u_int *) &objp->withdrawals.withdrawals_len, QL_RPC_LOCAL_ENDPOINTS_MAX,
+			sizeof (ql_rpc_withdrawal), (xdrproc_t) xdr_ql_rpc_withdrawal))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_int (xdrs, &objp->status))
@@ -277,6 +301,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->registrars.registrars_val, (u_int *) &objp->registrars.registrars_len, QL_RPC_REGISTRARS_MAX,
 			sizeof (ql_rpc_registrar), (xdrproc_t) xdr_ql_rpc_registrar))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->withdrawals.withdrawals_val, (u_int *) &objp->withdrawals.withdrawals_len, QL_RPC_LOCAL_ENDPOINTS_MAX,
+			sizeof (ql_rpc_withdrawal), (xdrproc_t) xdr_ql_rpc_withdrawal))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -320,6 +347,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->registrars.registrars_val, (u_int *) &objp->registrars.registrars_len, QL_RPC_REGISTRARS_MAX,
 		sizeof (ql_rpc_registrar), (xdrproc_t) xdr_ql_rpc_registrar))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->withdrawals.withdrawals_val, (u_int *) &objp->withdrawals.withdrawals_len, QL_RPC_LOCAL_ENDPOINTS_MAX,
+		sizeof (ql_rpc_withdrawal), (xdrproc_t) xdr_ql_rpc_withdrawal))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -389,6 +419,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->endpoints.endpoints_val, (u_int *) &objp->endpoints.endpoints_len, QL_RPC_EXCHANGE_MAX,
 		sizeof (ql_rpc_endpoint), (xdrproc_t) xdr_ql_rpc_endpoint))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->withdrawals.withdrawals_val, (u_int *) &objp->withdrawals.withdrawals_len, QL_RPC_EXCHANGE_MAX,
+		sizeof (ql_rpc_withdrawal), (xdrproc_t) xdr_ql_rpc_withdrawal))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, QL_RPC_DOMAINS_MAX,
 		sizeof (ql_rpc_domain), (xdrproc_t) xdr_ql_rpc_domain))
 		 return FALSE;
--- a/src/node/lease_service.c
+++ b/src/node/lease_service.c
@@ -8,6 +8,9 @@
 
 #define LEASE_CALL_TIMEOUT_MS 1000u
 #define WAKE_RING_ENTRIES 16u
+#define MS_PER_S 1000u
+#define NS_PER_MS 1000000L
+#define NS_PER_S 1000000000L
 
 static uint64_t now_ms(void)
 {
@@ -85,6 +88,8 @@
 	else
 		ret = ql_member_handle_lease_reply(&service->member, index,
 						   &res, now_ms(), error);
+	if (ql_member_is_withdrawal_agreed(&service->member))
+		pthread_cond_broadcast(&service->agreed);
 	pthread_mutex_unlock(&service->lock);
 	if (res.clock)
 		ql_hlc_observe(service->hlc, res.clock, ql_clock_wall_ms());
@@ -283,6 +288,17 @@
 		ql_rpc_client_finish(&service->neighbours[i]);
 }
 
+/* Makes the waits on @agreed follow the monotonic clock. */
+static void init_agreed(ql_lease_service_t *service)
+{
+	pthread_condattr_t attributes;
+
+	pthread_condattr_init(&attributes);
+	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+	pthread_cond_init(&service->agreed, &attributes);
+	pthread_condattr_destroy(&attributes);
+}
+
 static void init_member(ql_lease_service_t *service, const ql_member_ops_t *ops,
 			void *ops_data)
 {
@@ -301,7 +317,12 @@
 	memcpy(opts.registrars, settings->registrars, sizeof(opts.registrars));
 	service->random = g_rand_new();
 	pthread_mutex_init(&service->lock, NULL);
+	init_agreed(service);
 	ql_member_init(&service->member, &opts, ops, ops_data, service->random);
+	if (settings->role == QL_ROLE_NODE)
+		ql_member_track_withdrawals(&service->member,
+					    settings->endpoint.service,
+					    settings->listen.gate);
 }
 
 int ql_lease_service_init(ql_lease_service_t *service,
@@ -334,6 +355,45 @@
 	ql_lease_service_wake(service);
 }
 
+void ql_lease_service_withdraw(ql_lease_service_t *service,
+			       const ql_withdrawal_t *withdrawal)
+{
+	pthread_mutex_lock(&service->lock);
+	ql_member_withdraw(&service->member, withdrawal);
+	pthread_mutex_unlock(&service->lock);
+	ql_lease_service_wake(service);
+}
+
+static struct timespec deadline_after(uint32_t timeout_ms)
+{
+	struct timespec at;
+
+	clock_gettime(CLOCK_MONOTONIC, &at);
+	at.tv_sec += timeout_ms / MS_PER_S;
+	at.tv_nsec += (long)(timeout_ms % MS_PER_S) * NS_PER_MS;
+	if (at.tv_nsec >= NS_PER_S) {
+		at.tv_sec++;
+		at.tv_nsec -= NS_PER_S;
+	}
+	return at;
+}
+
+bool ql_lease_service_wait_agreed(ql_lease_service_t *service,
+				  uint32_t timeout_ms)
+{
+	struct timespec at = deadline_after(timeout_ms);
+	bool agreed;
+	int ret = 0;
+
+	pthread_mutex_lock(&service->lock);
+	while (!(agreed = ql_member_is_withdrawal_agreed(&service->member)) &&
+	       !ret)
+		ret = pthread_cond_timedwait(&service->agreed, &service->lock,
+					     &at);
+	pthread_mutex_unlock(&service->lock);
+	return agreed;
+}
+
 void ql_lease_service_observe_version(ql_lease_service_t *service,
 				      uint64_t version)
 {
@@ -404,5 +464,6 @@
 	ql_member_finish(&service->member);
 	ql_ring_finish(&service->wake_ring);
 	g_rand_free(service->random);
+	pthread_cond_destroy(&service->agreed);
 	pthread_mutex_destroy(&service->lock);
 }
--- a/src/node/lease_service.h
+++ b/src/node/lease_service.h
@@ -28,6 +28,7 @@
  * @hlc: hybrid logical clock; borrowed
  * @incarnation: start of this process
  * @lock: guards @member
+ * @agreed: signalled when the registrars know the withdrawal of the endpoint
  * @member: the node's side of membership
  * @random: source of the jitter of @member
  * @clients: connections to the registrars, at the index that @member uses
@@ -48,6 +49,7 @@
 	ql_hlc_t *hlc;
 	uint64_t incarnation;
 	pthread_mutex_t lock;
+	pthread_cond_t agreed;
 	ql_member_t member;
 	GRand *random;
 	ql_rpc_client_t clients[QL_REGISTRARS_MAX];
@@ -103,6 +105,26 @@
  */
 void ql_lease_service_leave(ql_lease_service_t *service);
 
+/**
+ * ql_lease_service_withdraw() - Keep a withdrawal of the local endpoint at the
+ * registrars.
+ * @service: the service
+ * @withdrawal: the withdrawal; see ql_member_withdraw()
+ */
+void ql_lease_service_withdraw(ql_lease_service_t *service,
+			       const ql_withdrawal_t *withdrawal);
+
+/**
+ * ql_lease_service_wait_agreed() - Wait until the registrars know the latest
+ * withdrawal of the local endpoint.
+ * @service: the service
+ * @timeout_ms: most time to wait
+ *
+ * Return: whether they do.
+ */
+bool ql_lease_service_wait_agreed(ql_lease_service_t *service,
+				  uint32_t timeout_ms);
+
 /**
  * ql_lease_service_observe_version() - Process a configuration version that a
  * call or an answer carried; a newer one renews the lease at once.
--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -13,6 +13,7 @@
 	ql_endpoint_info_t info;
 	ql_document_t *doc;
 	ql_instance_report_t report;
+	ql_withdrawal_t withdrawal;
 	void (*action)(ql_path_node_t *node);
 } path_job_t;
 
@@ -163,24 +164,33 @@
 	return post(path_job);
 }
 
-static void run_deregister(ql_loop_job_t *job)
+static void run_withdraw(ql_loop_job_t *job)
 {
 	path_job_t *path_job = (path_job_t *)job;
 
-	ql_local_gate_deregister(&path_job->node->gate,
-				 path_job->report.instance);
+	ql_local_gate_withdraw(&path_job->node->gate, &path_job->withdrawal);
 	g_free(path_job);
 }
 
-int ql_path_jobs_deregister(ql_path_node_t *node, const char *instance)
+int ql_path_jobs_withdraw(ql_path_node_t *node,
+			  const ql_withdrawal_t *withdrawal)
 {
-	path_job_t *path_job = path_job_new(node, run_deregister);
+	path_job_t *path_job = path_job_new(node, run_withdraw);
 
-	g_strlcpy(path_job->report.instance, instance,
-		  sizeof(path_job->report.instance));
+	path_job->withdrawal = *withdrawal;
 	return post(path_job);
 }
 
+static void open_gate(ql_path_node_t *node)
+{
+	ql_local_gate_open(&node->gate);
+}
+
+void ql_path_jobs_open_gate(ql_path_node_t *node)
+{
+	post_action(node, open_gate);
+}
+
 static void count_in_flight(ql_path_node_t *node)
 {
 	int n = (int)(node->client_listener.n_exchanges +
--- a/src/node/path_jobs.h
+++ b/src/node/path_jobs.h
@@ -54,13 +54,21 @@
 			      const ql_instance_report_t *report);
 
 /**
- * ql_path_jobs_deregister() - Deregister the local endpoint.
+ * ql_path_jobs_withdraw() - Withdraw the local endpoint.
  * @node: the node
- * @instance: instance ID of the endpoint
+ * @withdrawal: the withdrawal
  *
  * Return: 0, or QL_E_FULL if the job queue is full.
  */
-int ql_path_jobs_deregister(ql_path_node_t *node, const char *instance);
+int ql_path_jobs_withdraw(ql_path_node_t *node,
+			  const ql_withdrawal_t *withdrawal);
+
+/**
+ * ql_path_jobs_open_gate() - Accept calls at the local gate, as the earlier
+ * withdrawals of the endpoint are known.
+ * @node: the node
+ */
+void ql_path_jobs_open_gate(ql_path_node_t *node);
 
 /**
  * ql_path_jobs_count_in_flight() - Update the number of requests in flight.
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -1,4 +1,5 @@
 #include "node/path_node.h"
+#include "node/announcements.h"
 #include "node/http_response.h"
 #include "node/path_jobs.h"
 #include "quetzalloft/address.h"
@@ -8,10 +9,8 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #define PATH_READY "/quetzalloft/ready"
-#define PATH_INSTANCES "/quetzalloft/instances/"
 /* Limits of the listeners for readiness probes and announcements. */
 #define HTTP_BODY_LIMIT_BYTES (64u << 10)
 #define HTTP_CONNECTIONS_MAX 64u
@@ -70,11 +69,24 @@
 	       QL_STR("node", node->context.settings->node));
 }
 
+static void on_withdrawal_received(void *data,
+				   const ql_withdrawal_t *withdrawal)
+{
+	ql_path_jobs_withdraw(data, withdrawal);
+}
+
+static void on_withdrawal_agreed(void *data)
+{
+	ql_path_jobs_open_gate(data);
+}
+
 static const ql_member_ops_t member_ops = {
 	.endpoint_up = on_endpoint_up,
 	.endpoint_gone = on_endpoint_gone,
 	.config_changed = on_config_changed,
 	.config_confirmed = on_config_confirmed,
+	.withdrawal_received = on_withdrawal_received,
+	.withdrawal_agreed = on_withdrawal_agreed,
 };
 
 static ql_document_t *get_document(void *data)
@@ -98,7 +110,7 @@
 
 	pthread_mutex_lock(&node->lock);
 	node->announced_endpoint = (ql_announced_endpoint_t){
-		.has_report = node->gate.has_report,
+		.has_report = node->gate.has_report && !node->gate.closed,
 		.serving = ql_local_gate_is_serving(&node->gate),
 		.slots = (uint32_t)node->gate.report.slots,
 		.incarnation = node->gate.incarnation,
@@ -166,72 +178,6 @@
 				     "not ready\n");
 }
 
-static int read_report(const ql_path_node_t *node, const char *instance,
-		       const struct _u_request *request,
-		       ql_instance_report_t *out, GError **error)
-{
-	int ret =
-		node->dialect->read_report(out, request->binary_body,
-					   request->binary_body_length, error);
-
-	if (ret)
-		return ret;
-	if (g_strlcpy(out->instance, instance, sizeof(out->instance)) >=
-	    sizeof(out->instance))
-		return ql_error_set(error, QL_E_RANGE,
-				    "instance ID: found %zu bytes, allowed at "
-				    "most %zu",
-				    strlen(instance),
-				    sizeof(out->instance) - 1);
-	return ql_local_gate_check_report(&node->gate, out, ql_clock_wall_ms(),
-					  error);
-}
-
-static void handle_report(ql_path_node_t *node, const char *instance,
-			  const struct _u_request *request,
-			  struct _u_response *response)
-{
-	ql_instance_report_t report = {0};
-	GError *error = NULL;
-
-	if (read_report(node, instance, request, &report, &error)) {
-		ql_counter_increment(&node->context.counters,
-				     QL_COUNT_REPORTS_REFUSED);
-		ql_log_error(LOG_INFO, "announcement_refused", error);
-		ql_response_set_text(response, 400, "text/plain",
-				     error->message);
-		g_error_free(error);
-	} else if (ql_path_jobs_apply_report(node, &report)) {
-		ql_response_set_text(response, 503, "text/plain", "busy\n");
-	} else {
-		ql_response_set_text(response, 200, "application/json", "{}");
-	}
-}
-
-static void handle_announce(void *data, const struct _u_request *request,
-			    struct _u_response *response)
-{
-	ql_path_node_t *node = data;
-	const char *instance;
-
-	if (strncmp(request->url_path, PATH_INSTANCES,
-		    strlen(PATH_INSTANCES)) != 0) {
-		ql_response_set_text(response, 404, "text/plain",
-				     "not found\n");
-		return;
-	}
-	instance = request->url_path + strlen(PATH_INSTANCES);
-	if (!strcasecmp(request->http_verb, "PUT"))
-		handle_report(node, instance, request, response);
-	else if (strcasecmp(request->http_verb, "DELETE") != 0)
-		ql_response_set_text(response, 405, "text/plain",
-				     "PUT, DELETE\n");
-	else if (ql_path_jobs_deregister(node, instance))
-		ql_response_set_text(response, 503, "text/plain", "busy\n");
-	else
-		ql_response_set_text(response, 200, "application/json", "{}");
-}
-
 static json_t *make_report(void *data, const char *topic, const char *filter)
 {
 	ql_path_node_t *node = data;
@@ -263,6 +209,7 @@
 		.dialect = node->dialect,
 		.state_changed = on_endpoint_changed,
 		.data = node,
+		.await_withdrawal = true,
 		.counters = &node->context.counters,
 	};
 	ql_front_opts_t front = {
@@ -413,8 +360,8 @@
 				handle_ready, error);
 	if (!ret)
 		ret = start_http_server(node, &node->announce_server,
-					listen->announce, handle_announce,
-					error);
+					listen->announce,
+					ql_announcements_handle, error);
 	return ret ? ret
 		   : ql_metrics_http_start(&node->metrics,
 					   node->context.settings,
--- a/src/node/path_node.h
+++ b/src/node/path_node.h
@@ -48,8 +48,9 @@
  * @ready_server: listener for readiness probes
  * @announce_server: listener for announcements of the local endpoint
  * @metrics: listener for metrics
- * @lock: guards @announced_endpoint and @repeat_ratio
+ * @lock: guards @announced_endpoint, @latest_run and @repeat_ratio
  * @announced_endpoint: copied from @gate by the loop, for the lease thread
+ * @latest_run: a report of the latest run of the endpoint that has reported
  * @repeat_ratio: retry budget in the settings in force, see
  *                &struct ql_front_opts
  * @drain_ms: minimum drain time in the settings in force, in milliseconds; used
@@ -78,6 +79,7 @@
 	ql_metrics_http_t metrics;
 	pthread_mutex_t lock;
 	ql_announced_endpoint_t announced_endpoint;
+	ql_instance_report_t latest_run;
 	double repeat_ratio;
 	uint64_t drain_ms;
 	uint64_t grace_ms;
--- a/src/path/local_gate.c
+++ b/src/path/local_gate.c
@@ -470,7 +470,7 @@
 {
 	if (strcmp(call->service, gate->opts.service) != 0)
 		return QL_REASON_NO_ENDPOINT;
-	if (!gate->has_report || gate->unreachable)
+	if (!gate->has_report || gate->closed || gate->unreachable)
 		return QL_REASON_NO_ENDPOINT;
 	return ql_local_gate_is_serving(gate) ? QL_REASON_NONE
 					      : QL_REASON_DRAINING;
@@ -544,6 +544,7 @@
 	memset(gate, 0, sizeof(*gate));
 	gate->loop = loop;
 	gate->opts = *opts;
+	gate->closed = opts->await_withdrawal;
 	gate->timer.expired = on_timer;
 	gate->timer.data = gate;
 	gate->calls = g_hash_table_new(NULL, NULL);
@@ -582,8 +583,8 @@
 
 bool ql_local_gate_is_serving(const ql_local_gate_t *gate)
 {
-	return gate->has_report && !gate->deregistered && !gate->unreachable &&
-	       !gate->report.draining && !gate->draining;
+	return gate->has_report && !gate->closed && !gate->deregistered &&
+	       !gate->unreachable && !gate->report.draining && !gate->draining;
 }
 
 void ql_local_gate_drain(ql_local_gate_t *gate)
--- a/src/path/local_gate.h
+++ b/src/path/local_gate.h
@@ -12,6 +12,7 @@
 #include "path/call.h"
 #include "quetzalloft/dialect.h"
 #include "quetzalloft/gate.h"
+#include "quetzalloft/withdrawal.h"
 #include "util/counters.h"
 
 G_BEGIN_DECLS
@@ -24,6 +25,7 @@
  * @state_changed: called when the state of the endpoint that other nodes see
  *                 has changed
  * @data: passed to @state_changed
+ * @await_withdrawal: no call is accepted before ql_local_gate_open()
  * @counters: metrics to update; borrowed
  */
 typedef struct ql_local_gate_opts {
@@ -32,6 +34,7 @@
 	char service[QL_NAME_MAX];
 	void (*state_changed)(void *data);
 	void *data;
+	bool await_withdrawal;
 	ql_counters_t *counters;
 } ql_local_gate_opts_t;
 
@@ -41,6 +44,9 @@
  * @opts: settings
  * @report: latest report of the endpoint
  * @has_report: a report was received
+ * @withdrawal: latest withdrawal of the endpoint
+ * @closed: whether the endpoint withdrew before this process started is not
+ *          known yet, so a report may be one from before that
  * @deregistered: the endpoint has deregistered
  * @unreachable: connecting to the endpoint has failed since its latest report
  * @draining: this node is draining
@@ -56,6 +62,8 @@
 	ql_local_gate_opts_t opts;
 	ql_instance_report_t report;
 	bool has_report;
+	ql_withdrawal_t withdrawal;
+	bool closed;
 	bool deregistered;
 	bool unreachable;
 	bool draining;
@@ -106,7 +114,8 @@
  * @gate: the gate
  * @report: the report
  *
- * A report that is not newer than the latest one is ignored.
+ * A report that is not newer than the latest one, or that the withdrawal of the
+ * endpoint covers, is ignored.
  *
  * Return: 0, or QL_E_DENIED if the service or address is not that of the local
  * endpoint.
@@ -115,19 +124,28 @@
 			       const ql_instance_report_t *report);
 
 /**
- * ql_local_gate_deregister() - Deregister the endpoint and drain the gate.
+ * ql_local_gate_withdraw() - Withdraw the endpoint and drain the gate.
  * @gate: the gate
- * @instance: instance ID of the endpoint; ignored if not that of the latest
- *            report
+ * @withdrawal: the withdrawal; if it does not cover the latest report, it only
+ *              keeps the reports that it covers from being applied
  */
-void ql_local_gate_deregister(ql_local_gate_t *gate, const char *instance);
+void ql_local_gate_withdraw(ql_local_gate_t *gate,
+			    const ql_withdrawal_t *withdrawal);
+
+/**
+ * ql_local_gate_open() - Accept calls from now on, as the withdrawals from
+ * before the start of this process are known.
+ * @gate: the gate
+ */
+void ql_local_gate_open(ql_local_gate_t *gate);
 
 /**
  * ql_local_gate_is_serving() - Check whether new calls are accepted.
  * @gate: the gate
  *
- * Return: false before the first report, while the endpoint is deregistered,
- * unreachable or draining, and while this node is draining.
+ * Return: false before the first report and ql_local_gate_open(), while the
+ * endpoint is deregistered, unreachable or draining, and while this node is
+ * draining.
  */
 bool ql_local_gate_is_serving(const ql_local_gate_t *gate);
 
--- a/src/path/local_gate_report.c
+++ b/src/path/local_gate_report.c
@@ -23,6 +23,17 @@
 	return report->sequence > gate->report.sequence;
 }
 
+/*
+ * A report that drains is applied also when it is the one that announced the
+ * withdrawal.
+ */
+static bool is_withdrawn(const ql_local_gate_t *gate,
+			 const ql_instance_report_t *report)
+{
+	return !report->draining &&
+	       ql_withdrawal_covers(&gate->withdrawal, report);
+}
+
 static void start_incarnation(ql_local_gate_t *gate)
 {
 	gate->deregistered = false;
@@ -108,6 +119,15 @@
 		return QL_E_DENIED;
 	if (!is_newer(gate, report))
 		return 0;
+	if (is_withdrawn(gate, report)) {
+		ql_counter_increment(gate->opts.counters,
+				     QL_COUNT_REPORTS_WITHDRAWN);
+		ql_log(LOG_NOTICE, "report_withdrawn",
+		       QL_STR("instance", report->instance),
+		       QL_UINT("incarnation", report->incarnation),
+		       QL_UINT("sequence", report->sequence));
+		return 0;
+	}
 	was_serving = ql_local_gate_is_serving(gate);
 	store_report(gate, report);
 	if (was_serving == ql_local_gate_is_serving(gate))
@@ -122,14 +142,32 @@
 	return 0;
 }
 
-void ql_local_gate_deregister(ql_local_gate_t *gate, const char *instance)
+void ql_local_gate_withdraw(ql_local_gate_t *gate,
+			    const ql_withdrawal_t *withdrawal)
 {
-	if (!gate->has_report || strcmp(gate->report.instance, instance) != 0 ||
-	    gate->deregistered)
+	ql_withdrawal_merge(&gate->withdrawal, withdrawal);
+	if (!gate->has_report || gate->deregistered ||
+	    !ql_withdrawal_covers(withdrawal, &gate->report))
+		return;
+	if (withdrawal->sequence == QL_WITHDRAWAL_FINAL)
+		gate->deregistered = true;
+	else if (!gate->report.draining)
+		gate->report.draining = true;
+	else
 		return;
-	gate->deregistered = true;
 	ql_gate_drain(&gate->gate);
 	ql_local_gate__apply_decisions(gate);
-	ql_log(LOG_NOTICE, "endpoint_left", QL_STR("instance", instance));
+	ql_log(LOG_NOTICE, "endpoint_left",
+	       QL_STR("instance", withdrawal->instance),
+	       QL_INT("deregistered", gate->deregistered));
 	gate->opts.state_changed(gate->opts.data);
 }
+
+void ql_local_gate_open(ql_local_gate_t *gate)
+{
+	if (!gate->closed)
+		return;
+	gate->closed = false;
+	if (gate->has_report)
+		gate->opts.state_changed(gate->opts.data);
+}
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -55,6 +55,9 @@
 				      "Changes of the configuration refused."},
 	[QL_COUNT_REPORTS_REFUSED] = {"reports_refused",
 				      "Reports of endpoints refused."},
+	[QL_COUNT_REPORTS_WITHDRAWN] =
+		{"reports_withdrawn",
+		 "Reports sent before their endpoint withdrew."},
 };
 
 static const ql_metric_t gauge_metrics[QL_N_GAUGES] = {
--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -45,6 +45,8 @@
  * @QL_COUNT_PATCHES_REFUSED: patches of the configuration refused
  * @QL_COUNT_REPORTS_REFUSED: reports that name no endpoint of this VM, or
  *                            whose values are malformed or out of range
+ * @QL_COUNT_REPORTS_WITHDRAWN: reports that were sent before their endpoint
+ *                              withdrew
  * @QL_N_COUNTERS: number of counters
  */
 typedef enum ql_counter {
@@ -74,6 +76,7 @@
 	QL_COUNT_PATCHES_ACCEPTED,
 	QL_COUNT_PATCHES_REFUSED,
 	QL_COUNT_REPORTS_REFUSED,
+	QL_COUNT_REPORTS_WITHDRAWN,
 	QL_N_COUNTERS,
 } ql_counter_t;
 
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -17,6 +17,8 @@
 	std::map<std::string, bool> stale;
 	uint64_t version = 0;
 	bool config_confirmed = false;
+	std::string withdrawn;
+	int agreements = 0;
 };
 
 void endpoint_up(void *data, const char *, const ql_endpoint_info_t *info)
@@ -42,8 +44,19 @@
 	((Callbacks *)data)->config_confirmed = true;
 }
 
-const ql_member_ops_t OPS = {endpoint_up, endpoint_gone, config_changed,
-			     config_confirmed};
+void withdrawal_received(void *data, const ql_withdrawal_t *withdrawal)
+{
+	((Callbacks *)data)->withdrawn = withdrawal->instance;
+}
+
+void withdrawal_agreed(void *data)
+{
+	((Callbacks *)data)->agreements++;
+}
+
+const ql_member_ops_t OPS = {endpoint_up,	  endpoint_gone,
+			     config_changed,	  config_confirmed,
+			     withdrawal_received, withdrawal_agreed};
 
 const char DOCUMENT[] = "{\"site\":\"s\",\"attempts\":5,\"classes\":{},"
 			"\"services\":{\"a\":{}},\"routes\":{}}";
@@ -312,4 +325,102 @@
 	EXPECT_EQ(0u, member.links[before].failures);
 }
 
+class MemberWithdrawal : public Member
+{
+      protected:
+	void SetUp() override
+	{
+		Member::SetUp();
+		ql_member_track_withdrawals(&member, "a", "127.0.0.1:9");
+	}
+
+	/* Renews at a registrar that has no later withdrawal than the node. */
+	void renew(int registrar)
+	{
+		ql_rpc_lease_args args = {};
+		ql_rpc_lease_res res = make_reply((uint64_t)registrar + 1);
+
+		ql_member_fill_lease(&member, registrar, &args);
+		sent = args.withdrawals.withdrawals_val[0].instance;
+		xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
+		ASSERT_EQ(0,
+			  ql_member_handle_lease_reply(&member, registrar, &res,
+						       NOW_MS, nullptr));
+	}
+
+	void withdraw(const char *instance, uint64_t started_ms)
+	{
+		ql_withdrawal_t withdrawal;
+
+		ql_withdrawal_init(&withdrawal, instance, started_ms,
+				   QL_WITHDRAWAL_FINAL);
+		ql_member_withdraw(&member, &withdrawal);
+	}
+
+	static constexpr uint64_t NOW_MS = 1000;
+	std::string sent;
+};
+
+/* A confirmation that only one registrar holds would be lost with it. */
+TEST_F(MemberWithdrawal, IsAgreedOnceTwoRegistrarsHaveIt)
+{
+	renew(0);
+	EXPECT_EQ(0, callbacks.agreements);
+	EXPECT_EQ(0u, ql_member_renewal_delay_ms(&member, NOW_MS));
+	renew(1);
+	EXPECT_EQ(1, callbacks.agreements);
+	EXPECT_NE(0u, ql_member_renewal_delay_ms(&member, NOW_MS));
+	withdraw("i-1", 100);
+	EXPECT_FALSE(ql_member_is_withdrawal_agreed(&member));
+	renew(1);
+	EXPECT_EQ("i-1", sent);
+	EXPECT_FALSE(ql_member_is_withdrawal_agreed(&member));
+	renew(0);
+	EXPECT_TRUE(ql_member_is_withdrawal_agreed(&member));
+	EXPECT_EQ(2, callbacks.agreements);
+	withdraw("i-0", 99);
+	EXPECT_TRUE(ql_member_is_withdrawal_agreed(&member));
+}
+
+TEST_F(MemberWithdrawal, IsAgreedWithTheOnlyRegistrarThatAnswers)
+{
+	renew(0);
+	ql_member_lease_failed(&member, 1, NOW_MS);
+	EXPECT_EQ(1, callbacks.agreements);
+}
+
+TEST_F(MemberWithdrawal, IsNotAgreedWithoutRegistrars)
+{
+	ql_member_lease_failed(&member, 0, NOW_MS);
+	ql_member_lease_failed(&member, 1, NOW_MS);
+	EXPECT_EQ(0, callbacks.agreements);
+	EXPECT_NE(0u, ql_member_renewal_delay_ms(&member, NOW_MS));
+}
+
+/* The first registrar has lost its memory, the second one has not. */
+TEST_F(MemberWithdrawal, PassesALaterOneOnToTheOtherRegistrar)
+{
+	ql_rpc_lease_args args = {};
+	ql_rpc_lease_res res = make_reply(2);
+	ql_rpc_withdrawal later = {};
+
+	later.service = (char *)"a";
+	later.gate = (char *)"127.0.0.1:9";
+	later.instance = (char *)"i-1";
+	later.started_ms = 100;
+	later.sequence = 5;
+	res.withdrawals.withdrawals_val = &later;
+	res.withdrawals.withdrawals_len = 1;
+	renew(0);
+	ql_member_fill_lease(&member, 1, &args);
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
+	ASSERT_EQ(0, ql_member_handle_lease_reply(&member, 1, &res, NOW_MS,
+						  nullptr));
+	EXPECT_EQ("i-1", callbacks.withdrawn);
+	EXPECT_EQ(0, callbacks.agreements);
+	renew(0);
+	EXPECT_EQ("i-1", sent);
+	EXPECT_EQ(1, callbacks.agreements);
+}
+
 } // namespace
--- a/tests/control/membership_simulation.cc
+++ b/tests/control/membership_simulation.cc
@@ -54,8 +54,19 @@
 	node->version = doc->version;
 }
 
-const ql_member_ops_t OPS = {endpoint_up, endpoint_gone, config_changed,
-			     nullptr};
+void withdrawal_received(void *data, const ql_withdrawal_t *withdrawal)
+{
+	ql_withdrawal_merge(&((SimulatedNode *)data)->withdrawal, withdrawal);
+}
+
+void withdrawal_agreed(void *data)
+{
+	((SimulatedNode *)data)->agreements++;
+}
+
+const ql_member_ops_t OPS = {endpoint_up,	  endpoint_gone,
+			     config_changed,	  nullptr,
+			     withdrawal_received, withdrawal_agreed};
 
 std::string domain_name(int domain)
 {
@@ -247,6 +258,10 @@
 	opts.renew_ms = RENEW_MS;
 	opts.rules = rules;
 	ql_member_init(&node.member, &opts, &OPS, &node, rand);
+	ql_member_track_withdrawals(&node.member, node.service.c_str(),
+				    node.gate.c_str());
+	node.withdrawal = {};
+	node.agreements = 0;
 	node.is_running = true;
 	node.is_leaving = false;
 	node.version = 0;
--- a/tests/control/membership_simulation.h
+++ b/tests/control/membership_simulation.h
@@ -35,7 +35,8 @@
  * A node with one endpoint and its member. is_cut separates it from all
  * registrars. generation rises at each start and stop, so that events of an
  * earlier run are ignored. endpoints has the incarnation of each endpoint that
- * the member has reported, by service and gate.
+ * the member has reported, by service and gate. withdrawal is the latest one
+ * that the member has learnt in this run, agreements how often it was agreed.
  */
 struct SimulatedNode {
 	MembershipSimulation *simulation;
@@ -52,6 +53,8 @@
 	std::map<std::string, uint64_t> endpoints;
 	uint64_t version = 0;
 	int version_decreases = 0;
+	ql_withdrawal_t withdrawal = {};
+	int agreements = 0;
 };
 
 /* A registrar and its exchange with all others. */
--- a/tests/control/membership_test.cc
+++ b/tests/control/membership_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest-spi.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace
 {
 
@@ -462,4 +464,75 @@
 				 return test.param.name;
 			 });
 
+/* What happens between a confirmed withdrawal and the restart of its node. */
+struct WithdrawalCase {
+	const char *description;
+	bool kill_first_registrar;
+	bool restart_registrars_in_turn;
+	uint64_t down_ms;
+	bool domain_cut;
+};
+
+class MembershipWithdrawal : public testing::TestWithParam<WithdrawalCase>
+{
+};
+
+/*
+ * An endpoint has left with the confirmation of its node, and the node
+ * restarts. Before its gate opens, the node knows again that the endpoint left,
+ * so that a late report does not bring it back.
+ */
+TEST_P(MembershipWithdrawal, IsKnownAgainAfterARestartOfTheNode)
+{
+	const WithdrawalCase &test = GetParam();
+
+	for (uint32_t seed = 1; seed <= 20; seed++) {
+		SCOPED_TRACE(seed);
+		MembershipSimulation simulation(seed, DOMAINS,
+						REGISTRARS_PER_DOMAIN, NODES);
+		SimulatedNode &node = *simulation.nodes[0];
+		ql_withdrawal_t left;
+
+		start_all(simulation);
+		ASSERT_EQ(1, node.agreements);
+		if (test.domain_cut)
+			simulation.cut_domains.insert(node.domain);
+		ql_withdrawal_init(&left, "i-1", 100, QL_WITHDRAWAL_FINAL);
+		ql_member_withdraw(&node.member, &left);
+		while (node.agreements == 1)
+			simulation.run(1);
+		if (test.restart_registrars_in_turn)
+			for (int i = 0; i < REGISTRARS_PER_DOMAIN; i++) {
+				simulation.kill_registrar(i);
+				simulation.run(RENEW_MS);
+				simulation.start_registrar(i);
+				simulation.run(2 * LEASE_MS);
+			}
+		simulation.kill_node(0);
+		if (test.kill_first_registrar)
+			simulation.kill_registrar(0);
+		simulation.run(test.down_ms);
+		simulation.start_node(0);
+		ASSERT_STREQ("", node.withdrawal.instance);
+		while (!node.agreements)
+			simulation.run(1);
+		EXPECT_STREQ("i-1", node.withdrawal.instance);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Restarts, MembershipWithdrawal,
+	testing::Values(
+		WithdrawalCase{"at once", false, false, 1, false},
+		WithdrawalCase{"half a second later", false, false, 500, false},
+		WithdrawalCase{"lost registrar", true, false, 500, false},
+		WithdrawalCase{"restarted registrars", false, true, 500, false},
+		WithdrawalCase{"cut domain", false, false, 500, true}),
+	[](const testing::TestParamInfo<WithdrawalCase> &param_info) {
+		std::string name = param_info.param.description;
+
+		std::replace(name.begin(), name.end(), ' ', '_');
+		return name;
+	});
+
 } // namespace
--- a/tests/path/local_gate_test.cc
+++ b/tests/path/local_gate_test.cc
@@ -122,15 +122,116 @@
 	}
 }
 
-TEST_F(LocalGate, DeregistersTheReportedInstanceOnly)
+class LocalGateWithdrawal : public PathFixture
+{
+      protected:
+	void withdraw(const char *instance, uint64_t started_ms = 1,
+		      uint64_t sequence = QL_WITHDRAWAL_FINAL)
+	{
+		ql_withdrawal_t withdrawal;
+
+		ql_withdrawal_init(&withdrawal, instance, started_ms, sequence);
+		ql_local_gate_withdraw(&gate, &withdrawal);
+	}
+};
+
+TEST_F(LocalGateWithdrawal, DeregistersTheReportedInstanceOnly)
 {
 	register_endpoint();
-	ql_local_gate_deregister(&gate, "i-0");
+	withdraw("i-0");
 	EXPECT_TRUE(ql_local_gate_is_serving(&gate));
-	ql_local_gate_deregister(&gate, "i-1");
+	withdraw("i-1");
 	EXPECT_FALSE(ql_local_gate_is_serving(&gate));
 }
 
+struct WithdrawalStep {
+	const char *description;
+	const char *instance;
+	uint64_t incarnation;
+	uint64_t sequence;
+	bool is_serving;
+};
+
+/*
+ * The node has restarted. Registrars know that the endpoint left, and a report
+ * from before that arrives.
+ */
+TEST_F(LocalGateWithdrawal, IgnoresLateReportsAfterARestart)
+{
+	const WithdrawalStep steps[] = {
+		{"late report", "i-1", 100, 3, false},
+		{"late report of an earlier run, same ID", "i-1", 90, 9, false},
+		{"next run, same ID", "i-1", 200, 1, true},
+		{"late report again", "i-1", 100, 4, true},
+		{"next run, other ID", "i-2", 300, 1, true},
+	};
+
+	withdraw("i-1", 100);
+	for (const WithdrawalStep &step : steps) {
+		SCOPED_TRACE(step.description);
+		ql_instance_report_t next =
+			make_report(step.instance, step.incarnation,
+				    step.sequence);
+
+		EXPECT_EQ(0, ql_local_gate_apply_report(&gate, &next));
+		EXPECT_EQ(step.is_serving, ql_local_gate_is_serving(&gate));
+	}
+	EXPECT_EQ(2u, counter_value(QL_COUNT_REPORTS_WITHDRAWN));
+}
+
+struct DrainingCase {
+	const char *description;
+	uint64_t sequence;
+	bool draining;
+	bool is_serving;
+};
+
+/* The endpoint reported that it drains, then the node restarted. */
+TEST_F(LocalGateWithdrawal, IgnoresReportsFromBeforeTheDrain)
+{
+	const DrainingCase cases[] = {
+		{"report from before the drain", 4, false, false},
+		{"the report that announced it", 5, true, false},
+		{"the next report", 6, true, false},
+		{"the drain was called off", 7, false, true},
+	};
+
+	withdraw("i-1", 100, 5);
+	for (const DrainingCase &test : cases) {
+		SCOPED_TRACE(test.description);
+		ql_instance_report_t next =
+			make_report("i-1", 100, test.sequence, test.draining);
+
+		EXPECT_EQ(0, ql_local_gate_apply_report(&gate, &next));
+		EXPECT_EQ(test.is_serving, ql_local_gate_is_serving(&gate));
+	}
+}
+
+/* A late report arrives before the registrars tell of the withdrawal. */
+TEST_F(LocalGateWithdrawal, StaysClosedUntilEarlierWithdrawalsAreKnown)
+{
+	ql_instance_report_t late = make_report("i-1", 100, 3);
+
+	gate.closed = true;
+	EXPECT_EQ(0, ql_local_gate_apply_report(&gate, &late));
+	EXPECT_FALSE(ql_local_gate_is_serving(&gate));
+	withdraw("i-1", 100);
+	ql_local_gate_open(&gate);
+	EXPECT_FALSE(ql_local_gate_is_serving(&gate));
+}
+
+TEST_F(LocalGateWithdrawal, ServesOnceItIsKnownThatThereIsNone)
+{
+	ql_instance_report_t first = make_report("i-1", 100, 1);
+
+	gate.closed = true;
+	EXPECT_EQ(0, ql_local_gate_apply_report(&gate, &first));
+	EXPECT_EQ(0, n_state_changes);
+	ql_local_gate_open(&gate);
+	EXPECT_TRUE(ql_local_gate_is_serving(&gate));
+	EXPECT_EQ(1, n_state_changes);
+}
+
 /* The caller cancels before the connection to the endpoint is established. */
 TEST_F(LocalGate, ReadsTheResponseToACancelledCall)
 {
