End the calls to the handler of an exchange in one place

Cause: a response of more than 128 KB is written to its exchange also while that waits behind another one. When it failed, the request of the front end was freed, but the exchange stayed in the queue of its connection with the callbacks and the data of its handler, and the next request on the connection was reported to them.

Evidence, address sanitizer, BrokenDownload on the code before: heap-use-after-free, read by ql_front__now_us() below ql_front__successor_received(), freed by ql_front__fail().

Change: an exchange forgets its handler in one function, on every way out. A response that waits is taken back when it fails, as none of it has been sent: the request is tried again where that is allowed, or the client is told, and what is behind it on the connection is answered.

Why it works: the listener only asks whether there is a handler, and no way out leaves one.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -107,6 +107,7 @@
 
 	if (exchange->chunked && !exchange->bodiless)
 		append(exchange, "0\r\n\r\n", 5);
+	ql_listener__release_handler(exchange);
 	exchange->ended = true;
 	if (!ql_listener__is_first(exchange))
 		return;
@@ -117,11 +118,22 @@
 
 void ql_http_exchange_abort(ql_http_exchange_t *exchange)
 {
+	ql_listener__release_handler(exchange);
 	exchange->aborted = true;
 	if (ql_listener__is_first(exchange))
 		ql_listener__flush(exchange->connection);
 }
 
+bool ql_http_exchange_discard(ql_http_exchange_t *exchange)
+{
+	if (ql_listener__is_first(exchange))
+		return false;
+	g_byte_array_set_size(exchange->out, 0);
+	exchange->chunked = false;
+	exchange->bodiless = false;
+	return true;
+}
+
 size_t ql_http_exchange_pending(const ql_http_exchange_t *exchange)
 {
 	return exchange->out->len + exchange->connection->stream.pending_bytes;
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -36,6 +36,23 @@
 	return exchange;
 }
 
+void ql_listener__release_handler(ql_http_exchange_t *exchange)
+{
+	exchange->ops = NULL;
+	exchange->data = NULL;
+}
+
+/* Tells the handler, if it is not done with the exchange yet. */
+static void cancel_exchange(ql_http_exchange_t *exchange)
+{
+	const ql_http_exchange_ops_t *ops = exchange->ops;
+	void *data = exchange->data;
+
+	ql_listener__release_handler(exchange);
+	if (ops)
+		ops->cancelled(data);
+}
+
 /* Frees all exchanges, after a cancellation of those that have not ended. */
 static void drop_exchanges(ql_listener_connection_t *connection)
 {
@@ -46,8 +63,7 @@
 		exchange_free(connection->incoming);
 	connection->incoming = NULL;
 	while ((exchange = g_queue_pop_head(&connection->exchanges))) {
-		if (!exchange->ended && !exchange->aborted && exchange->ops)
-			exchange->ops->cancelled(exchange->data);
+		cancel_exchange(exchange);
 		exchange_free(exchange);
 	}
 }
@@ -256,8 +272,7 @@
 static bool notify_exchange(ql_http_exchange_t *exchange,
 			    uint64_t successor_deadline_us)
 {
-	return !exchange->ended && exchange->ops &&
-	       exchange->ops->successor_received &&
+	return exchange->ops && exchange->ops->successor_received &&
 	       exchange->ops->successor_received(exchange->data,
 						 successor_deadline_us);
 }
@@ -343,7 +358,7 @@
 	ql_listener_connection_t *connection = data;
 	ql_http_exchange_t *first = g_queue_peek_head(&connection->exchanges);
 
-	if (first && first->ops && first->ops->drained && !first->ended)
+	if (first && first->ops && first->ops->drained)
 		first->ops->drained(first->data);
 }
 
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -4,6 +4,14 @@
 /**
  * DOC: HTTP/1.1 server on an event loop. Pipelined requests of a connection are
  * handled concurrently; their responses are sent in request order.
+ *
+ * The listener owns an exchange from the first byte of the request until the
+ * last byte of the response was passed on or the connection is closed. From the
+ * call of @handle on, the handler may use it as well, and the listener calls
+ * the handler through its @ops and @data. This ends, once for each exchange,
+ * with ql_http_exchange_end(), ql_http_exchange_abort() or the callback
+ * @cancelled: the handler frees its data then, although the exchange may wait
+ * for its turn for long after that.
  */
 
 #include "http/reader.h"
@@ -41,7 +49,8 @@
  * @received_us: when the request was read completely
  * @deadline_us: when the client stops waiting, set by the handler; 0 if not
  *               known
- * @ops: callbacks, set by the handler; NULL until then
+ * @ops: callbacks, set by the handler; NULL until then, and once the handler
+ *       has ended or aborted the exchange or was told that it is cancelled
  * @data: passed to @ops
  * @out: response bytes that were not passed to the stream yet
  * @keep_alive: the connection stays open after the response
@@ -190,6 +199,15 @@
  */
 void ql_http_exchange_abort(ql_http_exchange_t *exchange);
 
+/**
+ * ql_http_exchange_discard() - Take back a response that was written but not
+ * ended, so that another one can be written.
+ * @exchange: the exchange
+ *
+ * Return: false if some of it may have been sent; it is unchanged then.
+ */
+bool ql_http_exchange_discard(ql_http_exchange_t *exchange);
+
 /**
  * ql_http_exchange_pending() - Count the bytes not written to the socket yet.
  * @exchange: the exchange
--- a/src/http/listener_internal.h
+++ b/src/http/listener_internal.h
@@ -51,6 +51,14 @@
  */
 void ql_listener__resume_reading(ql_listener_connection_t *connection);
 
+/**
+ * ql_listener__release_handler() - End the calls to the handler of an exchange.
+ * @exchange: the exchange
+ *
+ * Every way in which a handler is done with an exchange leads here.
+ */
+void ql_listener__release_handler(ql_http_exchange_t *exchange);
+
 /**
  * ql_listener__is_first() - Check whether all earlier exchanges of the
  * connection have ended.
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -83,6 +83,18 @@
 		usage->refused_early++;
 }
 
+/*
+ * Takes back a response that waits behind others on its connection, so that the
+ * request can be retried, or the client told that it failed.
+ */
+static void discard_unsent_response(ql_front_call_t *call)
+{
+	if (!call->streaming || !ql_http_exchange_discard(call->exchange))
+		return;
+	call->streaming = false;
+	call->paused = false;
+}
+
 void ql_front__fail(ql_front_call_t *call, ql_reason_t reason)
 {
 	ql_call_result_t result = {
@@ -92,6 +104,7 @@
 		.retry_after_ms = call->retry_after_ms,
 	};
 
+	discard_unsent_response(call);
 	log_failure(call, &result);
 	count_route_outcome(call, false);
 	ql_front__record_failure(call, reason);
@@ -248,6 +261,7 @@
 	call->may_have_run |= result->outcome != QL_OUTCOME_NOT_RUN;
 	call->retry_after_ms =
 		MAX(call->retry_after_ms, result->retry_after_ms);
+	discard_unsent_response(call);
 	if (take_retry(call, result))
 		ql_front__start_attempt(call);
 	else
