Fail all requests at the end of a stop without touching freed ones

Callers saw nothing that was reported; a node that stops could crash, and the requests of others on it be closed without an answer.

Cause: ql_front_fail_all() walked a list of the requests. Aborting a response that is streamed closes its connection and frees the requests behind it, which the list still had.

Evidence, address sanitizer, StoppedDownload on the code before: heap-use-after-free in cancel_attempt() below ql_front_fail_all(), freed below ql_front__fail().

Change: each turn looks for a request that is left. The test failed before and holds after.

--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -370,14 +370,27 @@
 	call_gate(call);
 }
 
+/* Returns a request in flight, or NULL if there is none. */
+static ql_front_call_t *any_call(const ql_front_t *front)
+{
+	GHashTableIter iter;
+	gpointer call = NULL;
+
+	g_hash_table_iter_init(&iter, front->calls);
+	g_hash_table_iter_next(&iter, &call, NULL);
+	return call;
+}
+
+/*
+ * Each turn looks for a request anew: the end of a response that is streamed
+ * closes its connection, which frees the requests behind it.
+ */
 void ql_front_fail_all(ql_front_t *front)
 {
-	GList *calls = g_hash_table_get_keys(front->calls);
-	GList *link;
+	ql_front_call_t *call;
 
-	for (link = calls; link; link = link->next) {
-		cancel_attempt(link->data, QL_REASON_DRAINING);
-		ql_front__fail(link->data, QL_REASON_DRAINING);
+	while ((call = any_call(front))) {
+		cancel_attempt(call, QL_REASON_DRAINING);
+		ql_front__fail(call, QL_REASON_DRAINING);
 	}
-	g_list_free(calls);
 }
--- a/tests/path/broken_download_test.cc
+++ b/tests/path/broken_download_test.cc
@@ -28,15 +28,7 @@
 	Way way;
 };
 
-/*
- * A client pipelines a slow request, a download and a third request. The
- * download ends before it is whole, while it waits for the slow request.
- *
- * Guards against calls to the request of the download after that: the node
- * crashed when the third request came (use after free).
- */
-class BrokenDownload : public PathFixture,
-		       public testing::WithParamInterface<DownloadCase>
+class DownloadFixture : public PathFixture
 {
       protected:
 	void SetUp() override
@@ -68,7 +60,19 @@
 			[&] { return server->has("\r\n\r\n"); }));
 		return server;
 	}
+};
 
+/*
+ * A client pipelines a slow request, a download and a third request. The
+ * download ends before it is whole, while it waits for the slow request.
+ *
+ * Guards against calls to the request of the download after that: the node
+ * crashed when the third request came (use after free).
+ */
+class BrokenDownload : public DownloadFixture,
+		       public testing::WithParamInterface<DownloadCase>
+{
+      protected:
 	static void close_socket(RawSocket *socket, bool is_reset)
 	{
 		linger reset = {1, 0};
@@ -172,4 +176,34 @@
 					std::to_string(test.param.sent_bytes);
 			 });
 
+/* Requests behind a download on its connection. */
+constexpr unsigned int kBehind = 8;
+
+using StoppedDownload = DownloadFixture;
+
+/*
+ * Guards against a walk over all requests that goes on with those that it has
+ * freed: when the first one of a connection is aborted, the ones behind it are
+ * cancelled.
+ */
+TEST_F(StoppedDownload, FailsWithTheRequestsBehindIt)
+{
+	RawSocket client = connect_client();
+
+	client.send(request("/get/d", "x1"));
+	auto download = accept_request();
+	for (unsigned int i = 0; i < kBehind; i++) {
+		client.send(request("/get/behind", "x2"));
+		event_loop.run_iterations(1);
+	}
+	ASSERT_TRUE(event_loop.run_until(
+		[&] { return g_hash_table_size(front.calls) == kBehind + 1; }));
+	download->send(response("x1", std::string(200000, 'd'), kStatedBytes));
+	ASSERT_TRUE(event_loop.run_until([&] { return client.has("dd"); }));
+	ql_front_fail_all(&front);
+	EXPECT_EQ(0u, g_hash_table_size(front.calls));
+	ASSERT_TRUE(event_loop.run_until(
+		[&] { return client.is_closed_by_peer(); }));
+}
+
 } // namespace
