Resume a response when its turn comes, whoever takes its bytes

Cause: a response is paused above 256 KB that wait, and was resumed only when a queued write of the stream ended. When the turn of a waiting response came and the socket took all bytes at once, there was no queued write.

Evidence: FlowControl on the code before, NearWaitingLargeBufferQuick900000 failed (the download does not end); the same with a small receive buffer, or as the first request, is whole.

Change: the handler is told whenever the bytes of the response whose turn it is were handed over, at once or later. A response that waits for its turn counts all bytes that wait on its connection, so that these are bounded together.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -136,5 +136,13 @@
 
 size_t ql_http_exchange_pending(const ql_http_exchange_t *exchange)
 {
-	return exchange->out->len + exchange->connection->stream.pending_bytes;
+	const ql_listener_connection_t *connection = exchange->connection;
+	size_t pending = connection->stream.pending_bytes;
+	GList *link;
+
+	if (ql_listener__is_first(exchange))
+		return pending + exchange->out->len;
+	for (link = connection->exchanges.head; link; link = link->next)
+		pending += ((ql_http_exchange_t *)link->data)->out->len;
+	return pending;
 }
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -143,6 +143,15 @@
 	ql_stream_write(&connection->stream, response, strlen(response));
 }
 
+/* Lets the handler of the response that is being sent write more. */
+static void notify_drained(ql_listener_connection_t *connection)
+{
+	ql_http_exchange_t *first = g_queue_peek_head(&connection->exchanges);
+
+	if (first && first->ops && first->ops->drained)
+		first->ops->drained(first->data);
+}
+
 void ql_listener__flush(ql_listener_connection_t *connection)
 {
 	ql_http_exchange_t *first;
@@ -156,8 +165,13 @@
 			abort_connection(connection);
 			return;
 		}
-		if (!first->ended)
+		if (!first->ended) {
+			/* If bytes are queued, the stream tells of their end.
+			 */
+			if (!connection->stream.pending_bytes)
+				notify_drained(connection);
 			return;
+		}
 		keep_alive = first->keep_alive;
 		g_queue_pop_head(&connection->exchanges);
 		exchange_free(first);
@@ -355,11 +369,7 @@
 
 static void on_drained(void *data)
 {
-	ql_listener_connection_t *connection = data;
-	ql_http_exchange_t *first = g_queue_peek_head(&connection->exchanges);
-
-	if (first && first->ops && first->ops->drained)
-		first->ops->drained(first->data);
+	notify_drained(data);
 }
 
 static const ql_stream_ops_t stream_ops = {
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -26,7 +26,8 @@
 /**
  * struct ql_http_exchange_ops - Callbacks of a request handler.
  * @cancelled: the client disconnected; the exchange must not be used any more
- * @drained: the written bytes were handed to the kernel; may be NULL
+ * @drained: all written bytes were handed to the kernel, at once or later; not
+ *           called while the exchange waits for its turn; may be NULL
  * @successor_received: another request was read behind this one on the same
  *                      connection; its client is likely to time out and close
  *                      the connection at @successor_deadline_us. Returns true
@@ -212,7 +213,11 @@
  * ql_http_exchange_pending() - Count the bytes not written to the socket yet.
  * @exchange: the exchange
  *
- * Return: bytes of the response and of the connection's write queue.
+ * A handler that stops writing because of them is called through @drained when
+ * it may go on.
+ *
+ * Return: bytes of the response and of the connection's write queue; for an
+ * exchange that waits for its turn, also those of the others on the connection.
  */
 size_t ql_http_exchange_pending(const ql_http_exchange_t *exchange);
 
