Read a connection to an endpoint again when it goes back to its pool

Callers saw, once in a while: a request that its endpoint answered at once failed at its time limit, behind a download with a slow client.

Cause: the reading of a response is paused for a slow client. If that happened with the last bytes of the response, the connection went back to its pool paused, and the answer to the next request on it was never read.

Evidence: FlowControl.ReadsTheNextResponseOnTheConnection failed before in the row NearWaitingLargeBufferQuick270000: the second answer is not read within the 10 s of the test.

Change: a connection is read again before it goes back.

--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -160,6 +160,8 @@
 		close_connection(connection);
 		return;
 	}
+	/* The request may have paused reading at the end of its response. */
+	ql_stream_resume(&connection->stream);
 	set_idle(connection, true);
 	ql_loop_start_timer(connection->upstream->loop, &connection->timer,
 			    connection->idle_ms);
--- a/tests/path/flow_control_test.cc
+++ b/tests/path/flow_control_test.cc
@@ -176,6 +176,39 @@
 	EXPECT_LE(held_max, kHeldMaxBytes);
 }
 
+/*
+ * Guards against a connection to an endpoint that goes back to its pool while
+ * its reading is paused: the answer to the next request on it is never read.
+ */
+TEST_P(FlowControl, ReadsTheNextResponseOnTheConnection)
+{
+	const FlowCase &test = GetParam();
+	std::unique_ptr<RawSocket> slow;
+	RawSocket client = connect_reader();
+	RawSocket next_client = connect_client();
+
+	if (test.is_waiting) {
+		client.send(request("/near/slow", "x1"));
+		slow = accept_request();
+	}
+	client.send(request(test.path, "x2"));
+	auto download = accept_request();
+	for (int i = 0; i < 20; i++) {
+		send_download(download.get());
+		event_loop.run_iterations(1);
+	}
+	if (sent < response.size())
+		GTEST_SKIP() << "the response is paused before its end";
+	event_loop.run_iterations(20);
+	download->received.clear();
+	next_client.send(request(test.path, "y"));
+	ASSERT_TRUE(event_loop.run_until(
+		[&] { return download->has("Id: y\r\n"); }));
+	download->send(make_response("y", 1, 'n'));
+	EXPECT_TRUE(event_loop.run_until(
+		[&] { return next_client.has("Id: y\r\n"); }));
+}
+
 std::vector<FlowCase> flow_cases()
 {
 	std::vector<FlowCase> cases;
