Give a client its time to close once it has the last byte

Cause: the second that a client has to close began when the last response was handed to the stream, and the connection was aborted after it with up to 256 KB, or a whole buffered response, still queued. The count of requests in flight did not have those bytes, so a process could exit over them too.

Evidence: SlowReader, three rows, all failed before: the responses end short of their length.

Change: the second begins when the last byte was handed to the kernel; a client that reads on is waited for, one that takes no byte for 5 s is cut. A stop waits for what is queued and for clients that have still to close, within the grace time.

--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -7,8 +7,10 @@
 #define LISTEN_BACKLOG 1024
 /* Requests of one connection that are handled concurrently. */
 #define PIPELINED_REQUESTS_MAX 64u
-/* Time for the peer to close after the last response. */
+/* Time for the peer to close after the last byte of the last response. */
 #define LINGER_TIMEOUT_MS 1000u
+/* A peer that takes no byte of a response for this long is cut off. */
+#define UNSENT_STALL_TIMEOUT_MS 5000u
 
 static void exchange_free(ql_http_exchange_t *exchange)
 {
@@ -92,11 +94,6 @@
 	abort_connection(data);
 }
 
-static void on_timeout(void *data)
-{
-	abort_connection(data);
-}
-
 static void start_timer(ql_listener_connection_t *connection,
 			uint32_t timeout_ms)
 {
@@ -104,6 +101,26 @@
 			    timeout_ms);
 }
 
+/* Waits for the peer to read on. */
+static void start_stall_timer(ql_listener_connection_t *connection)
+{
+	connection->unsent_at_timer =
+		ql_stream_unsent_bytes(&connection->stream);
+	start_timer(connection, UNSENT_STALL_TIMEOUT_MS);
+}
+
+/* A peer that still reads the last response is given more time. */
+static void on_timeout(void *data)
+{
+	ql_listener_connection_t *connection = data;
+	size_t unsent = ql_stream_unsent_bytes(&connection->stream);
+
+	if (unsent && unsent < connection->unsent_at_timer)
+		start_stall_timer(connection);
+	else
+		abort_connection(connection);
+}
+
 /*
  * Starts the head timeout while headers are incomplete, the idle timeout while
  * there is no request, and no timeout otherwise.
@@ -114,6 +131,9 @@
 
 	if (connection->reader.started && !connection->incoming)
 		start_timer(connection, opts->head_timeout_ms);
+	else if (!connection->incoming && !connection->exchanges.length &&
+		 connection->stream.pending_bytes)
+		start_stall_timer(connection);
 	else if (!connection->incoming && !connection->exchanges.length)
 		start_timer(connection, opts->idle_timeout_ms);
 	else
@@ -121,12 +141,18 @@
 				   &connection->timer);
 }
 
-/* Shuts down sending after the last response until the peer has closed. */
+/*
+ * Shuts down sending after the last response until the peer has closed. Its
+ * time for that starts when the last byte was sent.
+ */
 static void linger(ql_listener_connection_t *connection)
 {
 	connection->lingering = true;
 	ql_stream_shutdown(&connection->stream);
-	start_timer(connection, LINGER_TIMEOUT_MS);
+	if (connection->stream.pending_bytes)
+		start_stall_timer(connection);
+	else
+		start_timer(connection, LINGER_TIMEOUT_MS);
 }
 
 /*
@@ -369,7 +395,14 @@
 
 static void on_drained(void *data)
 {
-	notify_drained(data);
+	ql_listener_connection_t *connection = data;
+
+	if (connection->lingering)
+		start_timer(connection, LINGER_TIMEOUT_MS);
+	else if (connection->exchanges.length)
+		notify_drained(connection);
+	else
+		update_timer(connection);
 }
 
 static const ql_stream_ops_t stream_ops = {
@@ -429,6 +462,21 @@
 	return 0;
 }
 
+uint32_t ql_listener_count_unfinished(const ql_listener_t *listener)
+{
+	uint32_t n = listener->n_exchanges;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, listener->connections);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const ql_listener_connection_t *connection = key;
+
+		n += connection->stream.pending_bytes || connection->lingering;
+	}
+	return n;
+}
+
 void ql_listener_disable_keep_alive(ql_listener_t *listener)
 {
 	listener->keep_alive_disabled = true;
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -153,6 +153,15 @@
  */
 void ql_listener_disable_keep_alive(ql_listener_t *listener);
 
+/**
+ * ql_listener_count_unfinished() - Count what a stop of the process would cut.
+ * @listener: the listener
+ *
+ * Return: requests whose response is not complete, and connections of which
+ * some bytes wait to be sent or which the client has still to close.
+ */
+uint32_t ql_listener_count_unfinished(const ql_listener_t *listener);
+
 /**
  * ql_listener_stop() - Close the listening socket and all connections.
  * @listener: the listener
--- a/src/http/listener_internal.h
+++ b/src/http/listener_internal.h
@@ -15,7 +15,8 @@
  * @listener: listener that accepted the connection
  * @stream: the TCP connection
  * @reader: reader of the requests
- * @timer: head timeout, idle timeout or linger timeout
+ * @timer: head timeout, idle timeout, linger timeout or stall timeout
+ * @unsent_at_timer: unsent bytes when the stall timeout was started
  * @exchanges: exchanges in request order
  * @incoming: exchange whose body is being read, or NULL
  * @must_continue: the client of @incoming waits for an interim response before
@@ -29,6 +30,7 @@
 	ql_stream_t stream;
 	ql_http_reader_t reader;
 	ql_wheel_timer_t timer;
+	size_t unsent_at_timer;
 	GQueue exchanges;
 	ql_http_exchange_t *incoming;
 	bool must_continue;
--- a/src/net/stream.c
+++ b/src/net/stream.c
@@ -182,6 +182,12 @@
 	}
 }
 
+size_t ql_stream_unsent_bytes(const ql_stream_t *stream)
+{
+	return uv_stream_get_write_queue_size(
+		(const uv_stream_t *)&stream->tcp);
+}
+
 void ql_stream_pause(ql_stream_t *stream)
 {
 	if (stream->reading)
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -72,6 +72,14 @@
  */
 int ql_stream_accept(ql_stream_t *stream, uv_stream_t *listener);
 
+/**
+ * ql_stream_unsent_bytes() - Count the bytes that the kernel has not taken.
+ * @stream: the stream
+ *
+ * Return: as @pending_bytes, less what was written of a queue in part.
+ */
+size_t ql_stream_unsent_bytes(const ql_stream_t *stream);
+
 /**
  * ql_stream_connect() - Start to connect; @connected reports the result.
  * @stream: the stream
--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -193,8 +193,8 @@
 
 static void count_in_flight(ql_path_node_t *node)
 {
-	int n = (int)(node->client_listener.n_exchanges +
-		      node->gate_listener.n_exchanges +
+	int n = (int)(ql_listener_count_unfinished(&node->client_listener) +
+		      ql_listener_count_unfinished(&node->gate_listener) +
 		      g_hash_table_size(node->gate.calls));
 
 	__atomic_store_n(&node->requests_in_flight, n, __ATOMIC_RELEASE);
