Refuse a request that would not end before the node stops

Another operator reported that requests which came late in the grace of a stop were taken, passed on, and cut off at its end.

Test: Front.StopRefusesRequestsThatWouldNotEndInTime; the row with too little time fails without the check, as the request is passed on.

Change: when a stop begins, the front end is told when the requests in flight will be failed. A request of a route that usually takes longer than that is refused at once, as not run, with a short Retry-After.

--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -14,6 +14,7 @@
 	ql_document_t *doc;
 	ql_instance_report_t report;
 	ql_withdrawal_t withdrawal;
+	uint64_t end_us;
 	void (*action)(ql_path_node_t *node);
 } path_job_t;
 
@@ -205,14 +206,22 @@
 	post_action(node, count_in_flight);
 }
 
-static void disable_keep_alive(ql_path_node_t *node)
+static void run_begin_drain(ql_loop_job_t *job)
 {
+	path_job_t *path_job = (path_job_t *)job;
+	ql_path_node_t *node = path_job->node;
+
 	ql_listener_disable_keep_alive(&node->client_listener);
+	node->front.end_us = path_job->end_us;
+	g_free(path_job);
 }
 
-void ql_path_jobs_disable_keep_alive(ql_path_node_t *node)
+void ql_path_jobs_begin_drain(ql_path_node_t *node, uint64_t end_us)
 {
-	post_action(node, disable_keep_alive);
+	path_job_t *path_job = path_job_new(node, run_begin_drain);
+
+	path_job->end_us = end_us;
+	post(path_job);
 }
 
 static void drain_gate(ql_path_node_t *node)
--- a/src/node/path_jobs.h
+++ b/src/node/path_jobs.h
@@ -77,11 +77,12 @@
 void ql_path_jobs_count_in_flight(ql_path_node_t *node);
 
 /**
- * ql_path_jobs_disable_keep_alive() - Close each client connection after its
- * next response.
+ * ql_path_jobs_begin_drain() - Close each client connection after its next
+ * response, and refuse requests that would not end in time.
  * @node: the node
+ * @end_us: when the requests in flight will be failed
  */
-void ql_path_jobs_disable_keep_alive(ql_path_node_t *node);
+void ql_path_jobs_begin_drain(ql_path_node_t *node, uint64_t end_us);
 
 /**
  * ql_path_jobs_drain_gate() - Refuse new calls at the local gate, and close
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -422,7 +422,7 @@
 	ql_drain_schedule_init(&schedule, node->drain_ms, node->grace_ms,
 			       ql_clock_now_us());
 	__atomic_store_n(&node->draining, 1, __ATOMIC_RELEASE);
-	ql_path_jobs_disable_keep_alive(node);
+	ql_path_jobs_begin_drain(node, schedule.fail_us);
 	wait_until(schedule.leave_us);
 	ql_lease_service_leave(&node->control.lease);
 	wait_until(schedule.drain_gate_us);
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -105,6 +105,8 @@
  * @doc: document in force, or NULL
  * @ready: requests are served
  * @draining: new requests are refused
+ * @end_us: when the requests in flight are failed, as the node stops; 0 if it
+ *          does not. A request that usually takes longer is refused
  * @services: &struct ql_front_service by name
  * @routes: by index of the route in @doc, each with a reference
  * @n_routes: number of routes
@@ -117,6 +119,7 @@
 	ql_document_t *doc;
 	bool ready;
 	bool draining;
+	uint64_t end_us;
 	GHashTable *services;
 	ql_front_route_t **routes;
 	size_t n_routes;
--- a/src/path/front_begin.c
+++ b/src/path/front_begin.c
@@ -181,6 +181,17 @@
 	delay_or_start(call);
 }
 
+/* Returns whether a request would be failed at the end of the grace time. */
+static bool ends_too_late(const ql_front_t *front, const ql_route_t *route)
+{
+	const ql_front_route_t *state =
+		front->routes[route - front->doc->routes];
+	uint64_t now = ql_loop_now_us(front->loop);
+
+	return front->end_us &&
+	       now + (uint64_t)state->typical_latency_us >= front->end_us;
+}
+
 void ql_front_handle(void *data, ql_http_exchange_t *exchange)
 {
 	ql_front_t *front = data;
@@ -198,6 +209,9 @@
 	route = ql_front__find_route(front, exchange);
 	if (!route)
 		refuse_request(front, exchange, QL_REASON_NO_ROUTE, 0);
+	else if (ends_too_late(front, route))
+		refuse_request(front, exchange, QL_REASON_DRAINING,
+			       DRAINING_RETRY_AFTER_MS);
 	else
 		start_call(call_new(front, exchange, route));
 }
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -1,4 +1,5 @@
 #include "path_fixture.h"
+#include "quetzalloft/clock.h"
 
 #include <map>
 
@@ -314,6 +315,53 @@
 	EXPECT_EQ(0u, g_hash_table_size(front.calls));
 }
 
+struct StopCase {
+	const char *description;
+	/* Typical latency of the route and time until the end, in seconds. */
+	uint64_t typical_s;
+	uint64_t left_s;
+	bool is_refused;
+};
+
+/*
+ * Guards against a request that comes late in the grace time of a stop, is
+ * passed on, and is cut off at the end.
+ */
+TEST_F(Front, StopRefusesRequestsThatWouldNotEndInTime)
+{
+	const StopCase cases[] = {
+		{"no stop", 10, 0, false},
+		{"enough time", 1, 5, false},
+		{"latency not known", 0, 5, false},
+		{"too little time", 10, 5, true},
+	};
+
+	for (const StopCase &test : cases) {
+		SCOPED_TRACE(test.description);
+		RawSocket client = connect_client();
+		uint64_t now = ql_loop_now_us(&event_loop.loop);
+
+		for (size_t i = 0; i < front.n_routes; i++)
+			front.routes[i]->typical_latency_us =
+				(double)(test.typical_s * QL_US_PER_S);
+		front.end_us =
+			test.left_s ? now + test.left_s * QL_US_PER_S : 0;
+		client.send(request("/order/1", "x"));
+		if (!test.is_refused) {
+			auto server = accept_connection();
+			EXPECT_TRUE(event_loop.run_until(
+				[&] { return server->has("\r\n\r\n"); }));
+			continue;
+		}
+		ASSERT_TRUE(event_loop.run_until(
+			[&] { return client.has("\r\n\r\n"); }));
+		EXPECT_EQ(0u, client.received.find("HTTP/1.1 503"));
+		EXPECT_NE(std::string::npos, client.received.find("not-run"));
+		EXPECT_NE(std::string::npos,
+			  client.received.find("Retry-After"));
+	}
+}
+
 TEST_F(Front, NoRouteIsReportedOnlyWhenReady)
 {
 	RawSocket client = connect_client();
