Bound what a node that lags behind the configuration costs by one document

Cause: each put is kept as the difference to the version before, which is about as large as a document, as a difference can't change a part of a list. A node that lags got one for each version that it had missed, and compiled a document for each, in the thread that renews its lease. Its backoff of up to 2 s came on top. A difference of more than 1 MB could not be sent at all.

Change: the reply is the whole document where that is less than the differences; a node merges all differences of a reply and compiles the last document only; a newer version that reaches it on a call ends the backoffs.

The rows of CatchingUpCostsNoMoreThanOneDocument with several large changes and with one that is too large to send fail without the change.

--- a/bench/membership.c
+++ b/bench/membership.c
@@ -439,8 +439,8 @@
 			   i % services, 10 + i);
 		submit(&leader, patch);
 		start_us = ql_clock_now_us();
-		if (ql_config_state_apply_change(
-			    &follower, g_queue_peek_tail(&leader.changes),
+		if (ql_config_state_apply_changes(
+			    &follower, g_queue_peek_tail(&leader.changes), 1,
 			    NULL))
 			g_error("the change does not apply");
 		apply_us += ql_clock_now_us() - start_us;
--- a/include/quetzalloft/config_state.h
+++ b/include/quetzalloft/config_state.h
@@ -74,12 +74,14 @@
 /**
  * struct ql_config_state - The state of the configuration.
  * @doc: the document in force
+ * @text: @doc as JSON, or NULL until it is needed
  * @changes: queue of &struct ql_config_change, oldest first
  * @answers: answers by patch id
  * @answer_order: patch ids in @answers, oldest first
  */
 typedef struct ql_config_state {
 	ql_document_t *doc;
+	char *text;
 	GQueue changes;
 	GHashTable *answers;
 	GQueue answer_order;
@@ -122,19 +124,31 @@
 				 ql_patch_answer_t *answer);
 
 /**
- * ql_config_state_apply_change() - Apply a change that the replicas accepted.
+ * ql_config_state_apply_changes() - Apply changes that the replicas accepted.
  * @state: the state
- * @change: the change; its text is copied; ignored when its version is not
- *          above the current one
+ * @changes: the changes, in their order; their texts are copied. Those whose
+ *           version is not above the current one are ignored
+ * @n_changes: number of @changes
  * @error: detail of a failure
  *
- * Return: 0, QL_E_NOT_FOUND when changes before this one are missing,
+ * Only the document of the last change is compiled. After a failure the state
+ * is unchanged.
+ *
+ * Return: 0, QL_E_NOT_FOUND when a change before one of them is missing,
  * QL_E_CORRUPT when the digest of the result does not match, or an error of
  * ql_json_parse(), ql_document_compile() or ql_document_check_keepers().
  */
-int ql_config_state_apply_change(ql_config_state_t *state,
-				 const ql_config_change_t *change,
-				 GError **error);
+int ql_config_state_apply_changes(ql_config_state_t *state,
+				  const ql_config_change_t *changes,
+				  size_t n_changes, GError **error);
+
+/**
+ * ql_config_state_text() - Return the document as JSON.
+ * @state: the state
+ *
+ * Return: the text, borrowed until the document changes.
+ */
+const char *ql_config_state_text(ql_config_state_t *state);
 
 /**
  * ql_config_state_replace_document() - Replace the document by a full document
--- a/include/quetzalloft/json.h
+++ b/include/quetzalloft/json.h
@@ -152,6 +152,13 @@
  */
 json_t *ql_json_apply_merge_patch(json_t *target, json_t *patch);
 
+/**
+ * ql_json_merge_into() - Apply an RFC 7396 merge patch in place.
+ * @target: the object to patch
+ * @patch: the merge patch, an object
+ */
+void ql_json_merge_into(json_t *target, json_t *patch);
+
 /**
  * ql_json_create_merge_patch() - Create the RFC 7396 merge patch that turns one
  * value into another.
--- a/src/control/config_state.c
+++ b/src/control/config_state.c
@@ -27,6 +27,7 @@
 void ql_config_state_init(ql_config_state_t *state)
 {
 	state->doc = empty_document();
+	state->text = NULL;
 	g_queue_init(&state->changes);
 	g_queue_init(&state->answer_order);
 	state->answers =
@@ -44,6 +45,7 @@
 void ql_config_state_finish(ql_config_state_t *state)
 {
 	ql_document_unref(state->doc);
+	free(state->text);
 	g_queue_clear_full(&state->changes, free_change);
 	g_queue_clear(&state->answer_order);
 	g_hash_table_destroy(state->answers);
@@ -56,17 +58,14 @@
 	       patch->version;
 }
 
-static void keep_change(ql_config_state_t *state, uint64_t base_version,
-			const char *text, size_t length)
+/* Keeps a copy of a change. */
+static void keep_change(ql_config_state_t *state,
+			const ql_config_change_t *change)
 {
-	ql_config_change_t *change = g_new0(ql_config_change_t, 1);
-
-	change->base_version = base_version;
-	change->version = state->doc->version;
-	change->digest = state->doc->digest;
-	change->text = g_memdup2(text, length);
-	change->length = length;
-	g_queue_push_tail(&state->changes, change);
+	ql_config_change_t *kept = g_memdup2(change, sizeof(*change));
+
+	kept->text = g_memdup2(change->text, change->length);
+	g_queue_push_tail(&state->changes, kept);
 	if (state->changes.length > QL_CONFIG_CHANGES_KEPT)
 		free_change(g_queue_pop_head(&state->changes));
 }
@@ -88,6 +87,15 @@
 {
 	ql_document_unref(state->doc);
 	state->doc = doc;
+	free(state->text);
+	state->text = NULL;
+}
+
+const char *ql_config_state_text(ql_config_state_t *state)
+{
+	if (!state->text)
+		state->text = ql_json_dump(state->doc->json);
+	return state->text;
 }
 
 static void refuse_patch(const ql_config_state_t *state,
@@ -183,17 +191,24 @@
 static void keep_patch(ql_config_state_t *state, const ql_document_t *before,
 		       const ql_patch_t *patch)
 {
+	ql_config_change_t change = {
+		.base_version = before->version,
+		.version = state->doc->version,
+		.digest = state->doc->digest,
+		.text = (char *)patch->text,
+		.length = patch->length,
+	};
 	json_t *difference;
-	char *text;
 
 	if (!patch->whole) {
-		keep_change(state, before->version, patch->text, patch->length);
+		keep_change(state, &change);
 		return;
 	}
 	difference = ql_json_create_merge_patch(before->json, state->doc->json);
-	text = ql_json_dump(difference);
-	keep_change(state, before->version, text, strlen(text));
-	free(text);
+	change.text = ql_json_dump(difference);
+	change.length = strlen(change.text);
+	keep_change(state, &change);
+	free(change.text);
 	json_decref(difference);
 }
 
@@ -244,38 +259,105 @@
 	keep_answer(state, patch->id, &kept);
 }
 
-int ql_config_state_apply_change(ql_config_state_t *state,
-				 const ql_config_change_t *change,
-				 GError **error)
+/* Parses the text of a change and merges it into a document. */
+static int merge_change(json_t **json, const ql_config_change_t *change,
+			GError **error)
+{
+	json_t *patch = NULL;
+	int ret = ql_json_parse(&patch, change->text, change->length, error);
+
+	if (ret)
+		return ret;
+	if (json_is_object(patch)) {
+		ql_json_merge_into(*json, patch);
+		json_decref(patch);
+	} else {
+		json_decref(*json);
+		*json = patch;
+	}
+	return 0;
+}
+
+/* Merges changes that follow each other into a copy of the document. */
+static int merge_changes(json_t **out, const ql_config_state_t *state,
+			 const ql_config_change_t *changes, size_t n_changes,
+			 GError **error)
+{
+	uint64_t version = state->doc->version;
+	size_t i;
+	int ret = 0;
+
+	*out = json_deep_copy(state->doc->json);
+	for (i = 0; i < n_changes && !ret; i++) {
+		if (changes[i].base_version != version)
+			return ql_error_set(error, QL_E_NOT_FOUND,
+					    "change %" PRIu64
+					    " does not follow version %" PRIu64,
+					    changes[i].version, version);
+		version = changes[i].version;
+		ret = merge_change(out, &changes[i], error);
+	}
+	return ret;
+}
+
+static int check_digest(const ql_document_t *doc,
+			const ql_config_change_t *change, GError **error)
+{
+	if (doc->digest == change->digest)
+		return 0;
+	return ql_error_set(error, QL_E_CORRUPT,
+			    "change %" PRIu64
+			    " results in a document with another digest",
+			    change->version);
+}
+
+/* Compiles the document that changes result in; sets *out to NULL on an error.
+ */
+static int make_changed_document(ql_document_t **out,
+				 const ql_config_state_t *state,
+				 const ql_config_change_t *changes,
+				 size_t n_changes, GError **error)
+{
+	const ql_config_change_t *last = &changes[n_changes - 1];
+	json_t *json = NULL;
+	int ret = merge_changes(&json, state, changes, n_changes, error);
+
+	*out = NULL;
+	if (!ret)
+		ret = ql_document_compile(out, json, last->version, error);
+	json_decref(json);
+	if (!ret)
+		ret = check_digest(*out, last, error);
+	/* Keepers may move on with each version, so only a step is checked. */
+	if (!ret && n_changes == 1)
+		ret = ql_document_check_keepers(state->doc, *out, error);
+	if (ret) {
+		ql_document_unref(*out);
+		*out = NULL;
+	}
+	return ret;
+}
+
+int ql_config_state_apply_changes(ql_config_state_t *state,
+				  const ql_config_change_t *changes,
+				  size_t n_changes, GError **error)
 {
-	document_source_t source = {
-		.version = change->version,
-		.text = change->text,
-		.length = change->length,
-	};
 	ql_document_t *doc;
+	size_t i;
 	int ret;
 
-	if (change->version <= state->doc->version)
+	while (n_changes && changes->version <= state->doc->version) {
+		changes++;
+		n_changes--;
+	}
+	if (!n_changes)
 		return 0;
-	if (change->base_version != state->doc->version)
-		return ql_error_set(error, QL_E_NOT_FOUND,
-				    "change %" PRIu64
-				    " does not follow version %" PRIu64,
-				    change->version, state->doc->version);
-	ret = make_document(&doc, state, &source, error);
+	ret = make_changed_document(&doc, state, changes, n_changes, error);
 	if (ret)
 		return ret;
-	if (doc->digest != change->digest) {
-		ql_document_unref(doc);
-		return ql_error_set(error, QL_E_CORRUPT,
-				    "change %" PRIu64
-				    " results in a document with another "
-				    "digest",
-				    change->version);
-	}
 	set_document(state, doc);
-	keep_change(state, change->base_version, change->text, change->length);
+	for (i = 0; i < n_changes; i++)
+		keep_change(state, &changes[i]);
 	return 0;
 }
 
--- a/src/control/greeting.c
+++ b/src/control/greeting.c
@@ -83,24 +83,42 @@
 }
 
 void ql_config_reply_fill_whole(const ql_config_reply_t *reply,
-				const ql_config_state_t *config)
+				ql_config_state_t *config)
 {
+	const char *text = ql_config_state_text(config);
+
 	*reply->whole_document = TRUE;
-	*reply->document_val = ql_json_dump(config->doc->json);
-	*reply->document_len = (u_int)strlen(*reply->document_val);
+	*reply->document_len = (u_int)strlen(text);
+	*reply->document_val = copy_bytes(text, *reply->document_len);
+}
+
+/*
+ * Returns whether the whole document is less to send than the changes, so that
+ * the cost of catching up does not grow with the number of missed versions.
+ */
+static bool is_whole_cheaper(ql_config_state_t *config, const GList *changes)
+{
+	const ql_config_change_t *change;
+	const GList *link;
+	size_t bytes = 0;
+
+	for (link = changes; link; link = link->next) {
+		change = link->data;
+		if (change->length > QL_RPC_PATCH_MAX)
+			return true;
+		bytes += change->length;
+	}
+	return changes->next && bytes > strlen(ql_config_state_text(config));
 }
 
 void ql_config_reply_fill(const ql_config_reply_t *reply,
-			  const ql_config_state_t *config,
-			  uint64_t known_version)
+			  ql_config_state_t *config, uint64_t known_version)
 {
 	GList *changes = ql_config_state_changes_since(config, known_version);
 
-	if (changes) {
+	if (changes && !is_whole_cheaper(config, changes))
 		fill_changes(reply, changes);
-		return;
-	}
-	if (known_version < config->doc->version)
+	else if (known_version < config->doc->version)
 		ql_config_reply_fill_whole(reply, config);
 }
 
@@ -108,8 +126,8 @@
 			  const ql_config_reply_t *reply,
 			  uint64_t config_version, GError **error)
 {
-	ql_config_change_t change;
-	u_int i;
+	u_int i, n_changes = *reply->changes_len;
+	ql_config_change_t *changes;
 	int ret;
 
 	if (*reply->whole_document)
@@ -117,17 +135,17 @@
 							*reply->document_val,
 							*reply->document_len,
 							error);
-	for (i = 0; i < *reply->changes_len; i++) {
+	changes = g_new0(ql_config_change_t, n_changes);
+	for (i = 0; i < n_changes; i++) {
 		const ql_rpc_change *in = &(*reply->changes_val)[i];
 
-		change.base_version = in->base_version;
-		change.version = in->config_version;
-		change.digest = in->digest;
-		change.text = in->patch.patch_val;
-		change.length = in->patch.patch_len;
-		ret = ql_config_state_apply_change(config, &change, error);
-		if (ret)
-			return ret;
+		changes[i].base_version = in->base_version;
+		changes[i].version = in->config_version;
+		changes[i].digest = in->digest;
+		changes[i].text = in->patch.patch_val;
+		changes[i].length = in->patch.patch_len;
 	}
-	return 0;
+	ret = ql_config_state_apply_changes(config, changes, n_changes, error);
+	g_free(changes);
+	return ret;
 }
--- a/src/control/greeting.h
+++ b/src/control/greeting.h
@@ -95,12 +95,12 @@
  * @config: the configuration
  * @known_version: version of the peer
  *
- * Writes the changes since @known_version when all of them are still stored,
- * else the complete document, and nothing when the peer is up to date.
+ * Writes the changes since @known_version when all of them are still stored and
+ * less than the complete document, else the document, and nothing when the peer
+ * is up to date.
  */
 void ql_config_reply_fill(const ql_config_reply_t *reply,
-			  const ql_config_state_t *config,
-			  uint64_t known_version);
+			  ql_config_state_t *config, uint64_t known_version);
 
 /**
  * ql_config_reply_fill_whole() - Write the complete document.
@@ -108,7 +108,7 @@
  * @config: the configuration
  */
 void ql_config_reply_fill_whole(const ql_config_reply_t *reply,
-				const ql_config_state_t *config);
+				ql_config_state_t *config);
 
 /**
  * ql_config_reply_apply() - Apply the configuration that a peer has sent.
@@ -117,9 +117,9 @@
  * @config_version: version of the complete document in the reply
  * @error: detail of a failure
  *
- * Changes before the one that failed stay applied.
+ * After a failure the configuration is unchanged.
  *
- * Return: 0 or an error of ql_config_state_apply_change() or
+ * Return: 0 or an error of ql_config_state_apply_changes() or
  * ql_config_state_replace_document().
  */
 int ql_config_reply_apply(ql_config_state_t *config,
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -435,6 +435,19 @@
 	       now_ms - member->opts.started_ms >= NEIGHBOUR_REQUEST_DELAY_MS;
 }
 
+/*
+ * A newer version reaches this node, so the network may be whole again: the
+ * next attempt does not wait for what was learned while it was cut off.
+ */
+static void end_backoffs(ql_member_t *member, uint64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < member->opts.n_registrars; i++)
+		member->links[i].retry_ms =
+			MIN(member->links[i].retry_ms, now_ms);
+}
+
 bool ql_member_observe_version(ql_member_t *member, uint64_t version,
 			       uint64_t now_ms)
 {
@@ -445,6 +458,7 @@
 	    VERSION_RENEWAL_INTERVAL_MS)
 		return false;
 	member->last_version_renewal_ms = now_ms;
+	end_backoffs(member, now_ms);
 	return true;
 }
 
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -87,8 +87,8 @@
 	}
 }
 
-static void fill_document(const ql_config_state_t *config,
-			  uint64_t known_version, ql_rpc_document_res *res)
+static void fill_document(ql_config_state_t *config, uint64_t known_version,
+			  ql_rpc_document_res *res)
 {
 	ql_config_reply_t reply = {
 		.whole_document = &res->whole_document,
--- a/src/util/json.c
+++ b/src/util/json.c
@@ -280,25 +280,42 @@
 	return ret;
 }
 
-json_t *ql_json_apply_merge_patch(json_t *target, json_t *patch)
+/* Returns a member as an object; another value is replaced by an empty one. */
+static json_t *object_member(json_t *target, const char *key)
+{
+	json_t *member = json_object_get(target, key);
+
+	if (json_is_object(member))
+		return member;
+	member = json_object();
+	json_object_set_new(target, key, member);
+	return member;
+}
+
+void ql_json_merge_into(json_t *target, json_t *patch)
 {
-	json_t *result;
 	const char *key;
 	json_t *value;
 
-	if (!json_is_object(patch))
-		return json_deep_copy(patch);
-	result =
-		json_is_object(target) ? json_deep_copy(target) : json_object();
 	json_object_foreach (patch, key, value) {
 		if (json_is_null(value))
-			json_object_del(result, key);
+			json_object_del(target, key);
+		else if (json_is_object(value))
+			ql_json_merge_into(object_member(target, key), value);
 		else
-			json_object_set_new(
-				result, key,
-				ql_json_apply_merge_patch(
-					json_object_get(result, key), value));
+			json_object_set_new(target, key, json_deep_copy(value));
 	}
+}
+
+json_t *ql_json_apply_merge_patch(json_t *target, json_t *patch)
+{
+	json_t *result;
+
+	if (!json_is_object(patch))
+		return json_deep_copy(patch);
+	result =
+		json_is_object(target) ? json_deep_copy(target) : json_object();
+	ql_json_merge_into(result, patch);
 	return result;
 }
 
--- a/tests/control/config_state_test.cc
+++ b/tests/control/config_state_test.cc
@@ -1,8 +1,10 @@
 #include "quetzalloft/config_state.h"
+#include "control/greeting.h"
 #include "quetzalloft/error.h"
 
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <string>
 
 namespace
@@ -11,6 +13,13 @@
 const char *DOCUMENT = "{\"site\":\"s\",\"attempts\":5,\"classes\":{},"
 		       "\"services\":{},\"routes\":{}}";
 
+std::string test_document(size_t fill_bytes)
+{
+	return std::string(DOCUMENT, strlen(DOCUMENT) - 1) +
+	       ",\"origin\":{\"fill\":\"" + std::string(fill_bytes, 'f') +
+	       "\"}}";
+}
+
 class ConfigState : public testing::Test
 {
       protected:
@@ -103,9 +112,9 @@
 	for (GList *link = ql_config_state_changes_since(&state, 0); link;
 	     link = link->next)
 		EXPECT_EQ(0,
-			  ql_config_state_apply_change(
+			  ql_config_state_apply_changes(
 				  &follower, (ql_config_change_t *)link->data,
-				  nullptr));
+				  1, nullptr));
 	EXPECT_EQ(9u, follower.doc->version);
 	EXPECT_EQ(state.doc->digest, follower.doc->digest);
 	ql_config_state_finish(&follower);
@@ -162,9 +171,9 @@
 	for (link = ql_config_state_changes_since(&state, 0); link;
 	     link = link->next)
 		ASSERT_EQ(0,
-			  ql_config_state_apply_change(
+			  ql_config_state_apply_changes(
 				  &follower, (ql_config_change_t *)link->data,
-				  nullptr));
+				  1, nullptr));
 	EXPECT_EQ(2u, follower.doc->version);
 	EXPECT_EQ(state.doc->digest, follower.doc->digest);
 	ql_config_state_finish(&follower);
@@ -198,4 +207,112 @@
 	EXPECT_NE(nullptr, ql_config_state_changes_since(&state, 1));
 }
 
+struct CatchUpCase {
+	const char *description;
+	uint64_t missed;
+	/* Bytes of the document and of each change, about. */
+	size_t document_bytes;
+	size_t change_bytes;
+	bool is_whole;
+};
+
+/*
+ * Guards against a node that lags behind and gets, parses and compiles a whole
+ * document for each version that it missed.
+ */
+TEST_F(ConfigState, CatchingUpCostsNoMoreThanOneDocument)
+{
+	const CatchUpCase cases[] = {
+		{"one small change", 1, 10000, 10, false},
+		{"one large change", 1, 10000, 9000, false},
+		{"many small changes", 50, 10000, 10, false},
+		{"three large changes", 3, 10000, 9000, true},
+		{"many large changes", 100, 10000, 9000, true},
+		{"one change that is too large to send", 1, 1 << 21, 1 << 20,
+		 true},
+	};
+
+	for (const CatchUpCase &test : cases) {
+		SCOPED_TRACE(test.description);
+		bool_t whole = FALSE;
+		u_int document_len = 0, changes_len = 0;
+		char *document = nullptr;
+		ql_rpc_change *changes = nullptr;
+		ql_config_reply_t reply = {&whole, &document_len, &document,
+					   &changes_len, &changes};
+		ql_config_state_t follower;
+		size_t sent = 0;
+
+		ql_config_state_finish(&state);
+		ql_config_state_init(&state);
+		ql_config_state_init(&follower);
+		ASSERT_EQ(0, apply("first", 0, DOCUMENT).status);
+		ASSERT_EQ(0,
+			  apply("fill", 1,
+				"{\"origin\":{\"fill\":\"" +
+					std::string(test.document_bytes, 'f') +
+					"\"}}")
+				  .status);
+		for (uint64_t i = 0; i < test.missed; i++)
+			ASSERT_EQ(0,
+				  apply(std::to_string(i).c_str(), i + 2,
+					"{\"origin\":{\"v\":\"" +
+						std::to_string(i) +
+						std::string(test.change_bytes,
+							    'c') +
+						"\"}}")
+					  .status);
+		ASSERT_EQ(0, ql_config_state_replace_document(
+				     &follower, 2,
+				     test_document(test.document_bytes).c_str(),
+				     test_document(test.document_bytes).size(),
+				     nullptr));
+		ql_config_reply_fill(&reply, &state, 2);
+		EXPECT_EQ(test.is_whole, (bool)whole);
+		for (u_int i = 0; i < changes_len; i++)
+			sent += changes[i].patch.patch_len;
+		EXPECT_LE(document_len + sent,
+			  strlen(ql_config_state_text(&state)));
+		EXPECT_EQ(0,
+			  ql_config_reply_apply(&follower, &reply,
+						state.doc->version, nullptr));
+		EXPECT_EQ(state.doc->version, follower.doc->version);
+		EXPECT_EQ(state.doc->digest, follower.doc->digest);
+		for (u_int i = 0; i < changes_len; i++)
+			free(changes[i].patch.patch_val);
+		free(changes);
+		free(document);
+		ql_config_state_finish(&follower);
+	}
+}
+
+/* Changes that do not follow each other leave the state as it was. */
+TEST_F(ConfigState, AppliesAllChangesOrNone)
+{
+	ql_config_state_t follower;
+	ql_config_change_t changes[2];
+
+	apply("a", 0, DOCUMENT);
+	apply("b", 1, "{\"attempts\":6}");
+	apply("c", 2, "{\"attempts\":7}");
+	changes[0] = *(ql_config_change_t *)g_queue_peek_nth(&state.changes, 0);
+	changes[1] = *(ql_config_change_t *)g_queue_peek_nth(&state.changes, 2);
+	ql_config_state_init(&follower);
+	EXPECT_EQ(QL_E_NOT_FOUND,
+		  ql_config_state_apply_changes(&follower, changes, 2,
+						nullptr));
+	EXPECT_EQ(0u, follower.doc->version);
+	changes[1] = *(ql_config_change_t *)g_queue_peek_nth(&state.changes, 1);
+	changes[1].digest++;
+	EXPECT_EQ(QL_E_CORRUPT,
+		  ql_config_state_apply_changes(&follower, changes, 2,
+						nullptr));
+	EXPECT_EQ(0u, follower.doc->version);
+	changes[1].digest--;
+	EXPECT_EQ(0, ql_config_state_apply_changes(&follower, changes, 2,
+						   nullptr));
+	EXPECT_EQ(state.doc->version - 1, follower.doc->version);
+	ql_config_state_finish(&follower);
+}
+
 } // namespace
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -325,6 +325,23 @@
 	EXPECT_EQ(0u, member.links[before].failures);
 }
 
+/*
+ * Guards against a node that waits, behind a network partition, for the backoff
+ * of the time when it was cut off.
+ */
+TEST_F(Member, NewerVersionEndsTheBackoffs)
+{
+	uint64_t now_ms = 1000;
+
+	for (int i = 0; i < 6; i++) {
+		ql_member_lease_failed(&member, 0, now_ms);
+		ql_member_lease_failed(&member, 1, now_ms);
+	}
+	EXPECT_EQ(-1, ql_member_next_registrar(&member, now_ms));
+	EXPECT_TRUE(ql_member_observe_version(&member, 2, now_ms));
+	EXPECT_NE(-1, ql_member_next_registrar(&member, now_ms));
+}
+
 class MemberWithdrawal : public Member
 {
       protected:
--- a/tests/control/membership_simulation.cc
+++ b/tests/control/membership_simulation.cc
@@ -436,9 +436,9 @@
 		link = ql_config_state_changes_since(
 			&leader_config, registrar.config.doc->version);
 		for (; link; link = link->next)
-			ql_config_state_apply_change(
+			ql_config_state_apply_changes(
 				&registrar.config,
-				(ql_config_change_t *)link->data, nullptr);
+				(ql_config_change_t *)link->data, 1, nullptr);
 	}
 	schedule(now_ms + 100,
 		 [this, index, generation] { tick(index, generation); });
