--- a/bench/config_catch_up.c
+++ b/bench/config_catch_up.c
@@ -40,12 +40,11 @@
 			resources,
 			json_pack("{s:s, s:{s:s}, s:{s:s, s:s, s:s, s:I, s:s, "
 				  "s:i, s:s, s:i}}",
-				  "resourceType", "routes", "metadata", "name",
-				  name, "spec", "host", "shop.example",
-				  "pathPrefix", path, "kind", "idempotent",
-				  "timeout", deadline_ms, "targetLatency",
-				  "500ms", "priority", 1, "service", "a",
-				  "attempts", 2));
+				  "type", "route", "metadata", "name", name,
+				  "spec", "host", "shop.example", "prefix",
+				  path, "kind", "idempotent", "timeout",
+				  deadline_ms, "aim", "500ms", "priority", 1,
+				  "service", "a", "attempts", 2));
 	}
 	return json_pack("{s:s, s:i, s:{s:{s:i}}, s:{s:{}}, s:o, s:{s:o}}",
 			 "site", "bench", "attempts", 3, "classes", "c",
