--- a/src/control/config_state.c
+++ b/src/control/config_state.c
@@ -311,8 +311,7 @@
 			    change->version);
 }
 
-/* Compiles the document that changes result in; sets *out to NULL on an error.
- */
+/* Compiles the document of the last change; *out is NULL after a failure. */
 static int make_changed_document(ql_document_t **out,
 				 const ql_config_state_t *state,
 				 const ql_config_change_t *changes,
