Walk the withdrawals of a renewal by index

A renewal without withdrawals, as that of a process without the role node, has a null array, and the walk added 0 to that.

--- a/src/control/registrar_withdrawals.c
+++ b/src/control/registrar_withdrawals.c
@@ -78,16 +78,17 @@
 				     const ql_rpc_lease_args *args,
 				     ql_rpc_lease_res *res, uint64_t now_ms)
 {
-	const ql_rpc_withdrawal *rpc = args->withdrawals.withdrawals_val;
-	const ql_rpc_withdrawal *end = rpc + args->withdrawals.withdrawals_len;
+	const ql_rpc_withdrawal *rpc;
 	ql_withdrawal_t known;
 	ql_record_t *record;
+	u_int i;
 
 	res->withdrawals.withdrawals_val =
 		calloc(args->withdrawals.withdrawals_len + 1,
 		       sizeof(ql_rpc_withdrawal));
 	g_assert(res->withdrawals.withdrawals_val);
-	for (; rpc < end; rpc++) {
+	for (i = 0; i < args->withdrawals.withdrawals_len; i++) {
+		rpc = &args->withdrawals.withdrawals_val[i];
 		if (ql_withdrawal_read_rpc(&known, rpc))
 			continue;
 		record = ql_registrar__find_record(registrar, rpc->service,
