Read the count of requests in flight atomically in the log of a stop

Callers saw nothing; the line that ends a stop could name a wrong number.

Cause: the loop writes the count atomically, the thread that stops the node read it plainly for its log line.

Test and race are traced, not rerun.

--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -437,7 +437,8 @@
 	ql_path_jobs_fail_all(node);
 	wait_for_requests(node, schedule.latest_exit_us);
 	ql_log(LOG_NOTICE, "drain_finished",
-	       QL_INT("in_progress", node->requests_in_flight));
+	       QL_INT("in_progress", __atomic_load_n(&node->requests_in_flight,
+						     __ATOMIC_ACQUIRE)));
 }
 
 void ql_path_node_stop(ql_path_node_t *node)
