--- a/src/http/listener_connection.c
+++ b/src/http/listener_connection.c
@@ -188,8 +188,7 @@
 			return;
 		}
 		if (!first->ended) {
-			/* If bytes are queued, the stream tells of their end.
-			 */
+			/* Else the stream tells when the queue is empty. */
 			if (!connection->stream.pending_bytes)
 				notify_drained(connection);
 			return;
