--- a/tests/path/cut_response_test.cc
+++ b/tests/path/cut_response_test.cc
@@ -32,17 +32,10 @@
       protected:
 	void SetUp() override
 	{
-		ql_endpoint_info_t info = {};
-
 		PathFixture::SetUp();
 		set_document(ROUTES);
 		register_endpoint();
-		/* The gate of another node, played by the test as well. */
-		g_snprintf(info.gate, sizeof(info.gate), "127.0.0.1:%u",
-			   endpoint_port);
-		strcpy(info.failure_domain, "d");
-		info.slots = 2;
-		ql_front_add_endpoint(&front, "b", &info);
+		add_far_endpoint();
 	}
 
 	/* Returns the response to a request whose answer ends at a cut. */
--- a/tests/path/flow_control_test.cc
+++ b/tests/path/flow_control_test.cc
@@ -39,8 +39,6 @@
 
 	void SetUp() override
 	{
-		ql_endpoint_info_t info = {};
-
 		PathFixture::SetUp();
 		ql_instance_report_t more_slots = make_report("i-1", 1, 2);
 
@@ -48,12 +46,7 @@
 		register_endpoint();
 		more_slots.slots = 8;
 		ql_local_gate_apply_report(&gate, &more_slots);
-		/* The gate of another node, played by the test as well. */
-		g_snprintf(info.gate, sizeof(info.gate), "127.0.0.1:%u",
-			   endpoint_port);
-		strcpy(info.failure_domain, "d");
-		info.slots = 2;
-		ql_front_add_endpoint(&front, "b", &info);
+		add_far_endpoint();
 		response = make_response("x2", GetParam().body_bytes, 'd');
 	}
 
--- a/tests/path/late_copy_test.cc
+++ b/tests/path/late_copy_test.cc
@@ -56,17 +56,10 @@
 
 	void SetUp() override
 	{
-		ql_endpoint_info_t info = {};
-
 		PathFixture::SetUp();
 		set_document(ROUTES);
 		register_endpoint();
-		/* The gate of another node, played by the test as well. */
-		g_snprintf(info.gate, sizeof(info.gate), "127.0.0.1:%u",
-			   endpoint_port);
-		strcpy(info.failure_domain, "d");
-		info.slots = 2;
-		ql_front_add_endpoint(&front, "b", &info);
+		add_far_endpoint();
 	}
 
 	std::string request(const char *id)
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -165,6 +165,21 @@
 		ql_front_add_endpoint(&front, "a", &info);
 	}
 
+	/*
+	 * Adds an endpoint of service "b" behind the gate of another node. The
+	 * test plays that gate, at the address of the endpoint.
+	 */
+	void add_far_endpoint()
+	{
+		ql_endpoint_info_t info = {};
+
+		g_snprintf(info.gate, sizeof(info.gate), "127.0.0.1:%u",
+			   endpoint_port);
+		strcpy(info.failure_domain, "d");
+		info.slots = 2;
+		ql_front_add_endpoint(&front, "b", &info);
+	}
+
 	/* Accepts a connection of the node to the endpoint. */
 	std::unique_ptr<RawSocket> accept_connection()
 	{
