Repeat a write of a replica until its disk takes it

A write beyond the limit of file sizes ended it by SIGXFSZ.

To the replica that is a slow disk: nothing that depends on the write is sent, confirmed or applied. A leader whose write fails, or takes over two election timeouts, steps down, and does not campaign meanwhile, so that another replica leads. A counter and a gauge tell of it.

--- a/include/quetzalloft/replica.h
+++ b/include/quetzalloft/replica.h
@@ -214,6 +214,8 @@
  * @writing_commit: commit index in the last write taken
  * @last_taken_write: number of the last write taken
  * @last_synced_write: number of the last write synced
+ * @write_ticks: ticks since the write in progress was taken
+ * @write_failing: the last attempt of the write in progress has failed
  * @required_write: number of the write that makes the present identity, term,
  *                  vote and log durable; it need not hold the commit index
  * @snapshot_unwritten: the next write replaces the stored log by @snapshot and
@@ -253,6 +255,8 @@
 	uint64_t writing_commit;
 	uint64_t last_taken_write;
 	uint64_t last_synced_write;
+	uint32_t write_ticks;
+	bool write_failing;
 	uint64_t required_write;
 	bool snapshot_unwritten;
 	GQueue deferred_messages;
@@ -314,8 +318,9 @@
  * @replica: the replica
  *
  * The caller chooses the length of a tick. A leader sends a heartbeat when one
- * is due, and steps down when it has lost contact with a quorum; any other
- * voter starts a pre-vote when its election timer has expired.
+ * is due, and steps down when it has lost contact with a quorum or when its
+ * disk does not complete a write; any other voter starts a pre-vote when its
+ * election timer has expired and its disk completes writes.
  */
 void ql_replica_tick(ql_replica_t *replica);
 
@@ -473,7 +478,8 @@
  * @journal: the journal
  * @error: detail of a failure
  *
- * Return: 0 or QL_E_IO; after QL_E_IO the replica must be stopped.
+ * Return: 0 or QL_E_IO; after QL_E_IO the same write is to be run again, see
+ * ql_replica_write_failed().
  */
 int ql_replica_write_run(const ql_replica_write_t *write, ql_journal_t *journal,
 			 GError **error);
@@ -495,6 +501,16 @@
  */
 void ql_replica_write_done(ql_replica_t *replica, uint64_t sequence);
 
+/**
+ * ql_replica_write_failed() - Handle a failure of the write in progress.
+ * @replica: the replica
+ *
+ * The caller runs the write again until it succeeds. Until then nothing that
+ * depends on it is sent or applied. A leader steps down, so that another
+ * replica can lead, and this one starts no election.
+ */
+void ql_replica_write_failed(ql_replica_t *replica);
+
 /**
  * ql_replica_message_free() - Free a message that was passed to
  * &ql_replica_ops.send.
--- a/include/quetzalloft/timeline.h
+++ b/include/quetzalloft/timeline.h
@@ -59,6 +59,8 @@
  * @QL_EVENT_REPLICA_LEADER_HEARD: a message of the leader was received
  * @QL_EVENT_REPLICA_HIGHER_TERM: a message of a higher term was received
  * @QL_EVENT_REPLICA_QUORUM_LOST: the leader lost contact to a quorum
+ * @QL_EVENT_REPLICA_DISK_STALLED: the disk of the leader does not take its
+ * writes
  * @QL_EVENT_REPLICA_REMOVED: the replica was removed from the members
  * @QL_EVENT_PATCH_RECEIVED: a patch of the configuration was received
  * @QL_EVENT_PATCH_APPENDED: the leader appended the patch to its log
@@ -103,6 +105,7 @@
 	QL_EVENT_REPLICA_LEADER_HEARD,
 	QL_EVENT_REPLICA_HIGHER_TERM,
 	QL_EVENT_REPLICA_QUORUM_LOST,
+	QL_EVENT_REPLICA_DISK_STALLED,
 	QL_EVENT_REPLICA_REMOVED,
 	QL_EVENT_PATCH_RECEIVED,
 	QL_EVENT_PATCH_APPENDED,
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -170,6 +170,7 @@
 {
 	if (replica->failed)
 		return;
+	ql_replica__tick_write(replica);
 	if (replica->role == QL_REPLICA_LEADER) {
 		ql_replica__tick_leader(replica);
 		return;
@@ -177,7 +178,8 @@
 	if (++replica->election_elapsed < replica->election_timeout &&
 	    !is_only_voter(replica))
 		return;
-	if (ql_replica__may_campaign(replica)) {
+	if (ql_replica__may_campaign(replica) &&
+	    !ql_replica__is_disk_stalled(replica)) {
 		ql_replica__campaign(replica);
 	} else {
 		replica->leader = 0;
--- a/src/control/replica_disk.c
+++ b/src/control/replica_disk.c
@@ -7,6 +7,31 @@
 	replica->required_write = replica->last_taken_write + 1;
 }
 
+/*
+ * A leader whose write takes longer than this many election timeouts steps
+ * down.
+ */
+#define STALLED_WRITE_ELECTION_TIMEOUTS 2u
+
+static bool is_writing(const ql_replica_t *replica)
+{
+	return replica->last_taken_write > replica->last_synced_write;
+}
+
+void ql_replica__tick_write(ql_replica_t *replica)
+{
+	if (is_writing(replica))
+		replica->write_ticks++;
+}
+
+bool ql_replica__is_disk_stalled(const ql_replica_t *replica)
+{
+	return replica->write_failing ||
+	       (is_writing(replica) &&
+		replica->write_ticks > replica->opts.election_ticks *
+					       STALLED_WRITE_ELECTION_TIMEOUTS);
+}
+
 static bool has_unwritten_changes(const ql_replica_t *replica)
 {
 	return replica->required_write > replica->last_taken_write ||
@@ -41,12 +66,12 @@
 
 bool ql_replica_take_write(ql_replica_t *replica, ql_replica_write_t *write)
 {
-	if (replica->failed ||
-	    replica->last_taken_write > replica->last_synced_write ||
+	if (replica->failed || is_writing(replica) ||
 	    !has_unwritten_changes(replica))
 		return false;
 	memset(write, 0, sizeof(*write));
 	write->sequence = ++replica->last_taken_write;
+	replica->write_ticks = 0;
 	write->state = replica->state;
 	fill_write_entries(replica, write,
 			   replica->snapshot_unwritten
@@ -106,6 +131,7 @@
 	if (replica->failed || sequence != replica->last_taken_write)
 		return;
 	replica->last_synced_write = sequence;
+	replica->write_failing = false;
 	replica->synced_index = replica->writing_last_index;
 	replica->synced_commit = replica->writing_commit;
 	replica->synced_identity = true;
@@ -117,3 +143,11 @@
 	ql_replica__apply(replica);
 	ql_replica__finish_reads(replica);
 }
+
+void ql_replica_write_failed(ql_replica_t *replica)
+{
+	replica->write_failing = true;
+	if (replica->role == QL_REPLICA_LEADER)
+		ql_replica__become_follower(replica,
+					    QL_EVENT_REPLICA_DISK_STALLED, 0);
+}
--- a/src/control/replica_leader.c
+++ b/src/control/replica_leader.c
@@ -150,6 +150,11 @@
 					    QL_EVENT_REPLICA_QUORUM_LOST, 0);
 		return;
 	}
+	if (ql_replica__is_disk_stalled(replica)) {
+		ql_replica__become_follower(replica,
+					    QL_EVENT_REPLICA_DISK_STALLED, 0);
+		return;
+	}
 	if (++replica->heartbeat_elapsed >= replica->opts.heartbeat_ticks)
 		send_heartbeat(replica);
 }
--- a/src/control/replica_message.c
+++ b/src/control/replica_message.c
@@ -3,6 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * Most messages that wait for a write. While a disk takes no writes the oldest
+ * are dropped: the peers repeat what they need.
+ */
+#define DEFERRED_MESSAGES_MAX 1024u
+
 /* A message to send once the write with this number is synced. */
 typedef struct {
 	uint64_t required_write;
@@ -34,6 +40,15 @@
 	replica->ops->send(replica->data, message);
 }
 
+static void drop_oldest_deferred(ql_replica_t *replica)
+{
+	deferred_message_t *deferred =
+		g_queue_pop_head(&replica->deferred_messages);
+
+	ql_replica_message_free(deferred->message);
+	g_free(deferred);
+}
+
 void ql_replica__send_after_sync(ql_replica_t *replica,
 				 ql_rpc_replica_message *message)
 {
@@ -47,6 +62,8 @@
 	deferred->required_write = replica->required_write;
 	deferred->message = message;
 	g_queue_push_tail(&replica->deferred_messages, deferred);
+	if (replica->deferred_messages.length > DEFERRED_MESSAGES_MAX)
+		drop_oldest_deferred(replica);
 }
 
 /* A message of an older term must not be sent in a newer one. */
--- a/src/control/replica_private.h
+++ b/src/control/replica_private.h
@@ -144,6 +144,10 @@
 /* replica_disk.c */
 /* Records that the identity, term, vote or log has changed. */
 void ql_replica__require_write(ql_replica_t *replica);
+/* Counts a tick of the write in progress. */
+void ql_replica__tick_write(ql_replica_t *replica);
+/* Returns whether the disk fails, or takes too long, to complete a write. */
+bool ql_replica__is_disk_stalled(const ql_replica_t *replica);
 /* Applies all committed entries whose commit is on the disk. */
 void ql_replica__apply(ql_replica_t *replica);
 
--- a/src/node/replica_disk.h
+++ b/src/node/replica_disk.h
@@ -2,7 +2,8 @@
 #define QL_NODE_REPLICA_DISK_H
 
 /**
- * DOC: The thread that carries out the writes of a replica, one at a time.
+ * DOC: The thread that carries out the writes of a replica, one at a time. A
+ * write that fails is repeated until it succeeds.
  */
 
 #include "quetzalloft/replica.h"
@@ -23,7 +24,8 @@
  * @write: the write in progress
  * @has_write: there is a write in progress
  * @last_synced_write: number of the last write that was synced
- * @failed: a write failed; nothing more may be written
+ * @failing: the last attempt of the write in progress failed
+ * @n_failures: number of attempts that failed
  * @stopping: the thread is to end
  * @thread: the disk thread; NULL before ql_replica_disk_start()
  */
@@ -36,7 +38,8 @@
 	ql_replica_write_t write;
 	bool has_write;
 	uint64_t last_synced_write;
-	bool failed;
+	bool failing;
+	uint64_t n_failures;
 	bool stopping;
 	GThread *thread;
 } ql_replica_disk_t;
@@ -70,18 +73,29 @@
 void ql_replica_disk_write(ql_replica_disk_t *disk,
 			   const ql_replica_write_t *write);
 
+/**
+ * struct ql_replica_disk_progress - Progress of the writes.
+ * @last_synced_write: number of the last write that was synced, or 0
+ * @n_failures: number of attempts that have failed since the start
+ * @failing: the last attempt of the write in progress has failed
+ */
+typedef struct ql_replica_disk_progress {
+	uint64_t last_synced_write;
+	uint64_t n_failures;
+	bool failing;
+} ql_replica_disk_progress_t;
+
 /**
  * ql_replica_disk_poll() - Get the progress of the writes.
  * @disk: the disk
- * @last_synced_write: set to the number of the last write that was synced, or 0
- *
- * Return: 0, or QL_E_IO when a write has failed.
+ * @progress: the progress
  */
-int ql_replica_disk_poll(ql_replica_disk_t *disk, uint64_t *last_synced_write);
+void ql_replica_disk_poll(ql_replica_disk_t *disk,
+			  ql_replica_disk_progress_t *progress);
 
 /**
- * ql_replica_disk_finish() - Stop the thread after the write in progress and
- * close the journal.
+ * ql_replica_disk_finish() - Stop the thread after the write in progress, or
+ * after the present attempt of one that fails, and close the journal.
  * @disk: the disk
  */
 void ql_replica_disk_finish(ql_replica_disk_t *disk);
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -174,7 +174,7 @@
 	const ql_replica_t *replica = &service->config.replica;
 
 	view->identity_synced = replica->synced_identity;
-	view->failed = service->failed || replica->failed;
+	view->failed = replica->failed;
 	view->is_leader = replica->role == QL_REPLICA_LEADER && !view->failed;
 	view->is_current = ql_replica_is_current(replica) && !view->failed;
 	/* A failed replica names no leader, as that could be itself. */
@@ -312,26 +312,37 @@
 		/* Pushed by the disk thread only to wake this thread. */
 		if (item == &service->disk)
 			continue;
-		if (!service->failed)
-			handle_input(service, item);
+		handle_input(service, item);
 		input_free(item);
 	}
 }
 
+static void count_failures(ql_replica_service_t *service,
+			   const ql_replica_disk_progress_t *progress)
+{
+	for (; service->n_disk_failures < progress->n_failures;
+	     service->n_disk_failures++)
+		ql_counter_increment(service->counters,
+				     QL_COUNT_DISK_WRITES_FAILED);
+	ql_gauge_set(service->counters, QL_GAUGE_DISK_FAILING,
+		     progress->failing);
+}
+
 static void complete_writes(ql_replica_service_t *service)
 {
-	uint64_t done;
+	ql_replica_disk_progress_t progress;
 
-	if (ql_replica_disk_poll(&service->disk, &done)) {
-		service->failed = true;
-		return;
-	}
-	if (done == service->last_synced_write)
+	ql_replica_disk_poll(&service->disk, &progress);
+	count_failures(service, &progress);
+	if (progress.failing)
+		ql_replica_write_failed(&service->config.replica);
+	if (progress.last_synced_write == service->last_synced_write)
 		return;
-	service->last_synced_write = done;
+	service->last_synced_write = progress.last_synced_write;
 	/* This may apply entries, which changes @state. */
 	pthread_mutex_lock(service->lock);
-	ql_replica_write_done(&service->config.replica, done);
+	ql_replica_write_done(&service->config.replica,
+			      progress.last_synced_write);
 	pthread_mutex_unlock(service->lock);
 }
 
@@ -375,11 +386,9 @@
 	while (!is_stopping(service)) {
 		complete_writes(service);
 		handle_inputs(service);
-		if (!service->failed) {
-			tick(service);
-			ql_replica_flush(&service->config.replica);
-			start_write(service);
-		}
+		tick(service);
+		ql_replica_flush(&service->config.replica);
+		start_write(service);
 		publish(service);
 		ql_ring_wait(&service->inputs, ms_until_tick(service));
 	}
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -21,7 +21,7 @@
 /**
  * struct ql_replica_view - State that the replica thread publishes.
  * @identity_synced: the identity is on the disk
- * @failed: a write or the restore of a snapshot failed; this replica takes no
+ * @failed: the restore of a snapshot failed; this replica takes no
  *          further part in the cluster
  * @is_leader: this replica is the leader and has not failed
  * @is_current: see ql_replica_is_current(); false after a failure
@@ -109,7 +109,7 @@
  * @stopping: 1 ends the threads; accessed atomically
  * @last_tick_us: time of the last tick in microseconds
  * @last_synced_write: number of the last synced write passed to @config
- * @failed: a write failed; @config gets no more input
+ * @n_disk_failures: failed writes that were counted
  * @view_lock: guards the fields below
  * @view: state that the replica thread published last
  * @reads: status of the last reads, by token modulo QL_REPLICA_READ_SLOTS
@@ -138,7 +138,7 @@
 	int stopping;
 	uint64_t last_tick_us;
 	uint64_t last_synced_write;
-	bool failed;
+	uint64_t n_disk_failures;
 	pthread_mutex_t view_lock;
 	ql_replica_view_t view;
 	ql_replica_read_slot_t reads[QL_REPLICA_READ_SLOTS];
--- a/src/node/replica_supervisor.c
+++ b/src/node/replica_supervisor.c
@@ -213,12 +213,9 @@
 
 	ql_replica_service__copy_view(supervisor->replica, view);
 	if (view->failed) {
-		/*
-		 * Whether the failed write is on the disk is unknown. A restart
-		 * reads the journal again.
-		 */
+		/* A restart loads the state from the journal again. */
 		ql_log(LOG_ERR, "replica_failed",
-		       QL_STR("detail", "the journal cannot be written"));
+		       QL_STR("detail", "a snapshot cannot be restored"));
 		exit(EX_IOERR);
 	}
 	update_registrar(supervisor, view);
--- a/src/node/signals.c
+++ b/src/node/signals.c
@@ -78,6 +78,8 @@
 	signals->grace_ms = grace_ms;
 	fill_signal_set(&set);
 	sigaddset(&set, SIGPIPE);
+	/* A write beyond the limit of file sizes is to fail with EFBIG. */
+	sigaddset(&set, SIGXFSZ);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signals->thread = g_thread_new("signals", run_signal_thread, signals);
 	ql_log(LOG_NOTICE, "signals_taken", QL_UINT("grace_ms", grace_ms));
--- a/src/store/journal.c
+++ b/src/store/journal.c
@@ -115,22 +115,11 @@
 	return 0;
 }
 
-/* Removes a write that a crash interrupted, and that was never confirmed. */
-static int truncate_torn_tail(ql_journal_t *journal, segment_t *segment,
-			      GError **error)
+/* Skips a write that a crash interrupted, and that was never confirmed. */
+static void skip_torn_tail(ql_journal_t *journal, const segment_t *segment)
 {
-	const ql_disk_ops_t *ops = journal->disk.ops;
-	void *data = journal->disk.data;
-	int ret;
-
 	journal->bytes_cut += segment->bytes->len - segment->position.offset;
-	if (segment->position.offset) {
-		ret = ops->truncate(data, segment->name,
-				    segment->position.offset, error);
-		return ret ? ret : ops->sync(data, segment->name, error);
-	}
-	ret = ops->remove(data, segment->name, error);
-	return ret ? ret : ops->sync_folder(data, error);
+	journal->needs_repair = true;
 }
 
 /* Loads the next frame of a segment; sets @end if there is none. */
@@ -153,7 +142,8 @@
 			return corrupt(segment->name, segment->position.offset,
 				       "the checksum does not match", error);
 		*end = true;
-		return truncate_torn_tail(journal, segment, error);
+		skip_torn_tail(journal, segment);
+		return 0;
 	}
 	if (!ql_journal_frame_decode(&frame, payload, length))
 		return corrupt(segment->name, segment->position.offset,
@@ -193,7 +183,7 @@
 	return left < right ? -1 : left > right;
 }
 
-/* Lists the segments, and removes the new snapshot of an interrupted write. */
+/* Lists the segments, and notes the new snapshot of an interrupted write. */
 static int list_segments(ql_journal_t *journal, GArray *numbers, GError **error)
 {
 	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
@@ -205,8 +195,7 @@
 		const char *name = names->pdata[i];
 
 		if (!strcmp(name, SNAPSHOT_NEW_NAME))
-			ret = journal->disk.ops->remove(journal->disk.data,
-							name, error);
+			journal->needs_repair = true;
 		if (!g_str_has_prefix(name, SEGMENT_PREFIX))
 			continue;
 		number = g_ascii_strtoull(name + strlen(SEGMENT_PREFIX), NULL,
@@ -335,16 +324,21 @@
 			  error);
 	if (!ret)
 		ret = ops->sync(journal->disk.data, name, error);
-	journal->segment_bytes += bytes->len;
+	if (!ret)
+		journal->segment_bytes += bytes->len;
 	g_byte_array_unref(payload);
 	g_byte_array_unref(bytes);
 	return ret;
 }
 
-/* Starts a new segment, which is on stable storage if this returns 0. */
+/*
+ * Starts a new segment, which is on stable storage if this returns 0. After a
+ * failure the segment before it remains the last one.
+ */
 static int start_segment(ql_journal_t *journal, const ql_journal_frame_t *frame,
 			 GError **error)
 {
+	uint64_t bytes_before = journal->segment_bytes;
 	int ret;
 
 	journal->segment++;
@@ -352,6 +346,63 @@
 	ret = append_frame(journal, frame, error);
 	if (!ret)
 		ret = journal->disk.ops->sync_folder(journal->disk.data, error);
+	if (!ret)
+		return 0;
+	journal->segment--;
+	journal->segment_bytes = bytes_before;
+	return ret;
+}
+
+/* Removes a file if it exists. */
+static int remove_file(ql_journal_t *journal, const char *name, GError **error)
+{
+	GError *cause = NULL;
+	int ret = journal->disk.ops->remove(journal->disk.data, name, &cause);
+
+	if (ret == QL_E_NOT_FOUND) {
+		g_error_free(cause);
+		return 0;
+	}
+	if (ret)
+		g_propagate_error(error, cause);
+	return ret;
+}
+
+static int truncate_segment(ql_journal_t *journal, GError **error)
+{
+	const ql_disk_ops_t *ops = journal->disk.ops;
+	char name[SEGMENT_NAME_MAX];
+	int ret;
+
+	if (!journal->segment)
+		return 0;
+	segment_name(name, journal->segment);
+	ret = ops->truncate(journal->disk.data, name, journal->segment_bytes,
+			    error);
+	return ret ? ret : ops->sync(journal->disk.data, name, error);
+}
+
+/*
+ * Removes what a write that did not end has left: bytes behind the last synced
+ * frame, a segment after the last one, and a new snapshot. None of it was
+ * confirmed.
+ */
+static int repair(ql_journal_t *journal, GError **error)
+{
+	char name[SEGMENT_NAME_MAX];
+	int ret;
+
+	if (!journal->needs_repair)
+		return 0;
+	segment_name(name, journal->segment + 1);
+	ret = remove_file(journal, name, error);
+	if (!ret)
+		ret = remove_file(journal, SNAPSHOT_NEW_NAME, error);
+	if (!ret)
+		ret = truncate_segment(journal, error);
+	if (!ret)
+		ret = journal->disk.ops->sync_folder(journal->disk.data, error);
+	journal->needs_repair = ret != 0;
 	return ret;
 }
 
@@ -364,13 +415,6 @@
 	return array;
 }
 
-static int check_not_failed(const ql_journal_t *journal, GError **error)
-{
-	if (!journal->failed)
-		return 0;
-	return ql_error_set(error, QL_E_IO, "an earlier write failed");
-}
-
 int ql_journal_write(ql_journal_t *journal, const ql_journal_state_t *state,
 		     const ql_journal_entry_t *entries, size_t n_entries,
 		     GError **error)
@@ -381,7 +425,7 @@
 		.base_term = journal->base_term,
 		.state = *state,
 	};
-	int ret = check_not_failed(journal, error);
+	int ret = repair(journal, error);
 
 	if (ret)
 		return ret;
@@ -391,12 +435,14 @@
 	else
 		ret = append_frame(journal, &frame, error);
 	g_array_unref(frame.entries);
-	journal->failed = ret != 0;
+	journal->needs_repair = ret != 0;
+	if (ret)
+		return ret;
 	journal->needs_new_segment = false;
 	journal->state = *state;
 	if (!journal->first_segment)
 		journal->first_segment = journal->segment;
-	return ret;
+	return 0;
 }
 
 static int replace_snapshot(ql_journal_t *journal,
@@ -431,17 +477,19 @@
 	char name[SEGMENT_NAME_MAX];
 	int ret = 0;
 
-	while (!ret && journal->first_segment &&
+	while (journal->first_segment &&
 	       journal->first_segment < journal->segment) {
-		segment_name(name, journal->first_segment++);
-		ret = journal->disk.ops->remove(journal->disk.data, name,
-						error);
+		segment_name(name, journal->first_segment);
+		ret = remove_file(journal, name, error);
 		if (!ret)
 			ret = journal->disk.ops->sync_folder(journal->disk.data,
 							     error);
+		if (ret)
+			return ret;
+		journal->first_segment++;
 	}
 	journal->first_segment = journal->segment;
-	return ret;
+	return 0;
 }
 
 int ql_journal_store_snapshot(ql_journal_t *journal,
@@ -455,7 +503,7 @@
 		.base_term = base->base_term,
 		.state = *state,
 	};
-	int ret = check_not_failed(journal, error);
+	int ret = repair(journal, error);
 
 	if (ret)
 		return ret;
@@ -466,10 +514,12 @@
 	if (!ret)
 		ret = remove_old_segments(journal, error);
 	g_array_unref(frame.entries);
-	journal->failed = ret != 0;
+	journal->needs_repair = ret != 0;
+	if (ret)
+		return ret;
 	journal->needs_new_segment = false;
 	journal->state = *state;
 	journal->base_index = base->base_index;
 	journal->base_term = base->base_term;
-	return ret;
+	return 0;
 }
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -73,11 +73,11 @@
  * @first_segment: number of the oldest segment; 0 if there is none
  * @segment_bytes: length of the file of @segment in bytes
  * @bytes_read: number of bytes that ql_journal_open() read
- * @bytes_cut: length in bytes of the torn write that ql_journal_open() removed
+ * @bytes_cut: length in bytes of the torn write that ql_journal_open() skipped
  * @needs_new_segment: the log does not reach the entry of the snapshot, so the
  *                     next write has to start a new segment
- * @failed: a write failed. The content of the disk is unknown until the journal
- *          is opened again.
+ * @needs_repair: the disk may hold a part of a write that did not end, which
+ *                the next write removes first
  */
 typedef struct ql_journal {
 	ql_disk_t disk;
@@ -92,11 +92,12 @@
 	uint64_t bytes_read;
 	uint64_t bytes_cut;
 	bool needs_new_segment;
-	bool failed;
+	bool needs_repair;
 } ql_journal_t;
 
 /**
- * ql_journal_open() - Load a journal and remove a torn write at its end.
+ * ql_journal_open() - Load a journal without a torn write at its end. Nothing
+ * is written, so that a full disk can be opened.
  * @journal: the journal; needs no ql_journal_finish() after a failure
  * @disk: disk that contains the journal, copied; an empty one gives an empty
  *        journal
@@ -122,8 +123,10 @@
  * @n_entries: number of @entries; may be 0
  * @error: set to the detail of a failure, or NULL
  *
- * Return: 0, or an error of the operations of the disk. After a failure all
- * further writes fail with QL_E_IO.
+ * After a failure the write may be repeated or replaced by another one. Until
+ * one of them succeeds, a crash may leave the effect of the failed write.
+ *
+ * Return: 0, or an error of the operations of the disk.
  */
 int ql_journal_write(ql_journal_t *journal, const ql_journal_state_t *state,
 		     const ql_journal_entry_t *entries, size_t n_entries,
@@ -154,8 +157,9 @@
  * @base: the snapshot and the entries that remain in the log
  * @error: set to the detail of a failure, or NULL
  *
- * Return: 0, or an error of the operations of the disk. After a failure all
- * further writes fail with QL_E_IO.
+ * After a failure the same holds as for ql_journal_write().
+ *
+ * Return: 0, or an error of the operations of the disk.
  */
 int ql_journal_store_snapshot(ql_journal_t *journal,
 			      const ql_journal_state_t *state,
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -58,12 +58,18 @@
 	[QL_COUNT_REPORTS_WITHDRAWN] =
 		{"reports_withdrawn",
 		 "Reports sent before their endpoint withdrew."},
+	[QL_COUNT_DISK_WRITES_FAILED] =
+		{"disk_writes_failed",
+		 "Failed attempts of a replica to write to its disk."},
 };
 
 static const ql_metric_t gauge_metrics[QL_N_GAUGES] = {
 	[QL_GAUGE_CONFIG_VERSION] = {"config_version",
 				     "Version of the configuration in force."},
 	[QL_GAUGE_LEADING] = {"leading", "1 while this replica leads."},
+	[QL_GAUGE_DISK_FAILING] = {"disk_failing",
+				   "1 while the disk of this replica takes no "
+				   "writes."},
 	[QL_GAUGE_GATE_RUNNING] = {"gate_running", "Requests at the endpoint."},
 	[QL_GAUGE_GATE_QUEUED] = {"gate_queued",
 				  "Requests that wait at the gate."},
--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -47,6 +47,8 @@
  *                            whose values are malformed or out of range
  * @QL_COUNT_REPORTS_WITHDRAWN: reports that were sent before their endpoint
  *                              withdrew
+ * @QL_COUNT_DISK_WRITES_FAILED: failed attempts to write to the disk of a
+ * replica
  * @QL_N_COUNTERS: number of counters
  */
 typedef enum ql_counter {
@@ -77,6 +79,7 @@
 	QL_COUNT_PATCHES_REFUSED,
 	QL_COUNT_REPORTS_REFUSED,
 	QL_COUNT_REPORTS_WITHDRAWN,
+	QL_COUNT_DISK_WRITES_FAILED,
 	QL_N_COUNTERS,
 } ql_counter_t;
 
@@ -100,6 +103,7 @@
  * enum ql_gauge - Current values.
  * @QL_GAUGE_CONFIG_VERSION: version of the configuration in force
  * @QL_GAUGE_LEADING: 1 if this replica is the leader, else 0
+ * @QL_GAUGE_DISK_FAILING: 1 while the disk of this replica takes no writes
  * @QL_GAUGE_GATE_RUNNING: requests in flight at the endpoint
  * @QL_GAUGE_GATE_QUEUED: requests queued at the gate
  * @QL_GAUGE_GATE_LIMIT: concurrency limit of the gate, in requests
@@ -108,6 +112,7 @@
 typedef enum ql_gauge {
 	QL_GAUGE_CONFIG_VERSION,
 	QL_GAUGE_LEADING,
+	QL_GAUGE_DISK_FAILING,
 	QL_GAUGE_GATE_RUNNING,
 	QL_GAUGE_GATE_QUEUED,
 	QL_GAUGE_GATE_LIMIT,
--- a/src/util/timeline.c
+++ b/src/util/timeline.c
@@ -32,6 +32,7 @@
 	[QL_EVENT_REPLICA_LEADER_HEARD] = "replica_leader_heard",
 	[QL_EVENT_REPLICA_HIGHER_TERM] = "replica_higher_term",
 	[QL_EVENT_REPLICA_QUORUM_LOST] = "replica_quorum_lost",
+	[QL_EVENT_REPLICA_DISK_STALLED] = "replica_disk_stalled",
 	[QL_EVENT_REPLICA_REMOVED] = "replica_removed",
 	[QL_EVENT_PATCH_RECEIVED] = "patch_received",
 	[QL_EVENT_PATCH_APPENDED] = "patch_appended",
--- a/tests/control/replica_cluster.h
+++ b/tests/control/replica_cluster.h
@@ -2,7 +2,8 @@
 #define QL_TESTS_CONTROL_REPLICA_CLUSTER_H
 
 /*
- * A cluster of replicas in one thread. Each replica uses a disk of the caller.
+ * A cluster of replicas in one thread. Each replica uses a disk of the caller;
+ * a write that fails is repeated with each run_until_idle().
  * No message is lost: the cluster serves to count and to measure, while
  * ReplicaSimulation serves to test failures.
  */
@@ -27,6 +28,11 @@
 	ql_replicated_config_t config;
 	GRand *random = nullptr;
 	bool is_running = false;
+	/* A write that was taken from the replica and is not synced yet. */
+	bool has_write = false;
+	ql_replica_write_t write;
+	/* Writes are taken and do not end. */
+	bool disk_is_stalled = false;
 	uint64_t bytes_read = 0;
 	uint64_t n_writes = 0;
 };
@@ -41,6 +47,8 @@
 	void start(size_t index);
 	/* Stops a replica without a message to the others. */
 	void kill(size_t index);
+	/* Runs one tick at all replicas, and run_until_idle(). */
+	void tick();
 	/* Runs ticks until a leader has committed an entry of its term. */
 	void run_until_elected();
 	/* Completes writes and delivers messages until there are none left. */
--- a/tests/store/fake_disk.h
+++ b/tests/store/fake_disk.h
@@ -41,6 +41,8 @@
 	Files synced_files;
 	/* Number of operations that succeed before all later ones fail. */
 	unsigned int calls_until_failure = NEVER;
+	/* Whether all operations that write fail, while reads succeed. */
+	bool is_full = false;
 	/* Whether sync operations succeed without any effect. */
 	bool skip_sync = false;
 	unsigned int n_calls = 0;
