Bound the log of a replica, and the changes it keeps, in bytes

Nobody has seen it yet: with documents of 450 KB, as large configurations are, some 500 changes use up a disk of 256 MB and as much memory, on all replicas at the same time, and no change is taken any more.

A node that lags further gets the whole document, which is less to send from there on anyway.

--- a/include/quetzalloft/config_state.h
+++ b/include/quetzalloft/config_state.h
@@ -16,6 +16,8 @@
 
 /** Most recent changes that are kept, for deltas to nodes that lag. */
 #define QL_CONFIG_CHANGES_KEPT 128
+/** Most bytes of their texts; the most recent change is always kept. */
+#define QL_CONFIG_CHANGES_KEPT_BYTES (1u << 20)
 /** Most recent answers that are kept, for patches that are resent. */
 #define QL_CONFIG_ANSWERS_KEPT 4096
 
@@ -76,6 +78,7 @@
  * @doc: the document in force
  * @text: @doc as JSON, or NULL until it is needed
  * @changes: queue of &struct ql_config_change, oldest first
+ * @changes_bytes: length of the texts of all @changes
  * @answers: answers by patch id
  * @answer_order: patch ids in @answers, oldest first
  */
@@ -83,6 +86,7 @@
 	ql_document_t *doc;
 	char *text;
 	GQueue changes;
+	size_t changes_bytes;
 	GHashTable *answers;
 	GQueue answer_order;
 } ql_config_state_t;
--- a/include/quetzalloft/replica.h
+++ b/include/quetzalloft/replica.h
@@ -126,6 +126,10 @@
  *                        it may be shorter than @election_ticks, as there may
  *                        be no leader and a pre-vote does not disrupt one;
  *                        0 for @election_ticks
+ * @snapshot_bytes: payload bytes applied between two snapshots, or the size of
+ *                  the last snapshot if that is more; 0 for no limit
+ * @kept_bytes: payload bytes of the entries up to a snapshot that stay in the
+ *              log; 0 for no limit
  */
 typedef struct ql_replica_opts {
 	const ql_replica_rules_t *rules;
@@ -139,6 +143,8 @@
 	uint32_t window_entries;
 	uint32_t piece_bytes;
 	uint32_t first_election_ticks;
+	uint64_t snapshot_bytes;
+	uint64_t kept_bytes;
 } ql_replica_opts_t;
 
 /**
@@ -206,6 +212,7 @@
  * @election_timeout: ticks after which the election timer expires
  * @heartbeat_elapsed: ticks since a leader's last heartbeat
  * @applied: index of the last entry applied
+ * @applied_bytes: payload bytes applied since the last snapshot
  * @synced_index: index of the last entry on the disk
  * @synced_commit: commit index on the disk
  * @synced_identity: the identity is on the disk
@@ -247,6 +254,7 @@
 	uint32_t election_timeout;
 	uint32_t heartbeat_elapsed;
 	uint64_t applied;
+	uint64_t applied_bytes;
 	uint64_t synced_index;
 	uint64_t synced_commit;
 	bool synced_identity;
--- a/src/control/config_state.c
+++ b/src/control/config_state.c
@@ -28,6 +28,7 @@
 {
 	state->doc = empty_document();
 	state->text = NULL;
+	state->changes_bytes = 0;
 	g_queue_init(&state->changes);
 	g_queue_init(&state->answer_order);
 	state->answers =
@@ -58,6 +59,22 @@
 	       patch->version;
 }
 
+/* Appends a change and drops the oldest ones beyond the limits. */
+static void push_change(ql_config_state_t *state, ql_config_change_t *change)
+{
+	ql_config_change_t *oldest;
+
+	g_queue_push_tail(&state->changes, change);
+	state->changes_bytes += change->length;
+	while (state->changes.length > QL_CONFIG_CHANGES_KEPT ||
+	       (state->changes.length > 1 &&
+		state->changes_bytes > QL_CONFIG_CHANGES_KEPT_BYTES)) {
+		oldest = g_queue_pop_head(&state->changes);
+		state->changes_bytes -= oldest->length;
+		free_change(oldest);
+	}
+}
+
 /* Keeps a copy of a change. */
 static void keep_change(ql_config_state_t *state,
 			const ql_config_change_t *change)
@@ -65,9 +82,7 @@
 	ql_config_change_t *kept = g_memdup2(change, sizeof(*change));
 
 	kept->text = g_memdup2(change->text, change->length);
-	g_queue_push_tail(&state->changes, kept);
-	if (state->changes.length > QL_CONFIG_CHANGES_KEPT)
-		free_change(g_queue_pop_head(&state->changes));
+	push_change(state, kept);
 }
 
 static void keep_answer(ql_config_state_t *state, const char *id,
@@ -379,6 +394,7 @@
 		return ret;
 	set_document(state, doc);
 	g_queue_clear_full(&state->changes, free_change);
+	state->changes_bytes = 0;
 	return 0;
 }
 
@@ -464,7 +480,7 @@
 		change->digest = (uint64_t)digest;
 		change->text = g_memdup2(text, length);
 		change->length = length;
-		g_queue_push_tail(&state->changes, change);
+		push_change(state, change);
 	}
 	return 0;
 }
--- a/src/control/replica_disk.c
+++ b/src/control/replica_disk.c
@@ -105,6 +105,21 @@
 	g_clear_pointer(&write->base.snapshot.data, g_bytes_unref);
 }
 
+static bool is_snapshot_due(const ql_replica_t *replica)
+{
+	uint64_t limit_bytes = replica->opts.snapshot_bytes;
+
+	if (replica->applied >=
+	    replica->snapshot.index + replica->opts.snapshot_entries)
+		return true;
+	if (!limit_bytes)
+		return false;
+	if (replica->snapshot.data)
+		limit_bytes = MAX(limit_bytes,
+				  g_bytes_get_size(replica->snapshot.data));
+	return replica->applied_bytes >= limit_bytes;
+}
+
 void ql_replica__apply(ql_replica_t *replica)
 {
 	uint64_t last = MIN(replica->synced_commit, replica->synced_index);
@@ -118,11 +133,11 @@
 	}
 	while (replica->applied < last) {
 		entry = ql_replica__entry(replica, ++replica->applied);
+		replica->applied_bytes += g_bytes_get_size(entry->payload);
 		replica->ops->apply(replica->data, entry);
 	}
 	ql_replica__check_removal(replica);
-	if (replica->applied >=
-	    replica->snapshot.index + replica->opts.snapshot_entries)
+	if (is_snapshot_due(replica))
 		ql_replica__take_snapshot(replica);
 }
 
--- a/src/control/replica_snapshot.c
+++ b/src/control/replica_snapshot.c
@@ -15,6 +15,24 @@
 	replica->snapshot_unwritten = true;
 }
 
+/* Returns the index up to which a snapshot of an entry replaces the log. */
+static uint64_t compacted_index(const ql_replica_t *replica, uint64_t index)
+{
+	uint64_t limit_bytes = replica->opts.kept_bytes;
+	uint64_t last = index;
+	uint64_t bytes = 0;
+
+	while (last > replica->base_index &&
+	       index - last < replica->opts.kept_entries) {
+		bytes += g_bytes_get_size(
+			ql_replica__entry(replica, last)->payload);
+		if (limit_bytes && bytes > limit_bytes)
+			break;
+		last--;
+	}
+	return last;
+}
+
 void ql_replica__take_snapshot(ql_replica_t *replica)
 {
 	ql_rpc_replica_snapshot content = {0};
@@ -33,9 +51,8 @@
 				       &content));
 	xdr_free((xdrproc_t)xdr_ql_rpc_replica_members, &content.members);
 	g_bytes_unref(state);
-	if (index > replica->opts.kept_entries)
-		ql_replica__compact_log(replica,
-					index - replica->opts.kept_entries);
+	replica->applied_bytes = 0;
+	ql_replica__compact_log(replica, compacted_index(replica, index));
 }
 
 int ql_replica__restore_snapshot(ql_replica_t *replica, GError **error)
@@ -52,8 +69,10 @@
 	ret = replica->ops->restore(replica->data, state, error);
 	g_bytes_unref(state);
 	xdr_free((xdrproc_t)xdr_ql_rpc_replica_snapshot, &content);
-	if (!ret)
+	if (!ret) {
 		replica->applied = replica->snapshot.index;
+		replica->applied_bytes = 0;
+	}
 	return ret;
 }
 
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -13,6 +13,9 @@
 #define HEARTBEAT_TICKS 4u
 #define SNAPSHOT_INTERVAL_ENTRIES 2048u
 #define KEPT_LOG_ENTRIES 512u
+/* Documents may be large, so the log is bounded by its bytes as well. */
+#define SNAPSHOT_INTERVAL_BYTES (8u << 20)
+#define KEPT_LOG_BYTES (2u << 20)
 #define PEER_WINDOW_ENTRIES 4096u
 #define SNAPSHOT_PIECE_BYTES 262144u
 /*
@@ -416,6 +419,8 @@
 		.heartbeat_ticks = HEARTBEAT_TICKS,
 		.snapshot_entries = SNAPSHOT_INTERVAL_ENTRIES,
 		.kept_entries = KEPT_LOG_ENTRIES,
+		.snapshot_bytes = SNAPSHOT_INTERVAL_BYTES,
+		.kept_bytes = KEPT_LOG_BYTES,
 		.message_entries = QL_REPLICA_ENTRIES_MAX,
 		.window_entries = PEER_WINDOW_ENTRIES,
 		.piece_bytes = SNAPSHOT_PIECE_BYTES,
--- a/tests/control/replica_cluster.cc
+++ b/tests/control/replica_cluster.cc
@@ -58,7 +58,8 @@
 }
 
 ReplicaCluster::ReplicaCluster(const std::vector<ql_disk_t> &disks,
-			       uint32_t snapshot_entries)
+			       uint32_t snapshot_entries,
+			       uint64_t snapshot_bytes)
 {
 	std::vector<ql_rpc_replica_member> list;
 	ql_rpc_replica_members members;
@@ -71,6 +72,8 @@
 	opts.heartbeat_ticks = 4;
 	opts.snapshot_entries = snapshot_entries;
 	opts.kept_entries = snapshot_entries / 4;
+	opts.snapshot_bytes = snapshot_bytes;
+	opts.kept_bytes = snapshot_bytes / 4;
 	opts.message_entries = QL_REPLICA_ENTRIES_MAX;
 	opts.window_entries = 4096;
 	opts.piece_bytes = 262144;
--- a/tests/control/replica_cluster.h
+++ b/tests/control/replica_cluster.h
@@ -41,7 +41,7 @@
 {
       public:
 	ReplicaCluster(const std::vector<ql_disk_t> &disks,
-		       uint32_t snapshot_entries);
+		       uint32_t snapshot_entries, uint64_t snapshot_bytes = 0);
 	~ReplicaCluster();
 
 	void start(size_t index);
--- a/tests/control/replica_restart_test.cc
+++ b/tests/control/replica_restart_test.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace
 {
 
@@ -88,4 +90,56 @@
 		return "Of" + std::to_string(test.param.size());
 	});
 
+/*
+ * Guards against replicas that run out of disk and memory when large documents
+ * change often: the log holds each of them.
+ */
+TEST(ReplicaLog, IsBoundedInBytes)
+{
+	const uint64_t kSnapshotBytes = 256 << 10;
+	const size_t kDocumentBytes = 20 << 10;
+	const uint64_t kChanges = 100;
+	FakeDisk disks[3];
+	ReplicaCluster cluster({disks[0].disk(), disks[1].disk(),
+				disks[2].disk()},
+			       2048, kSnapshotBytes);
+	uint64_t most_on_disk = 0, most_in_log = 0;
+
+	for (uint64_t i = 0; i < kChanges; i++) {
+		std::string text = document_text(i);
+
+		text.insert(1, "\"origin\":{\"fill\":\"" +
+				       std::string(kDocumentBytes,
+						   (char)('a' + i % 26)) +
+				       "\"},");
+		cluster.submit_patch("p" + std::to_string(i), i, text);
+		ql_replica_flush(&cluster.leader()->config.replica);
+		cluster.run_until_idle();
+		for (size_t node = 0; node < 3; node++) {
+			const GArray *entries =
+				cluster.replicas[node]->config.replica.entries;
+			uint64_t on_disk = 0, in_log = 0;
+
+			for (const auto &file : disks[node].files)
+				on_disk += file.second->content.size();
+			for (guint at = 0; at < entries->len; at++)
+				in_log += g_bytes_get_size(
+					g_array_index(entries,
+						      ql_journal_entry_t, at)
+						.payload);
+			most_on_disk = std::max(most_on_disk, on_disk);
+			most_in_log = std::max(most_in_log, in_log);
+		}
+	}
+	EXPECT_EQ(kChanges, cluster.leader()->state.doc->version);
+	/*
+	 * The snapshot has the kept changes and the document; a new one is
+	 * written before the old one and its log are removed.
+	 */
+	EXPECT_GT(3 * (QL_CONFIG_CHANGES_KEPT_BYTES + kSnapshotBytes),
+		  most_on_disk);
+	EXPECT_GT(QL_CONFIG_CHANGES_KEPT_BYTES + 2 * kSnapshotBytes,
+		  most_in_log);
+}
+
 } // namespace
--- a/tests/control/replica_simulation.cc
+++ b/tests/control/replica_simulation.cc
@@ -178,7 +178,8 @@
 		rules.may_commit = always_may_commit;
 	if (fault == Fault::SECOND_MEMBERSHIP_CHANGE_IN_PROGRESS)
 		rules.members_settled = always_settled;
-	opts = {&rules, replica_chart(), nullptr, 6, 2, 8, 3, 1, 4, 64, 0};
+	opts = {&rules, replica_chart(), nullptr, 6, 2, 8, 3, 1, 4, 64, 0, 0,
+		0};
 	for (size_t i = 0; i < n_replicas + N_SPARE_REPLICAS; i++) {
 		nodes.push_back(std::make_unique<SimulatedReplica>());
 		nodes[i]->simulation = this;
