Log through which registrar a version came to a node

A node logged nothing when a version of the configuration reached it, so the logs of a node that lagged could not tell which registrar sent the version in the end, nor how long no registrar had answered before. config_received does. A counter tells renewals that ran into their timeout from other failures.

--- a/src/node/lease_service.c
+++ b/src/node/lease_service.c
@@ -61,6 +61,27 @@
 	return client;
 }
 
+/*
+ * Handles the reply to a renewal and logs a version that it brings.
+ * The caller holds @lock.
+ */
+static int handle_lease_reply(ql_lease_service_t *service, int index,
+			      const ql_rpc_lease_res *res, GError **error)
+{
+	ql_member_t *member = &service->member;
+	uint64_t before = member->config.doc->version;
+	uint64_t stale_ms = ql_member_stale_ms(member, now_ms());
+	int ret = ql_member_handle_lease_reply(member, index, res, now_ms(),
+					       error);
+
+	if (member->config.doc->version != before)
+		ql_log(LOG_NOTICE, "config_received",
+		       QL_UINT("version", member->config.doc->version),
+		       QL_STR("registrar", service->clients[index].address),
+		       QL_UINT("stale_ms", stale_ms));
+	return ret;
+}
+
 static int call_lease(ql_lease_service_t *service, int index, GError **error)
 {
 	ql_rpc_lease_args args = {0};
@@ -86,8 +107,7 @@
 	if (ret)
 		ql_member_lease_failed(&service->member, index, now_ms());
 	else
-		ret = ql_member_handle_lease_reply(&service->member, index,
-						   &res, now_ms(), error);
+		ret = handle_lease_reply(service, index, &res, error);
 	if (ql_member_is_withdrawal_agreed(&service->member))
 		pthread_cond_broadcast(&service->agreed);
 	pthread_mutex_unlock(&service->lock);
@@ -106,6 +126,9 @@
 	if (!call_lease(service, index, &error))
 		return;
 	ql_counter_increment(service->counters, QL_COUNT_LEASES_FAILED);
+	if (error->code == QL_E_TIMEOUT)
+		ql_counter_increment(service->counters,
+				     QL_COUNT_LEASES_TIMED_OUT);
 	ql_log(LOG_WARNING, "lease_failed",
 	       QL_STR("registrar", service->clients[index].address),
 	       QL_STR("error", ql_error_name(error->code)),
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -33,6 +33,9 @@
 	[QL_COUNT_LEASES_SENT] = {"leases_sent", "Lease renewals sent."},
 	[QL_COUNT_LEASES_FAILED] = {"leases_failed",
 				    "Lease renewals without an answer."},
+	[QL_COUNT_LEASES_TIMED_OUT] = {"leases_timed_out",
+				       "Lease renewals that ran into their "
+				       "timeout."},
 	[QL_COUNT_CONFIG_CHANGES] = {"config_changes",
 				     "Configuration versions put in force."},
 	[QL_COUNT_CLIENT_CANCELLED] = {"client_cancelled",
--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -33,6 +33,8 @@
  * @QL_COUNT_TOO_LARGE: bodies over the size limit
  * @QL_COUNT_LEASES_SENT: lease renewals sent
  * @QL_COUNT_LEASES_FAILED: lease renewals without an answer
+ * @QL_COUNT_LEASES_TIMED_OUT: of these, those whose registrar took the
+ *                             connection and did not answer in time
  * @QL_COUNT_CONFIG_CHANGES: configuration versions put in force
  * @QL_COUNT_CLIENT_CANCELLED: requests whose client disconnected
  * @QL_COUNT_REROUTES: attempts after a refusal of the previous attempt by a
@@ -67,6 +69,7 @@
 	QL_COUNT_TOO_LARGE,
 	QL_COUNT_LEASES_SENT,
 	QL_COUNT_LEASES_FAILED,
+	QL_COUNT_LEASES_TIMED_OUT,
 	QL_COUNT_CONFIG_CHANGES,
 	QL_COUNT_CLIENT_CANCELLED,
 	QL_COUNT_REROUTES,
