Take documents of any allowed body, and refuse larger ones at once

What callers saw: a valid document whose converted form was above 1 MB, some 2,500 to 2,800 routes, got 503 at every attempt and never came into force. A merge patch could make the document larger than any reply carries; it was confirmed, and no node could fetch the whole document.

Cause: ql_replicated_config_submit() answered QL_E_TOO_LARGE, but it runs in the replica thread, which has no way to answer: the operators' interface saw QL_E_PENDING until its time was over. The size of the resulting document was not checked.

Change: QL_RPC_DOCUMENT_MAX and QL_RPC_PATCH_MAX are 8 MB, which the converted form of a body of 4 MB stays below, as it is less than twice as long. A change in a reply stays at 1 MB (QL_RPC_CHANGE_MAX); instead of a larger one the whole document is sent. ql_replica_service_submit() refuses a larger patch before it is passed on, ql_config_state_apply() a larger resulting document, both with QL_E_TOO_LARGE, which the operators' interface answers with 413; so it does for a body that was cut off at its limit. The protocol version stays: old and new replicas understand each other, except for entries above 1 MB, which an old replica can't decode.

New as well, a guard: the largest document in a lease reply, the largest patch in an entry and a record. No run with real processes was made.

--- a/include/quetzalloft/config_state.h
+++ b/include/quetzalloft/config_state.h
@@ -14,6 +14,8 @@
 
 G_BEGIN_DECLS
 
+/** Largest document in bytes of its JSON text, which one reply can carry. */
+#define QL_CONFIG_DOCUMENT_MAX_BYTES 8388608u
 /** Most recent changes that are kept, for deltas to nodes that lag. */
 #define QL_CONFIG_CHANGES_KEPT 128
 /** Most recent answers that are kept, for patches that are resent. */
--- a/src/control/config_state.c
+++ b/src/control/config_state.c
@@ -212,6 +212,18 @@
 	json_decref(difference);
 }
 
+/* Refuses a document that no reply could deliver to a node. */
+static int check_size(const ql_document_t *doc, GError **error)
+{
+	size_t length = json_dumpb(doc->json, NULL, 0, JSON_COMPACT);
+
+	if (length <= QL_CONFIG_DOCUMENT_MAX_BYTES)
+		return 0;
+	return ql_error_set(error, QL_E_TOO_LARGE,
+			    "document: found %zu bytes, allowed at most %u",
+			    length, QL_CONFIG_DOCUMENT_MAX_BYTES);
+}
+
 /* Accepts or refuses a patch that has no answer yet. */
 static void decide_patch(ql_config_state_t *state, const ql_patch_t *patch,
 			 ql_patch_answer_t *answer)
@@ -223,7 +235,7 @@
 		.text = patch->text,
 		.length = patch->length,
 	};
-	ql_document_t *doc, *before;
+	ql_document_t *doc = NULL, *before;
 	GError *error = NULL;
 	int ret;
 
@@ -234,7 +246,10 @@
 	ret = check_version(state, patch, &error);
 	if (!ret)
 		ret = make_document(&doc, state, &source, &error);
+	if (!ret)
+		ret = check_size(doc, &error);
 	if (ret) {
+		ql_document_unref(doc);
 		refuse_patch(state, answer, ret, error->message);
 		g_error_free(error);
 		return;
--- a/src/control/greeting.c
+++ b/src/control/greeting.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+G_STATIC_ASSERT(QL_CONFIG_DOCUMENT_MAX_BYTES == QL_RPC_DOCUMENT_MAX);
+
 int ql_greeting_check(const ql_rpc_greeting *greeting, const char *cluster,
 		      char **detail)
 {
@@ -104,7 +106,7 @@
 
 	for (link = changes; link; link = link->next) {
 		change = link->data;
-		if (change->length > QL_RPC_PATCH_MAX)
+		if (change->length > QL_RPC_CHANGE_MAX)
 			return true;
 		bytes += change->length;
 	}
--- a/src/control/rpc/control.x
+++ b/src/control/rpc/control.x
@@ -9,8 +9,9 @@
 const QL_RPC_ADDRESS_MAX = 63;
 const QL_RPC_KEY_MAX = 127;
 const QL_RPC_DETAIL_MAX = 511;
-const QL_RPC_DOCUMENT_MAX = 4194304;
-const QL_RPC_PATCH_MAX = 1048576;
+const QL_RPC_DOCUMENT_MAX = 8388608;
+const QL_RPC_PATCH_MAX = 8388608;
+const QL_RPC_CHANGE_MAX = 1048576;
 const QL_RPC_LOCAL_ENDPOINTS_MAX = 16;
 const QL_RPC_INTEREST_MAX = 1024;
 const QL_RPC_MEMBERS_MAX = 4096;
@@ -30,12 +31,15 @@
 	unsigned int protocol;
 };
 
-/* An accepted patch. Applied to base_version it results in config_version. */
+/*
+ * An accepted patch. Applied to base_version it results in config_version.
+ * Instead of a larger one the whole document is sent.
+ */
 struct ql_rpc_change {
 	unsigned hyper base_version;
 	unsigned hyper config_version;
 	unsigned hyper digest;
-	opaque patch<QL_RPC_PATCH_MAX>;
+	opaque patch<QL_RPC_CHANGE_MAX>;
 };
 
 enum ql_rpc_endpoint_state {
--- a/src/control/rpc/control_xdr.c
+++ b/src/control/rpc/control_xdr.c
@@ -36,7 +36,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->patch.patch_val, (u_int *) &objp->patch.patch_len, QL_RPC_PATCH_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->patch.patch_val, (u_int *) &objp->patch.patch_len, QL_RPC_CHANGE_MAX))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/control/rpc_server.c
+++ b/src/control/rpc_server.c
@@ -6,8 +6,6 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-/* Largest record that is received; a larger one ends the connection. */
-#define RECORD_MAX_BYTES (8u << 20)
 #define LISTEN_BACKLOG_CONNECTIONS 512
 /* A connection with more unsent bytes is closed: its peer does not read. */
 #define PENDING_REPLIES_MAX_BYTES (32u << 20)
@@ -184,7 +182,7 @@
 	memcpy(&header, received->data, sizeof(header));
 	header = ntohl(header);
 	length = header & ~LAST_FRAGMENT_FLAG;
-	if (length > RECORD_MAX_BYTES - connection->record->len) {
+	if (length > QL_RPC_RECORD_MAX_BYTES - connection->record->len) {
 		connection->server->malformed++;
 		ql_stream_abort(&connection->stream);
 		return false;
--- a/src/control/rpc_server.h
+++ b/src/control/rpc_server.h
@@ -18,6 +18,12 @@
 
 G_BEGIN_DECLS
 
+/**
+ * Largest record that is received; a larger one ends the connection. It holds a
+ * document or an entry of the largest size and whatever else is in the call.
+ */
+#define QL_RPC_RECORD_MAX_BYTES (12u << 20)
+
 /**
  * struct ql_rpc_procedure - A procedure of a program.
  * @number: number of the procedure
--- a/src/node/operator_http.c
+++ b/src/node/operator_http.c
@@ -87,6 +87,9 @@
 	case QL_E_STALE:
 		respond_error(operation, 412, answer->detail);
 		break;
+	case QL_E_TOO_LARGE:
+		respond_error(operation, 413, answer->detail);
+		break;
 	case QL_E_NOT_LEADER:
 		redirect_to_leader(operation, leader);
 		break;
@@ -165,8 +168,14 @@
 	json_t *document = NULL;
 	GError *error = NULL;
 	char *text;
-	int ret = read_base_version(operation, &patch.base_version, &error);
+	int ret;
 
+	/* A body above the limit is cut off, see ql_http_server_opts_t. */
+	if (length > BODY_LIMIT_BYTES) {
+		respond_error(operation, 413, "the document is too large");
+		return;
+	}
+	ret = read_base_version(operation, &patch.base_version, &error);
 	if (!ret)
 		ret = dialect->read_document(&document, &patch.version,
 					     body ? body : "", length, &error);
--- a/src/node/replica_rpc.c
+++ b/src/node/replica_rpc.c
@@ -32,7 +32,10 @@
 	if (found)
 		return;
 	status = leader[0] ? QL_E_NOT_LEADER : QL_E_UNAVAILABLE;
-	if (is_leader) {
+	/* The replica thread has no way to answer. */
+	if (patch->length > QL_RPC_PATCH_MAX) {
+		status = QL_E_TOO_LARGE;
+	} else if (is_leader) {
 		input = g_new0(ql_replica_input_t, 1);
 		input->kind = QL_REPLICA_INPUT_PATCH;
 		input->patch_text = g_memdup2(patch->text, patch->length);
--- a/tests/control/config_state_test.cc
+++ b/tests/control/config_state_test.cc
@@ -1,7 +1,11 @@
 #include "quetzalloft/config_state.h"
 #include "control/greeting.h"
+#include "control/replica_codec.h"
+#include "control/rpc_server.h"
 #include "quetzalloft/error.h"
 
+#include "journal_record.h"
+
 #include <gtest/gtest.h>
 
 #include <cstring>
@@ -60,6 +64,87 @@
 	EXPECT_EQ(2u, state.doc->version);
 }
 
+/* Bytes of filling that make a document as large as is allowed. */
+size_t largest_fill()
+{
+	return QL_CONFIG_DOCUMENT_MAX_BYTES - test_document(0).size();
+}
+
+TEST_F(ConfigState, RefusesDocumentThatIsTooLargeForAReply)
+{
+	EXPECT_EQ(0, apply("a", 0, test_document(largest_fill())).status);
+	EXPECT_EQ(QL_E_TOO_LARGE,
+		  apply("b", 1, test_document(largest_fill() + 1)).status);
+	EXPECT_EQ(QL_E_TOO_LARGE, apply("c", 1, "{\"site\":\"st\"}").status);
+	EXPECT_EQ(1u, state.doc->version);
+	EXPECT_EQ(0, apply("d", 1, "{\"origin\":null}").status);
+}
+
+/* Encodes and decodes a lease reply with the document. */
+std::string document_in_lease_reply(ql_config_state_t *state)
+{
+	ql_rpc_lease_res res = {}, received = {};
+	ql_config_reply_t reply = {&res.whole_document,
+				   &res.document.document_len,
+				   &res.document.document_val,
+				   &res.changes.changes_len,
+				   &res.changes.changes_val};
+	std::string document;
+	GBytes *bytes;
+
+	res.detail = strdup("");
+	ql_config_reply_fill_whole(&reply, state);
+	bytes = ql_replica_encode((xdrproc_t)xdr_ql_rpc_lease_res, &res);
+	if (ql_replica_decode((xdrproc_t)xdr_ql_rpc_lease_res, &received,
+			      bytes)) {
+		document.assign(received.document.document_val,
+				received.document.document_len);
+		xdr_free((xdrproc_t)xdr_ql_rpc_lease_res, &received);
+	}
+	g_bytes_unref(bytes);
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_res, &res);
+	return document;
+}
+
+TEST_F(ConfigState, LargestDocumentFitsIntoAReply)
+{
+	ASSERT_EQ(0, apply("a", 0, test_document(largest_fill())).status);
+	EXPECT_TRUE(document_in_lease_reply(&state) ==
+		    ql_config_state_text(&state));
+}
+
+TEST(LargestPatch, FitsIntoAnEntryAndARecord)
+{
+	std::string text(QL_RPC_PATCH_MAX, 'x'), id(QL_RPC_KEY_MAX, 'i'),
+		address(QL_RPC_ADDRESS_MAX, 'a');
+	ql_rpc_replica_patch patch = {};
+	ql_rpc_replica_entry entry = {};
+	ql_rpc_replica_message message = {};
+	ql_rpc_replica_deliver_args args = {};
+	gsize length;
+	GBytes *payload;
+
+	patch.id = id.data();
+	patch.text.text_val = text.data();
+	patch.text.text_len = (u_int)text.size();
+	payload =
+		ql_replica_encode((xdrproc_t)xdr_ql_rpc_replica_patch, &patch);
+	entry.payload.payload_val = (char *)g_bytes_get_data(payload, &length);
+	entry.payload.payload_len = (u_int)length;
+	EXPECT_GE((gsize)QL_REPLICA_PAYLOAD_MAX, length);
+	EXPECT_GE((gsize)QL_JOURNAL_PAYLOAD_MAX, length);
+	message.entries.entries_len = 1;
+	message.entries.entries_val = &entry;
+	args.greeting.cluster = args.greeting.node =
+		args.greeting.failure_domain = args.address = address.data();
+	args.messages.messages_len = 1;
+	args.messages.messages_val = &message;
+	length = xdr_sizeof((xdrproc_t)xdr_ql_rpc_replica_deliver_args, &args);
+	EXPECT_LT((gsize)QL_RPC_PATCH_MAX, length);
+	EXPECT_GT((gsize)QL_RPC_RECORD_MAX_BYTES, length);
+	g_bytes_unref(payload);
+}
+
 TEST_F(ConfigState, AnswersResentPatchAsTheFirstTime)
 {
 	ql_patch_answer_t refused;
--- a/tests/control/replica_restart_test.cc
+++ b/tests/control/replica_restart_test.cc
@@ -17,6 +17,28 @@
 	       "\"routes\":{}}";
 }
 
+TEST(LargePatch, IsAppliedByAllReplicasAndRestored)
+{
+	FakeDisk disks[3];
+	ReplicaCluster cluster({disks[0].disk(), disks[1].disk(),
+				disks[2].disk()},
+			       SNAPSHOT_ENTRIES);
+	std::string text = document_text(0);
+
+	text.pop_back();
+	text += ",\"origin\":{\"fill\":\"\"}}";
+	text.insert(text.size() - 3, QL_CONFIG_DOCUMENT_MAX_BYTES - text.size(),
+		    'f');
+	cluster.submit_patch("large", 0, text);
+	ql_replica_flush(&cluster.leader()->config.replica);
+	cluster.run_until_idle();
+	cluster.kill(0);
+	cluster.start(0);
+	cluster.run_until_elected();
+	for (size_t i = 0; i < 3; i++)
+		EXPECT_EQ(1u, cluster.replicas[i]->state.doc->version);
+}
+
 class Restart : public testing::TestWithParam<std::vector<size_t>>
 {
 };
