--- a/src/cli/options.c
+++ b/src/cli/options.c
@@ -143,3 +143,17 @@
 {
 	arg_freetable(arguments->table, arguments->n_entries);
 }
+
+int ql_arguments_run(int argc, char **argv, const char *command,
+		     const char *summary, int (*run)(const ql_options_t *))
+{
+	ql_arguments_t arguments;
+	ql_options_t options;
+	int status;
+
+	ql_arguments_init(&arguments, command, summary, true);
+	if (ql_arguments_parse(&arguments, argc, argv, &options, &status))
+		status = run(&options);
+	ql_arguments_finish(&arguments);
+	return status;
+}
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -107,6 +107,21 @@
  */
 void ql_arguments_finish(ql_arguments_t *arguments);
 
+/**
+ * ql_arguments_run() - Run a command that sends requests to servers and has no
+ * arguments of its own.
+ * @argc: number of entries of @argv
+ * @argv: last word of the command's name, followed by its arguments
+ * @command: name of the command
+ * @summary: description of the command, of one or more lines
+ * @run: called with the values of the common options if they are valid;
+ *       returns the exit status
+ *
+ * Return: the exit status.
+ */
+int ql_arguments_run(int argc, char **argv, const char *command,
+		     const char *summary, int (*run)(const ql_options_t *));
+
 /**
  * ql_options_load_defaults() - Load the defaults of the common options.
  * @options: receives the defaults; zeroed by the caller
--- a/src/cli/replicas_command.c
+++ b/src/cli/replicas_command.c
@@ -176,13 +176,5 @@
 
 int ql_command_replicas_status(int argc, char **argv)
 {
-	ql_arguments_t arguments;
-	ql_options_t options;
-	int status;
-
-	ql_arguments_init(&arguments, COMMAND, SUMMARY, true);
-	if (ql_arguments_parse(&arguments, argc, argv, &options, &status))
-		status = show(&options);
-	ql_arguments_finish(&arguments);
-	return status;
+	return ql_arguments_run(argc, argv, COMMAND, SUMMARY, show);
 }
--- a/src/cli/status_command.c
+++ b/src/cli/status_command.c
@@ -54,16 +54,12 @@
 	return status;
 }
 
-int ql_command_status(int argc, char **argv)
+static int show(const ql_options_t *options)
 {
-	ql_arguments_t arguments;
-	ql_options_t options;
-	int status;
+	return options->json ? show_json(options) : show_table(options);
+}
 
-	ql_arguments_init(&arguments, COMMAND, SUMMARY, true);
-	if (ql_arguments_parse(&arguments, argc, argv, &options, &status))
-		status = options.json ? show_json(&options)
-				      : show_table(&options);
-	ql_arguments_finish(&arguments);
-	return status;
+int ql_command_status(int argc, char **argv)
+{
+	return ql_arguments_run(argc, argv, COMMAND, SUMMARY, show);
 }
