Write the members of a timeline event in one place

The report of a node and the history of the command line each had functions that set a hex number and a name in an event. They share ql_timeline_set_hex64() and ql_timeline_set_name() now. A name that isn't UTF-8 is noted as such in the history as well, where it was left out; events are read from JSON there, so none is expected.

--- a/include/quetzalloft/timeline.h
+++ b/include/quetzalloft/timeline.h
@@ -318,6 +318,23 @@
  */
 int ql_hex64_parse(uint64_t *out, const char *text);
 
+/**
+ * ql_timeline_set_hex64() - Set a member of an event to 16 hex digits.
+ * @object: the event
+ * @key: name of the member
+ * @value: the number; 0 sets nothing
+ */
+void ql_timeline_set_hex64(json_t *object, const char *key, uint64_t value);
+
+/**
+ * ql_timeline_set_name() - Set a member of an event to a text.
+ * @object: the event
+ * @key: name of the member
+ * @value: the text; empty sets nothing. A text that is not UTF-8 is replaced
+ *         by a note that says so.
+ */
+void ql_timeline_set_name(json_t *object, const char *key, const char *value);
+
 G_END_DECLS
 
 #endif
--- a/src/cli/history.c
+++ b/src/cli/history.c
@@ -278,39 +278,23 @@
 	return misordered;
 }
 
-static void set_hex(json_t *object, const char *key, uint64_t value)
-{
-	char text[QL_HEX64_MAX];
-
-	if (!value)
-		return;
-	ql_hex64_format(text, value);
-	json_object_set_new(object, key, json_string(text));
-}
-
-static void set_string(json_t *object, const char *key, const char *value)
-{
-	if (*value)
-		json_object_set_new(object, key, json_string(value));
-}
-
 json_t *ql_history_event_to_json(const ql_history_event_t *event)
 {
 	json_t *json = json_object();
 
-	set_hex(json, "clock", event->clock);
+	ql_timeline_set_hex64(json, "clock", event->clock);
 	json_object_set_new(json, "wall_us",
 			    json_integer((json_int_t)event->wall_us));
-	set_string(json, "node", event->node);
-	set_string(json, "event", event->name);
-	set_hex(json, "request", event->id.request);
-	set_hex(json, "attempt", event->id.attempt);
-	set_hex(json, "parent", event->parent);
-	set_string(json, "service", event->service);
-	set_string(json, "endpoint", event->endpoint);
-	set_string(json, "class", event->class_name);
-	set_string(json, "outcome", event->outcome);
-	set_string(json, "reason", event->reason);
+	ql_timeline_set_name(json, "node", event->node);
+	ql_timeline_set_name(json, "event", event->name);
+	ql_timeline_set_hex64(json, "request", event->id.request);
+	ql_timeline_set_hex64(json, "attempt", event->id.attempt);
+	ql_timeline_set_hex64(json, "parent", event->parent);
+	ql_timeline_set_name(json, "service", event->service);
+	ql_timeline_set_name(json, "endpoint", event->endpoint);
+	ql_timeline_set_name(json, "class", event->class_name);
+	ql_timeline_set_name(json, "outcome", event->outcome);
+	ql_timeline_set_name(json, "reason", event->reason);
 	if (event->version)
 		json_object_set_new(json, "version",
 				    json_integer((json_int_t)event->version));
--- a/src/util/timeline_report.c
+++ b/src/util/timeline_report.c
@@ -90,7 +90,7 @@
 	return ret;
 }
 
-static void set_hex(json_t *object, const char *key, uint64_t value)
+void ql_timeline_set_hex64(json_t *object, const char *key, uint64_t value)
 {
 	char text[QL_HEX64_MAX];
 
@@ -100,7 +100,7 @@
 	json_object_set_new(object, key, json_string(text));
 }
 
-static void set_name(json_t *object, const char *key, const char *value)
+void ql_timeline_set_name(json_t *object, const char *key, const char *value)
 {
 	json_t *string;
 
@@ -117,10 +117,10 @@
 	json_t *json = json_object();
 	char *text;
 
-	set_hex(json, "request", filter->request);
-	set_hex(json, "since", filter->since);
-	set_name(json, "service", filter->service);
-	set_name(json, "endpoint", filter->endpoint);
+	ql_timeline_set_hex64(json, "request", filter->request);
+	ql_timeline_set_hex64(json, "since", filter->since);
+	ql_timeline_set_name(json, "service", filter->service);
+	ql_timeline_set_name(json, "endpoint", filter->endpoint);
 	if (filter->has_version)
 		json_object_set_new(json, "version",
 				    json_integer((json_int_t)filter->version));
@@ -174,26 +174,28 @@
 {
 	json_t *json = json_object();
 
-	set_hex(json, "clock", slot->clock);
+	ql_timeline_set_hex64(json, "clock", slot->clock);
 	json_object_set_new(json, "wall_us",
 			    json_integer((json_int_t)slot->wall_us));
-	set_name(json, "node", node);
-	set_name(json, "event", ql_event_name((ql_event_t)slot->event));
-	set_hex(json, "request", slot->id.request);
-	set_hex(json, "attempt", slot->id.attempt);
-	set_hex(json, "parent", slot->parent);
-	set_name(json, "service", slot->service);
-	set_name(json, "endpoint", slot->endpoint);
-	set_name(json, "class", slot->class_name);
+	ql_timeline_set_name(json, "node", node);
+	ql_timeline_set_name(json, "event",
+			     ql_event_name((ql_event_t)slot->event));
+	ql_timeline_set_hex64(json, "request", slot->id.request);
+	ql_timeline_set_hex64(json, "attempt", slot->id.attempt);
+	ql_timeline_set_hex64(json, "parent", slot->parent);
+	ql_timeline_set_name(json, "service", slot->service);
+	ql_timeline_set_name(json, "endpoint", slot->endpoint);
+	ql_timeline_set_name(json, "class", slot->class_name);
 	if (slot->version)
 		json_object_set_new(json, "version",
 				    json_integer((json_int_t)slot->version));
 	if (slot->has_outcome)
-		set_name(json, "outcome",
-			 ql_outcome_name((ql_outcome_t)slot->outcome));
+		ql_timeline_set_name(json, "outcome",
+				     ql_outcome_name(
+					     (ql_outcome_t)slot->outcome));
 	if (slot->reason != QL_REASON_NONE)
-		set_name(json, "reason",
-			 ql_reason_name((ql_reason_t)slot->reason));
+		ql_timeline_set_name(json, "reason",
+				     ql_reason_name((ql_reason_t)slot->reason));
 	return json;
 }
 
