Refuse a record with impossible slots, and log refused records

Operators saw nothing when a registrar listed an endpoint with a malformed record: the node left it out without a word. A record with up to 2^32-1 slots was taken, and such an endpoint always looks free to the balancer.

Cause: ql_record_check() did not look at the slots, and merge_endpoint() in member_view.c returned without a line.

Change: at most QL_SLOTS_MAX (65,536, the bound for announcements) slots; a line record_refused with a bounded rate and texts cut to their usual size. Registrars count such records as malformed, as before; a node has no counter yet.

Evidence: Member.IgnoresOddRecordsAmongOthers puts 18 odd records, one at a time, between two others. On the code before it failed for the two with too many slots and for the missing line; now it passes. Member.LogsOddRecordsAtABoundedRate passes. The new rows of InvalidReport and Report.RefusesOddValuesOfEachMember (each member 10,000 deep, 10^400, 1 MB) pass on the code before as well: reports needed no mend. control_test passed but for a log bound of this change itself (a line of 1 MB), which is mended; platform_test passed.

Conclusion: one odd record leaves the others in use and is seen.

--- a/include/quetzalloft/record.h
+++ b/include/quetzalloft/record.h
@@ -15,6 +15,8 @@
 
 /** Size of the key of a record, "service gate", in bytes with the NUL. */
 #define QL_RECORD_KEY_MAX (QL_NAME_MAX + QL_ADDRESS_MAX)
+/** Most slots of an endpoint. */
+#define QL_SLOTS_MAX 65536u
 
 /**
  * struct ql_record_version - Version of a record; the fields are compared in
@@ -85,7 +87,8 @@
  * ql_record_check() - Validate a received record.
  * @endpoint: the record
  *
- * Return: 0 or QL_E_INVALID for a malformed name, gate address or state.
+ * Return: 0 or QL_E_INVALID for a malformed name, gate address or state, or
+ * more than QL_SLOTS_MAX slots.
  */
 int ql_record_check(const ql_rpc_endpoint *endpoint);
 
--- a/src/control/member_view.c
+++ b/src/control/member_view.c
@@ -1,4 +1,5 @@
 #include "control/member_view.h"
+#include "quetzalloft/log.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -101,6 +102,18 @@
 	return entry;
 }
 
+/* The texts of an invalid record may be of any length. */
+static void log_refused(const ql_rpc_endpoint *endpoint)
+{
+	char service[QL_NAME_MAX], gate[QL_ADDRESS_MAX];
+
+	g_strlcpy(service, endpoint->service, sizeof(service));
+	g_strlcpy(gate, endpoint->gate, sizeof(gate));
+	ql_log(LOG_INFO, "record_refused", QL_STR("service", service),
+	       QL_STR("gate", gate), QL_UINT("slots", endpoint->slots),
+	       QL_INT("state", endpoint->state));
+}
+
 static void merge_endpoint(ql_member_t *member, const ql_rpc_endpoint *endpoint,
 			   uint64_t now_ms)
 {
@@ -109,8 +122,10 @@
 	ql_member_endpoint_t *entry;
 	bool was_serving;
 
-	if (ql_record_check(endpoint))
+	if (ql_record_check(endpoint)) {
+		log_refused(endpoint);
 		return;
+	}
 	ql_record_key(key, endpoint->service, endpoint->gate);
 	entry = g_hash_table_lookup(member->endpoints, key);
 	if (entry && member->opts.rules->compare(&version, &entry->version) < 0)
--- a/src/control/record.c
+++ b/src/control/record.c
@@ -75,7 +75,8 @@
 	if (!ql_name_is_valid(endpoint->service) ||
 	    !ql_name_is_valid(endpoint->node) ||
 	    !ql_name_is_valid(endpoint->failure_domain) ||
-	    endpoint->state > QL_RPC_ENDPOINT_GONE)
+	    endpoint->state > QL_RPC_ENDPOINT_GONE ||
+	    endpoint->slots > QL_SLOTS_MAX)
 		return QL_E_INVALID;
 	return ql_address_parse(&unused, endpoint->gate, NULL);
 }
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <map>
 #include <string>
@@ -159,6 +160,94 @@
 
 const char GATE[] = "127.0.0.1:1";
 
+struct OddRecord {
+	const char *description;
+	const char *service;
+	const char *gate;
+	const char *node;
+	const char *failure_domain;
+	uint32_t slots;
+	int state;
+};
+
+/* One odd record in a list: the others hold, also those after it. */
+TEST_F(Member, IgnoresOddRecordsAmongOthers)
+{
+	const std::string long_name(1 << 20, 'x');
+	const OddRecord odd[] = {
+		{"port 0", "a", "127.0.0.1:0", "n", "d", 1, 0},
+		{"port above the range", "a", "127.0.0.1:65536", "n", "d", 1,
+		 0},
+		{"port far above the range", "a", "127.0.0.1:99999999", "n",
+		 "d", 1, 0},
+		{"negative port", "a", "127.0.0.1:-1", "n", "d", 1, 0},
+		{"port with an exponent", "a", "127.0.0.1:1e3", "n", "d", 1, 0},
+		{"no port", "a", "127.0.0.1", "n", "d", 1, 0},
+		{"address of another family", "a", "[::1]:80", "n", "d", 1, 0},
+		{"host name", "a", "host:80", "n", "d", 1, 0},
+		{"no address", "a", "", "n", "d", 1, 0},
+		{"address of 1 MB", "a", long_name.c_str(), "n", "d", 1, 0},
+		{"node of 1 MB", "a", "127.0.0.1:9", long_name.c_str(), "d", 1,
+		 0},
+		{"failure domain of 1 MB", "a", "127.0.0.1:9", "n",
+		 long_name.c_str(), 1, 0},
+		{"no node", "a", "127.0.0.1:9", "", "d", 1, 0},
+		{"line break in the node", "a", "127.0.0.1:9", "n\nx", "d", 1,
+		 0},
+		{"largest slots", "a", "127.0.0.1:9", "n", "d", UINT32_MAX, 0},
+		{"slots above the range", "a", "127.0.0.1:9", "n", "d",
+		 QL_SLOTS_MAX + 1, 0},
+		{"unknown state", "a", "127.0.0.1:9", "n", "d", 1, 99},
+		{"negative state", "a", "127.0.0.1:9", "n", "d", 1, -1},
+	};
+	const char *before = "127.0.0.1:1", *after = "127.0.0.1:2";
+	uint64_t now_ms = 1000;
+
+	for (const OddRecord &record : odd) {
+		SCOPED_TRACE(record.description);
+		ql_rpc_endpoint entry =
+			make_endpoint(record.gate,
+				      (ql_rpc_endpoint_state)record.state);
+
+		entry.service = (char *)record.service;
+		entry.node = (char *)record.node;
+		entry.failure_domain = (char *)record.failure_domain;
+		entry.slots = record.slots;
+		callbacks.serving.clear();
+		now_ms += 10000;
+		testing::internal::CaptureStderr();
+		apply_endpoints(
+			0, true, true, now_ms,
+			{make_endpoint(before, QL_RPC_ENDPOINT_SERVING), entry,
+			 make_endpoint(after, QL_RPC_ENDPOINT_SERVING)});
+		std::string log = testing::internal::GetCapturedStderr();
+
+		EXPECT_EQ(2u, callbacks.serving.size());
+		EXPECT_TRUE(callbacks.serving[before]);
+		EXPECT_TRUE(callbacks.serving[after]);
+		EXPECT_LT(log.size(), 4096u);
+		if (&record == odd) {
+			EXPECT_NE(std::string::npos,
+				  log.find("event=record_refused"))
+				<< log;
+		}
+	}
+}
+
+/* A list of odd records makes a bounded number of lines. */
+TEST_F(Member, LogsOddRecordsAtABoundedRate)
+{
+	std::vector<ql_rpc_endpoint> records(
+		4096, make_endpoint("127.0.0.1:0", QL_RPC_ENDPOINT_SERVING));
+
+	testing::internal::CaptureStderr();
+	apply_endpoints(0, true, true, 1000, records);
+	std::string log = testing::internal::GetCapturedStderr();
+
+	EXPECT_LT(std::count(log.begin(), log.end(), '\n'), 200);
+	EXPECT_TRUE(callbacks.serving.empty());
+}
+
 /* Both registrars send the same change number, which is not comparable. */
 TEST_F(Member, RemovesEndpointThatOtherRegistrarDoesNotList)
 {
--- a/tests/platform/report_test.cc
+++ b/tests/platform/report_test.cc
@@ -64,7 +64,12 @@
 		Case{"1700000000123", "-1"},
 		Case{"1700000000123", "9223372036854775808"}, Case{"4", "1e3"},
 		Case{"39", "65536"}, Case{"39", "18446744073709551616"},
-		Case{"4,", "4,\"sequence\":5,"}));
+		Case{"4,", "4,\"sequence\":5,"}, Case{"39", "1e3"},
+		Case{"39", "9223372036854775808"}, Case{"4", "-1"},
+		Case{"4", "9223372036854775808"}, Case{"4", "0.5"},
+		Case{"1700000000123", "1e3"}, Case{"\"1.5s\"", "\"1e400s\""},
+		Case{"\"10.0.0.1:80\"", "80"},
+		Case{"\"10.0.0.1:80\"", "\"\""}));
 
 /* The report is read in a thread with a small stack. */
 TEST(Report, RefusesDeepNestingAndLongNumbers)
@@ -85,6 +90,36 @@
 	}
 }
 
+/* Each member in turn is nested 10,000 deep, 10^400, or 1 MB long. */
+TEST(Report, RefusesOddValuesOfEachMember)
+{
+	const std::string deep = std::string(10000, '[') +
+				 std::string(10000, ']'),
+			  huge = "1" + std::string(400, '0'),
+			  text_of_1_mb =
+				  "\"" + std::string(1 << 20, 'x') + "\"";
+
+	for (const char *member :
+	     {"\"s\"", "\"10.0.0.1:80\"", "39", "\"draining\"", "\"1.5s\"", "4",
+	      "1700000000123"})
+		for (const std::string &value :
+		     {deep, huge, "-" + huge, std::string("1e400"),
+		      text_of_1_mb}) {
+			SCOPED_TRACE(member + (" " + value.substr(0, 9)));
+			std::string text = VALID_REPORT;
+			ql_instance_report_t report = {};
+			GError *error = nullptr;
+
+			text.replace(text.find(member), strlen(member), value);
+			EXPECT_NE(0,
+				  ql_platform_read_report(&report, text.data(),
+							  text.size(), &error));
+			ASSERT_NE(nullptr, error);
+			EXPECT_LT(strlen(error->message), 1024u);
+			g_error_free(error);
+		}
+}
+
 struct Duration {
 	const char *text;
 	int status;
