--- a/src/control/rpc/claim.x
+++ b/src/control/rpc/claim.x
@@ -58,8 +58,8 @@
 
 /* Encoding of the answers that keepers store. */
 struct ql_rpc_stored_header {
-	string name<>;
-	string value<>;
+	string name<QL_RPC_CLAIM_ANSWER_MAX>;
+	string value<QL_RPC_CLAIM_ANSWER_MAX>;
 };
 
 struct ql_rpc_stored_answer {
--- a/src/control/rpc/claim_xdr.c
+++ b/src/control/rpc/claim_xdr.c
@@ -231,9 +231,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->name, ~0))
+	 if (!xdr_string (xdrs, &objp->name, QL_RPC_CLAIM_ANSWER_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->value, ~0))
+	 if (!xdr_string (xdrs, &objp->value, QL_RPC_CLAIM_ANSWER_MAX))
 		 return FALSE;
 	return TRUE;
 }
