Measure the recovery of short traces without underflow

Callers of replay saw a recovery of 1.8e18 s for traces shorter than the window of recovery (0.5 s; the loader takes 0.1 s and more) and for triggers that end at 0 s, and memory behind the buckets was read.

Cause: measure_recovery() subtracted the window from fewer buckets, and counted an unsigned index down past 0.

Change: the index counts from one above; a trace without a whole window has no recovery to measure and reports 0.

Evidence: Replay.MeasuresShortTraces has 12 pairs of duration and end of the trigger. On the code before, pairs such as 0.3 and 0.2, 0.6 and 0, 6 and 0 gave 1.8e18.

Conclusion: the measure is within the trace for each trace that loads.

--- a/src/policy/replay.c
+++ b/src/policy/replay.c
@@ -244,23 +244,27 @@
 /*
  * Recovery ends with the last window that has a success ratio below the
  * threshold. The windows from the end of the trigger on are searched backwards.
+ * A trace shorter than a window has no recovery to measure.
  */
 static void measure_recovery(ql_replay__sim_t *sim, size_t from, size_t until)
 {
-	size_t last = sim->result->n_buckets - 1 - RECOVERY_WINDOW_BUCKETS;
+	size_t n = sim->result->n_buckets;
 	double threshold =
 		RECOVERED_SUCCESS_RATIO * success_ratio(sim, 0, from);
 	double ratio, bucket_s = (double)QL_REPLAY_BUCKET_US / QL_US_PER_S;
 	size_t i;
 
-	for (i = last; i >= until; i--) {
-		ratio = success_ratio(sim, i, i + RECOVERY_WINDOW_BUCKETS);
+	if (n <= RECOVERY_WINDOW_BUCKETS)
+		return;
+	for (i = n - RECOVERY_WINDOW_BUCKETS; i > until; i--) {
+		ratio = success_ratio(sim, i - 1,
+				      i - 1 + RECOVERY_WINDOW_BUCKETS);
 		if (ratio < threshold)
 			break;
 	}
-	if (i < until)
+	if (i <= until)
 		return;
-	i += RECOVERY_WINDOW_BUCKETS;
+	i += RECOVERY_WINDOW_BUCKETS - 1;
 	sim->result->values[QL_REPLAY_RECOVERY_S] =
 		(double)(i - until) * bucket_s;
 	snprintf(sim->result->events[QL_REPLAY_RECOVERY_S],
--- a/tests/policy/replay_test.cc
+++ b/tests/policy/replay_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <cstring>
 #include <string>
 
 namespace
@@ -101,6 +102,36 @@
 	}
 }
 
+/* A trace shorter than the window of recovery, or a trigger at its start. */
+TEST_F(Replay, MeasuresShortTraces)
+{
+	const char *duration = "\"duration_s\": 6";
+	const char *trigger = "\"trigger_from_s\": 1, \"trigger_until_s\": 3";
+	struct {
+		const char *duration_s;
+		const char *until_s;
+	} cases[] = {{"0.1", "0"},    {"0.1", "0.1"},	{"0.3", "0"},
+		     {"0.3", "0.2"},  {"0.45", "0.45"}, {"0.5", "0"},
+		     {"0.5", "0.5"},  {"0.6", "0"},	{"0.6", "0.1"},
+		     {"0.7", "0.65"}, {"6", "0"},	{"6", "6"}};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(std::string(c.duration_s) + " " + c.until_s);
+		std::string text = trace_text(20);
+
+		text.replace(text.find(duration), strlen(duration),
+			     std::string("\"duration_s\": ") + c.duration_s);
+		text.replace(text.find(trigger), strlen(trigger),
+			     std::string("\"trigger_from_s\": 0, "
+					 "\"trigger_until_s\": ") +
+				     c.until_s);
+		run(text, "quetzalloft");
+		EXPECT_GE(value(QL_REPLAY_RECOVERY_S), 0.0);
+		EXPECT_LE(value(QL_REPLAY_RECOVERY_S), 6.1);
+		finish();
+	}
+}
+
 TEST_F(Replay, EqualSeedsGiveEqualResults)
 {
 	double first[QL_REPLAY_N_MEASURES];
