Set the domain of errors once, whichever thread is first

The thread sanitizer ended nodes whose calls to two registrars failed in two threads at the same time: the function that G_DEFINE_QUARK() makes lets both threads write its static variable, and GLib allocates a lock at its first error in a way that the sanitizer cannot follow. pthread_once() does both.

Seen in trials of real processes built with the thread sanitizer whose nodes renew in several threads.

--- a/src/util/error.c
+++ b/src/util/error.c
@@ -1,9 +1,26 @@
 #include "quetzalloft/error.h"
 
+#include <pthread.h>
 #include <stdarg.h>
 #include <string.h>
 
-G_DEFINE_QUARK(quetzalloft - error - quark, ql_error)
+static GQuark domain;
+
+/* GLib allocates a lock at the first error, so there is one here. */
+static void init_domain(void)
+{
+	domain = g_quark_from_static_string("quetzalloft-error-quark");
+	g_error_free(g_error_new_literal(domain, 0, ""));
+}
+
+/* G_DEFINE_QUARK() lets threads write the quark at the same time. */
+GQuark ql_error_quark(void)
+{
+	static pthread_once_t once = PTHREAD_ONCE_INIT;
+
+	pthread_once(&once, init_domain);
+	return domain;
+}
 
 static const char *const error_names[] = {
 	"ok",	       "no_memory",   "invalid",   "range",    "type",
