Renew at other registrars while one is silent

Callers were refused with 404 on a route whose version had been confirmed more than 2 s before, while one of three replicas was frozen.

A node learns of versions by renewing its lease at two registrars by turns, in one thread. A call to a silent registrar took its timeout of 1 s, and with the waits before and after it up to 2.2 s passed between two answers of registrars that live. A leave was reported to one registrar after the other, so a silent one delayed it at the others by 1 s each.

Renewals at different registrars may now be in flight at the same time, one at each. ql_member_begin_renewal() notes one, and the next is due a quarter of the interval later unless an answer comes first, so that a live registrar answers at most 1.45 intervals after the answer before, and a round trip. In calm the renewals alternate at the same rate as before. The threads only carry out what the member decides: one at a time waits for the next renewal and writes it, which keeps the sequence in the order of the states of the endpoint.

- A conflict is kept by registrar, since another one's reply must not clear it.
- A reply of a registrar that was replaced during the call is dropped.
- A withdrawal is agreed without a registrar that has been silent for an interval, if it has answered in this run of the node before.
- A document is offered on a connection of its own.

--- a/include/quetzalloft/member.h
+++ b/include/quetzalloft/member.h
@@ -7,6 +7,13 @@
  * calls and the configuration. It has no thread, socket or clock of its own:
  * the caller serializes the calls, exchanges the messages, and passes the time
  * in milliseconds of one clock.
+ *
+ * Renewals at different registrars may be in flight at the same time, one at a
+ * registrar at most, so that a silent registrar delays no answer of another
+ * one. Each goes through ql_member_next_registrar(),
+ * ql_member_begin_renewal() and ql_member_fill_lease(), one renewal after the
+ * other, then ql_member_handle_lease_reply() or ql_member_lease_failed(), in
+ * any order with the others.
  */
 
 #include "quetzalloft/balancer.h"
@@ -90,6 +97,13 @@
  * @withdrawal_number: the same in the last renewal that was granted
  * @failures: consecutive requests without a reply or with a refusal
  * @retry_ms: end of the backoff; the registrar is not called before
+ * @called_ms: start of the last renewal
+ * @in_flight: a renewal has neither been answered nor failed
+ * @replaced: the renewal in flight is one at the registrar that had the index
+ *            before
+ * @leave_due: the registrar has to be told that the node leaves
+ * @conflict: the registrar has a serving endpoint of this node recorded as
+ *            leaving or gone, or in a later incarnation
  */
 typedef struct ql_member_link {
 	uint64_t incarnation;
@@ -100,6 +114,11 @@
 	uint64_t withdrawal_number;
 	uint32_t failures;
 	uint64_t retry_ms;
+	uint64_t called_ms;
+	bool in_flight;
+	bool replaced;
+	bool leave_due;
+	bool conflict;
 } ql_member_link_t;
 
 /**
@@ -110,7 +129,7 @@
  * @number: number of the last change of @latest, from 1; 0 while withdrawals
  *          are not tracked
  * @agreed: as many registrars as the node renews at know @latest; with fewer
- *          out of backoff, as many as those
+ *          out of backoff and not silent, as many as those
  */
 typedef struct ql_member_withdrawal {
 	char service[QL_NAME_MAX];
@@ -138,8 +157,7 @@
  * @epoch: highest epoch that a registrar has given to the endpoints of this
  *         node
  * @sequence: sequence of the last renewal
- * @conflict: a registrar has a serving endpoint of this node recorded as
- *            leaving or gone, or in a later incarnation
+ * @due_ms: time of the next renewal
  * @config_confirmed: a ready registrar, or another node of the failure domain,
  *                    has sent the configuration since the start
  * @last_answer_ms: time at which a registrar last granted the lease; at first
@@ -170,7 +188,7 @@
 	int last_registrar;
 	uint64_t epoch;
 	uint64_t sequence;
-	bool conflict;
+	uint64_t due_ms;
 	bool config_confirmed;
 	uint64_t last_answer_ms;
 	uint64_t seen_version;
@@ -248,12 +266,32 @@
  *
  * Renewals alternate between QL_REGISTRARS_ACTIVE registrars. The preferred
  * ones depend on the name of the node. A registrar that fails is replaced by a
- * spare until its backoff has ended.
+ * spare until its backoff has ended, and one that is overdue with its answer
+ * until it answers. A registrar that has to be told of something goes first.
  *
- * Return: index of the registrar, or -1 when all of them are in backoff.
+ * Return: index of a registrar without a renewal in flight, or -1 when all
+ * others are in backoff.
  */
 int ql_member_next_registrar(ql_member_t *member, uint64_t now_ms);
 
+/**
+ * ql_member_begin_renewal() - Note that a renewal is in flight.
+ * @member: the member
+ * @index: index of the registrar, without a renewal in flight
+ * @now_ms: current time
+ *
+ * Until an answer arrives, the next renewal is due after a fraction of the mean
+ * interval, as this one may not be answered.
+ */
+void ql_member_begin_renewal(ql_member_t *member, int index, uint64_t now_ms);
+
+/**
+ * ql_member_leave() - Tell every registrar, also those in backoff, that the
+ * node leaves. A renewal at each of them is due at once.
+ * @member: the member
+ */
+void ql_member_leave(ql_member_t *member);
+
 /**
  * ql_member_fill_lease() - Complete the request of a renewal.
  * @member: the member
@@ -272,7 +310,8 @@
  * @now_ms: current time
  * @error: detail of a failure
  *
- * A refusal starts the backoff of the registrar.
+ * A refusal starts the backoff of the registrar. The reply of a registrar that
+ * was replaced meanwhile changes nothing.
  *
  * Return: 0, the status of the reply, or an error of ql_config_reply_apply().
  */
@@ -294,11 +333,13 @@
  * @member: the member
  * @now_ms: current time
  *
- * Return: milliseconds with jitter, or until the first backoff ends when all
- * registrars are in backoff; 0 when the registrar that was called last needs
- * another request at once, or when the withdrawal is not agreed.
+ * The time is no longer valid after a reply or a failure.
+ *
+ * Return: milliseconds, or until the first backoff ends when every registrar is
+ * in backoff or has a renewal in flight; 0 only when
+ * ql_member_next_registrar() has a registrar for it.
  */
-uint32_t ql_member_renewal_delay_ms(ql_member_t *member, uint64_t now_ms);
+uint32_t ql_member_renewal_delay_ms(const ql_member_t *member, uint64_t now_ms);
 
 /**
  * ql_member_fill_offer() - Write the document for a registrar that has
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -12,6 +12,11 @@
 
 /* Largest deviation from the mean renewal interval, as a fraction of it. */
 #define RENEWAL_JITTER 0.2
+/*
+ * The part of the mean renewal interval after which an answer is overdue. It is
+ * short against the interval and long against a round trip.
+ */
+#define ANSWER_OVERDUE_DIVISOR 4u
 /* Longest backoff of a registrar, unless the renewal interval is longer. */
 #define REGISTRAR_BACKOFF_MAX_MS 2000u
 /* Bounds the shift that computes the backoff. */
@@ -75,27 +80,128 @@
 	return (int)((start + position) % member->opts.n_registrars);
 }
 
-int ql_member_next_registrar(ql_member_t *member, uint64_t now_ms)
+static uint32_t overdue_after_ms(const ql_member_t *member)
+{
+	return member->opts.renew_ms / ANSWER_OVERDUE_DIVISOR;
+}
+
+static bool is_overdue(const ql_member_t *member, const ql_member_link_t *link,
+		       uint64_t now_ms)
+{
+	return link->in_flight &&
+	       now_ms - link->called_ms >= overdue_after_ms(member);
+}
+
+/*
+ * Finds the registrars for the next renewal: those of the preferred ones
+ * without a renewal in flight, or else a spare. Returns their number.
+ */
+static size_t find_free(const ql_member_t *member, uint64_t now_ms,
+			int free_indexes[QL_REGISTRARS_ACTIVE])
 {
-	int usable[QL_REGISTRARS_ACTIVE];
-	int n_usable = 0;
+	size_t n_active = 0, n_free = 0;
+	const ql_member_link_t *link;
 	size_t position;
 	int index;
 
 	for (position = 0; position < member->opts.n_registrars; position++) {
 		index = preferred_registrar(member, position);
-		if (member->links[index].retry_ms > now_ms)
+		link = &member->links[index];
+		if (link->retry_ms > now_ms || is_overdue(member, link, now_ms))
 			continue;
-		usable[n_usable++] = index;
-		if (n_usable == QL_REGISTRARS_ACTIVE)
+		n_active++;
+		if (!link->in_flight)
+			free_indexes[n_free++] = index;
+		if (n_active >= QL_REGISTRARS_ACTIVE && n_free)
 			break;
 	}
-	if (!n_usable)
+	return n_free;
+}
+
+/* Returns whether a registrar without a call in flight needs one at once. */
+static bool is_urgent(const ql_member_t *member, const ql_member_link_t *link)
+{
+	if (ql_member__lacks_withdrawal(member, link))
+		return true;
+	return !link->failures && link->incarnation &&
+	       (!link->interest_number || link->conflict);
+}
+
+/* Returns a registrar that has to be told that the node leaves, or -1. */
+static int find_leave_due(const ql_member_t *member)
+{
+	size_t i;
+
+	for (i = 0; i < member->opts.n_registrars; i++)
+		if (member->links[i].leave_due && !member->links[i].in_flight)
+			return (int)i;
+	return -1;
+}
+
+/* Returns a registrar that needs a renewal at once, or -1. */
+static int find_urgent(const ql_member_t *member, const int *free_indexes,
+		       size_t n_free)
+{
+	int index = find_leave_due(member);
+	size_t i;
+
+	if (index >= 0)
+		return index;
+	for (i = 0; i < n_free; i++)
+		if (is_urgent(member, &member->links[free_indexes[i]]))
+			return free_indexes[i];
+	return -1;
+}
+
+int ql_member_next_registrar(ql_member_t *member, uint64_t now_ms)
+{
+	int free_indexes[QL_REGISTRARS_ACTIVE];
+	size_t n_free = find_free(member, now_ms, free_indexes);
+	int index = find_urgent(member, free_indexes, n_free);
+
+	if (index < 0 && !n_free)
 		return -1;
-	member->last_registrar =
-		usable[0] == member->last_registrar && n_usable > 1 ? usable[1]
-								    : usable[0];
-	return member->last_registrar;
+	if (index < 0)
+		index = free_indexes[0] == member->last_registrar && n_free > 1
+				? free_indexes[1]
+				: free_indexes[0];
+	member->last_registrar = index;
+	return index;
+}
+
+void ql_member_begin_renewal(ql_member_t *member, int index, uint64_t now_ms)
+{
+	ql_member_link_t *link = &member->links[index];
+
+	g_assert(!link->in_flight);
+	link->in_flight = true;
+	link->called_ms = now_ms;
+	link->leave_due = false;
+	member->due_ms = now_ms + overdue_after_ms(member);
+	/* Another registrar may have fallen silent. */
+	ql_member__update_agreement(member, now_ms);
+}
+
+/*
+ * Notes that a renewal is not in flight any more; returns false when the
+ * registrar was replaced meanwhile.
+ */
+static bool end_renewal(ql_member_t *member, int index)
+{
+	ql_member_link_t *link = &member->links[index];
+	bool replaced = link->replaced;
+
+	link->in_flight = false;
+	link->replaced = false;
+	return !replaced;
+}
+
+void ql_member_leave(ql_member_t *member)
+{
+	size_t i;
+
+	for (i = 0; i < member->opts.n_registrars; i++)
+		member->links[i].leave_due = true;
 }
 
 static void fill_greeting(const ql_member_t *member, ql_rpc_greeting *greeting)
@@ -272,6 +378,8 @@
 static void add_registrar(ql_member_t *member, const char *address,
 			  const ql_rpc_lease_res *res)
 {
+	ql_member_link_t *link;
+	bool in_flight;
 	int slot;
 
 	if (find_registrar(member, address) >= 0 ||
@@ -281,7 +389,11 @@
 	if (slot < 0)
 		return;
 	g_strlcpy(member->opts.registrars[slot], address, QL_ADDRESS_MAX);
-	memset(&member->links[slot], 0, sizeof(*member->links));
+	link = &member->links[slot];
+	in_flight = link->in_flight;
+	memset(link, 0, sizeof(*link));
+	link->in_flight = in_flight;
+	link->replaced = in_flight;
 	member->opts.n_registrars =
 		MAX(member->opts.n_registrars, (size_t)slot + 1);
 }
@@ -302,21 +414,55 @@
 	add_registrar(member, address, NULL);
 }
 
+static void back_off(ql_member_t *member, int index, uint64_t now_ms)
+{
+	ql_member_link_t *link = &member->links[index];
+	uint64_t delay_ms =
+		(uint64_t)member->opts.renew_ms
+		<< MIN(link->failures, REGISTRAR_BACKOFF_DOUBLINGS_MAX);
+	double factor = g_rand_double_range(member->random, 0.5, 1.0);
+
+	link->failures++;
+	/* The registrar may not have received the interest. */
+	link->interest_number = 0;
+	delay_ms = MIN(delay_ms, MAX(REGISTRAR_BACKOFF_MAX_MS,
+				     (uint64_t)member->opts.renew_ms));
+	link->retry_ms = now_ms + (uint64_t)((double)delay_ms * factor);
+	ql_member__update_agreement(member, now_ms);
+}
+
+void ql_member_lease_failed(ql_member_t *member, int index, uint64_t now_ms)
+{
+	if (end_renewal(member, index))
+		back_off(member, index, now_ms);
+}
+
+static void schedule_next_renewal(ql_member_t *member, uint64_t now_ms)
+{
+	double factor = g_rand_double_range(member->random, 1 - RENEWAL_JITTER,
+					    1 + RENEWAL_JITTER);
+
+	member->due_ms = now_ms + (uint64_t)(member->opts.renew_ms * factor);
+}
+
 int ql_member_handle_lease_reply(ql_member_t *member, int index,
 				 const ql_rpc_lease_res *res, uint64_t now_ms,
 				 GError **error)
 {
 	int ret;
 
+	if (!end_renewal(member, index))
+		return 0;
 	if (res->status) {
-		ql_member_lease_failed(member, index, now_ms);
+		back_off(member, index, now_ms);
 		return ql_error_set(error, (ql_error_code_t)res->status, "%s",
 				    res->detail);
 	}
 	update_link(member, index, res);
+	schedule_next_renewal(member, now_ms);
 	member->last_answer_ms = now_ms;
 	member->epoch = MAX(member->epoch, res->epoch);
-	member->conflict = res->conflict;
+	member->links[index].conflict = res->conflict;
 	if (res->conflict)
 		member->epoch++;
 	if (res->want_document)
@@ -332,56 +478,39 @@
 	return ret;
 }
 
-void ql_member_lease_failed(ql_member_t *member, int index, uint64_t now_ms)
-{
-	ql_member_link_t *link = &member->links[index];
-	uint64_t delay_ms =
-		(uint64_t)member->opts.renew_ms
-		<< MIN(link->failures, REGISTRAR_BACKOFF_DOUBLINGS_MAX);
-	double factor = g_rand_double_range(member->random, 0.5, 1.0);
-
-	link->failures++;
-	/* The registrar may not have received the interest. */
-	link->interest_number = 0;
-	delay_ms = MIN(delay_ms, MAX(REGISTRAR_BACKOFF_MAX_MS,
-				     (uint64_t)member->opts.renew_ms));
-	link->retry_ms = now_ms + (uint64_t)((double)delay_ms * factor);
-	ql_member__update_agreement(member, now_ms);
-}
-
-/* Returns the time until the backoff of one of the registrars has ended. */
-static uint64_t backoff_remaining_ms(const ql_member_t *member, uint64_t now_ms)
+/*
+ * Returns the time until the backoff of a registrar without a renewal in flight
+ * has ended; at most the mean renewal interval if there is none.
+ */
+static uint32_t backoff_remaining_ms(const ql_member_t *member, uint64_t now_ms)
 {
 	uint64_t earliest_ms = UINT64_MAX;
+	const ql_member_link_t *link;
 	size_t i;
 
-	for (i = 0; i < member->opts.n_registrars; i++)
-		earliest_ms = MIN(earliest_ms, member->links[i].retry_ms);
-	return earliest_ms > now_ms ? earliest_ms - now_ms : 0;
+	for (i = 0; i < member->opts.n_registrars; i++) {
+		link = &member->links[i];
+		if (!link->in_flight)
+			earliest_ms = MIN(earliest_ms, link->retry_ms);
+	}
+	return earliest_ms == UINT64_MAX ? member->opts.renew_ms
+					 : (uint32_t)(earliest_ms - now_ms);
 }
 
-uint32_t ql_member_renewal_delay_ms(ql_member_t *member, uint64_t now_ms)
+uint32_t ql_member_renewal_delay_ms(const ql_member_t *member, uint64_t now_ms)
 {
-	const ql_member_link_t *link;
-	double factor;
-	uint64_t remaining_ms;
-
-	if (!member->opts.n_registrars)
-		return member->opts.renew_ms;
-	remaining_ms = backoff_remaining_ms(member, now_ms);
-	if (remaining_ms)
-		return (uint32_t)remaining_ms;
-	if (!ql_member_is_withdrawal_agreed(member))
+	int free_indexes[QL_REGISTRARS_ACTIVE];
+	size_t n_free = find_free(member, now_ms, free_indexes);
+	uint64_t due_ms = member->due_ms;
+
+	if (find_urgent(member, free_indexes, n_free) >= 0)
 		return 0;
-	if (member->last_registrar >= 0) {
-		link = &member->links[member->last_registrar];
-		if (!link->failures && link->incarnation &&
-		    (!link->interest_number || member->conflict))
-			return 0;
-	}
-	factor = g_rand_double_range(member->random, 1 - RENEWAL_JITTER,
-				     1 + RENEWAL_JITTER);
-	return (uint32_t)(member->opts.renew_ms * factor);
+	if (!n_free)
+		return backoff_remaining_ms(member, now_ms);
+	/* A registrar that falls silent is not waited for. */
+	if (!ql_member_is_withdrawal_agreed(member))
+		due_ms = MIN(due_ms, now_ms + overdue_after_ms(member));
+	return due_ms > now_ms ? (uint32_t)(due_ms - now_ms) : 0;
 }
 
 int ql_member_fill_offer(ql_member_t *member, ql_rpc_offer_args *args)
--- a/src/control/member_withdrawal.c
+++ b/src/control/member_withdrawal.c
@@ -37,6 +37,13 @@
 	return member->withdrawal.agreed || !member->withdrawal.number;
 }
 
+bool ql_member__lacks_withdrawal(const ql_member_t *member,
+				 const ql_member_link_t *link)
+{
+	return !ql_member_is_withdrawal_agreed(member) &&
+	       link->withdrawal_number != member->withdrawal.number;
+}
+
 void ql_member__fill_withdrawal(ql_member_t *member, int index,
 				ql_rpc_lease_args *args)
 {
@@ -89,6 +96,18 @@
 		member->ops->withdrawal_agreed(member->data);
 }
 
+/*
+ * Returns whether a registrar has fallen silent. One that has not answered in
+ * this run of the node is waited for until its call fails, as it may know a
+ * withdrawal of an earlier run.
+ */
+static bool is_silent(const ql_member_t *member, const ql_member_link_t *link,
+		      uint64_t now_ms)
+{
+	return link->in_flight && link->incarnation &&
+	       now_ms - link->called_ms >= member->opts.renew_ms;
+}
+
 void ql_member__update_agreement(ql_member_t *member, uint64_t now_ms)
 {
 	ql_member_withdrawal_t *own = &member->withdrawal;
@@ -100,7 +119,8 @@
 		return;
 	for (i = 0; i < member->opts.n_registrars; i++) {
 		link = &member->links[i];
-		if (link->retry_ms <= now_ms)
+		if (link->retry_ms <= now_ms &&
+		    !is_silent(member, link, now_ms))
 			n_usable++;
 		if (!link->failures && link->withdrawal_number == own->number)
 			n_holders++;
--- a/src/control/member_withdrawal.h
+++ b/src/control/member_withdrawal.h
@@ -13,6 +13,17 @@
 
 G_BEGIN_DECLS
 
+/**
+ * ql_member__lacks_withdrawal() - Check whether a registrar has to be told of
+ * the latest withdrawal at once.
+ * @member: the member
+ * @link: state of the registrar
+ *
+ * Return: whether it has not confirmed it; false if it is agreed.
+ */
+bool ql_member__lacks_withdrawal(const ql_member_t *member,
+				 const ql_member_link_t *link);
+
 /**
  * ql_member__fill_withdrawal() - Write the withdrawal to a renewal.
  * @member: the member
@@ -33,7 +44,7 @@
 
 /**
  * ql_member__update_agreement() - Check whether enough registrars know the
- * withdrawal, after a reply or a failure.
+ * withdrawal, after a reply or a failure, or when time has passed.
  * @member: the member
  * @now_ms: current time
  */
--- a/src/node/lease_service.c
+++ b/src/node/lease_service.c
@@ -12,6 +12,16 @@
 #define NS_PER_MS 1000000L
 #define NS_PER_S 1000000000L
 
+/*
+ * A renewal; @client is NULL while there is none. Until its end, its thread is
+ * the only one that uses @client.
+ */
+typedef struct {
+	int index;
+	ql_rpc_client_t *client;
+	ql_rpc_lease_args args;
+} renewal_t;
+
 static uint64_t now_ms(void)
 {
 	return ql_clock_now_us() / QL_US_PER_MS;
@@ -44,9 +54,16 @@
 				QL_RPC_ENDPOINT_LEAVING;
 }
 
+static void init_client(ql_rpc_client_t *client, const char *address)
+{
+	ql_rpc_client_init(client, address, QL_CONTROL_PROGRAM, QL_CONTROL_V1,
+			   LEASE_CALL_TIMEOUT_MS);
+}
+
 /*
  * Returns the connection to a registrar. It is opened anew when the membership
- * has replaced the registrar at this index. The caller holds @lock.
+ * has replaced the registrar at this index. The caller holds @lock, and no
+ * renewal is in flight at the index.
  */
 static ql_rpc_client_t *get_client(ql_lease_service_t *service, int index)
 {
@@ -55,82 +72,125 @@
 
 	if (strcmp(client->address, address) != 0) {
 		ql_rpc_client_finish(client);
-		ql_rpc_client_init(client, address, QL_CONTROL_PROGRAM,
-				   QL_CONTROL_V1, LEASE_CALL_TIMEOUT_MS);
+		init_client(client, address);
 	}
 	return client;
 }
 
+/* The caller holds @lock. */
+static void signal_agreement(ql_lease_service_t *service)
+{
+	if (ql_member_is_withdrawal_agreed(&service->member))
+		pthread_cond_broadcast(&service->agreed);
+}
+
 /*
  * Handles the reply to a renewal and logs a version that it brings.
  * The caller holds @lock.
  */
-static int handle_lease_reply(ql_lease_service_t *service, int index,
+static int handle_lease_reply(ql_lease_service_t *service,
+			      const renewal_t *renewal,
 			      const ql_rpc_lease_res *res, GError **error)
 {
 	ql_member_t *member = &service->member;
 	uint64_t before = member->config.doc->version;
 	uint64_t stale_ms = ql_member_stale_ms(member, now_ms());
-	int ret = ql_member_handle_lease_reply(member, index, res, now_ms(),
-					       error);
+	int ret = ql_member_handle_lease_reply(member, renewal->index, res,
+					       now_ms(), error);
 
 	if (member->config.doc->version != before)
 		ql_log(LOG_NOTICE, "config_received",
 		       QL_UINT("version", member->config.doc->version),
-		       QL_STR("registrar", service->clients[index].address),
+		       QL_STR("registrar", renewal->client->address),
 		       QL_UINT("stale_ms", stale_ms));
 	return ret;
 }
 
-static int call_lease(ql_lease_service_t *service, int index, GError **error)
+/*
+ * Chooses the registrar of a renewal that is due; returns false when none is,
+ * with the time until then. The caller holds @turn.
+ */
+static bool begin_renewal(ql_lease_service_t *service, renewal_t *renewal,
+			  uint32_t *delay_ms)
+{
+	bool wanted =
+		__atomic_exchange_n(&service->renew_now, 0, __ATOMIC_ACQ_REL);
+	ql_member_t *member = &service->member;
+	int index = -1;
+
+	pthread_mutex_lock(&service->lock);
+	*delay_ms = ql_member_renewal_delay_ms(member, now_ms());
+	if (wanted || !*delay_ms)
+		index = ql_member_next_registrar(member, now_ms());
+	if (index >= 0) {
+		renewal->index = index;
+		renewal->client = get_client(service, index);
+		ql_member_begin_renewal(member, index, now_ms());
+		signal_agreement(service);
+	}
+	pthread_mutex_unlock(&service->lock);
+	if (index < 0 && wanted)
+		__atomic_store_n(&service->renew_now, 1, __ATOMIC_RELEASE);
+	return index >= 0;
+}
+
+/*
+ * Writes the request of a renewal that has begun. The caller holds @turn, so
+ * that a later request has the later state of the endpoints.
+ */
+static void fill_renewal(ql_lease_service_t *service, renewal_t *renewal)
+{
+	fill_endpoints(service, &renewal->args);
+	pthread_mutex_lock(&service->lock);
+	ql_member_fill_lease(&service->member, renewal->index, &renewal->args);
+	pthread_mutex_unlock(&service->lock);
+}
+
+static int call_lease(ql_lease_service_t *service, renewal_t *renewal,
+		      GError **error)
 {
-	ql_rpc_lease_args args = {0};
 	ql_rpc_lease_res res = {0};
 	ql_rpc_call_t call = {
 		.procedure = QL_LEASE,
 		.encode = (xdrproc_t)xdr_ql_rpc_lease_args,
-		.args = &args,
+		.args = &renewal->args,
 		.decode = (xdrproc_t)xdr_ql_rpc_lease_res,
 		.result = &res,
 	};
-	ql_rpc_client_t *client;
 	int ret;
 
-	fill_endpoints(service, &args);
-	pthread_mutex_lock(&service->lock);
-	client = get_client(service, index);
-	ql_member_fill_lease(&service->member, index, &args);
-	pthread_mutex_unlock(&service->lock);
-	args.greeting.clock = ql_hlc_tick(service->hlc, ql_clock_wall_ms());
-	ret = ql_rpc_client_call(client, &call, error);
+	renewal->args.greeting.clock =
+		ql_hlc_tick(service->hlc, ql_clock_wall_ms());
+	ret = ql_rpc_client_call(renewal->client, &call, error);
 	pthread_mutex_lock(&service->lock);
 	if (ret)
-		ql_member_lease_failed(&service->member, index, now_ms());
+		ql_member_lease_failed(&service->member, renewal->index,
+				       now_ms());
 	else
-		ret = handle_lease_reply(service, index, &res, error);
-	if (ql_member_is_withdrawal_agreed(&service->member))
-		pthread_cond_broadcast(&service->agreed);
+		ret = handle_lease_reply(service, renewal, &res, error);
+	signal_agreement(service);
 	pthread_mutex_unlock(&service->lock);
 	if (res.clock)
 		ql_hlc_observe(service->hlc, res.clock, ql_clock_wall_ms());
 	xdr_free((xdrproc_t)xdr_ql_rpc_lease_res, &res);
-	xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
 	return ret;
 }
 
-static void renew_lease_at(ql_lease_service_t *service, int index)
+static void renew_lease(ql_lease_service_t *service, renewal_t *renewal)
 {
+	char address[QL_ADDRESS_MAX];
 	GError *error = NULL;
 
+	/* After the call, another thread may use the connection. */
+	g_strlcpy(address, renewal->client->address, sizeof(address));
 	ql_counter_increment(service->counters, QL_COUNT_LEASES_SENT);
-	if (!call_lease(service, index, &error))
+	if (!call_lease(service, renewal, &error))
 		return;
 	ql_counter_increment(service->counters, QL_COUNT_LEASES_FAILED);
 	if (error->code == QL_E_TIMEOUT)
 		ql_counter_increment(service->counters,
 				     QL_COUNT_LEASES_TIMED_OUT);
-	ql_log(LOG_WARNING, "lease_failed",
-	       QL_STR("registrar", service->clients[index].address),
+	ql_log(LOG_WARNING, "lease_failed", QL_STR("registrar", address),
 	       QL_STR("error", ql_error_name(error->code)),
 	       QL_STR("detail", error->message));
 	g_error_free(error);
@@ -156,25 +216,32 @@
 	return ret;
 }
 
-/* Sends the document to a registrar that has an older one. */
+/*
+ * Sends the document to a registrar that has an older one. It has a connection
+ * of its own, as a renewal may be in flight on the other one.
+ */
 static void offer_document(ql_lease_service_t *service)
 {
 	ql_rpc_offer_args args = {0};
+	ql_rpc_client_t client;
 	GError *error = NULL;
 	int index, ret;
 
 	pthread_mutex_lock(&service->lock);
 	index = ql_member_fill_offer(&service->member, &args);
+	if (index >= 0)
+		init_client(&client, service->member.opts.registrars[index]);
 	pthread_mutex_unlock(&service->lock);
 	if (index < 0)
 		return;
 	args.greeting.clock = ql_hlc_tick(service->hlc, ql_clock_wall_ms());
-	ret = call_offer(&service->clients[index], &args, &error);
+	ret = call_offer(&client, &args, &error);
 	ql_log(LOG_NOTICE, ret ? "config_offer_failed" : "config_offered",
-	       QL_STR("registrar", service->clients[index].address),
+	       QL_STR("registrar", client.address),
 	       QL_UINT("version", args.config_version),
 	       QL_STR("error", ql_error_name(ret)));
 	g_clear_error(&error);
+	ql_rpc_client_finish(&client);
 	xdr_free((xdrproc_t)xdr_ql_rpc_offer_args, &args);
 }
 
@@ -211,78 +278,87 @@
 	return ret;
 }
 
+/* Returns the next neighbour if one has to be asked and none is being asked. */
+static ql_rpc_client_t *begin_neighbour_query(ql_lease_service_t *service)
+{
+	size_t n = service->settings->n_neighbours;
+	ql_rpc_client_t *client = NULL;
+
+	pthread_mutex_lock(&service->lock);
+	if (n && !service->neighbour_asked &&
+	    ql_member_needs_neighbour(&service->member, now_ms())) {
+		client = &service->neighbours[service->next_neighbour++ % n];
+		service->neighbour_asked = true;
+	}
+	pthread_mutex_unlock(&service->lock);
+	return client;
+}
+
 /*
  * Fetches the document from another node of the failure domain when no
  * registrar answers at the start.
  */
 static void query_neighbour(ql_lease_service_t *service)
 {
-	ql_rpc_client_t *client;
+	ql_rpc_client_t *client = begin_neighbour_query(service);
 	GError *error = NULL;
-	bool needed;
 	int ret;
 
-	pthread_mutex_lock(&service->lock);
-	needed = ql_member_needs_neighbour(&service->member, now_ms());
-	pthread_mutex_unlock(&service->lock);
-	if (!needed || !service->settings->n_neighbours)
+	if (!client)
 		return;
-	client = &service->neighbours[service->next_neighbour++ %
-				      service->settings->n_neighbours];
 	ret = fetch_document(service, client, &error);
 	ql_log(LOG_NOTICE, "neighbour_asked", QL_STR("peer", client->address),
 	       QL_STR("error", ql_error_name(ret)));
 	g_clear_error(&error);
-}
-
-static void renew_next_lease(ql_lease_service_t *service)
-{
-	int index;
-
 	pthread_mutex_lock(&service->lock);
-	index = ql_member_next_registrar(&service->member, now_ms());
+	service->neighbour_asked = false;
 	pthread_mutex_unlock(&service->lock);
-	if (index >= 0)
-		renew_lease_at(service, index);
-	offer_document(service);
-	query_neighbour(service);
 }
 
-/* Renews the lease at every registrar, with the endpoints marked as leaving. */
-static void report_leave(ql_lease_service_t *service)
+/* The caller holds @turn. */
+static void wait_for_turn(ql_lease_service_t *service, uint32_t delay_ms)
 {
-	size_t i;
+	ql_ring_wait(&service->wake_ring, (int)delay_ms);
+	while (ql_ring_pop(&service->wake_ring))
+		;
+}
 
-	for (i = 0; i < service->member.opts.n_registrars; i++)
-		renew_lease_at(service, (int)i);
+/* Ends the wait of the thread that holds @turn. */
+static void end_wait(ql_lease_service_t *service)
+{
+	/* A full ring means that a wake-up is pending already. */
+	ql_ring_push(&service->wake_ring, service);
 }
 
-static void wait_for_renewal(ql_lease_service_t *service)
+/* Waits for a renewal that is due and sends it. */
+static void run_turn(ql_lease_service_t *service)
 {
+	renewal_t renewal = {0};
 	uint32_t delay_ms;
 
-	pthread_mutex_lock(&service->lock);
-	delay_ms = ql_member_renewal_delay_ms(&service->member, now_ms());
-	pthread_mutex_unlock(&service->lock);
-	ql_ring_wait(&service->wake_ring, (int)delay_ms);
-	while (ql_ring_pop(&service->wake_ring))
-		;
+	pthread_mutex_lock(&service->turn);
+	if (!is_stopping(service)) {
+		if (begin_renewal(service, &renewal, &delay_ms))
+			fill_renewal(service, &renewal);
+		else
+			wait_for_turn(service, delay_ms);
+	}
+	pthread_mutex_unlock(&service->turn);
+	if (renewal.client) {
+		renew_lease(service, &renewal);
+		end_wait(service);
+		offer_document(service);
+		xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &renewal.args);
+	}
+	query_neighbour(service);
 }
 
 static void *run_lease_thread(void *data)
 {
 	ql_lease_service_t *service = data;
-	bool leave_reported = false;
-
-	while (!is_stopping(service)) {
-		if (is_leaving(service) && !leave_reported) {
-			report_leave(service);
-			leave_reported = true;
-		} else {
-			renew_next_lease(service);
-		}
-		wait_for_renewal(service);
-	}
+
+	while (!is_stopping(service))
+		run_turn(service);
 	return NULL;
 }
 
@@ -292,13 +368,9 @@
 	size_t i;
 
 	for (i = 0; i < settings->n_registrars; i++)
-		ql_rpc_client_init(&service->clients[i],
-				   settings->registrars[i], QL_CONTROL_PROGRAM,
-				   QL_CONTROL_V1, LEASE_CALL_TIMEOUT_MS);
+		init_client(&service->clients[i], settings->registrars[i]);
 	for (i = 0; i < settings->n_neighbours; i++)
-		ql_rpc_client_init(&service->neighbours[i],
-				   settings->neighbours[i], QL_CONTROL_PROGRAM,
-				   QL_CONTROL_V1, LEASE_CALL_TIMEOUT_MS);
+		init_client(&service->neighbours[i], settings->neighbours[i]);
 }
 
 static void finish_clients(ql_lease_service_t *service)
@@ -340,6 +412,7 @@
 	memcpy(opts.registrars, settings->registrars, sizeof(opts.registrars));
 	service->random = g_rand_new();
 	pthread_mutex_init(&service->lock, NULL);
+	pthread_mutex_init(&service->turn, NULL);
 	init_agreed(service);
 	ql_member_init(&service->member, &opts, ops, ops_data, service->random);
 	if (settings->role == QL_ROLE_NODE)
@@ -363,19 +436,26 @@
 
 void ql_lease_service_start(ql_lease_service_t *service)
 {
-	service->thread = g_thread_new("lease", run_lease_thread, service);
+	size_t i;
+
+	for (i = 0; i < QL_LEASE_THREADS; i++)
+		service->threads[i] =
+			g_thread_new("lease", run_lease_thread, service);
 }
 
 void ql_lease_service_wake(ql_lease_service_t *service)
 {
-	/* A full ring means that a wake-up is pending already. */
-	ql_ring_push(&service->wake_ring, service);
+	__atomic_store_n(&service->renew_now, 1, __ATOMIC_RELEASE);
+	end_wait(service);
 }
 
 void ql_lease_service_leave(ql_lease_service_t *service)
 {
 	__atomic_store_n(&service->leaving, 1, __ATOMIC_RELEASE);
-	ql_lease_service_wake(service);
+	pthread_mutex_lock(&service->lock);
+	ql_member_leave(&service->member);
+	pthread_mutex_unlock(&service->lock);
+	end_wait(service);
 }
 
 void ql_lease_service_withdraw(ql_lease_service_t *service,
@@ -476,9 +556,12 @@
 
 void ql_lease_service_stop(ql_lease_service_t *service)
 {
+	size_t i;
+
 	__atomic_store_n(&service->stopping, 1, __ATOMIC_RELEASE);
-	ql_lease_service_wake(service);
-	g_thread_join(service->thread);
+	end_wait(service);
+	for (i = 0; i < QL_LEASE_THREADS; i++)
+		g_thread_join(service->threads[i]);
 }
 
 void ql_lease_service_finish(ql_lease_service_t *service)
@@ -488,5 +571,6 @@
 	ql_ring_finish(&service->wake_ring);
 	g_rand_free(service->random);
 	pthread_cond_destroy(&service->agreed);
+	pthread_mutex_destroy(&service->turn);
 	pthread_mutex_destroy(&service->lock);
 }
--- a/src/node/lease_service.h
+++ b/src/node/lease_service.h
@@ -2,8 +2,14 @@
 #define QL_NODE_LEASE_SERVICE_H
 
 /**
- * DOC: The thread that renews the lease of this node and passes the answers of
- * the registrars to the membership of the node.
+ * DOC: The threads that renew the lease of this node and pass the answers of
+ * the registrars to the membership of the node. One of them waits for the next
+ * renewal, holding @turn, and writes it; then the next thread waits while the
+ * first one calls the registrar. Calls to different registrars, to a neighbour
+ * and of the document therefore run in parallel, and a call that is not
+ * answered holds up its own thread only. There are as many threads as a node
+ * has registrars at most. The membership is changed with @lock held, which is
+ * never held during a call.
  */
 
 #include "node/gate_service.h"
@@ -17,6 +23,9 @@
 
 G_BEGIN_DECLS
 
+/** Threads that renew the lease. */
+#define QL_LEASE_THREADS QL_REGISTRARS_MAX
+
 /**
  * struct ql_lease_service - The renewal of the lease of this node.
  * @settings: settings of the process; borrowed
@@ -27,18 +36,24 @@
  * @counters: counters and gauges; borrowed
  * @hlc: hybrid logical clock; borrowed
  * @incarnation: start of this process
- * @lock: guards @member
+ * @lock: guards @member, @next_neighbour and @neighbour_asked
+ * @turn: held by the thread that waits for the next renewal and writes it;
+ *        taken before @lock
  * @agreed: signalled when the registrars know the withdrawal of the endpoint
  * @member: the node's side of membership
  * @random: source of the jitter of @member
- * @clients: connections to the registrars, at the index that @member uses
+ * @clients: connections to the registrars, at the index that @member uses; each
+ *           belongs to the thread with the renewal in flight at the index
  * @neighbours: connections to other nodes of the failure domain, in the order
  *              of the settings
  * @next_neighbour: requests to neighbours so far, modulo their number the index
  *                  of the next one
- * @wake_ring: a push renews the lease at once
- * @thread: the thread
- * @stopping: 1 ends the thread; accessed atomically
+ * @neighbour_asked: a request to a neighbour is in flight; its thread is the
+ *                   only one that uses @neighbours
+ * @wake_ring: a push ends the wait for the next renewal
+ * @threads: the threads
+ * @renew_now: 1 when a renewal is due at once; accessed atomically
+ * @stopping: 1 ends the threads; accessed atomically
  * @leaving: 1 once the node leaves; accessed atomically
  */
 typedef struct ql_lease_service {
@@ -49,14 +64,17 @@
 	ql_hlc_t *hlc;
 	uint64_t incarnation;
 	pthread_mutex_t lock;
+	pthread_mutex_t turn;
 	pthread_cond_t agreed;
 	ql_member_t member;
 	GRand *random;
 	ql_rpc_client_t clients[QL_REGISTRARS_MAX];
 	ql_rpc_client_t neighbours[QL_NEIGHBOURS_MAX];
 	size_t next_neighbour;
+	bool neighbour_asked;
 	ql_ring_t wake_ring;
-	GThread *thread;
+	GThread *threads[QL_LEASE_THREADS];
+	int renew_now;
 	int stopping;
 	int leaving;
 } ql_lease_service_t;
@@ -75,13 +93,13 @@
 			  GError **error);
 
 /**
- * ql_lease_service_start() - Start the thread.
+ * ql_lease_service_start() - Start the threads.
  * @service: the service
  */
 void ql_lease_service_start(ql_lease_service_t *service);
 
 /**
- * ql_lease_service_stop() - Stop the thread and wait for its end.
+ * ql_lease_service_stop() - Stop the threads and wait for their end.
  * @service: the service
  */
 void ql_lease_service_stop(ql_lease_service_t *service);
@@ -99,7 +117,7 @@
 void ql_lease_service_wake(ql_lease_service_t *service);
 
 /**
- * ql_lease_service_leave() - Make the thread report to every registrar that
+ * ql_lease_service_leave() - Make the threads report to every registrar that
  * this node leaves; returns at once.
  * @service: the service
  */
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -131,7 +131,7 @@
 			   : ENDPOINT_CONNECTIONS_DEFAULT;
 }
 
-/* Runs in the lease thread. */
+/* Runs in the lease threads, in one at a time. */
 static u_int describe_endpoint(void *data, ql_rpc_endpoint *out)
 {
 	ql_path_node_t *node = data;
--- a/src/node/path_node.h
+++ b/src/node/path_node.h
@@ -49,7 +49,7 @@
  * @announce_server: listener for announcements of the local endpoint
  * @metrics: listener for metrics
  * @lock: guards @announced_endpoint, @latest_run and @repeat_ratio
- * @announced_endpoint: copied from @gate by the loop, for the lease thread
+ * @announced_endpoint: copied from @gate by the loop, for the lease threads
  * @latest_run: a report of the latest run of the endpoint that has reported
  * @repeat_ratio: retry budget in the settings in force, see
  *                &struct ql_front_opts
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -152,6 +152,16 @@
 						       now_ms, nullptr));
 	}
 
+	/* Sends a renewal that is not answered yet. */
+	void begin(int registrar, uint64_t now_ms)
+	{
+		ql_rpc_lease_args args = {};
+
+		ql_member_begin_renewal(&member, registrar, now_ms);
+		ql_member_fill_lease(&member, registrar, &args);
+		xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
+	}
+
 	Callbacks callbacks;
 	GRand *random;
 	ql_member_t member;
@@ -342,6 +352,130 @@
 	EXPECT_NE(-1, ql_member_next_registrar(&member, now_ms));
 }
 
+/* A silent registrar must not hold up the renewal at another one. */
+TEST_F(Member, RenewsElsewhereWhenAnAnswerIsOverdue)
+{
+	int silent = ql_member_next_registrar(&member, 1000);
+	int other = 1 - silent;
+	uint64_t now_ms = 1000;
+	uint32_t delay_ms;
+
+	begin(silent, now_ms);
+	for (int i = 0; i < 3; i++) {
+		ql_rpc_lease_res res = make_reply((uint64_t)other + 1);
+
+		delay_ms = ql_member_renewal_delay_ms(&member, now_ms);
+		EXPECT_GT(delay_ms, 0u);
+		EXPECT_LE(delay_ms, i ? 600u : 125u);
+		now_ms += delay_ms;
+		EXPECT_EQ(0u, ql_member_renewal_delay_ms(&member, now_ms));
+		ASSERT_EQ(other, ql_member_next_registrar(&member, now_ms));
+		begin(other, now_ms);
+		EXPECT_EQ(-1, ql_member_next_registrar(&member, now_ms));
+		EXPECT_NE(0u, ql_member_renewal_delay_ms(&member, now_ms));
+		ASSERT_EQ(0, ql_member_handle_lease_reply(&member, other, &res,
+							  now_ms, nullptr));
+	}
+	ql_member_lease_failed(&member, silent, now_ms);
+	EXPECT_FALSE(member.links[silent].in_flight);
+}
+
+/* The reply of a slow registrar may be older than what another one has sent. */
+TEST_F(Member, KeepsItsVersionWhenAnOlderReplyArrivesLate)
+{
+	const std::string patch = "{\"attempts\":6}";
+	ql_rpc_lease_res late = make_reply(1), newer = make_reply(2);
+	ql_rpc_change change = {};
+
+	begin(0, 1000);
+	begin(1, 1001);
+	newer.config_version = 7;
+	newer.whole_document = TRUE;
+	newer.document.document_val = (char *)DOCUMENT;
+	newer.document.document_len = sizeof(DOCUMENT) - 1;
+	ASSERT_EQ(0, ql_member_handle_lease_reply(&member, 1, &newer, 1002,
+						  nullptr));
+	change.base_version = 1;
+	change.config_version = 2;
+	change.patch.patch_val = (char *)patch.c_str();
+	change.patch.patch_len = (u_int)patch.size();
+	late.config_version = 2;
+	late.changes.changes_val = &change;
+	late.changes.changes_len = 1;
+	ASSERT_EQ(0, ql_member_handle_lease_reply(&member, 0, &late, 1900,
+						  nullptr));
+	EXPECT_EQ(7u, member.config.doc->version);
+	EXPECT_EQ(7u, callbacks.version);
+	EXPECT_FALSE(member.want_whole_document);
+}
+
+/* The other registrar's reply must not cover up the conflict. */
+TEST_F(Member, RenewsAtOnceWhereAConflictIs)
+{
+	ql_rpc_lease_res conflict = make_reply(1), fine = make_reply(2);
+	ql_rpc_lease_args args = {};
+
+	begin(0, 1000);
+	begin(1, 1000);
+	conflict.conflict = TRUE;
+	conflict.epoch = 5;
+	ASSERT_EQ(0, ql_member_handle_lease_reply(&member, 0, &conflict, 1001,
+						  nullptr));
+	ASSERT_EQ(0, ql_member_handle_lease_reply(&member, 1, &fine, 1002,
+						  nullptr));
+	EXPECT_EQ(0u, ql_member_renewal_delay_ms(&member, 1002));
+	EXPECT_EQ(0, ql_member_next_registrar(&member, 1002));
+	ql_member_fill_lease(&member, 0, &args);
+	EXPECT_EQ(6u, args.epoch);
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
+}
+
+/* The reports of a stop must not wait for one another. */
+TEST_F(Member, TellsEveryRegistrarAtOnceThatItLeaves)
+{
+	std::vector<int> told;
+
+	ql_member_add_registrar(&member, "10.0.0.1:7620");
+	ql_member_add_registrar(&member, "10.0.0.2:7620");
+	ql_member_lease_failed(&member, 2, 1000);
+	begin(0, 1000);
+	ql_member_leave(&member);
+	while (!ql_member_renewal_delay_ms(&member, 1000)) {
+		told.push_back(ql_member_next_registrar(&member, 1000));
+		ASSERT_GE(told.back(), 0);
+		begin(told.back(), 1000);
+	}
+	EXPECT_EQ((std::vector<int>{1, 2, 3}), told);
+	ql_member_lease_failed(&member, 0, 1001);
+	EXPECT_EQ(0u, ql_member_renewal_delay_ms(&member, 1001));
+	EXPECT_EQ(0, ql_member_next_registrar(&member, 1001));
+}
+
+/* What a call to the earlier registrar ends with says nothing about the new. */
+TEST_F(Member, IgnoresTheReplyOfAReplacedRegistrar)
+{
+	ql_rpc_lease_res res = make_reply(9);
+
+	for (int i = 0; i < QL_REGISTRARS_MAX; i++)
+		ql_member_add_registrar(
+			&member,
+			("10.0.1." + std::to_string(i) + ":7620").c_str());
+	for (int i = 0; i < 10; i++)
+		ql_member_lease_failed(&member, 3, 1000);
+	begin(3, 1000);
+	ql_member_add_registrar(&member, "10.0.2.1:7620");
+	ASSERT_STREQ("10.0.2.1:7620", member.opts.registrars[3]);
+	EXPECT_TRUE(member.links[3].in_flight);
+	EXPECT_EQ(0, ql_member_handle_lease_reply(&member, 3, &res, 1100,
+						  nullptr));
+	EXPECT_EQ(0u, member.links[3].incarnation);
+	EXPECT_FALSE(member.links[3].in_flight);
+	begin(3, 1200);
+	EXPECT_EQ(0, ql_member_handle_lease_reply(&member, 3, &res, 1201,
+						  nullptr));
+	EXPECT_EQ(9u, member.links[3].incarnation);
+}
+
 class MemberWithdrawal : public Member
 {
       protected:
@@ -406,6 +540,48 @@
 	EXPECT_EQ(1, callbacks.agreements);
 }
 
+/* An endpoint that drains is told within 0.8 s that its withdrawal is kept. */
+TEST_F(MemberWithdrawal, IsAgreedWhileOneRegistrarIsSilent)
+{
+	constexpr uint64_t WITHDRAWN_MS = NOW_MS + 100;
+	uint64_t now_ms = WITHDRAWN_MS;
+	uint32_t delay_ms;
+	int index;
+
+	renew(0);
+	renew(1);
+	begin(0, WITHDRAWN_MS);
+	withdraw("i-1", 100);
+	while (!ql_member_is_withdrawal_agreed(&member)) {
+		ql_rpc_lease_res res = make_reply(2);
+
+		delay_ms = ql_member_renewal_delay_ms(&member, now_ms);
+		now_ms += delay_ms;
+		ASSERT_LE(now_ms, WITHDRAWN_MS + 800);
+		if (delay_ms)
+			continue;
+		index = ql_member_next_registrar(&member, now_ms);
+		ASSERT_EQ(1, index);
+		begin(index, now_ms);
+		ASSERT_EQ(0, ql_member_handle_lease_reply(&member, index, &res,
+							  now_ms, nullptr));
+	}
+}
+
+/*
+ * A registrar that has not answered since the start may know a withdrawal of an
+ * earlier run.
+ */
+TEST_F(MemberWithdrawal, WaitsForARegistrarThatHasNotAnsweredYet)
+{
+	begin(1, NOW_MS);
+	renew(0);
+	begin(0, NOW_MS + 900);
+	EXPECT_FALSE(ql_member_is_withdrawal_agreed(&member));
+	ql_member_lease_failed(&member, 1, NOW_MS + 1000);
+	EXPECT_TRUE(ql_member_is_withdrawal_agreed(&member));
+}
+
 TEST_F(MemberWithdrawal, IsNotAgreedWithoutRegistrars)
 {
 	ql_member_lease_failed(&member, 0, NOW_MS);
--- a/tests/control/membership_simulation.cc
+++ b/tests/control/membership_simulation.cc
@@ -223,14 +223,13 @@
 {
 	SimulatedNode &node = *nodes[index];
 	uint64_t generation = node.generation;
-	int slot;
 
 	if (!node.is_running || node.is_leaving)
 		return;
 	node.is_leaving = true;
 	node.stopped_ms = now_ms;
-	for (slot = 0; slot < n_registrars; slot++)
-		send_lease(node, slot);
+	ql_member_leave(&node.member);
+	renew(index, generation);
 	schedule(now_ms + 1500, [this, index, generation] {
 		if (nodes[index]->generation == generation)
 			stop_node(*nodes[index]);
@@ -269,22 +268,33 @@
 	renew(index, node.generation);
 }
 
+/* Sends the renewals that are due and wakes up for the next one. */
 void MembershipSimulation::renew(int index, uint64_t generation)
 {
 	SimulatedNode &node = *nodes[index];
-	int slot;
+	uint32_t delay_ms;
+	uint64_t turn;
 
 	if (node.generation != generation || !node.is_running)
 		return;
-	slot = ql_member_next_registrar(&node.member, now_ms);
-	if (slot >= 0)
-		send_lease(node, slot);
-	else
-		schedule(now_ms + ql_member_renewal_delay_ms(&node.member,
-							     now_ms),
-			 [this, index, generation] {
-				 renew(index, generation);
-			 });
+	turn = ++node.turn;
+	while (!(delay_ms = ql_member_renewal_delay_ms(&node.member, now_ms)))
+		send_lease(node,
+			   ql_member_next_registrar(&node.member, now_ms));
+	schedule(now_ms + delay_ms, [this, index, generation, turn] {
+		if (nodes[index]->turn == turn)
+			renew(index, generation);
+	});
+}
+
+void MembershipSimulation::fail_lease(int index, uint64_t generation, int slot)
+{
+	SimulatedNode &caller = *nodes[index];
+
+	if (caller.generation != generation)
+		return;
+	ql_member_lease_failed(&caller.member, slot, now_ms);
+	renew(index, generation);
 }
 
 void MembershipSimulation::send_lease(SimulatedNode &node, int slot)
@@ -310,23 +320,16 @@
 	args->endpoints.endpoints_len = 1;
 	args->endpoints.endpoints_val = endpoint;
 	args->leaving = node.is_leaving;
+	ql_member_begin_renewal(&node.member, slot, now_ms);
 	ql_member_fill_lease(&node.member, slot, args.get());
 	renewals++;
 	renewals_per_100_ms[now_ms / 100]++;
-	schedule(now_ms + CALL_TIMEOUT_MS, [this, index, generation, slot,
-					    is_done] {
-		SimulatedNode &caller = *nodes[index];
-
-		if (*is_done || caller.generation != generation)
-			return;
-		*is_done = true;
-		ql_member_lease_failed(&caller.member, slot, now_ms);
-		schedule(now_ms + ql_member_renewal_delay_ms(&caller.member,
-							     now_ms),
-			 [this, index, generation] {
-				 renew(index, generation);
-			 });
-	});
+	schedule(now_ms + CALL_TIMEOUT_MS,
+		 [this, index, generation, slot, is_done] {
+			 if (!*is_done)
+				 fail_lease(index, generation, slot);
+			 *is_done = true;
+		 });
 	if (node.is_cut)
 		return;
 	send([this, index, generation, slot, target, args, is_done] {
@@ -334,7 +337,7 @@
 		auto res = make_message<ql_rpc_lease_res>(
 			(xdrproc_t)xdr_ql_rpc_lease_res);
 
-		if (!registrar.is_running)
+		if (!registrar.is_running || frozen_registrars.count(target))
 			return;
 		ql_registrar_handle_lease(&registrar.registrar, args.get(),
 					  res.get(), now_ms);
@@ -349,11 +352,7 @@
 						     res.get(), now_ms,
 						     nullptr);
 			send_offer(caller);
-			schedule(now_ms + ql_member_renewal_delay_ms(
-						  &caller.member, now_ms),
-				 [this, index, generation] {
-					 renew(index, generation);
-				 });
+			renew(index, generation);
 		});
 	});
 }
@@ -429,6 +428,12 @@
 
 	if (registrar.generation != generation || !registrar.is_running)
 		return;
+	if (frozen_registrars.count(index)) {
+		schedule(now_ms + 100, [this, index, generation] {
+			tick(index, generation);
+		});
+		return;
+	}
 	ql_registrar_tick(&registrar.registrar, now_ms);
 	if (now_ms % 500 < 100 && is_reachable(registrar.domain, 0)) {
 		ql_registrar_record_replica_answer(&registrar.registrar,
--- a/tests/control/membership_simulation.h
+++ b/tests/control/membership_simulation.h
@@ -34,9 +34,10 @@
 /*
  * A node with one endpoint and its member. is_cut separates it from all
  * registrars. generation rises at each start and stop, so that events of an
- * earlier run are ignored. endpoints has the incarnation of each endpoint that
- * the member has reported, by service and gate. withdrawal is the latest one
- * that the member has learnt in this run, agreements how often it was agreed.
+ * earlier run are ignored; so are wake-ups of an earlier turn. endpoints has
+ * the incarnation of each endpoint that the member has reported, by service and
+ * gate. withdrawal is the latest one that the member has learnt in this run,
+ * agreements how often it was agreed.
  */
 struct SimulatedNode {
 	MembershipSimulation *simulation;
@@ -47,6 +48,7 @@
 	bool is_cut = false;
 	uint64_t incarnation = 0;
 	uint64_t generation = 0;
+	uint64_t turn = 0;
 	uint64_t stopped_ms = 0;
 	std::string gate, service;
 	ql_member_t member;
@@ -97,6 +99,8 @@
 	uint64_t now_ms = 1000000;
 	MessageFaults faults;
 	std::set<int> cut_domains;
+	/* Registrars that run, but neither answer nodes nor get anything. */
+	std::set<int> frozen_registrars;
 	std::vector<std::unique_ptr<SimulatedNode>> nodes;
 	std::vector<std::unique_ptr<SimulatedRegistrar>> registrars;
 	/* The committed configuration, in domain 0. */
@@ -125,6 +129,7 @@
 	void send(std::function<void()> action);
 	void renew(int index, uint64_t generation);
 	void send_lease(SimulatedNode &node, int registrar);
+	void fail_lease(int index, uint64_t generation, int registrar);
 	void send_offer(SimulatedNode &node);
 	void tick(int index, uint64_t generation);
 	void exchange(int index, uint64_t generation);
