Follow the services that requests lead to

What callers saw: with a document of 65 services, nodes of the role `node` answered each request with 503, reason no-endpoint, for good.

Cause: a node follows all services of a document in advance up to QL_PREFETCH_SERVICES_MAX, 64; of a larger one it follows those that it is asked for. Only the other role asked: the event loop of the call path never called ql_lease_service_follow_service(). A document that grew beyond the limit also dropped services in use, as a service that was followed in advance was not noted when it was asked for.

Change: the front end asks for a service when it is first called, and at most once a second when it is called while no endpoint of it is known. Until endpoints arrive the answer is 503 with Retry-After, as before. Services of splits are asked for as they are chosen. The member notes each service that is asked for, up to QL_RPC_INTEREST_MAX, and renews at once only for one that it doesn't follow yet.

Evidence: Front.AsksForTheEndpointsOfACalledService and Member.FollowsCalledServicesOfALargeDocument failed with the code before.

--- a/src/control/member_interest.c
+++ b/src/control/member_interest.c
@@ -102,8 +102,9 @@
 
 bool ql_member_follow_service(ql_member_t *member, const char *service)
 {
-	if (g_hash_table_contains(member->interest, service) ||
-	    g_hash_table_size(member->demanded) >= QL_RPC_INTEREST_MAX)
+	/* One that is prefetched today may not be with the next document. */
+	if (g_hash_table_size(member->demanded) >= QL_RPC_INTEREST_MAX ||
+	    !g_hash_table_add(member->demanded, g_strdup(service)))
 		return false;
-	return g_hash_table_add(member->demanded, g_strdup(service));
+	return !g_hash_table_contains(member->interest, service);
 }
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -103,6 +103,13 @@
 	ql_lease_service_observe_version(&node->control.lease, version);
 }
 
+static void on_service_wanted(void *data, const char *service)
+{
+	ql_path_node_t *node = data;
+
+	ql_lease_service_follow_service(&node->control.lease, service);
+}
+
 /* Runs on the loop: updates the announced state and renews the lease. */
 static void on_endpoint_changed(void *data)
 {
@@ -218,6 +225,8 @@
 		.local = &node->gate,
 		.hops = &node->hops,
 		.counters = &node->context.counters,
+		.service_wanted = on_service_wanted,
+		.data = node,
 	};
 	int ret = ql_address_parse(&gate.address, settings->endpoint.address,
 				   error);
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -29,6 +29,10 @@
  * @local: gate of this node; borrowed
  * @hops: connections to other gates; borrowed
  * @counters: metrics to update; borrowed
+ * @service_wanted: called on the loop when a service is called for the first
+ *                  time, and at most once a second when it is called and no
+ *                  endpoint of it is known; may be NULL
+ * @data: passed to @service_wanted
  */
 typedef struct ql_front_opts {
 	const ql_dialect_t *dialect;
@@ -39,16 +43,21 @@
 	ql_local_gate_t *local;
 	ql_hops_t *hops;
 	ql_counters_t *counters;
+	void (*service_wanted)(void *data, const char *service);
+	void *data;
 } ql_front_opts_t;
 
 /**
  * struct ql_front_service - A service that requests are forwarded to.
  * @balancer: endpoints of the service
  * @budget: retry budget
+ * @next_wanted_us: when @service_wanted may be called again; 0 before the
+ *                  first time
  */
 typedef struct ql_front_service {
 	ql_balancer_t balancer;
 	ql_retry_budget_t budget;
+	uint64_t next_wanted_us;
 } ql_front_service_t;
 
 /**
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -6,6 +6,8 @@
 
 /* Retries of one request after attempts that reached no endpoint. */
 #define REROUTES_MAX 3u
+/* Shortest time between two requests for the endpoints of a service. */
+#define WANTED_INTERVAL_US (1000 * QL_US_PER_MS)
 /*
  * A response body up to this size is buffered until it is complete, so that the
  * request can still be retried if the response breaks off.
@@ -343,6 +345,23 @@
 		call->attempt = attempt;
 }
 
+/*
+ * Asks for the endpoints of the service. A node follows only some services of a
+ * large document before they are called.
+ */
+static void want_service(ql_front_call_t *call)
+{
+	const ql_front_opts_t *opts = &call->front->opts;
+	ql_front_service_t *service = call->service;
+	uint64_t now_us = ql_front__now_us(call);
+
+	if (!opts->service_wanted || now_us < service->next_wanted_us ||
+	    (service->next_wanted_us && service->balancer.endpoints.count))
+		return;
+	service->next_wanted_us = now_us + WANTED_INTERVAL_US;
+	opts->service_wanted(opts->data, call->downstream.service);
+}
+
 void ql_front__start_attempt(ql_front_call_t *call)
 {
 	ql_balancer_t *balancer = &call->service->balancer;
@@ -359,6 +378,7 @@
 	const ql_endpoint_t *endpoint;
 	ql_handle_t handle;
 
+	want_service(call);
 	handle = ql_balancer_pick(balancer, &pick, ql_front__now_us(call));
 	if (handle == QL_HANDLE_NONE) {
 		ql_front__fail(call, QL_REASON_NO_ENDPOINT);
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -5,6 +5,7 @@
 
 #include <cstring>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -159,6 +160,33 @@
 
 const char GATE[] = "127.0.0.1:1";
 
+/* A document may grow beyond the services that are followed in advance. */
+TEST_F(Member, FollowsCalledServicesOfALargeDocument)
+{
+	std::string services = "\"a\":{}", document = DOCUMENT;
+	ql_rpc_lease_args args = {};
+	ql_rpc_lease_res res = make_reply(1);
+	std::set<std::string> followed;
+
+	for (int i = 0; i < QL_PREFETCH_SERVICES_MAX; i++)
+		services += ",\"s" + std::to_string(i) + "\":{}";
+	document.replace(document.find("\"a\":{}"), 6, services);
+	res.config_version = 2;
+	res.whole_document = TRUE;
+	res.document.document_val = document.data();
+	res.document.document_len = (u_int)document.size();
+	EXPECT_FALSE(ql_member_follow_service(&member, "a"));
+	ASSERT_EQ(0,
+		  ql_member_handle_lease_reply(&member, 0, &res, 0, nullptr));
+	EXPECT_TRUE(ql_member_follow_service(&member, "s7"));
+	EXPECT_FALSE(ql_member_follow_service(&member, "s7"));
+	ql_member_fill_lease(&member, 0, &args);
+	for (u_int i = 0; i < args.interest.interest_len; i++)
+		followed.insert(args.interest.interest_val[i].service);
+	EXPECT_EQ((std::set<std::string>{"a", "s7"}), followed);
+	xdr_free((xdrproc_t)xdr_ql_rpc_lease_args, &args);
+}
+
 /* Both registrars send the same change number, which is not comparable. */
 TEST_F(Member, RemovesEndpointThatOtherRegistrarDoesNotList)
 {
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -68,6 +68,47 @@
 			<< line;
 }
 
+/* A node follows the services of a large document only once they are called. */
+TEST_F(Front, AsksForTheEndpointsOfACalledService)
+{
+	set_document(
+		"{\"one\":{\"path\":\"/one/\",\"service\":\"b\",\"class\":"
+		"\"low\",\"idempotent\":true,\"deadline_ms\":60000},"
+		"\"split\":{\"path\":\"/split/\",\"split\":{\"b\":1},"
+		"\"class\":\"low\",\"idempotent\":false,"
+		"\"deadline_ms\":60000},"
+		"\"here\":{\"path\":\"/here/\",\"service\":\"a\",\"class\":"
+		"\"low\",\"idempotent\":true,\"deadline_ms\":60000}}");
+	for (const char *path : {"/split/", "/one/", "/one/"}) {
+		SCOPED_TRACE(path);
+		RawSocket client = connect_client();
+
+		client.send(request(path, path));
+		ASSERT_TRUE(event_loop.run_until(
+			[&] { return client.has("\r\n\r\n"); }));
+		EXPECT_NE(std::string::npos,
+			  client.received.find("HTTP/1.1 503"));
+		EXPECT_NE(std::string::npos,
+			  client.received.find("Retry-After: "));
+	}
+	EXPECT_EQ(std::vector<std::string>{"b"}, wanted_services);
+	add_far_endpoint();
+	ql_front_find_service(&front, "b")->next_wanted_us = 1;
+	RawSocket client = connect_client();
+
+	client.send(request("/one/", "served"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	EXPECT_EQ(1u, wanted_services.size());
+	/* Each service is asked for, so that it stays followed. */
+	RawSocket next = connect_client();
+
+	next.send(request("/here/", "here"));
+	server = accept_connection();
+	EXPECT_EQ((std::vector<std::string>{"b", "a"}), wanted_services);
+}
+
 struct ResponseCase {
 	const char *name;
 	const char *path;
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -5,6 +5,8 @@
 #include "path/front.h"
 
 #include <memory>
+#include <string>
+#include <vector>
 
 /* A dialect with the members that the call path uses. */
 inline const ql_dialect_t *test_dialect()
@@ -50,6 +52,7 @@
 	ql_listener_t listener;
 	ql_counters_t counters = {};
 	int n_state_changes = 0;
+	std::vector<std::string> wanted_services;
 
 	void SetUp() override
 	{
@@ -84,6 +87,12 @@
 		front_opts.local = &gate;
 		front_opts.hops = &hops;
 		front_opts.counters = &counters;
+		front_opts.service_wanted = [](void *data,
+					       const char *service) {
+			static_cast<PathFixture *>(data)
+				->wanted_services.push_back(service);
+		};
+		front_opts.data = this;
 		ql_front_init(&front, &event_loop.loop, &front_opts);
 		opts.address = loopback(0);
 		opts.head_limit_bytes = 16384;
