Refuse negative filters of the timeline

Now cli_test passes whole (31 tests). The scripts of tests/cli were not run.

Conclusion: a wrong filter is told at once.

--- a/src/cli/timeline_command.c
+++ b/src/cli/timeline_command.c
@@ -66,12 +66,28 @@
 	ql_arguments_add(arguments, args->svg);
 }
 
+/* Checks a number that the arguments may leave out. */
+static int check_number(const struct arg_int *argument, const char *name,
+			GError **error)
+{
+	if (!argument->count || argument->ival[0] >= 0)
+		return 0;
+	return ql_error_set(error, QL_E_RANGE,
+			    "%s: found %d, allowed 0 or more", name,
+			    argument->ival[0]);
+}
+
 static int parse_filter(ql_timeline_filter_t *filter,
 			const timeline_arguments_t *args, GError **error)
 {
-	uint64_t ago_ms;
+	uint64_t now_ms = ql_clock_wall_ms();
+	int ret = check_number(args->version, "--version", error);
 
 	*filter = (ql_timeline_filter_t){0};
+	if (!ret)
+		ret = check_number(args->last_s, "--last", error);
+	if (ret)
+		return ret;
 	if (args->request->count &&
 	    ql_hex64_parse(&filter->request, args->request->sval[0]))
 		return ql_error_set(error, QL_E_INVALID,
@@ -87,11 +103,11 @@
 	filter->has_version = args->version->count > 0;
 	if (filter->has_version)
 		filter->version = (uint64_t)args->version->ival[0];
-	if (args->last_s->count && args->last_s->ival[0] >= 0) {
-		ago_ms = (uint64_t)args->last_s->ival[0] * MS_PER_S;
-		filter->since = (ql_clock_wall_ms() - ago_ms)
+	if (args->last_s->count)
+		filter->since = (now_ms -
+				 MIN((uint64_t)args->last_s->ival[0] * MS_PER_S,
+				     now_ms))
 				<< CLOCK_COUNTER_BITS;
-	}
 	return 0;
 }
 
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -190,6 +190,41 @@
 	 Commands::change},
 };
 
+/* Without the refusal the filter would be left out, or match nothing. */
+TEST_F(Commands, RefuseNegativeFiltersOfTheTimeline)
+{
+	const struct {
+		std::string option;
+		std::string value;
+		int status;
+	} cases[] = {
+		{"--version", "0", EX_OK},
+		{"--version", "-1", EX_USAGE},
+		{"--version", "-2147483648", EX_USAGE},
+		{"--last", "0", EX_OK},
+		{"--last", "2147483647", EX_OK},
+		{"--last", "-1", EX_USAGE},
+		{"--last", "-2147483648", EX_USAGE},
+	};
+
+	ql_timeline_event_t event = {};
+
+	event.event = QL_EVENT_GATE_ADMITTED;
+	ql_timeline_record(&timeline, &event);
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.option + " " + c.value);
+		EXPECT_EQ(c.status,
+			  run(ql_command_timeline, {"-s", ADDRESS, "-c", "town",
+						    c.option + "=" + c.value}));
+		if (c.value == "2147483647") {
+			EXPECT_NE(std::string::npos, out.find("n1")) << out;
+		}
+		if (c.status) {
+			EXPECT_NE(std::string::npos, err.find(c.option)) << err;
+		}
+	}
+}
+
 TEST_F(Commands, ShowReplicasAndTheirMembers)
 {
 	EXPECT_EQ(QL_EXIT_PARTIAL,
