--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -33,10 +33,13 @@
 	replica->synced_commit = replica->state.commit;
 	replica->writing_commit = replica->state.commit;
 	replica->synced_identity = replica->state.identity != 0;
-	if (!replica->synced_identity) {
+	if (!replica->synced_identity)
 		replica->state.identity = identity;
-		ql_replica__require_write(replica);
-	}
+	/*
+	 * What was loaded may not be synced when the process before was killed,
+	 * so nothing is answered before a write that syncs it.
+	 */
+	ql_replica__require_write(replica);
 }
 
 static void start_election_timer(ql_replica_t *replica, uint32_t min_ticks)
--- a/src/store/journal.c
+++ b/src/store/journal.c
@@ -119,7 +119,6 @@
 static void skip_torn_tail(ql_journal_t *journal, const segment_t *segment)
 {
 	journal->bytes_cut += segment->bytes->len - segment->position.offset;
-	journal->needs_repair = true;
 }
 
 /* Loads the next frame of a segment; sets @end if there is none. */
@@ -183,7 +182,6 @@
 	return left < right ? -1 : left > right;
 }
 
-/* Lists the segments, and notes the new snapshot of an interrupted write. */
 static int list_segments(ql_journal_t *journal, GArray *numbers, GError **error)
 {
 	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
@@ -194,14 +192,17 @@
 	for (i = 0; !ret && i < names->len; i++) {
 		const char *name = names->pdata[i];
 
-		if (!strcmp(name, SNAPSHOT_NEW_NAME))
-			journal->needs_repair = true;
 		if (!g_str_has_prefix(name, SEGMENT_PREFIX))
 			continue;
 		number = g_ascii_strtoull(name + strlen(SEGMENT_PREFIX), NULL,
 					  16);
 		g_array_append_val(numbers, number);
 	}
+	/*
+	 * The process before may have ended within a write or a repair, of
+	 * which a loss of power could still undo what was not synced.
+	 */
+	journal->needs_repair = names->len > 0;
 	g_array_sort(numbers, compare_numbers);
 	g_ptr_array_unref(names);
 	return ret;
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -76,8 +76,9 @@
  * @bytes_cut: length in bytes of the torn write that ql_journal_open() skipped
  * @needs_new_segment: the log does not reach the entry of the snapshot, so the
  *                     next write has to start a new segment
- * @needs_repair: the disk may hold a part of a write that did not end, which
- *                the next write removes first
+ * @needs_repair: the disk may hold a part of a write that did not end, or
+ *                changes that are not synced; the next write first removes the
+ *                one and syncs the other
  */
 typedef struct ql_journal {
 	ql_disk_t disk;
--- a/tests/store/fake_disk.cc
+++ b/tests/store/fake_disk.cc
@@ -104,6 +104,8 @@
 		return missing(name, error);
 	if (!self(data)->skip_sync)
 		file->synced = file->content;
+	if (!self(data)->skip_sync && self(data)->sync_covers_creation)
+		self(data)->synced_files[name] = self(data)->files[name];
 	return 0;
 }
 
--- a/tests/store/fake_disk.h
+++ b/tests/store/fake_disk.h
@@ -45,6 +45,8 @@
 	bool is_full = false;
 	/* Whether sync operations succeed without any effect. */
 	bool skip_sync = false;
+	/* Whether the sync of a file covers its creation too. */
+	bool sync_covers_creation = false;
 	unsigned int n_calls = 0;
 	uint64_t bytes_read = 0;
 };
--- a/tests/store/journal_test.cc
+++ b/tests/store/journal_test.cc
@@ -308,6 +308,79 @@
 	}
 }
 
+/* How a process is killed: in a write, or in the repair of a failed write. */
+struct Kill {
+	unsigned int calls;
+	unsigned int repair_calls;
+	bool repairs;
+};
+
+/*
+ * Runs a script of steps up to a kill, which leaves the files as they are;
+ * returns the number of steps done.
+ */
+size_t run_until_kill(FakeDisk *fake, const Kill &kill)
+{
+	ql_disk_t disk = fake->disk();
+	ql_journal_t journal;
+	size_t step = 0;
+
+	if (ql_journal_open(&journal, &disk, nullptr))
+		return 0;
+	fake->calls_until_failure = kill.calls;
+	while (step + 1 < CONTENTS_AFTER_STEP.size() &&
+	       !run_step(&journal, step + 1))
+		step++;
+	fake->calls_until_failure = kill.repair_calls;
+	if (kill.repairs && step + 1 < CONTENTS_AFTER_STEP.size() &&
+	    !run_step(&journal, step + 1))
+		step++;
+	ql_journal_finish(&journal);
+	fake->calls_until_failure = FakeDisk::NEVER;
+	return step;
+}
+
+void expect_kept_after_kill(FakeDisk *fake, const Kill &kill,
+			    unsigned int choice)
+{
+	size_t done = run_until_kill(fake, kill);
+	Log log = reopen_contents(fake);
+
+	ASSERT_TRUE(is_step_atomic(log, done)) << done;
+	append_one(fake, "next");
+	log.push_back("next");
+	fake->crash(choice);
+	ASSERT_EQ(log, reopen_contents(fake));
+}
+
+/*
+ * Guards against a confirmed write that is lost, or a journal that can't be
+ * opened, when a process is killed in a write or its repair, writes again after
+ * its restart, and then loses power.
+ */
+TEST(Journal, KeepsConfirmedWritesAfterAKillAndALossOfPower)
+{
+	for (unsigned int at = 0; at < 60 * 8 * 2; at++) {
+		const Kill kill = {at % 60, at / 60 % 8, at / 480 == 1};
+
+		for (unsigned int choice = 0; choice < 64; choice++) {
+			SCOPED_TRACE("calls " + std::to_string(kill.calls) +
+				     " repair " +
+				     std::to_string(kill.repair_calls) +
+				     (kill.repairs ? " repairs" : "") +
+				     " choice " + std::to_string(choice));
+			for (bool covers : {false, true}) {
+				FakeDisk fake;
+
+				fake.sync_covers_creation = covers;
+				expect_kept_after_kill(&fake, kill, choice);
+				if (HasFatalFailure())
+					return;
+			}
+		}
+	}
+}
+
 /* Guards against a replica that cannot start while its disk is full. */
 TEST(Journal, OpensAFullDisk)
 {
