--- a/src/control/replica_disk.c
+++ b/src/control/replica_disk.c
@@ -112,7 +112,8 @@
 	if (replica->applied >=
 	    replica->snapshot.index + replica->opts.snapshot_entries)
 		return true;
-	if (!limit_bytes)
+	/* A snapshot that was received is newer than what is applied. */
+	if (!limit_bytes || replica->applied <= replica->snapshot.index)
 		return false;
 	if (replica->snapshot.data)
 		limit_bytes = MAX(limit_bytes,
