Call a spare registrar only in place of one that is silent

Cause: while both preferred registrars had a renewal in flight, each renewal that was due at once, as at a start or a withdrawal, went to a spare, up to one at every registrar. A spare may know fewer endpoints, and so did the node then.

A spare is now called only when a preferred registrar is in backoff or overdue with its answer.

--- a/include/quetzalloft/member.h
+++ b/include/quetzalloft/member.h
@@ -269,8 +269,9 @@
  * spare until its backoff has ended, and one that is overdue with its answer
  * until it answers. A registrar that has to be told of something goes first.
  *
- * Return: index of a registrar without a renewal in flight, or -1 when all
- * others are in backoff.
+ * Return: index of a registrar without a renewal in flight, or -1 when
+ * QL_REGISTRARS_ACTIVE are waited for and none is overdue, or all others are in
+ * backoff.
  */
 int ql_member_next_registrar(ql_member_t *member, uint64_t now_ms);
 
@@ -335,8 +336,8 @@
  *
  * The time is no longer valid after a reply or a failure.
  *
- * Return: milliseconds, or until the first backoff ends when every registrar is
- * in backoff or has a renewal in flight; 0 only when
+ * Return: milliseconds, or until the first backoff ends, or the first answer is
+ * overdue, when no registrar is free for a renewal; 0 only when
  * ql_member_next_registrar() has a registrar for it.
  */
 uint32_t ql_member_renewal_delay_ms(const ql_member_t *member, uint64_t now_ms);
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -94,7 +94,8 @@
 
 /*
  * Finds the registrars for the next renewal: those of the preferred ones
- * without a renewal in flight, or else a spare. Returns their number.
+ * without a renewal in flight. A spare is called only in place of one that is
+ * in backoff or overdue, as it may know less. Returns their number.
  */
 static size_t find_free(const ql_member_t *member, uint64_t now_ms,
 			int free_indexes[QL_REGISTRARS_ACTIVE])
@@ -112,7 +113,7 @@
 		n_active++;
 		if (!link->in_flight)
 			free_indexes[n_free++] = index;
-		if (n_active >= QL_REGISTRARS_ACTIVE && n_free)
+		if (n_active >= QL_REGISTRARS_ACTIVE)
 			break;
 	}
 	return n_free;
@@ -479,22 +480,25 @@
 }
 
 /*
- * Returns the time until the backoff of a registrar without a renewal in flight
- * has ended; at most the mean renewal interval if there is none.
+ * Returns the time until the backoff of a registrar has ended, or the answer of
+ * one is overdue; at most the mean renewal interval.
  */
-static uint32_t backoff_remaining_ms(const ql_member_t *member, uint64_t now_ms)
+static uint32_t free_after_ms(const ql_member_t *member, uint64_t now_ms)
 {
-	uint64_t earliest_ms = UINT64_MAX;
+	uint64_t earliest_ms = now_ms + member->opts.renew_ms;
 	const ql_member_link_t *link;
+	uint64_t at_ms;
 	size_t i;
 
 	for (i = 0; i < member->opts.n_registrars; i++) {
 		link = &member->links[i];
-		if (!link->in_flight)
-			earliest_ms = MIN(earliest_ms, link->retry_ms);
+		at_ms = link->in_flight
+				? link->called_ms + overdue_after_ms(member)
+				: link->retry_ms;
+		if (at_ms > now_ms)
+			earliest_ms = MIN(earliest_ms, at_ms);
 	}
-	return earliest_ms == UINT64_MAX ? member->opts.renew_ms
-					 : (uint32_t)(earliest_ms - now_ms);
+	return (uint32_t)(earliest_ms - now_ms);
 }
 
 uint32_t ql_member_renewal_delay_ms(const ql_member_t *member, uint64_t now_ms)
@@ -506,7 +510,7 @@
 	if (find_urgent(member, free_indexes, n_free) >= 0)
 		return 0;
 	if (!n_free)
-		return backoff_remaining_ms(member, now_ms);
+		return free_after_ms(member, now_ms);
 	/* A registrar that falls silent is not waited for. */
 	if (!ql_member_is_withdrawal_agreed(member))
 		due_ms = MIN(due_ms, now_ms + overdue_after_ms(member));
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -499,6 +499,27 @@
 	EXPECT_FALSE(member.links[silent].in_flight);
 }
 
+/*
+ * Guards against nodes that take a view of the endpoints from spare registrars,
+ * which may know less, as long as the active ones answer in time.
+ */
+TEST_F(Member, CallsNoSpareWhileTheActiveRegistrarsMayAnswer)
+{
+	const uint64_t now_ms = 1000;
+	uint32_t delay_ms;
+
+	ql_member_add_registrar(&member, "127.0.0.1:8");
+	ql_member_add_registrar(&member, "127.0.0.1:9");
+	ql_member_track_withdrawals(&member, "a", GATE);
+	begin(ql_member_next_registrar(&member, now_ms), now_ms);
+	begin(ql_member_next_registrar(&member, now_ms), now_ms);
+	EXPECT_EQ(-1, ql_member_next_registrar(&member, now_ms));
+	delay_ms = ql_member_renewal_delay_ms(&member, now_ms);
+	EXPECT_LT(0u, delay_ms);
+	EXPECT_GE(125u, delay_ms);
+	EXPECT_LE(0, ql_member_next_registrar(&member, now_ms + delay_ms));
+}
+
 /* The reply of a slow registrar may be older than what another one has sent. */
 TEST_F(Member, KeepsItsVersionWhenAnOlderReplyArrivesLate)
 {
