Take uploads, and tell callers apart by the API keys of teams

Behind that, nothing knew a team: keys were passed on to endpoints, and withdrawn keys ran.

Change: uploads are requests that run at most once. A document may have teams, each with API keys, a class and a quota; a key that is held twice, a name or a rate that is malformed are typed errors that name the place and never the key. The first node finds the team by its key, answers 401 to an unknown one, sets the header with the team whatever came, and passes no key on. The class of a team goes before that of the route, and calls of endpoints keep the class of their request. Documents without teams are served as before. Quotas are read and not kept yet, and a node that is cut off does not refuse keys yet.

--- a/include/quetzalloft/dialect.h
+++ b/include/quetzalloft/dialect.h
@@ -53,6 +53,9 @@
  *        the dialect has none
  * @base_version: header with the configuration version that a submitted
  *                document is based on
+ * @api_key: header with the API key of the caller; NULL if the dialect has none
+ * @team: header that tells the endpoint the team of the caller; NULL if the
+ *        dialect has none
  * @parse_parent_id: copies the ID of the parent request out of a request ID,
  *                   with a terminating NUL, to the @size bytes at @out; returns
  *                   false if there is no parent or @out is too small. NULL if
@@ -77,6 +80,8 @@
 	const char *not_run;
 	const char *seal;
 	const char *base_version;
+	const char *api_key;
+	const char *team;
 	bool (*parse_parent_id)(char *out, size_t size, const char *request_id);
 	int (*read_document)(json_t **out, uint64_t *version, const char *text,
 			     size_t length, GError **error);
--- a/include/quetzalloft/document.h
+++ b/include/quetzalloft/document.h
@@ -6,6 +6,7 @@
  * from JSON. A document is immutable and reference counted.
  */
 
+#include "quetzalloft/team.h"
 #include "quetzalloft/types.h"
 
 #include <glib.h>
@@ -98,6 +99,7 @@
  *            the allowance of the document limits them
  * @target_ms: latency target of an answer, in milliseconds; 0 if not set
  * @idempotent: whether a request may be retried after it may have run
+ * @anonymous: requests need no API key, also if the document has teams
  * @deadline_ms: time from the receipt of a client request to its deadline, in
  *               milliseconds
  */
@@ -113,6 +115,7 @@
 	uint64_t attempts;
 	uint64_t target_ms;
 	bool idempotent;
+	bool anonymous;
 	uint64_t deadline_ms;
 } ql_route_t;
 
@@ -201,6 +204,7 @@
  * @n_services: number of elements of @services
  * @routes: routes
  * @n_routes: number of elements of @routes
+ * @teams: teams; without any, callers need no API key
  * @keepers: keepers of the claims on idempotency keys
  * @limits: limits on the requests and connections of clients
  * @json: source
@@ -218,6 +222,7 @@
 	size_t n_services;
 	ql_route_t *routes;
 	size_t n_routes;
+	ql_teams_t teams;
 	ql_keepers_t keepers;
 	ql_client_limits_t limits;
 	json_t *json;
@@ -237,7 +242,8 @@
  *
  * Return: 0, QL_E_TYPE, QL_E_UNKNOWN_KEY, QL_E_MISSING_KEY, QL_E_RANGE,
  * QL_E_NOT_FOUND or QL_E_INVALID; for keepers also QL_E_EXISTS for one twice in
- * a slot and QL_E_CONFLICT for two of a slot in one failure domain.
+ * a slot and QL_E_CONFLICT for two of a slot in one failure domain, and for
+ * teams QL_E_EXISTS for an API key that is held twice.
  */
 int ql_document_compile(ql_document_t **out, json_t *json, uint64_t version,
 			GError **error);
--- a/include/quetzalloft/types.h
+++ b/include/quetzalloft/types.h
@@ -84,6 +84,13 @@
  * @QL_REASON_NO_QUORUM: no quorum of the keepers of the idempotency key could
  *                       be reached
  * @QL_REASON_ENDPOINT_REFUSED: the endpoint refused to run the request
+ * @QL_REASON_UNKNOWN_KEY: no team holds the API key of the request
+ * @QL_REASON_UNKNOWN_CALLER: the request has no API key, and the request that
+ *                            made it does not run at the local endpoint
+ * @QL_REASON_NOT_CURRENT: this node cannot prove that its API keys are current
+ * @QL_REASON_QUOTA: the quota of the team is used up
+ * @QL_REASON_QUOTA_UNKNOWN: what is left of the quota of the team could not be
+ *                           learned in time
  * @QL_N_REASONS: number of reasons
  */
 typedef enum ql_reason {
@@ -107,6 +114,11 @@
 	QL_REASON_KEY_IN_PROGRESS,
 	QL_REASON_NO_QUORUM,
 	QL_REASON_ENDPOINT_REFUSED,
+	QL_REASON_UNKNOWN_KEY,
+	QL_REASON_UNKNOWN_CALLER,
+	QL_REASON_NOT_CURRENT,
+	QL_REASON_QUOTA,
+	QL_REASON_QUOTA_UNKNOWN,
 	QL_N_REASONS,
 } ql_reason_t;
 
--- a/src/path/front_begin.c
+++ b/src/path/front_begin.c
@@ -78,7 +78,7 @@
 
 static ql_front_call_t *call_new(ql_front_t *front,
 				 ql_http_exchange_t *exchange,
-				 const ql_route_t *route)
+				 const ql_route_t *route, const ql_team_t *team)
 {
 	ql_front_call_t *call = g_new0(ql_front_call_t, 1);
 	uint16_t service;
@@ -88,6 +88,7 @@
 	call->exchange = exchange;
 	call->doc = ql_document_ref(front->doc);
 	call->route = route;
+	call->team = team;
 	index = (size_t)(route - front->doc->routes);
 	call->route_state = front->routes[index];
 	call->route_state->references++;
@@ -192,6 +193,20 @@
 	       now + (uint64_t)state->typical_latency_us >= front->end_us;
 }
 
+/* Refuses the request of an unknown caller and starts that of a known one. */
+static void start_identified(ql_front_t *front, ql_http_exchange_t *exchange,
+			     const ql_route_t *route)
+{
+	const ql_team_t *team;
+	ql_reason_t reason =
+		ql_front__identify_caller(front, exchange, route, &team);
+
+	if (reason == QL_REASON_NONE)
+		start_call(call_new(front, exchange, route, team));
+	else
+		refuse_request(front, exchange, reason, 0);
+}
+
 void ql_front_handle(void *data, ql_http_exchange_t *exchange)
 {
 	ql_front_t *front = data;
@@ -213,5 +228,5 @@
 		refuse_request(front, exchange, QL_REASON_DRAINING,
 			       DRAINING_RETRY_AFTER_MS);
 	else
-		start_call(call_new(front, exchange, route));
+		start_identified(front, exchange, route);
 }
--- /dev/null
+++ b/src/path/front_caller.c
@@ -0,0 +1,63 @@
+#include "path/front_internal.h"
+
+#include <strings.h>
+
+/* Returns the only value of a header; sets @n to the number of its values. */
+static const char *only_value(const ql_headers_t *headers, const char *name,
+			      size_t *n)
+{
+	const char *value = NULL;
+	size_t i;
+
+	*n = 0;
+	for (i = 0; i < ql_headers_count(headers); i++) {
+		if (strcasecmp(ql_headers_name(headers, i), name) != 0)
+			continue;
+		value = ql_headers_value(headers, i);
+		(*n)++;
+	}
+	return value;
+}
+
+/*
+ * A request without an API key is accepted only as a call of a request that
+ * runs at the local endpoint. After a restart of this node such a request is
+ * not known any more, so its calls are refused as not run.
+ */
+static ql_reason_t check_local_call(const ql_front_t *front,
+				    const ql_http_exchange_t *exchange)
+{
+	const ql_dialect_t *dialect = front->opts.dialect;
+	const char *id =
+		ql_headers_get(&exchange->headers, dialect->request_id);
+	char parent[QL_KEY_MAX];
+
+	if (!id || !dialect->parse_parent_id ||
+	    !dialect->parse_parent_id(parent, sizeof(parent), id))
+		return QL_REASON_UNKNOWN_KEY;
+	return ql_local_gate_find_call(front->opts.local, parent)
+		       ? QL_REASON_NONE
+		       : QL_REASON_UNKNOWN_CALLER;
+}
+
+ql_reason_t ql_front__identify_caller(const ql_front_t *front,
+				      const ql_http_exchange_t *exchange,
+				      const ql_route_t *route,
+				      const ql_team_t **team)
+{
+	const ql_teams_t *teams = &front->doc->teams;
+	const char *name = front->opts.dialect->api_key;
+	const char *key;
+	size_t n;
+
+	*team = NULL;
+	if (!teams->n_entries || route->anonymous || !name)
+		return QL_REASON_NONE;
+	key = only_value(&exchange->headers, name, &n);
+	if (n > 1)
+		return QL_REASON_BAD_REQUEST;
+	if (!n)
+		return check_local_call(front, exchange);
+	*team = ql_teams_find_key(teams, key);
+	return *team ? QL_REASON_NONE : QL_REASON_UNKNOWN_KEY;
+}
--- a/src/path/front_failure.c
+++ b/src/path/front_failure.c
@@ -16,6 +16,10 @@
 		return HTTP_STATUS_BAD_REQUEST;
 	case QL_REASON_TOO_LARGE:
 		return HTTP_STATUS_PAYLOAD_TOO_LARGE;
+	case QL_REASON_UNKNOWN_KEY:
+		return HTTP_STATUS_UNAUTHORIZED;
+	case QL_REASON_QUOTA:
+		return HTTP_STATUS_TOO_MANY_REQUESTS;
 	default:
 		return HTTP_STATUS_SERVICE_UNAVAILABLE;
 	}
@@ -52,7 +56,8 @@
 	if (id)
 		ql_headers_write(header_lines, id_name, id);
 	ql_call_write_outcome(header_lines, result->outcome, result->reason);
-	if (status == HTTP_STATUS_SERVICE_UNAVAILABLE)
+	if (status == HTTP_STATUS_SERVICE_UNAVAILABLE ||
+	    status == HTTP_STATUS_TOO_MANY_REQUESTS)
 		ql_call_write_retry_after(header_lines,
 					  retry_after_ms(front, result));
 	ql_http_exchange_write_head(exchange, status, header_lines, 0);
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -18,6 +18,7 @@
  * @exchange: the request and its response
  * @doc: document that the request is handled by
  * @route: route of the request, in @doc
+ * @team: team of the caller, in @doc; NULL if the request needs no API key
  * @route_state: state of @route, with a reference
  * @service: service that the request is forwarded to
  * @headers: headers to forward
@@ -58,6 +59,7 @@
 	ql_http_exchange_t *exchange;
 	ql_document_t *doc;
 	const ql_route_t *route;
+	const ql_team_t *team;
 	ql_front_route_t *route_state;
 	ql_front_service_t *service;
 	ql_headers_t headers;
@@ -110,6 +112,20 @@
 const ql_route_t *ql_front__find_route(const ql_front_t *front,
 				       const ql_http_exchange_t *exchange);
 
+/**
+ * ql_front__identify_caller() - Find the team of a caller by its API key.
+ * @front: the front end, with a document
+ * @exchange: the request
+ * @route: its route
+ * @team: set to the team, or NULL if the request needs no API key
+ *
+ * Return: QL_REASON_NONE, or why the request is refused.
+ */
+ql_reason_t ql_front__identify_caller(const ql_front_t *front,
+				      const ql_http_exchange_t *exchange,
+				      const ql_route_t *route,
+				      const ql_team_t **team);
+
 /**
  * ql_front__prepare() - Set the parameters of the attempts of a request.
  * @call: the request, with its route set
--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -4,24 +4,56 @@
 #include <string.h>
 #include <strings.h>
 
-/* Copies the request headers and sets the caller to the local service. */
+static bool is_header(const char *name, const char *other)
+{
+	return other && !strcasecmp(name, other);
+}
+
+/*
+ * Checks whether a header is set by this node, so that callers cannot set it,
+ * or is a secret that endpoints do not get.
+ */
+static bool is_withheld(const ql_front_call_t *call, const char *name)
+{
+	const ql_dialect_t *dialect = call->front->opts.dialect;
+
+	if (is_header(name, dialect->caller))
+		return true;
+	return call->doc->teams.n_entries &&
+	       (is_header(name, dialect->api_key) ||
+		is_header(name, dialect->team));
+}
+
+/* Copies the request headers and sets those that name the caller. */
 static void copy_headers(ql_front_call_t *call)
 {
+	const ql_dialect_t *dialect = call->front->opts.dialect;
 	const ql_headers_t *in = &call->exchange->headers;
-	const char *caller = call->front->opts.dialect->caller;
 	const char *name;
 	size_t i;
 
 	ql_headers_init(&call->headers);
 	for (i = 0; i < ql_headers_count(in); i++) {
 		name = ql_headers_name(in, i);
-		if (!caller || strcasecmp(name, caller) != 0)
+		if (!is_withheld(call, name))
 			ql_headers_add(&call->headers, name,
 				       ql_headers_value(in, i));
 	}
-	if (caller)
-		ql_headers_add(&call->headers, caller,
+	if (dialect->caller)
+		ql_headers_add(&call->headers, dialect->caller,
 			       call->front->opts.caller);
+	if (dialect->team && call->team)
+		ql_headers_add(&call->headers, dialect->team, call->team->name);
+}
+
+/* The class of a team replaces that of the route. */
+static const ql_class_t *find_class(const ql_front_call_t *call)
+{
+	const ql_team_t *team = call->team;
+
+	if (team && team->class_index != QL_TEAM_NO_CLASS)
+		return &call->doc->classes[team->class_index];
+	return &call->doc->classes[call->route->class_index];
 }
 
 /* When the client stops waiting, from its timeout header; 0 if not known. */
@@ -78,7 +110,7 @@
 void ql_front__prepare(ql_front_call_t *call, const char *service)
 {
 	const ql_dialect_t *dialect = call->front->opts.dialect;
-	const ql_class_t *class = &call->doc->classes[call->route->class_index];
+	const ql_class_t *class = find_class(call);
 	ql_http_exchange_t *exchange = call->exchange;
 	const char *id =
 		ql_headers_get(&exchange->headers, dialect->request_id);
--- a/src/policy/document.c
+++ b/src/policy/document.c
@@ -35,6 +35,7 @@
 	json_t *classes;
 	json_t *services;
 	json_t *routes;
+	json_t *teams;
 	json_t *keepers;
 	json_t *limits;
 	json_t *origin;
@@ -48,6 +49,7 @@
 	QL_MEMBER_OBJECT(document_source_t, classes, true),
 	QL_MEMBER_OBJECT(document_source_t, services, true),
 	QL_MEMBER_OBJECT(document_source_t, routes, true),
+	QL_MEMBER_OBJECT(document_source_t, teams, false),
 	QL_MEMBER_OBJECT(document_source_t, keepers, false),
 	QL_MEMBER_OBJECT(document_source_t, limits, false),
 	QL_MEMBER_OBJECT(document_source_t, origin, false),
@@ -100,6 +102,7 @@
 	uint64_t attempts;
 	uint64_t target_ms;
 	bool idempotent;
+	bool anonymous;
 	uint64_t deadline_ms;
 } route_source_t;
 
@@ -114,6 +117,7 @@
 		       TIME_SETTING_MAX_MS),
 	QL_MEMBER_STRING(route_source_t, class, true, 1),
 	QL_MEMBER_BOOL(route_source_t, idempotent, true),
+	QL_MEMBER_BOOL(route_source_t, anonymous, false),
 	QL_MEMBER_UINT(route_source_t, deadline_ms, true, 1, DEADLINE_MAX_MS),
 };
 
@@ -142,7 +146,7 @@
 			    found, max);
 }
 
-static int find_class(const ql_document_t *doc, const char *name)
+int ql_document__find_class(const ql_document_t *doc, const char *name)
 {
 	size_t i;
 
@@ -453,7 +457,7 @@
 		ret = compile_route_services(doc, route, path, &source, error);
 	if (ret)
 		return ret;
-	class = find_class(doc, source.class);
+	class = ql_document__find_class(doc, source.class);
 	if (class < 0)
 		return ql_error_set(error, QL_E_NOT_FOUND,
 				    "%s.class: found \"%s\", which is not a "
@@ -467,6 +471,7 @@
 	route->attempts = source.attempts;
 	route->target_ms = source.target_ms;
 	route->idempotent = source.idempotent;
+	route->anonymous = source.anonymous;
 	route->deadline_ms = source.deadline_ms;
 	return check_allowance(doc, route, path, error);
 }
@@ -518,6 +523,8 @@
 		ret = compile_services(doc, root.services, error);
 	if (!ret)
 		ret = compile_routes(doc, root.routes, error);
+	if (!ret && root.teams)
+		ret = ql_teams__compile(doc, root.teams, error);
 	if (!ret && root.keepers)
 		ret = ql_keepers__compile(&doc->keepers, root.keepers, error);
 	return ret;
@@ -528,6 +535,7 @@
 	g_free(doc->classes);
 	g_free(doc->services);
 	g_free(doc->routes);
+	ql_teams__finish(&doc->teams);
 	ql_keepers__finish(&doc->keepers);
 	json_decref(doc->json);
 	g_free(doc);
--- a/src/policy/document_internal.h
+++ b/src/policy/document_internal.h
@@ -34,6 +34,32 @@
 int ql_document__check_count(const char *path, size_t found, size_t max,
 			     GError **error);
 
+/**
+ * ql_document__find_class() - Find a class by name.
+ * @doc: document whose classes are compiled
+ * @name: name
+ *
+ * Return: the index of the class, or -1 if there is none.
+ */
+int ql_document__find_class(const ql_document_t *doc, const char *name);
+
+/**
+ * ql_teams__compile() - Validate and compile the teams of a document.
+ * @doc: document whose classes are compiled; the caller must call
+ *       ql_teams__finish() also after a failure
+ * @source: member "teams" of the document
+ * @error: set after a failure; may be NULL
+ *
+ * Return: 0 or an error of ql_document_compile().
+ */
+int ql_teams__compile(ql_document_t *doc, json_t *source, GError **error);
+
+/**
+ * ql_teams__finish() - Free the compiled teams.
+ * @teams: teams
+ */
+void ql_teams__finish(ql_teams_t *teams);
+
 /**
  * ql_keepers__compile() - Validate and compile the keepers.
  * @keepers: keepers; must be zeroed; the caller must call ql_keepers__finish()
--- a/src/util/types.c
+++ b/src/util/types.c
@@ -31,6 +31,11 @@
 	[QL_REASON_KEY_IN_PROGRESS] = "key-in-progress",
 	[QL_REASON_NO_QUORUM] = "no-quorum",
 	[QL_REASON_ENDPOINT_REFUSED] = "endpoint-refused",
+	[QL_REASON_UNKNOWN_KEY] = "unknown-key",
+	[QL_REASON_UNKNOWN_CALLER] = "unknown-caller",
+	[QL_REASON_NOT_CURRENT] = "not-current",
+	[QL_REASON_QUOTA] = "quota",
+	[QL_REASON_QUOTA_UNKNOWN] = "quota-unknown",
 };
 
 const char *ql_outcome_name(ql_outcome_t outcome)
--- a/tests/docs/check_platform_names.sh
+++ b/tests/docs/check_platform_names.sh
@@ -7,7 +7,7 @@
 NAMES+='|Response-Seal|Base-Version|Instance-Id|pathPrefix|trafficSplit'
 NAMES+='|targetLatency|maxConnections|healthPath|maxHeaderBytes|maxBodyBytes'
 NAMES+='|headerTimeout|idleTimeout|resourceType|coldLeft|heartbeatAddr'
-NAMES+='|appAddr|internalPorts|faultTolerance|sidecar|control_plane'
+NAMES+='|Api-Key|apiKeys|ratePerS|appAddr|internalPorts|faultTolerance|sidecar|control_plane'
 NAMES+='|Config\.(Put|Get)|Instances\.(Heartbeat|Deregister)'
 found=$(grep -rnEI "$NAMES" --include='*.[ch]' --include='*.cc' --include='*.md' \
 	--include='*.json' --include='*.sh' --include='*.txt' \
--- /dev/null
+++ b/tests/path/caller_test.cc
@@ -0,0 +1,146 @@
+#include "path_fixture.h"
+
+namespace
+{
+
+const char *ROUTES =
+	"{\"get\":{\"path\":\"/get/\",\"service\":\"a\",\"class\":\"low\","
+	"\"idempotent\":true,\"deadline_ms\":60000},"
+	"\"open\":{\"path\":\"/open/\",\"service\":\"a\",\"class\":\"low\","
+	"\"idempotent\":true,\"deadline_ms\":60000,\"anonymous\":true}}";
+const char *TEAMS = "{\"red\":{\"keys\":[\"k1\"],\"class\":\"high\"},"
+		    "\"blue\":{\"keys\":[\"k2\"]}}";
+
+class Caller : public PathFixture
+{
+      protected:
+	void SetUp() override
+	{
+		PathFixture::SetUp();
+		set_document(ROUTES, TEAMS);
+		register_endpoint();
+	}
+
+	static std::string request(const std::string &path,
+				   const std::string &id,
+				   const std::string &headers)
+	{
+		return "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id +
+		       "\r\n" + headers + "\r\n";
+	}
+};
+
+struct CallerCase {
+	const char *name;
+	const char *path;
+	const char *headers;
+	/* Header line that the endpoint gets, or "" for none of this name. */
+	const char *team;
+	const char *status;
+};
+
+const CallerCase CASES[] = {
+	{"known key", "/get/", "Key: k1\r\n", "Team: red\r\n", "200"},
+	{"key in another case of the header", "/get/", "KEY: k2\r\n",
+	 "Team: blue\r\n", "200"},
+	{"team that the client claims", "/get/",
+	 "Team: red\r\nKey: k2\r\nteam: red\r\n", "Team: blue\r\n", "200"},
+	{"no key on an anonymous route", "/open/", "", "", "200"},
+	{"any key on an anonymous route", "/open/", "Key: x\r\nTeam: red\r\n",
+	 "", "200"},
+	{"unknown key", "/get/", "Key: k3\r\n", "", "401"},
+	{"key with other letters", "/get/", "Key: K1\r\n", "", "401"},
+	{"empty key", "/get/", "Key: \r\n", "", "401"},
+	{"no key", "/get/", "", "", "401"},
+	{"team without a key", "/get/", "Team: red\r\n", "", "401"},
+	{"two keys", "/get/", "Key: k1\r\nKey: k1\r\n", "", "400"},
+	{"two keys in one header", "/get/", "Key: k1, k2\r\n", "", "401"},
+};
+
+/* An endpoint learns the team from this node alone, and never the key. */
+TEST_F(Caller, IsIdentifiedByItsKeyOnly)
+{
+	for (const CallerCase &c : CASES) {
+		SCOPED_TRACE(c.name);
+		RawSocket client = connect_client();
+
+		client.send(request(c.path, "x", c.headers));
+		if (strcmp(c.status, "200") != 0) {
+			ASSERT_TRUE(event_loop.run_until(
+				[&] { return client.has("\r\n\r\n"); }));
+			EXPECT_EQ(0u,
+				  client.received.find(
+					  std::string("HTTP/1.1 ") + c.status));
+			continue;
+		}
+		auto server = accept_connection();
+		ASSERT_TRUE(event_loop.run_until(
+			[&] { return server->has("\r\n\r\n"); }));
+		EXPECT_EQ(std::string::npos, server->received.find("k1"));
+		EXPECT_EQ(std::string::npos, server->received.find("k2"));
+		if (c.team[0])
+			EXPECT_NE(std::string::npos,
+				  server->received.find(c.team));
+		else
+			EXPECT_EQ(std::string::npos,
+				  server->received.find("Team"));
+		server->send("HTTP/1.1 200 OK\r\nId: x\r\nSeal: s\r\n"
+			     "Connection: close\r\n"
+			     "Content-Length: 2\r\n\r\nok");
+		ASSERT_TRUE(event_loop.run_until(
+			[&] { return client.has("\r\n\r\nok"); }));
+	}
+}
+
+TEST_F(Caller, AKeyOfManyBytesIsUnknown)
+{
+	RawSocket client = connect_client();
+
+	client.send(request("/get/", "x",
+			    "Key: " + std::string(8000, 'k') + "\r\n"));
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return client.has("\r\n\r\n"); }));
+	EXPECT_EQ(0u, client.received.find("HTTP/1.1 401"));
+}
+
+/* The calls of a request have no key and keep the class of its team. */
+TEST_F(Caller, CallsOfARunningRequestNeedNoKey)
+{
+	RawSocket client = connect_client();
+
+	client.send(request("/get/", "x", "Key: k1\r\n"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	RawSocket endpoint = connect_client();
+	endpoint.send(request("/get/", "x.1", "Team: blue\r\n"));
+	auto called = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return called->has("\r\n\r\n"); }));
+	EXPECT_EQ(std::string::npos, called->received.find("Team"));
+	ASSERT_NE(nullptr, ql_local_gate_find_call(&gate, "x.1"));
+	EXPECT_STREQ("high", ql_local_gate_find_call(&gate, "x.1")->class_name);
+	/* Of a request that is not known here nothing is said but not run. */
+	RawSocket other = connect_client();
+	other.send(request("/get/", "y.1", ""));
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return other.has("\r\n\r\n"); }));
+	EXPECT_EQ(0u, other.received.find("HTTP/1.1 503"));
+	EXPECT_NE(std::string::npos, other.received.find("unknown-caller"));
+}
+
+/* Without teams the headers belong to the callers and their endpoints. */
+TEST_F(Caller, HeadersPassWhereTheDocumentHasNoTeams)
+{
+	RawSocket client = connect_client();
+
+	set_document(ROUTES);
+	client.send(request("/get/", "x", "Key: k9\r\nTeam: red\r\n"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	EXPECT_NE(std::string::npos, server->received.find("Key: k9"));
+	EXPECT_NE(std::string::npos, server->received.find("Team: red"));
+}
+
+} // namespace
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -20,6 +20,8 @@
 		"Not-Run",
 		"Seal",
 		"Base",
+		"Key",
+		"Team",
 		[](char *out, size_t size, const char *id) {
 			const char *dot = strrchr(id, '.');
 
@@ -124,7 +126,7 @@
 	}
 
 	/* Sets a document with these routes and makes the front ready. */
-	void set_document(const char *routes)
+	void set_document(const char *routes, const char *teams = "{}")
 	{
 		std::string text =
 			std::string("{\"site\":\"s\",\"attempts\":9,"
@@ -132,7 +134,7 @@
 				    "\"high\":{\"shed_order\":5}},"
 				    "\"services\":{\"a\":{},\"b\":{}},"
 				    "\"routes\":") +
-			routes + "}";
+			routes + ",\"teams\":" + teams + "}";
 		json_t *json = json_loads(text.c_str(), 0, nullptr);
 		ql_document_t *doc;
 
--- a/tests/platform/document_test.cc
+++ b/tests/platform/document_test.cc
@@ -25,6 +25,9 @@
  "/health","maxConnections":1684,"protocol":"h1","tls":false}},
 {"resourceType":"services","metadata":{"name":"two"},"spec":{"healthPath":
  "/health","maxConnections":346,"protocol":"h1","tls":false}},
+{"resourceType":"tenants","metadata":{"name":"t-a"},"spec":{"apiKeys":
+ ["key-a","key-b"],"priority":1,"ratePerS":683,"burst":68.5}},
+{"resourceType":"tenants","metadata":{"name":"t-b"},"spec":{"apiKeys":[]}},
 {"resourceType":"unknown","metadata":{},"spec":{"a":null}},
 {"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,
  "maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]})";
@@ -100,6 +103,7 @@
 {
 	ql_document_t *doc;
 	const ql_route_t *route;
+	const ql_team_t *team;
 
 	ASSERT_EQ(0, read_and_compile(VALID_DOCUMENT, &doc, nullptr));
 	EXPECT_EQ(7u, doc->version);
@@ -120,6 +124,17 @@
 	EXPECT_GT(doc->classes[route->class_index].shed_order,
 		  doc->classes[doc->routes[0].class_index].shed_order -
 			  (route == &doc->routes[0]));
+	EXPECT_FALSE(route->anonymous);
+	EXPECT_EQ(2u, doc->teams.n_entries);
+	team = ql_teams_find_key(&doc->teams, "key-b");
+	ASSERT_NE(nullptr, team);
+	EXPECT_STREQ("t-a", team->name);
+	EXPECT_STREQ("rank-1", doc->classes[team->class_index].name);
+	EXPECT_DOUBLE_EQ(683, team->rate_per_s);
+	EXPECT_DOUBLE_EQ(68.5, team->burst);
+	team = ql_teams_find_name(&doc->teams, "t-b");
+	ASSERT_NE(nullptr, team);
+	EXPECT_EQ(QL_TEAM_NO_CLASS, team->class_index);
 	EXPECT_EQ(nullptr,
 		  ql_document_match(doc, -1, "other.example", "GET", "/a/"));
 	EXPECT_EQ(nullptr,
@@ -272,6 +287,23 @@
 	 SERVICE("two") "{}}," SERVICE("two")},
 	{"service is invalid", "\"maxConnections\":346",
 	 "\"maxConnections\":\"346\""},
+	{"team without keys", "\"apiKeys\":[]", "\"keys\":[]"},
+	{"keys are a text", "\"apiKeys\":[]", "\"apiKeys\":\"x\""},
+	{"key of two teams", "\"apiKeys\":[]", "\"apiKeys\":[\"key-a\"]"},
+	{"key twice", "\"apiKeys\":[]", "\"apiKeys\":[\"x\",\"x\"]"},
+	{"key is a number", "\"apiKeys\":[]", "\"apiKeys\":[1]"},
+	{"two teams of one name", "\"name\":\"t-b\"", "\"name\":\"t-a\""},
+	{"team without name", "{\"name\":\"t-b\"}", "{}"},
+	{"empty name of a team", "\"name\":\"t-b\"", "\"name\":\"\""},
+	{"rate below 0", "\"ratePerS\":683", "\"ratePerS\":-683"},
+	{"rate is a text", "\"ratePerS\":683", "\"ratePerS\":\"683\""},
+	{"rate is null", "\"ratePerS\":683", "\"ratePerS\":null"},
+	{"far too large rate", "\"ratePerS\":683", "\"ratePerS\":1e30"},
+	{"burst below 0", "\"burst\":68.5", "\"burst\":-1"},
+	{"priority of a team below 0", "\"priority\":1,\"ratePerS\"",
+	 "\"priority\":-1,\"ratePerS\""},
+	{"anonymous is a text", "\"attempts\":2",
+	 "\"attempts\":2,\"anonymous\":\"no\""},
 	{"limits twice", LIMITS, LIMITS "{}}," LIMITS},
 	{"limit is a text", "\"maxHeaderBytes\":16384",
 	 "\"maxHeaderBytes\":\"16384\""},
@@ -353,6 +385,11 @@
 	 ROUTE("r-c") "{" ROUTE_FIELDS
 		      ",\"pathPrefix\":\"/a/\",\"service\":\"one\"}}," ROUTE(
 			      "r-b")},
+	{"uploads", "\"non_idempotent\"", "\"upload\""},
+	{"anonymous route", "\"attempts\":2",
+	 "\"attempts\":2,\"anonymous\":true"},
+	{"whole real rate", "\"ratePerS\":683", "\"ratePerS\":683.0"},
+	{"no rate", "\"ratePerS\":683,\"burst\":68.5", "\"new\":1"},
 	{"no limits", "\"resourceType\":\"limits\"", "\"resourceType\":\"x\""},
 	{"bytes outside ASCII", "\"new\":true", "\"new\":\"\xc3\xa5\""},
 	{"white space", "{\"version\"", " \n{ \"version\""},
--- /dev/null
+++ b/tests/policy/document_teams_test.cc
@@ -0,0 +1,136 @@
+#include "quetzalloft/document.h"
+#include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+ql_document_t *compile(const std::string &teams, int *ret, std::string *detail)
+{
+	std::string text = "{\"site\":\"s\",\"attempts\":20,\"classes\":{"
+			   "\"high\":{\"shed_order\":9},\"low\":{"
+			   "\"shed_order\":1}},\"services\":{},\"routes\":{},"
+			   "\"teams\":" +
+			   teams + "}";
+	ql_document_t *doc = nullptr;
+	GError *error = nullptr;
+	json_t *json = nullptr;
+
+	EXPECT_EQ(0, ql_json_parse(&json, text.c_str(), text.size(), nullptr));
+	*ret = ql_document_compile(&doc, json, 1, &error);
+	*detail = error ? error->message : "";
+	g_clear_error(&error);
+	json_decref(json);
+	return doc;
+}
+
+TEST(Teams, AreFoundByKeyAndByName)
+{
+	std::string detail;
+	const ql_team_t *team;
+	int ret;
+	ql_document_t *doc =
+		compile("{\"red\":{\"keys\":[\"k1\",\"k2\"],\"class\":\"high\","
+			"\"rate_per_s\":12.5,\"burst\":3},"
+			"\"blue\":{\"keys\":[\"k3\"]},\"none\":{\"keys\":[]}}",
+			&ret, &detail);
+
+	ASSERT_NE(nullptr, doc) << detail;
+	EXPECT_EQ(3u, doc->teams.n_entries);
+	team = ql_teams_find_key(&doc->teams, "k2");
+	ASSERT_NE(nullptr, team);
+	EXPECT_STREQ("red", team->name);
+	EXPECT_STREQ("high", doc->classes[team->class_index].name);
+	EXPECT_DOUBLE_EQ(12.5, team->rate_per_s);
+	EXPECT_DOUBLE_EQ(3, team->burst);
+	team = ql_teams_find_key(&doc->teams, "k3");
+	ASSERT_NE(nullptr, team);
+	EXPECT_EQ(team, ql_teams_find_name(&doc->teams, "blue"));
+	EXPECT_EQ(QL_TEAM_NO_CLASS, team->class_index);
+	EXPECT_DOUBLE_EQ(0, team->rate_per_s);
+	for (const char *key : {"", "k", "k11", "red", "K1"})
+		EXPECT_EQ(nullptr, ql_teams_find_key(&doc->teams, key)) << key;
+	EXPECT_EQ(nullptr, ql_teams_find_name(&doc->teams, "k1"));
+	ql_document_unref(doc);
+}
+
+TEST(Teams, ADocumentWithoutThemHasNoKeys)
+{
+	std::string detail;
+	int ret;
+	ql_document_t *doc = compile("{}", &ret, &detail);
+
+	ASSERT_NE(nullptr, doc) << detail;
+	EXPECT_EQ(0u, doc->teams.n_entries);
+	EXPECT_EQ(nullptr, ql_teams_find_key(&doc->teams, "k1"));
+	ql_document_unref(doc);
+}
+
+struct RefusedTeams {
+	const char *name;
+	const char *teams;
+	int expected;
+	const char *detail_part;
+};
+
+const std::string LONG_KEY(200, 'k');
+const std::string LONG_KEY_TEAM = "{\"a\":{\"keys\":[\"" + LONG_KEY + "\"]}}";
+
+const RefusedTeams REFUSED[] = {
+	{"one key at two teams",
+	 "{\"a\":{\"keys\":[\"secret\"]},\"b\":{\"keys\":[\"secret\"]}}",
+	 QL_E_EXISTS, "teams.b.keys[0]: team \"a\""},
+	{"one key twice at a team", "{\"a\":{\"keys\":[\"x\",\"x\"]}}",
+	 QL_E_EXISTS, "teams.a.keys[1]"},
+	{"team without a name", "{\"\":{\"keys\":[]}}", QL_E_INVALID, "teams"},
+	{"name with a line break", "{\"a\\nb\":{\"keys\":[]}}", QL_E_INVALID,
+	 "teams"},
+	{"no keys", "{\"a\":{}}", QL_E_MISSING_KEY, "teams.a"},
+	{"keys are a text", "{\"a\":{\"keys\":\"x\"}}", QL_E_TYPE,
+	 "teams.a.keys"},
+	{"key is a number", "{\"a\":{\"keys\":[1]}}", QL_E_INVALID,
+	 "teams.a.keys[0]"},
+	{"empty key", "{\"a\":{\"keys\":[\"\"]}}", QL_E_INVALID,
+	 "teams.a.keys[0]"},
+	{"key with a space", "{\"a\":{\"keys\":[\"x y\"]}}", QL_E_INVALID,
+	 "teams.a.keys[0]"},
+	{"key with a line break", "{\"a\":{\"keys\":[\"x\\r\\ny\"]}}",
+	 QL_E_INVALID, "teams.a.keys[0]"},
+	{"long key", LONG_KEY_TEAM.c_str(), QL_E_INVALID, "teams.a.keys[0]"},
+	{"unknown class", "{\"a\":{\"keys\":[],\"class\":\"mid\"}}",
+	 QL_E_NOT_FOUND, "teams.a.class"},
+	{"negative rate", "{\"a\":{\"keys\":[],\"rate_per_s\":-1}}", QL_E_RANGE,
+	 "rate_per_s"},
+	{"rate is a text", "{\"a\":{\"keys\":[],\"rate_per_s\":\"1\"}}",
+	 QL_E_TYPE, "rate_per_s"},
+	{"rate is null", "{\"a\":{\"keys\":[],\"rate_per_s\":null}}", QL_E_TYPE,
+	 "rate_per_s"},
+	{"far too large rate", "{\"a\":{\"keys\":[],\"rate_per_s\":1e300}}",
+	 QL_E_RANGE, "rate_per_s"},
+	{"negative burst", "{\"a\":{\"keys\":[],\"burst\":-0.5}}", QL_E_RANGE,
+	 "burst"},
+	{"unknown member", "{\"a\":{\"keys\":[],\"quota\":1}}",
+	 QL_E_UNKNOWN_KEY, "quota"},
+	{"team is a list", "{\"a\":[]}", QL_E_TYPE, "teams.a"},
+};
+
+TEST(Teams, AreRefusedIfInvalidAndNoKeyIsShown)
+{
+	for (const RefusedTeams &refused : REFUSED) {
+		std::string detail;
+		int ret;
+
+		SCOPED_TRACE(refused.name);
+		EXPECT_EQ(nullptr, compile(refused.teams, &ret, &detail));
+		EXPECT_EQ(refused.expected, ret);
+		EXPECT_NE(std::string::npos, detail.find(refused.detail_part))
+			<< detail;
+		EXPECT_EQ(std::string::npos, detail.find("secret")) << detail;
+	}
+}
+
+} // namespace
