Take no status outside HTTP for an answer

Cause: an endpoint in trouble sends a status such as 000. Anything below 200 was taken for an interim response, so the caller waited until its deadline and the slot stayed in use; 600 to 999 was passed on to the caller with the seal of the endpoint. The second client, on libcurl, passed on 101 and 600 to 999.

Change: a response whose status is not 100 or 102 to 599 is malformed, in both clients. The request may have run, so the caller gets 502 with the outcome unknown; an idempotent one is sent again within its budget.

Conclusion: the callers saw waits and statuses 600 and above; a 000 as an answer was not reproduced.

--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -1,6 +1,7 @@
 #include "http/upstream.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
+#include "util/http_status.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -171,9 +172,12 @@
 {
 	ql_upstream_connection_t *connection = data;
 	ql_upstream_request_t *request = connection->request;
+	unsigned int status = ql_http_reader_status(reader);
 
+	if (!ql_http_status_is_valid(status))
+		return false;
 	connection->is_dropping_response =
-		!request || ql_http_reader_status(reader) < HTTP_STATUS_OK;
+		!request || !ql_http_status_is_final(status);
 	if (connection->is_dropping_response)
 		return request != NULL;
 	if (request->ops->accepts &&
--- a/src/node/http_client.c
+++ b/src/node/http_client.c
@@ -1,6 +1,7 @@
 #include "node/http_client.h"
 #include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
+#include "util/http_status.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -235,9 +236,11 @@
 	set_options(connection->easy, request, &exchange);
 	code = run_transfer(connection, request, &exchange);
 	*sent = exchange.n_sends > 0;
+	curl_easy_getinfo(connection->easy, CURLINFO_RESPONSE_CODE,
+			  &response->status);
+	if (code == CURLE_OK && !ql_http_status_is_final(response->status))
+		code = CURLE_WEIRD_SERVER_REPLY;
 	if (code == CURLE_OK) {
-		curl_easy_getinfo(connection->easy, CURLINFO_RESPONSE_CODE,
-				  &response->status);
 		ql_http_pool_put(&client->pool, request->address, connection,
 				 ql_clock_now_us());
 		return 0;
--- a/tests/node/http_client_test.cc
+++ b/tests/node/http_client_test.cc
@@ -93,6 +93,31 @@
 				     std::string(65, 'x'),
 			     QL_E_TOO_LARGE}));
 
+class MalformedStatus : public HttpClient,
+			public testing::WithParamInterface<const char *>
+{
+};
+
+/* A status that HTTP does not have is not passed on as an answer. */
+TEST_P(MalformedStatus, FailsTheExchange)
+{
+	RawServer server([](int) {
+		return RawServer::Reply{std::string("HTTP/1.1 ") + GetParam() +
+						"\r\nContent-Length: 2\r\n"
+						"\r\nok",
+					true};
+	});
+	bool sent;
+
+	EXPECT_NE(0, exchange(server, &sent));
+	EXPECT_TRUE(sent);
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, MalformedStatus,
+			 testing::Values("000 Trouble", "0", "001 One",
+					 "099 Low", "101 Switching Protocols",
+					 "600 High", "999 High", "2000 High"));
+
 TEST_F(HttpClient, ReusesTheConnection)
 {
 	RawServer server([](int) {
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -201,6 +201,70 @@
 			     "502", "unknown"}),
 	[](const auto &test) { return test.param.name; });
 
+/* An endpoint in trouble answers with a status that HTTP does not have. */
+class MalformedStatus : public Front,
+			public testing::WithParamInterface<const char *>
+{
+};
+
+TEST_P(MalformedStatus, IsNoAnswerAndAnotherAttemptMayFollow)
+{
+	const std::string malformed = response("x", "Seal: s\r\n", GetParam());
+	RawSocket order = connect_client();
+
+	order.send(request("/order/1", "x"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	server->send(malformed);
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return order.has("\r\n\r\n"); }));
+	EXPECT_EQ(0u, order.received.find("HTTP/1.1 502")) << order.received;
+	EXPECT_NE(std::string::npos,
+		  order.received.find("Quetzalloft-Outcome: unknown"));
+	EXPECT_EQ(std::string::npos, order.received.find("Seal"));
+	EXPECT_EQ(1u, counter_value(QL_COUNT_BAD_ANSWERS));
+	/* The request may have run; only an idempotent one is sent again. */
+	ql_front_find_service(&front, "a")->budget.tokens = 1;
+	RawSocket get = connect_client();
+	get.send(request("/get/1", "x"));
+	auto first = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return first->has("\r\n\r\n"); }));
+	first->send(malformed);
+	auto second = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return second->has("\r\n\r\n"); }));
+	second->send(response("x", "Seal: s\r\n"));
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return get.has("\r\n\r\nok"); }));
+	EXPECT_EQ(0u, get.received.find("HTTP/1.1 200"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, MalformedStatus,
+			 testing::Values("000 Trouble", "000", "0", "1 One",
+					 "99 Low", "099 Low",
+					 "101 Switching Protocols", "600 High",
+					 "999 High", "1000 High", "-1 Negative",
+					 "2000 High", "20x Letters"));
+
+/* Interim responses say nothing of the outcome. */
+TEST_F(Front, WaitsForTheResponseBehindInterimOnes)
+{
+	RawSocket client = connect_client();
+
+	client.send(request("/order/1", "x"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	server->send("HTTP/1.1 100 Continue\r\n\r\n"
+		     "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n" +
+		     response("x", "Seal: s\r\n"));
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return client.has("\r\n\r\nok"); }));
+	EXPECT_EQ(0u, client.received.find("HTTP/1.1 200"));
+}
+
 TEST_F(Front, UpdatesCounters)
 {
 	RawSocket client = connect_client();
