Order requests by the class of their team, then by that of their route

Change: a document with teams gets a class for each pair of a team's class and a route's class, ordered by the team first. Such a class travels by its name like any other. Documents without teams are compiled as before.

Conclusion: the class of a team still goes before that of the route, and the route decides between teams of one class.

--- a/include/quetzalloft/document.h
+++ b/include/quetzalloft/document.h
@@ -198,8 +198,13 @@
  * @attempts: allowance of attempts of one client request
  * @guaranteed_share: guaranteed share of the requests of each route, 0 to 0.5,
  *                    see quetzalloft/route_admission.h
- * @classes: classes
+ * @classes: classes of the source, then those that combine the class of a team
+ *           with that of a route
  * @n_classes: number of elements of @classes
+ * @n_base_classes: number of classes of the source
+ * @combined_classes: index of the class that combines two classes of the
+ *                    source, by that of the team and that of the route; NULL if
+ *                    there are no teams
  * @services: services, sorted by name
  * @n_services: number of elements of @services
  * @routes: routes
@@ -218,6 +223,8 @@
 	double guaranteed_share;
 	ql_class_t *classes;
 	size_t n_classes;
+	size_t n_base_classes;
+	uint16_t *combined_classes;
 	ql_service_t *services;
 	size_t n_services;
 	ql_route_t *routes;
@@ -287,6 +294,21 @@
  */
 const ql_class_t *ql_document_top_class(const ql_document_t *doc);
 
+/**
+ * ql_document_find_class() - Find the class of a request.
+ * @doc: document
+ * @route: route of the request, in @doc
+ * @team: team of the caller, in @doc; NULL if there is none
+ *
+ * The class of a team goes before that of the route: requests of two teams are
+ * ordered by the classes of the teams, and those of one by the classes of the
+ * routes.
+ *
+ * Return: index of the class.
+ */
+size_t ql_document_find_class(const ql_document_t *doc, const ql_route_t *route,
+			      const ql_team_t *team);
+
 /**
  * ql_document_match() - Find the route of a request.
  * @doc: document
--- a/include/quetzalloft/team.h
+++ b/include/quetzalloft/team.h
@@ -22,8 +22,8 @@
 /**
  * struct ql_team - A team.
  * @name: name
- * @class_index: index of its class, which replaces that of the route, or
- *               QL_TEAM_NO_CLASS
+ * @class_index: index of its class, which goes before that of the route, see
+ *               ql_document_find_class(), or QL_TEAM_NO_CLASS
  * @rate_per_s: quota in requests per second, summed over all nodes; 0 for no
  *              quota
  * @burst: requests that the quota allows at once beyond @rate_per_s
--- a/src/cli/check_command.c
+++ b/src/cli/check_command.c
@@ -63,11 +63,11 @@
 		ql_output_json(json_pack("{s:s, s:s, s:i, s:i, s:i}", "file",
 					 path, "kind", "document", "services",
 					 (int)doc->n_services, "classes",
-					 (int)doc->n_classes, "routes",
+					 (int)doc->n_base_classes, "routes",
 					 (int)doc->n_routes));
 	else
 		printf("%s: %zu services, %zu classes, %zu routes\n", path,
-		       doc->n_services, doc->n_classes, doc->n_routes);
+		       doc->n_services, doc->n_base_classes, doc->n_routes);
 }
 
 static int check_document(const char *path, json_t *json,
--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -46,16 +46,6 @@
 		ql_headers_add(&call->headers, dialect->team, call->team->name);
 }
 
-/* The class of a team replaces that of the route. */
-static const ql_class_t *find_class(const ql_front_call_t *call)
-{
-	const ql_team_t *team = call->team;
-
-	if (team && team->class_index != QL_TEAM_NO_CLASS)
-		return &call->doc->classes[team->class_index];
-	return &call->doc->classes[call->route->class_index];
-}
-
 /* When the client stops waiting, from its timeout header; 0 if not known. */
 static uint64_t client_deadline_us(const ql_front_call_t *call)
 {
@@ -110,7 +100,8 @@
 void ql_front__prepare(ql_front_call_t *call, const char *service)
 {
 	const ql_dialect_t *dialect = call->front->opts.dialect;
-	const ql_class_t *class = find_class(call);
+	const ql_class_t *class = &call->doc->classes[ql_document_find_class(
+		call->doc, call->route, call->team)];
 	ql_http_exchange_t *exchange = call->exchange;
 	const char *id =
 		ql_headers_get(&exchange->headers, dialect->request_id);
--- a/src/policy/document.c
+++ b/src/policy/document.c
@@ -525,6 +525,8 @@
 		ret = compile_routes(doc, root.routes, error);
 	if (!ret && root.teams)
 		ret = ql_teams__compile(doc, root.teams, error);
+	if (!ret)
+		ql_document__combine_classes(doc);
 	if (!ret && root.keepers)
 		ret = ql_keepers__compile(&doc->keepers, root.keepers, error);
 	return ret;
@@ -533,6 +535,7 @@
 static void free_document(ql_document_t *doc)
 {
 	g_free(doc->classes);
+	g_free(doc->combined_classes);
 	g_free(doc->services);
 	g_free(doc->routes);
 	ql_teams__finish(&doc->teams);
--- a/src/policy/document_internal.h
+++ b/src/policy/document_internal.h
@@ -54,6 +54,14 @@
  */
 int ql_teams__compile(ql_document_t *doc, json_t *source, GError **error);
 
+/**
+ * ql_document__combine_classes() - Add the classes that combine the class of a
+ * team with that of a route.
+ * @doc: document whose classes, routes and teams are compiled; its classes get
+ *       new shed orders
+ */
+void ql_document__combine_classes(ql_document_t *doc);
+
 /**
  * ql_teams__finish() - Free the compiled teams.
  * @teams: teams
--- a/tests/policy/document_teams_test.cc
+++ b/tests/policy/document_teams_test.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cstring>
+#include <set>
 #include <string>
 
 namespace
@@ -58,6 +60,98 @@
 	ql_document_unref(doc);
 }
 
+/* Requests of one class of teams keep the order of their routes. */
+TEST(Teams, TheirClassGoesBeforeThatOfTheRoute)
+{
+	const char *text =
+		"{\"site\":\"s\",\"attempts\":20,\"classes\":{\"low\":{"
+		"\"shed_order\":1},\"mid\":{\"shed_order\":5},\"high\":{"
+		"\"shed_order\":9}},\"services\":{\"a\":{}},\"routes\":{"
+		"\"order\":{\"path\":\"/o\",\"service\":\"a\",\"class\":"
+		"\"high\",\"idempotent\":false,\"deadline_ms\":1000},"
+		"\"read\":{\"path\":\"/r\",\"service\":\"a\",\"class\":"
+		"\"low\",\"idempotent\":true,\"deadline_ms\":1000}},"
+		"\"teams\":{\"gold\":{\"keys\":[],\"class\":\"high\"},"
+		"\"tin\":{\"keys\":[],\"class\":\"low\"},"
+		"\"plain\":{\"keys\":[]}}}";
+	/* Shed last first. */
+	const struct {
+		const char *team;
+		const char *route;
+	} order[] = {
+		{"gold", "order"},
+		{"gold", "read"},
+		{"tin", "order"},
+		{"tin", "read"},
+	};
+	uint64_t last = UINT64_MAX, found;
+	json_t *json = nullptr;
+	ql_document_t *doc;
+
+	ASSERT_EQ(0, ql_json_parse(&json, text, strlen(text), nullptr));
+	ASSERT_EQ(0, ql_document_compile(&doc, json, 1, nullptr));
+	auto shed_order = [&](const char *team, const char *route) {
+		const ql_route_t *r =
+			ql_document_match(doc, -1, nullptr, "GET",
+					  strcmp(route, "order") ? "/r" : "/o");
+		const ql_team_t *t =
+			team ? ql_teams_find_name(&doc->teams, team) : nullptr;
+
+		return doc->classes[ql_document_find_class(doc, r, t)]
+			.shed_order;
+	};
+	for (const auto &entry : order) {
+		SCOPED_TRACE(std::string(entry.team) + " " + entry.route);
+		found = shed_order(entry.team, entry.route);
+		EXPECT_LT(found, last);
+		last = found;
+	}
+	EXPECT_EQ(shed_order(nullptr, "order"), shed_order("plain", "order"));
+	EXPECT_EQ(shed_order(nullptr, "order"), shed_order("gold", "order"));
+	EXPECT_EQ(shed_order(nullptr, "read"), shed_order("tin", "read"));
+	EXPECT_EQ(3u, doc->n_base_classes);
+	ql_document_unref(doc);
+	json_decref(json);
+}
+
+/* Names that are too long together, and more pairs than shed orders. */
+TEST(Teams, ManyCombinedClassesHaveNamesAndOrdersInBounds)
+{
+	std::string classes, routes, teams;
+	std::set<std::string> names;
+	std::string detail;
+	json_t *json = nullptr;
+	ql_document_t *doc;
+
+	for (int i = 0; i < 64; i++) {
+		std::string number = std::to_string(100 + i);
+		std::string name = std::string(50, 'c') + number;
+
+		classes += (i ? ",\"" : "\"") + name +
+			   "\":{\"shed_order\":" + std::to_string(i) + "}";
+		routes += (i ? ",\"r" : "\"r") + number + "\":{\"path\":\"/" +
+			  number + "\",\"service\":\"a\",\"class\":\"" + name +
+			  "\",\"idempotent\":true,\"deadline_ms\":1000}";
+		teams += (i ? ",\"t" : "\"t") + number +
+			 "\":{\"keys\":[],\"class\":\"" + name + "\"}";
+	}
+	std::string text = "{\"site\":\"s\",\"attempts\":20,\"classes\":{" +
+			   classes + "},\"services\":{\"a\":{}},\"routes\":{" +
+			   routes + "},\"teams\":{" + teams + "}}";
+	ASSERT_EQ(0, ql_json_parse(&json, text.c_str(), text.size(), nullptr));
+	ASSERT_EQ(0, ql_document_compile(&doc, json, 1, nullptr));
+	EXPECT_EQ(64u + 64 * 64, doc->n_classes);
+	for (size_t i = 0; i < doc->n_classes; i++) {
+		EXPECT_LE(doc->classes[i].shed_order, (uint64_t)QL_CLASSES_MAX);
+		names.insert(doc->classes[i].name);
+	}
+	EXPECT_EQ(doc->n_classes, names.size());
+	EXPECT_EQ((uint64_t)QL_CLASSES_MAX,
+		  ql_document_top_class(doc)->shed_order);
+	ql_document_unref(doc);
+	json_decref(json);
+}
+
 TEST(Teams, ADocumentWithoutThemHasNoKeys)
 {
 	std::string detail;
