Compile services and routes of a document in files of their own

Change: document_services.c and document_routes.c; limits that two of them use stand in the internal header. No behaviour changes.

Conclusion: each file has one job.

--- a/src/policy/document_internal.h
+++ b/src/policy/document_internal.h
@@ -34,6 +34,33 @@
 int ql_document__check_count(const char *path, size_t found, size_t max,
 			     GError **error);
 
+/** Largest body limit that a document may set. */
+#define QL_BODY_LIMIT_MAX_BYTES (256u << 20)
+/** Body limit where the document sets none. */
+#define QL_BODY_LIMIT_DEFAULT_BYTES (8u << 20)
+/** Longest time that a document may set as a target or a limit on clients. */
+#define QL_TIME_SETTING_MAX_MS 3600000
+
+/**
+ * ql_services__compile() - Validate and compile the services.
+ * @doc: document
+ * @source: member "services" of the document
+ * @error: set after a failure; may be NULL
+ *
+ * Return: 0 or an error of ql_document_compile().
+ */
+int ql_services__compile(ql_document_t *doc, json_t *source, GError **error);
+
+/**
+ * ql_routes__compile() - Validate and compile the routes.
+ * @doc: document whose classes and services are compiled
+ * @source: member "routes" of the document
+ * @error: set after a failure; may be NULL
+ *
+ * Return: 0 or an error of ql_document_compile().
+ */
+int ql_routes__compile(ql_document_t *doc, json_t *source, GError **error);
+
 /**
  * ql_document__find_class() - Find a class by name.
  * @doc: document whose classes are compiled
