--- a/include/quetzalloft/clock.h
+++ b/include/quetzalloft/clock.h
@@ -2,8 +2,9 @@
 #define QUETZALLOFT_CLOCK_H
 
 /**
- * DOC: Clocks: a monotonic clock for intervals, the wall clock, and a hybrid
- * logical clock that orders the events of all processes.
+ * DOC: Clocks: a monotonic clock for intervals, one that also counts the time
+ * in which the machine is suspended, the wall clock, and a hybrid logical clock
+ * that orders the events of all processes.
  */
 
 #include <glib.h>
@@ -23,6 +24,14 @@
  */
 uint64_t ql_clock_now_us(void);
 
+/**
+ * ql_clock_boot_ms() - Read the clock that counts since the start of the
+ * machine, including the time in which the machine was suspended.
+ *
+ * Return: milliseconds since the start of the machine.
+ */
+uint64_t ql_clock_boot_ms(void);
+
 /**
  * struct ql_hlc - A hybrid logical clock. Thread-safe.
  * @last: highest timestamp issued or observed: milliseconds of wall time in the
--- a/include/quetzalloft/member.h
+++ b/include/quetzalloft/member.h
@@ -18,6 +18,7 @@
 
 #include "quetzalloft/balancer.h"
 #include "quetzalloft/config_state.h"
+#include "quetzalloft/key_lease.h"
 #include "quetzalloft/record.h"
 #include "quetzalloft/withdrawal.h"
 
@@ -46,6 +47,8 @@
  *                       endpoint than this node; may be NULL
  * @withdrawal_agreed: as many registrars as the node renews at know the latest
  *                     withdrawal, and the node knows theirs; may be NULL
+ * @config_proven: a registrar has proven that the configuration in force was
+ *                 the newest at some time; may be NULL
  */
 typedef struct ql_member_ops {
 	void (*endpoint_up)(void *data, const char *service,
@@ -57,6 +60,7 @@
 	void (*withdrawal_received)(void *data,
 				    const ql_withdrawal_t *withdrawal);
 	void (*withdrawal_agreed)(void *data);
+	void (*config_proven)(void *data, const ql_key_proof_t *proof);
 } ql_member_ops_t;
 
 /**
@@ -320,6 +324,18 @@
 				 const ql_rpc_lease_res *res, uint64_t now_ms,
 				 GError **error);
 
+/**
+ * ql_member_take_proof() - Take over the proof in the reply to a renewal.
+ * @member: the member
+ * @res: a reply that ql_member_handle_lease_reply() has handled without error
+ * @sent_ms: time of ql_clock_boot_ms() before the renewal was sent
+ *
+ * Calls @config_proven if the reply has a proof and the configuration in force
+ * is the one that it is about.
+ */
+void ql_member_take_proof(ql_member_t *member, const ql_rpc_lease_res *res,
+			  uint64_t sent_ms);
+
 /**
  * ql_member_lease_failed() - Start the backoff of a registrar that did not
  * reply or has refused the lease.
--- a/include/quetzalloft/registrar.h
+++ b/include/quetzalloft/registrar.h
@@ -161,6 +161,22 @@
 			       const ql_rpc_lease_args *args,
 			       ql_rpc_lease_res *res, uint64_t now_ms);
 
+/**
+ * ql_registrar_fill_proof() - Add to a reply a proof of the configuration in
+ * it.
+ * @registrar: the registrar
+ * @args: the request
+ * @res: the reply of ql_registrar_handle_lease()
+ * @age_ms: time since the configuration is known to have been the newest
+ *
+ * Nothing is added to a refusal, or for a node whose configuration is a later
+ * version or has the same version and another digest: the proof would not be
+ * about what the node has in force.
+ */
+void ql_registrar_fill_proof(const ql_registrar_t *registrar,
+			     const ql_rpc_lease_args *args,
+			     ql_rpc_lease_res *res, uint64_t age_ms);
+
 /**
  * ql_registrar_handle_offer() - Take over the newer document of a node.
  * @registrar: the registrar
--- a/include/quetzalloft/replica.h
+++ b/include/quetzalloft/replica.h
@@ -130,6 +130,8 @@
  *                  the last snapshot if that is more; 0 for no limit
  * @kept_bytes: payload bytes of the entries up to a snapshot that stay in the
  *              log; 0 for no limit
+ * @clock_id: identifies this start of the process, whose times no other start
+ *            may take for its own; 0 if ql_replica_set_time() is not used
  */
 typedef struct ql_replica_opts {
 	const ql_replica_rules_t *rules;
@@ -145,6 +147,7 @@
 	uint32_t first_election_ticks;
 	uint64_t snapshot_bytes;
 	uint64_t kept_bytes;
+	uint64_t clock_id;
 } ql_replica_opts_t;
 
 /**
@@ -160,6 +163,9 @@
  * @voter: true for a voter, false for a learner
  * @vote_granted: it has granted its vote or pre-vote
  * @answered_since_heartbeat: it has answered since the last heartbeat
+ * @clock_id: its &ql_replica_opts.clock_id in its last answer, or 0
+ * @clock_ms: time of its clock at which it wrote that answer
+ * @heard_ms: time of the own clock after that answer was received
  * @address: address that it listens on
  */
 typedef struct ql_replica_peer {
@@ -173,6 +179,9 @@
 	bool voter;
 	bool vote_granted;
 	bool answered_since_heartbeat;
+	uint64_t clock_id;
+	uint64_t clock_ms;
+	uint64_t heard_ms;
 	char address[QL_ADDRESS_MAX];
 } ql_replica_peer_t;
 
@@ -190,6 +199,23 @@
 	GByteArray *bytes;
 } ql_replica_transfer_t;
 
+/** Proofs that wait for a quorum, or for their entry to be applied. */
+#define QL_REPLICA_PROOFS_MAX 64u
+
+/**
+ * struct ql_replica_proof - A time at which no entry after some index had been
+ * committed.
+ * @round: read round that a quorum has to answer before this is proven; 0 if
+ *         the leader has proven it
+ * @index: index of the last entry that was committed at @at_ms
+ * @at_ms: time in milliseconds of the clock of this replica
+ */
+typedef struct ql_replica_proof {
+	uint64_t round;
+	uint64_t index;
+	uint64_t at_ms;
+} ql_replica_proof_t;
+
 /**
  * struct ql_replica - A replica.
  * @opts: options
@@ -230,6 +256,9 @@
  * @deferred_messages: messages to send once a write is synced
  * @read_round: number of the last round in which a quorum confirms the leader
  * @pending_reads: reads that wait for such a round
+ * @now_ms: time that ql_replica_set_time() has set; 0 for none
+ * @proofs: the last proofs, as a ring
+ * @n_proofs: number of proofs added to @proofs
  * @transfer: snapshot being received
  * @failed: a snapshot could not be restored; all further input is ignored
  */
@@ -270,6 +299,9 @@
 	GQueue deferred_messages;
 	uint64_t read_round;
 	GQueue pending_reads;
+	uint64_t now_ms;
+	ql_replica_proof_t proofs[QL_REPLICA_PROOFS_MAX];
+	uint64_t n_proofs;
 	ql_replica_transfer_t transfer;
 	bool failed;
 };
@@ -418,6 +450,30 @@
  */
 int ql_replica_start_read(ql_replica_t *replica, uint64_t token);
 
+/**
+ * ql_replica_set_time() - Set the current time.
+ * @replica: the replica
+ * @now_ms: milliseconds of a clock that counts suspensions, see
+ *          ql_clock_boot_ms()
+ *
+ * The clock is to be read after an input was received and before it is passed
+ * to the replica: an earlier reading would make the messages in it appear newer
+ * than they are.
+ */
+void ql_replica_set_time(ql_replica_t *replica, uint64_t now_ms);
+
+/**
+ * ql_replica_proven_ms() - Get the newest time at which the applied state is
+ * known to have been the newest.
+ * @replica: the replica
+ *
+ * Every entry that any leader had committed by then is applied here.
+ *
+ * Return: milliseconds of the clock of ql_replica_set_time(), or 0 if no time
+ * is known. A later call may return less: the largest value holds.
+ */
+uint64_t ql_replica_proven_ms(const ql_replica_t *replica);
+
 /**
  * ql_replica_leader_address() - Get the address of the leader.
  * @replica: the replica
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -479,6 +479,22 @@
 	return ret;
 }
 
+void ql_member_take_proof(ql_member_t *member, const ql_rpc_lease_res *res,
+			  uint64_t sent_ms)
+{
+	const ql_key_proof_t proof = {
+		.version = res->config_version,
+		.sent_ms = sent_ms,
+		.age_ms = res->proof_age_ms,
+	};
+
+	/* A later version in force may not be a successor of that one. */
+	if (res->status || !res->has_proof || !member->ops->config_proven ||
+	    member->config.doc->version != res->config_version)
+		return;
+	member->ops->config_proven(member->data, &proof);
+}
+
 /*
  * Returns the time until the backoff of a registrar has ended, or the answer of
  * one is overdue; at most the mean renewal interval.
--- a/src/control/registrar.c
+++ b/src/control/registrar.c
@@ -177,6 +177,20 @@
 	fill_config(registrar, args, res, now_ms);
 }
 
+void ql_registrar_fill_proof(const ql_registrar_t *registrar,
+			     const ql_rpc_lease_args *args,
+			     ql_rpc_lease_res *res, uint64_t age_ms)
+{
+	const ql_document_t *doc = registrar->config->doc;
+
+	if (res->status || args->config_version > doc->version ||
+	    (args->config_version == doc->version &&
+	     args->config_digest != doc->digest))
+		return;
+	res->has_proof = TRUE;
+	res->proof_age_ms = age_ms;
+}
+
 static int check_offer_sender(const ql_registrar_t *registrar,
 			      const ql_rpc_offer_args *args, uint64_t now_ms,
 			      GError **error)
--- a/src/control/replica.c
+++ b/src/control/replica.c
@@ -148,6 +148,7 @@
 	if (!was_leader)
 		return;
 	ql_replica__fail_reads(replica);
+	ql_replica__drop_proofs(replica);
 	replica->ops->leadership_lost(replica->data);
 }
 
--- a/src/control/replica_follower.c
+++ b/src/control/replica_follower.c
@@ -9,6 +9,7 @@
 	answer->granted = TRUE;
 	answer->index = index;
 	answer->round = round;
+	ql_replica__fill_clock(replica, answer);
 	ql_replica__send_after_sync(replica, answer);
 }
 
@@ -33,6 +34,7 @@
 	answer->index = index;
 	answer->offset = message->index;
 	answer->round = message->round;
+	ql_replica__fill_clock(replica, answer);
 	ql_replica__send_after_sync(replica, answer);
 }
 
@@ -68,6 +70,7 @@
 	uint64_t match = message->index + message->entries.entries_len;
 	u_int i;
 
+	ql_replica__take_proof(replica, message);
 	if (!has_entry(replica, message->index, message->index_term)) {
 		reject_append(replica, message);
 		return;
--- a/src/control/replica_leader.c
+++ b/src/control/replica_leader.c
@@ -36,6 +36,8 @@
 		peer->snapshot_offset = 0;
 		g_clear_pointer(&peer->snapshot.data, g_bytes_unref);
 	}
+	/* The rounds of an older term prove nothing in this one. */
+	ql_replica__drop_proofs(replica);
 	append_empty_entry(replica);
 	replica->term_start = ql_replica_last_index(replica);
 	ql_replica__broadcast(replica);
@@ -90,6 +92,7 @@
 	message->index_term = ql_replica__term_at(replica, message->index);
 	message->commit = replica->state.commit;
 	message->round = replica->read_round;
+	ql_replica__fill_proof(replica, peer, message);
 	if (peer->next <= peer->match + replica->opts.window_entries)
 		fill_entries(replica, message, peer->next);
 	peer->next += message->entries.entries_len;
@@ -121,6 +124,7 @@
 			peer->next = peer->match + 1;
 		peer->answered_since_heartbeat = false;
 	}
+	ql_replica__start_proof(replica);
 	ql_replica__broadcast(replica);
 }
 
@@ -197,6 +201,7 @@
 	    !replica->opts.rules->may_commit(replica, index))
 		return;
 	replica->state.commit = index;
+	ql_replica__start_proof(replica);
 	ql_replica__broadcast(replica);
 	if (replica->members_index <= index &&
 	    !ql_replica_find_member(replica, replica->state.identity))
@@ -248,6 +253,7 @@
 	peer->unanswered_ticks = 0;
 	peer->answered_since_heartbeat = true;
 	peer->answered_round = MAX(peer->answered_round, message->round);
+	ql_replica__note_clock(replica, peer, message);
 	if (!message->granted) {
 		handle_rejection(replica, peer, message);
 	} else {
--- a/src/control/replica_private.h
+++ b/src/control/replica_private.h
@@ -121,7 +121,32 @@
 void ql_replica__answer_append(ql_replica_t *replica, uint64_t to,
 			       uint64_t index, uint64_t round);
 
+/* replica_proof.c */
+/*
+ * Starts a read round whose confirmation proves the present commit index; the
+ * caller broadcasts it. Does nothing when the last one is recent.
+ */
+void ql_replica__start_proof(ql_replica_t *replica);
+/* Forgets all proofs, with those that wait for a quorum. */
+void ql_replica__drop_proofs(ql_replica_t *replica);
+/* Adds the newest proof to an append, by the clock of its receiver. */
+void ql_replica__fill_proof(const ql_replica_t *replica,
+			    const ql_replica_peer_t *peer,
+			    ql_rpc_replica_message *message);
+/* Takes over the proof in an append of the leader. */
+void ql_replica__take_proof(ql_replica_t *replica,
+			    const ql_rpc_replica_message *message);
+/* Adds the time of this replica to an answer, for the next proof. */
+void ql_replica__fill_clock(const ql_replica_t *replica,
+			    ql_rpc_replica_message *answer);
+/* Notes the time of a peer from its answer. */
+void ql_replica__note_clock(const ql_replica_t *replica,
+			    ql_replica_peer_t *peer,
+			    const ql_rpc_replica_message *answer);
+
 /* replica_read.c */
+/* Returns the newest round that a quorum has answered. */
+uint64_t ql_replica__confirmed_round(const ql_replica_t *replica);
 /* Completes reads that a quorum has confirmed and whose entry is applied. */
 void ql_replica__finish_reads(ql_replica_t *replica);
 /* Fails all pending reads with QL_E_NOT_LEADER. */
--- a/src/control/replica_read.c
+++ b/src/control/replica_read.c
@@ -50,8 +50,7 @@
 	return left < right ? 1 : left > right ? -1 : 0;
 }
 
-/* Returns the newest round that a quorum has answered. */
-static uint64_t confirmed_round(const ql_replica_t *replica)
+uint64_t ql_replica__confirmed_round(const ql_replica_t *replica)
 {
 	uint64_t rounds[QL_REPLICA_MEMBERS_MAX] = {0};
 	const ql_replica_peer_t *peer;
@@ -77,7 +76,7 @@
 	if (replica->role != QL_REPLICA_LEADER ||
 	    !replica->pending_reads.length)
 		return;
-	confirmed = confirmed_round(replica);
+	confirmed = ql_replica__confirmed_round(replica);
 	while ((read = g_queue_peek_head(&replica->pending_reads))) {
 		if (read->round > confirmed || read->index > replica->applied)
 			return;
--- a/src/control/rpc/control.h
+++ b/src/control/rpc/control.h
@@ -29,7 +29,7 @@
 #define QL_RPC_SERVICES_MAX 1024
 #define QL_RPC_EXCHANGE_MAX 256
 #define QL_RPC_REGISTRARS_MAX 32
-#define QL_RPC_PROTOCOL_VERSION 5
+#define QL_RPC_PROTOCOL_VERSION 6
 
 struct ql_rpc_greeting {
 	char *cluster;
@@ -177,6 +177,8 @@
 		u_int withdrawals_len;
 		ql_rpc_withdrawal *withdrawals_val;
 	} withdrawals;
+	bool_t has_proof;
+	u_quad_t proof_age_ms;
 };
 typedef struct ql_rpc_lease_res ql_rpc_lease_res;
 
--- a/src/control/rpc/control.x
+++ b/src/control/rpc/control.x
@@ -20,7 +20,7 @@
 const QL_RPC_SERVICES_MAX = 1024;
 const QL_RPC_EXCHANGE_MAX = 256;
 const QL_RPC_REGISTRARS_MAX = 32;
-const QL_RPC_PROTOCOL_VERSION = 5;
+const QL_RPC_PROTOCOL_VERSION = 6;
 
 struct ql_rpc_greeting {
 	string cluster<QL_RPC_NAME_MAX>;
@@ -154,6 +154,10 @@
 	string address<QL_RPC_ADDRESS_MAX>;
 };
 
+/*
+ * has_proof: config_version was the newest version proof_age_ms before the
+ * reply was written, or later.
+ */
 struct ql_rpc_lease_res {
 	int status;
 	string detail<QL_RPC_DETAIL_MAX>;
@@ -174,6 +178,8 @@
 	ql_rpc_domain domains<QL_RPC_DOMAINS_MAX>;
 	ql_rpc_registrar registrars<QL_RPC_REGISTRARS_MAX>;
 	ql_rpc_withdrawal withdrawals<QL_RPC_LOCAL_ENDPOINTS_MAX>;
+	bool has_proof;
+	unsigned hyper proof_age_ms;
 };
 
 /* A node sends its document to a registrar that has an older one. */
--- a/src/control/rpc/control_xdr.c
+++ b/src/control/rpc/control_xdr.c
@@ -250,6 +250,10 @@
 		 if (!xdr_array (xdrs, (char **)&objp->withdrawals.withdrawals_val, (u_int *) &objp->withdrawals.withdrawals_len, QL_RPC_LOCAL_ENDPOINTS_MAX,
 			sizeof (ql_rpc_withdrawal), (xdrproc_t) xdr_ql_rpc_withdrawal))
 			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->has_proof))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->proof_age_ms))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_int (xdrs, &objp->status))
@@ -304,6 +308,10 @@
 		 if (!xdr_array (xdrs, (char **)&objp->withdrawals.withdrawals_val, (u_int *) &objp->withdrawals.withdrawals_len, QL_RPC_LOCAL_ENDPOINTS_MAX,
 			sizeof (ql_rpc_withdrawal), (xdrproc_t) xdr_ql_rpc_withdrawal))
 			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->has_proof))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->proof_age_ms))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -350,6 +358,10 @@
 	 if (!xdr_array (xdrs, (char **)&objp->withdrawals.withdrawals_val, (u_int *) &objp->withdrawals.withdrawals_len, QL_RPC_LOCAL_ENDPOINTS_MAX,
 		sizeof (ql_rpc_withdrawal), (xdrproc_t) xdr_ql_rpc_withdrawal))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_proof))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->proof_age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/control/rpc/replication.h
+++ b/src/control/rpc/replication.h
@@ -107,6 +107,9 @@
 		u_int piece_len;
 		char *piece_val;
 	} piece;
+	u_quad_t clock_id;
+	u_quad_t clock_ms;
+	u_quad_t proof_index;
 };
 typedef struct ql_rpc_replica_message ql_rpc_replica_message;
 
--- a/src/control/rpc/replication.x
+++ b/src/control/rpc/replication.x
@@ -68,6 +68,9 @@
  * round: the leader's read round; the answer returns it.
  * offset: position of piece in a snapshot of total bytes; in an answer, the
  * bytes received or the index of the append that is rejected.
+ * clock_id and clock_ms: in an answer to an append, the clock of the sender and
+ * its time. In an append, a time of the receiver's clock, named by clock_id: no
+ * entry after proof_index had been committed then. clock_id is 0 for none.
  */
 struct ql_rpc_replica_message {
 	ql_replica_message_type type;
@@ -83,6 +86,9 @@
 	unsigned hyper offset;
 	unsigned hyper total;
 	opaque piece<QL_REPLICA_PIECE_MAX>;
+	unsigned hyper clock_id;
+	unsigned hyper clock_ms;
+	unsigned hyper proof_index;
 };
 
 struct ql_rpc_replica_deliver_args {
--- a/src/control/rpc/replication_xdr.c
+++ b/src/control/rpc/replication_xdr.c
@@ -127,6 +127,12 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->piece.piece_val, (u_int *) &objp->piece.piece_len, QL_REPLICA_PIECE_MAX))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->proof_index))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -18,10 +18,15 @@
 	ql_control_service_t *control = data;
 	const ql_rpc_lease_args *args = in;
 	ql_rpc_lease_res *res = out;
+	uint64_t proven_ms = 0;
 
 	res->clock =
 		ql_greeting_observe_clock(control->hlc, args->greeting.clock);
-	ql_registrar_service_handle_lease(&control->registrar, args, res);
+	/* The reply has the configuration of this time or a later one. */
+	if (control->settings->replica)
+		proven_ms = ql_replica_service_proven_ms(&control->replica);
+	ql_registrar_service_handle_lease(&control->registrar, args, res,
+					  proven_ms);
 }
 
 static void handle_offer(void *data, const void *in, void *out)
--- a/src/node/lease_service.c
+++ b/src/node/lease_service.c
@@ -19,6 +19,7 @@
 typedef struct {
 	int index;
 	ql_rpc_client_t *client;
+	uint64_t sent_boot_ms;
 	ql_rpc_lease_args args;
 } renewal_t;
 
@@ -98,6 +99,8 @@
 	int ret = ql_member_handle_lease_reply(member, renewal->index, res,
 					       now_ms(), error);
 
+	if (!ret)
+		ql_member_take_proof(member, res, renewal->sent_boot_ms);
 	if (member->config.doc->version != before)
 		ql_log(LOG_NOTICE, "config_received",
 		       QL_UINT("version", member->config.doc->version),
@@ -125,6 +128,7 @@
 	if (index >= 0) {
 		renewal->index = index;
 		renewal->client = get_client(service, index);
+		renewal->sent_boot_ms = ql_clock_boot_ms();
 		ql_member_begin_renewal(member, index, now_ms());
 		signal_agreement(service);
 	}
--- a/src/node/path_jobs.c
+++ b/src/node/path_jobs.c
@@ -14,6 +14,7 @@
 	ql_document_t *doc;
 	ql_instance_report_t report;
 	ql_withdrawal_t withdrawal;
+	ql_key_proof_t proof;
 	uint64_t end_us;
 	void (*action)(ql_path_node_t *node);
 } path_job_t;
@@ -138,6 +139,22 @@
 	post(path_job);
 }
 
+static void run_prove_keys(ql_loop_job_t *job)
+{
+	path_job_t *path_job = (path_job_t *)job;
+
+	ql_front_prove_keys(&path_job->node->front, &path_job->proof);
+	g_free(path_job);
+}
+
+void ql_path_jobs_prove_keys(ql_path_node_t *node, const ql_key_proof_t *proof)
+{
+	path_job_t *path_job = path_job_new(node, run_prove_keys);
+
+	path_job->proof = *proof;
+	post(path_job);
+}
+
 static void set_ready(ql_path_node_t *node)
 {
 	node->front.ready = true;
@@ -273,6 +290,7 @@
 static void stop(ql_path_node_t *node)
 {
 	ql_load_log_stop(&node->load_log);
+	ql_key_watch_stop(&node->key_watch);
 	ql_listener_stop(&node->client_listener);
 	ql_listener_stop(&node->gate_listener);
 	ql_hops_finish(&node->hops);
--- a/src/node/path_jobs.h
+++ b/src/node/path_jobs.h
@@ -37,6 +37,14 @@
  */
 void ql_path_jobs_set_document(ql_path_node_t *node, ql_document_t *doc);
 
+/**
+ * ql_path_jobs_prove_keys() - Pass a proof that the document is the newest to
+ * the front end, after the documents that were passed before.
+ * @node: the node
+ * @proof: the proof; copied
+ */
+void ql_path_jobs_prove_keys(ql_path_node_t *node, const ql_key_proof_t *proof);
+
 /**
  * ql_path_jobs_set_ready() - Start to serve requests.
  * @node: the node
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -80,6 +80,14 @@
 	ql_path_jobs_open_gate(data);
 }
 
+static void on_config_proven(void *data, const ql_key_proof_t *proof)
+{
+	ql_path_node_t *node = data;
+
+	if (node->context.settings->key_lease_ms)
+		ql_path_jobs_prove_keys(node, proof);
+}
+
 static const ql_member_ops_t member_ops = {
 	.endpoint_up = on_endpoint_up,
 	.endpoint_gone = on_endpoint_gone,
@@ -87,6 +95,7 @@
 	.config_confirmed = on_config_confirmed,
 	.withdrawal_received = on_withdrawal_received,
 	.withdrawal_agreed = on_withdrawal_agreed,
+	.config_proven = on_config_proven,
 };
 
 static ql_document_t *get_document(void *data)
@@ -222,6 +231,7 @@
 	ql_front_opts_t front = {
 		.dialect = node->dialect,
 		.repeat_ratio = settings->repeat_ratio,
+		.key_lease_ms = settings->key_lease_ms,
 		.local = &node->gate,
 		.hops = &node->hops,
 		.counters = &node->context.counters,
@@ -246,6 +256,7 @@
 	ql_front_init(&node->front, &node->loop, &front);
 	ql_load_log_start(&node->load_log, &node->loop, &node->front,
 			  &node->gate);
+	ql_key_watch_start(&node->key_watch, &node->loop, &node->front);
 	node->hop_server = (ql_hop_server_t){
 		.gate = &node->gate,
 		.document = get_document,
--- a/src/node/path_node.h
+++ b/src/node/path_node.h
@@ -13,6 +13,7 @@
 #include "node/metrics_http.h"
 #include "path/front.h"
 #include "path/hop_server.h"
+#include "path/key_watch.h"
 #include "path/load_log.h"
 
 G_BEGIN_DECLS
@@ -43,6 +44,7 @@
  * @front: front end for clients and the local endpoint
  * @hop_server: handler for the calls of other nodes
  * @load_log: periodic load log
+ * @key_watch: watch of the proof that API keys are current
  * @client_listener: listener for clients and the local endpoint
  * @gate_listener: listener for other nodes
  * @ready_server: listener for readiness probes
@@ -72,6 +74,7 @@
 	ql_front_t front;
 	ql_hop_server_t hop_server;
 	ql_load_log_t load_log;
+	ql_key_watch_t key_watch;
 	ql_listener_t client_listener;
 	ql_listener_t gate_listener;
 	ql_http_server_t ready_server;
--- a/src/node/registrar_service.c
+++ b/src/node/registrar_service.c
@@ -55,8 +55,10 @@
 
 void ql_registrar_service_handle_lease(ql_registrar_service_t *service,
 				       const ql_rpc_lease_args *args,
-				       ql_rpc_lease_res *res)
+				       ql_rpc_lease_res *res,
+				       uint64_t proven_ms)
 {
+	uint64_t boot_ms = ql_clock_boot_ms();
 	uint64_t version;
 
 	if (!check_is_registrar(service, &res->status, &res->detail))
@@ -64,6 +66,9 @@
 	pthread_mutex_lock(service->lock);
 	tick(service);
 	ql_registrar_handle_lease(&service->registrar, args, res, now_ms());
+	if (proven_ms)
+		ql_registrar_fill_proof(&service->registrar, args, res,
+					boot_ms - MIN(proven_ms, boot_ms));
 	version = service->registrar.config->doc->version;
 	pthread_mutex_unlock(service->lock);
 	if (res->status)
--- a/src/node/registrar_service.h
+++ b/src/node/registrar_service.h
@@ -92,10 +92,13 @@
  * @args: request of the node
  * @res: zeros; set to the answer, with the status QL_E_UNAVAILABLE when this
  *       process is not a registrar
+ * @proven_ms: time of ql_clock_boot_ms() at which the configuration is known to
+ *             have been the newest, or 0 if no time is known
  */
 void ql_registrar_service_handle_lease(ql_registrar_service_t *service,
 				       const ql_rpc_lease_args *args,
-				       ql_rpc_lease_res *res);
+				       ql_rpc_lease_res *res,
+				       uint64_t proven_ms);
 
 /**
  * ql_registrar_service_handle_offer() - Answer a node that offers a document.
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -80,6 +80,16 @@
 	pthread_mutex_unlock(&service->view_lock);
 }
 
+uint64_t ql_replica_service_proven_ms(ql_replica_service_t *service)
+{
+	uint64_t proven_ms;
+
+	pthread_mutex_lock(&service->view_lock);
+	proven_ms = service->view.proven_ms;
+	pthread_mutex_unlock(&service->view_lock);
+	return proven_ms;
+}
+
 static const char *find_address(const ql_replica_service_t *service,
 				uint64_t id)
 {
@@ -193,6 +203,9 @@
 	view->leader = replica->leader;
 	view->log_index = ql_replica_last_index(replica);
 	view->applied = replica->applied;
+	view->proven_ms = view->failed ? 0
+				       : MAX(view->proven_ms,
+					     ql_replica_proven_ms(replica));
 	view->n_members = replica->n_peers;
 	memcpy(view->members, replica->peers,
 	       replica->n_peers * sizeof(*view->members));
@@ -286,6 +299,8 @@
 {
 	ql_patch_answer_t unused;
 
+	/* Read after the input was received, see ql_replica_set_time(). */
+	ql_replica_set_time(&service->config.replica, ql_clock_boot_ms());
 	switch (input->kind) {
 	case QL_REPLICA_INPUT_MESSAGES:
 		deliver_messages(service, input);
@@ -362,6 +377,7 @@
 	uint64_t now_us = ql_clock_now_us();
 	int i;
 
+	ql_replica_set_time(&service->config.replica, ql_clock_boot_ms());
 	for (i = 0; i < CATCH_UP_TICKS_MAX; i++) {
 		if (now_us - service->last_tick_us < REPLICA_TICK_US)
 			return;
@@ -424,6 +440,7 @@
 		.message_entries = QL_REPLICA_ENTRIES_MAX,
 		.window_entries = PEER_WINDOW_ENTRIES,
 		.piece_bytes = SNAPSHOT_PIECE_BYTES,
+		.clock_id = new_identity(),
 	};
 	ql_replicated_config_source_t source = {
 		.journal = &service->disk.journal,
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -33,6 +33,7 @@
  * @leader: identity of the leader, or 0 when it is not known
  * @log_index: index of the last entry of the log
  * @applied: index of the last entry applied
+ * @proven_ms: see ql_replica_proven_ms(); 0 after a failure
  * @members: the members; their @snapshot holds no reference, do not use it
  * @n_members: number of @members
  */
@@ -48,6 +49,7 @@
 	uint64_t leader;
 	uint64_t log_index;
 	uint64_t applied;
+	uint64_t proven_ms;
 	ql_replica_peer_t members[QL_REPLICA_MEMBERS_MAX];
 	size_t n_members;
 } ql_replica_view_t;
@@ -202,6 +204,17 @@
  */
 int ql_replica_service_read(ql_replica_service_t *service, uint64_t *token);
 
+/**
+ * ql_replica_service_proven_ms() - Get the newest time at which the document
+ * is known to have been the newest.
+ * @service: the service
+ *
+ * It holds for the document in @state from now on.
+ *
+ * Return: milliseconds of ql_clock_boot_ms(), or 0 if no time is known.
+ */
+uint64_t ql_replica_service_proven_ms(ql_replica_service_t *service);
+
 /**
  * ql_replica_service_program() - Get the RPC program of the replica.
  * @service: the service; must outlive the RPC server
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -2,6 +2,7 @@
 #include "quetzalloft/address.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
+#include "quetzalloft/key_lease.h"
 #include "quetzalloft/limiter.h"
 
 #include <string.h>
@@ -45,6 +46,7 @@
 		       REPLICA_LOSSES_MAX),
 	QL_MEMBER_DURATION(ql_settings_t, grace_ms, false, 0, 600000),
 	QL_MEMBER_REAL(ql_settings_t, repeat_ratio, false, 0, 1),
+	QL_MEMBER_DURATION(ql_settings_t, key_lease_ms, false, 0, 600000),
 };
 
 static const ql_json_member_t listen_members[] = {
@@ -358,6 +360,15 @@
 			"settings.renew_ms: found %" G_GUINT64_FORMAT
 			", allowed at most half of lease_ms",
 			settings->renew_ms);
+	/* One renewal may fail without a loss of the permission. */
+	if (settings->key_lease_ms &&
+	    settings->key_lease_ms <
+		    settings->renew_ms * 2 + QL_KEY_LEASE_MARGIN_MS)
+		return ql_error_set(
+			error, QL_E_RANGE,
+			"settings.key_lease_ms: found %" G_GUINT64_FORMAT
+			", allowed 0 or at least twice renew_ms and %u ms",
+			settings->key_lease_ms, QL_KEY_LEASE_MARGIN_MS);
 	if (settings->limiter[0] && !ql_limiter_find(settings->limiter))
 		return ql_error_set(
 			error, QL_E_NOT_FOUND,
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -100,6 +100,9 @@
  * @endpoint: the endpoint beside a node
  * @repeat_ratio: retry budget of a service: retries for each first attempt,
  *                0 to 1; 0 takes the ratio from the configuration
+ * @key_lease_ms: time after which API keys that were withdrawn are accepted no
+ *                more, whatever this node has received; 0 accepts API keys
+ *                without proof that they are current
  * @grace_ms: longest time in ms from the request to stop until the exit
  * @balancer: name of the load balancing policy
  * @limiter: name of the limiter that overrides the one of the configuration;
@@ -143,6 +146,7 @@
 	ql_listen_settings_t listen;
 	ql_endpoint_settings_t endpoint;
 	double repeat_ratio;
+	uint64_t key_lease_ms;
 	uint64_t grace_ms;
 	char balancer[QL_NAME_MAX];
 	char limiter[QL_NAME_MAX];
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -29,6 +29,7 @@
 	memset(front, 0, sizeof(*front));
 	front->loop = loop;
 	front->opts = *opts;
+	ql_key_lease_init(&front->key_lease, opts->key_lease_ms);
 	front->random = g_rand_new();
 	front->calls = g_hash_table_new(NULL, NULL);
 	front->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -139,6 +140,19 @@
 	update_retry_ratios(front);
 }
 
+void ql_front_prove_keys(ql_front_t *front, const ql_key_proof_t *proof)
+{
+	ql_key_lease_renew(&front->key_lease, proof);
+}
+
+bool ql_front_keys_are_current(const ql_front_t *front, uint64_t now_ms)
+{
+	if (!front->doc || !front->doc->teams.n_entries)
+		return true;
+	return ql_key_lease_is_valid(&front->key_lease, front->doc->version,
+				     now_ms);
+}
+
 void ql_front_add_endpoint(ql_front_t *front, const char *service,
 			   const ql_endpoint_info_t *info)
 {
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -11,6 +11,7 @@
 #include "path/hop.h"
 #include "path/local_gate.h"
 #include "quetzalloft/balancer.h"
+#include "quetzalloft/key_lease.h"
 #include "quetzalloft/retry.h"
 #include "quetzalloft/route_admission.h"
 #include "util/counters.h"
@@ -26,6 +27,7 @@
  * @repeat_ratio: retry budget of a service: retries for each first attempt,
  *                summed over all layers of callers above it; 0 uses the retry
  *                ratio of the document
+ * @key_lease_ms: see &ql_key_lease.lease_ms
  * @local: gate of this node; borrowed
  * @hops: connections to other gates; borrowed
  * @counters: metrics to update; borrowed
@@ -40,6 +42,7 @@
 	char own_gate[QL_ADDRESS_MAX];
 	char failure_domain[QL_NAME_MAX];
 	double repeat_ratio;
+	uint64_t key_lease_ms;
 	ql_local_gate_t *local;
 	ql_hops_t *hops;
 	ql_counters_t *counters;
@@ -112,6 +115,7 @@
  * @loop: loop that the front end runs on
  * @opts: settings
  * @doc: document in force, or NULL
+ * @key_lease: permission to accept API keys
  * @ready: requests are served
  * @draining: new requests are refused
  * @end_us: when the requests in flight are failed, as the node stops; 0 if it
@@ -126,6 +130,7 @@
 	ql_loop_t *loop;
 	ql_front_opts_t opts;
 	ql_document_t *doc;
+	ql_key_lease_t key_lease;
 	bool ready;
 	bool draining;
 	uint64_t end_us;
@@ -160,6 +165,23 @@
  */
 void ql_front_set_document(ql_front_t *front, ql_document_t *doc);
 
+/**
+ * ql_front_prove_keys() - Take over a proof that a document was the newest.
+ * @front: the front end
+ * @proof: the proof; it counts once its version is in force
+ */
+void ql_front_prove_keys(ql_front_t *front, const ql_key_proof_t *proof);
+
+/**
+ * ql_front_keys_are_current() - Check whether API keys are accepted now.
+ * @front: the front end
+ * @now_ms: current time of ql_clock_boot_ms()
+ *
+ * Return: true if the document in force is proven, or needs no proof as it has
+ * no teams or the settings ask for none.
+ */
+bool ql_front_keys_are_current(const ql_front_t *front, uint64_t now_ms);
+
 /**
  * ql_front_set_repeat_ratio() - Change the retry budget of all services.
  * @front: the front end
--- a/src/path/front_begin.c
+++ b/src/path/front_begin.c
@@ -8,6 +8,8 @@
 #define DRAINING_RETRY_AFTER_MS 50u
 /* Short, as the client can use another connection at once. */
 #define HEAD_OF_LINE_RETRY_AFTER_MS 10u
+/* Less than a renewal of the lease takes, as each may bring a proof. */
+#define NOT_CURRENT_RETRY_AFTER_MS 250u
 
 static bool blocks_successor(const ql_front_call_t *call,
 			     uint64_t successor_deadline_us)
@@ -193,6 +195,20 @@
 	       now + (uint64_t)state->typical_latency_us >= front->end_us;
 }
 
+static void refuse_caller(ql_front_t *front, ql_http_exchange_t *exchange,
+			  ql_reason_t reason)
+{
+	uint32_t retry_after_ms = 0;
+
+	if (reason == QL_REASON_NOT_CURRENT) {
+		retry_after_ms = ql_retry_after_ms(NOT_CURRENT_RETRY_AFTER_MS,
+						   front->random);
+		ql_counter_increment(front->opts.counters,
+				     QL_COUNT_KEYS_NOT_CURRENT);
+	}
+	refuse_request(front, exchange, reason, retry_after_ms);
+}
+
 /* Refuses the request of an unknown caller and starts that of a known one. */
 static void start_identified(ql_front_t *front, ql_http_exchange_t *exchange,
 			     const ql_route_t *route)
@@ -204,7 +220,7 @@
 	if (reason == QL_REASON_NONE)
 		start_call(call_new(front, exchange, route, team));
 	else
-		refuse_request(front, exchange, reason, 0);
+		refuse_caller(front, exchange, reason);
 }
 
 void ql_front_handle(void *data, ql_http_exchange_t *exchange)
--- a/src/path/front_caller.c
+++ b/src/path/front_caller.c
@@ -1,4 +1,5 @@
 #include "path/front_internal.h"
+#include "quetzalloft/clock.h"
 
 #include <strings.h>
 
@@ -58,6 +59,13 @@
 		return QL_REASON_BAD_REQUEST;
 	if (!n)
 		return check_local_call(front, exchange);
+	/*
+	 * Whether a key is known is not said without a proof, as it may have
+	 * been added since. The process may have been paused after the time of
+	 * the loop was read.
+	 */
+	if (!ql_front_keys_are_current(front, ql_clock_boot_ms()))
+		return QL_REASON_NOT_CURRENT;
 	*team = ql_teams_find_key(teams, key);
 	return *team ? QL_REASON_NONE : QL_REASON_UNKNOWN_KEY;
 }
--- a/src/util/clock.c
+++ b/src/util/clock.c
@@ -1,12 +1,26 @@
 #include "quetzalloft/clock.h"
 
+#include <time.h>
+
 #define COUNTER_BITS 16
+#define MS_PER_S 1000u
+#define NS_PER_MS 1000000u
 
 uint64_t ql_clock_now_us(void)
 {
 	return (uint64_t)g_get_monotonic_time();
 }
 
+uint64_t ql_clock_boot_ms(void)
+{
+	struct timespec now;
+
+	if (clock_gettime(CLOCK_BOOTTIME, &now))
+		g_error("clock_gettime() does not support CLOCK_BOOTTIME");
+	return (uint64_t)now.tv_sec * MS_PER_S +
+	       (uint64_t)now.tv_nsec / NS_PER_MS;
+}
+
 uint64_t ql_clock_wall_ms(void)
 {
 	return (uint64_t)g_get_real_time() / QL_US_PER_MS;
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -64,6 +64,9 @@
 	[QL_COUNT_DISK_WRITES_FAILED] =
 		{"disk_writes_failed",
 		 "Failed attempts of a replica to write to its disk."},
+	[QL_COUNT_KEYS_NOT_CURRENT] =
+		{"keys_not_current",
+		 "Requests refused, as API keys could not be proven current."},
 };
 
 static const ql_metric_t gauge_metrics[QL_N_GAUGES] = {
@@ -78,6 +81,9 @@
 				  "Requests that wait at the gate."},
 	[QL_GAUGE_GATE_LIMIT] = {"gate_limit",
 				 "Requests that the gate lets run at a time."},
+	[QL_GAUGE_KEY_PROOF_AGE_MS] =
+		{"key_proof_age_ms",
+		 "Age of the proof that API keys are current."},
 };
 
 static const ql_metric_t latency_metrics[QL_N_LATENCIES] = {
--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -51,6 +51,8 @@
  *                              withdrew
  * @QL_COUNT_DISK_WRITES_FAILED: failed attempts to write to the disk of a
  * replica
+ * @QL_COUNT_KEYS_NOT_CURRENT: requests with an API key refused, as the node
+ *                             could not prove that its keys are current
  * @QL_N_COUNTERS: number of counters
  */
 typedef enum ql_counter {
@@ -83,6 +85,7 @@
 	QL_COUNT_REPORTS_REFUSED,
 	QL_COUNT_REPORTS_WITHDRAWN,
 	QL_COUNT_DISK_WRITES_FAILED,
+	QL_COUNT_KEYS_NOT_CURRENT,
 	QL_N_COUNTERS,
 } ql_counter_t;
 
@@ -110,6 +113,10 @@
  * @QL_GAUGE_GATE_RUNNING: requests in flight at the endpoint
  * @QL_GAUGE_GATE_QUEUED: requests queued at the gate
  * @QL_GAUGE_GATE_LIMIT: concurrency limit of the gate, in requests
+ * @QL_GAUGE_KEY_PROOF_AGE_MS: age of the newest proof that the API keys are
+ *                             current, in milliseconds; without one, the time
+ *                             since the start of the machine; 0 if keys are
+ *                             accepted without proof
  * @QL_N_GAUGES: number of gauges
  */
 typedef enum ql_gauge {
@@ -119,6 +126,7 @@
 	QL_GAUGE_GATE_RUNNING,
 	QL_GAUGE_GATE_QUEUED,
 	QL_GAUGE_GATE_LIMIT,
+	QL_GAUGE_KEY_PROOF_AGE_MS,
 	QL_N_GAUGES,
 } ql_gauge_t;
 
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -21,6 +21,8 @@
 	bool config_confirmed = false;
 	std::string withdrawn;
 	int agreements = 0;
+	int proofs = 0;
+	ql_key_proof_t proof = {};
 };
 
 void endpoint_up(void *data, const char *, const ql_endpoint_info_t *info)
@@ -56,9 +58,16 @@
 	((Callbacks *)data)->agreements++;
 }
 
+void config_proven(void *data, const ql_key_proof_t *proof)
+{
+	((Callbacks *)data)->proofs++;
+	((Callbacks *)data)->proof = *proof;
+}
+
 const ql_member_ops_t OPS = {endpoint_up,	  endpoint_gone,
 			     config_changed,	  config_confirmed,
-			     withdrawal_received, withdrawal_agreed};
+			     withdrawal_received, withdrawal_agreed,
+			     config_proven};
 
 const char DOCUMENT[] = "{\"site\":\"s\",\"attempts\":5,\"classes\":{},"
 			"\"services\":{\"a\":{}},\"routes\":{}}";
@@ -171,6 +180,57 @@
 
 const char GATE[] = "127.0.0.1:1";
 
+/* The version in force is 1. */
+TEST_F(Member, TakesOnlyAProofOfTheVersionInForce)
+{
+	const struct {
+		const char *description;
+		int status;
+		bool has_proof;
+		uint64_t version;
+		bool taken;
+	} cases[] = {
+		{"proof", 0, true, 1, true},
+		{"none", 0, false, 1, false},
+		{"refusal", QL_E_DENIED, true, 1, false},
+		{"of a version that did not arrive", 0, true, 2, false},
+		{"of a version that this one may not succeed", 0, true, 0,
+		 false},
+	};
+
+	for (const auto &test : cases) {
+		SCOPED_TRACE(test.description);
+		ql_rpc_lease_res res = make_reply(1);
+
+		res.status = test.status;
+		res.has_proof = test.has_proof;
+		res.proof_age_ms = 300;
+		res.config_version = test.version;
+		callbacks.proofs = 0;
+		ql_member_take_proof(&member, &res, 7000);
+		EXPECT_EQ(test.taken ? 1 : 0, callbacks.proofs);
+		EXPECT_EQ(test.taken ? 7000u : 0u, callbacks.proof.sent_ms);
+		EXPECT_EQ(test.taken ? 300u : 0u, callbacks.proof.age_ms);
+		EXPECT_EQ(test.taken ? 1u : 0u, callbacks.proof.version);
+		callbacks.proof = {};
+	}
+}
+
+/* What a neighbour sends may be as old as what this node had. */
+TEST_F(Member, TakesNoProofFromANeighbour)
+{
+	ql_rpc_document_res res = {};
+
+	res.config_version = 2;
+	res.whole_document = TRUE;
+	res.document.document_val = (char *)DOCUMENT;
+	res.document.document_len = sizeof(DOCUMENT) - 1;
+	ASSERT_EQ(0, ql_member_handle_document_reply(&member, &res, 1000,
+						     nullptr));
+	EXPECT_EQ(2u, callbacks.version);
+	EXPECT_EQ(0, callbacks.proofs);
+}
+
 /* A document may grow beyond the services that are followed in advance. */
 TEST_F(Member, FollowsCalledServicesOfALargeDocument)
 {
--- a/tests/control/membership_simulation.cc
+++ b/tests/control/membership_simulation.cc
@@ -64,9 +64,9 @@
 	((SimulatedNode *)data)->agreements++;
 }
 
-const ql_member_ops_t OPS = {endpoint_up,	  endpoint_gone,
-			     config_changed,	  nullptr,
-			     withdrawal_received, withdrawal_agreed};
+const ql_member_ops_t OPS = {
+	endpoint_up,	     endpoint_gone,	config_changed, nullptr,
+	withdrawal_received, withdrawal_agreed, nullptr};
 
 std::string domain_name(int domain)
 {
--- a/tests/control/registrar_test.cc
+++ b/tests/control/registrar_test.cc
@@ -116,6 +116,37 @@
 	EXPECT_TRUE(ql_registrar_is_ready(&registrar, now));
 }
 
+/* The configuration of the registrar has version 0. */
+TEST_F(Registrar, ProvesOnlyWhatTheNodeHasAfterTheReply)
+{
+	const struct {
+		const char *description;
+		int status;
+		uint64_t version;
+		bool other_digest;
+		bool proven;
+	} cases[] = {
+		{"same version", 0, 0, false, true},
+		{"same version, other content", 0, 0, true, false},
+		{"later version", 0, 1, false, false},
+		{"refused renewal", QL_E_DENIED, 0, false, false},
+	};
+
+	for (const auto &test : cases) {
+		SCOPED_TRACE(test.description);
+		ql_rpc_lease_args args = {};
+		ql_rpc_lease_res res = {};
+
+		args.config_version = test.version;
+		args.config_digest =
+			config.doc->digest + (test.other_digest ? 1 : 0);
+		res.status = test.status;
+		ql_registrar_fill_proof(&registrar, &args, &res, 300);
+		EXPECT_EQ(test.proven, (bool)res.has_proof);
+		EXPECT_EQ(test.proven ? 300u : 0u, res.proof_age_ms);
+	}
+}
+
 TEST_F(Registrar, RefusesWrongOrMalformedIdentity)
 {
 	struct Case {
--- a/tests/control/replica_cluster.cc
+++ b/tests/control/replica_cluster.cc
@@ -4,6 +4,7 @@
 {
 
 const size_t ELECTION_LIMIT_TICKS = 1000;
+const uint64_t TICK_MS = 50;
 
 void send_message(void *data, ql_rpc_replica_message *message)
 {
@@ -111,6 +112,7 @@
 	node.bytes_read = node.journal.bytes_read;
 	node.random = g_rand_new_with_seed((guint32)index + 1);
 	opts.random = node.random;
+	opts.clock_id = index + 1;
 	ql_config_state_init(&node.state);
 	if (ql_replicated_config_init(&node.config, &opts, &source, &CONFIG_OPS,
 				      &node, nullptr))
@@ -152,17 +154,26 @@
 	return true;
 }
 
+void ReplicaCluster::deliver(ql_rpc_replica_message *message)
+{
+	ClusterReplica &from = *replicas[message->from - 1];
+	ClusterReplica &to = *replicas[message->to - 1];
+
+	if (!to.is_running || from.is_cut_off || to.is_cut_off)
+		return;
+	ql_replica_set_time(&to.config.replica, now_ms);
+	ql_replica_deliver(&to.config.replica, message);
+}
+
 bool ReplicaCluster::deliver_messages()
 {
 	bool delivered = !messages.empty();
 
 	while (!messages.empty()) {
 		ql_rpc_replica_message *message = messages.front();
-		ClusterReplica &to = *replicas[message->to - 1];
 
 		messages.pop_front();
-		if (to.is_running)
-			ql_replica_deliver(&to.config.replica, message);
+		deliver(message);
 		ql_replica_message_free(message);
 	}
 	return delivered;
@@ -184,7 +195,8 @@
 	for (auto &node : replicas) {
 		const ql_replica_t &replica = node->config.replica;
 
-		if (node->is_running && replica.role == QL_REPLICA_LEADER &&
+		if (node->is_running && !node->is_cut_off &&
+		    replica.role == QL_REPLICA_LEADER &&
 		    replica.applied >= replica.term_start)
 			return node.get();
 	}
@@ -193,9 +205,13 @@
 
 void ReplicaCluster::tick()
 {
-	for (auto &node : replicas)
-		if (node->is_running)
-			ql_replica_tick(&node->config.replica);
+	now_ms += TICK_MS;
+	for (auto &node : replicas) {
+		if (!node->is_running)
+			continue;
+		ql_replica_set_time(&node->config.replica, now_ms);
+		ql_replica_tick(&node->config.replica);
+	}
 	run_until_idle();
 }
 
--- a/tests/control/replica_cluster.h
+++ b/tests/control/replica_cluster.h
@@ -4,8 +4,8 @@
 /*
  * A cluster of replicas in one thread. Each replica uses a disk of the caller;
  * a write that fails is repeated with each run_until_idle().
- * No message is lost: the cluster serves to count and to measure, while
- * ReplicaSimulation serves to test failures.
+ * Only the messages of a replica that is cut off are lost: the cluster serves
+ * to count and to measure, while ReplicaSimulation serves to test failures.
  */
 
 #include "control/replicated_config.h"
@@ -33,6 +33,7 @@
 	ql_replica_write_t write;
 	/* Writes are taken and do not end. */
 	bool disk_is_stalled = false;
+	bool is_cut_off = false;
 	uint64_t bytes_read = 0;
 	uint64_t n_writes = 0;
 };
@@ -63,10 +64,13 @@
 
 	std::vector<std::unique_ptr<ClusterReplica>> replicas;
 	std::deque<ql_rpc_replica_message *> messages;
+	/* Time of the clock of all replicas, advanced by tick(). */
+	uint64_t now_ms = 1000000;
 
       private:
 	bool write_once(ClusterReplica &node);
 	bool deliver_messages();
+	void deliver(ql_rpc_replica_message *message);
 
 	ql_replica_opts_t opts;
 };
--- a/tests/control/replica_simulation.cc
+++ b/tests/control/replica_simulation.cc
@@ -14,6 +14,10 @@
 const size_t CONVERGENCE_TICKS_MAX = 400;
 /* Ticks at the start, enough for the first election. */
 const size_t FIRST_ELECTION_TICKS = 20;
+const uint64_t TICK_MS = 20;
+const uint64_t MESSAGE_MS = 5;
+/* The clocks of the replicas differ by multiples of this. */
+const uint64_t CLOCK_OFFSET_MS = 300;
 
 /* Number of byte values, out of 256, that encode each operation. */
 const std::pair<SimulationOp, unsigned int> WEIGHTS[] = {
@@ -131,6 +135,12 @@
 		return "EmptyDiskVotes";
 	case Fault::SECOND_MEMBERSHIP_CHANGE_IN_PROGRESS:
 		return "SecondMembershipChangeInProgress";
+	case Fault::TRANSIT_TIME_IGNORED:
+		return "TransitTimeIgnored";
+	case Fault::CLOCK_READ_EARLY:
+		return "ClockReadEarly";
+	case Fault::OLD_PROOFS_KEPT:
+		return "OldProofsKept";
 	default:
 		return "None";
 	}
@@ -178,7 +188,7 @@
 		rules.may_commit = always_may_commit;
 	if (fault == Fault::SECOND_MEMBERSHIP_CHANGE_IN_PROGRESS)
 		rules.members_settled = always_settled;
-	opts = {&rules, replica_chart(), nullptr, 6, 2, 8, 3, 1, 4, 64, 0, 0,
+	opts = {&rules, replica_chart(), nullptr, 6, 2, 8, 3, 1, 4, 64, 0, 0, 0,
 		0};
 	for (size_t i = 0; i < n_replicas + N_SPARE_REPLICAS; i++) {
 		nodes.push_back(std::make_unique<SimulatedReplica>());
@@ -237,6 +247,10 @@
 	node.random = g_rand_new_with_seed((guint32)node.id);
 	ql_config_state_init(&node.state);
 	opts.random = node.random;
+	/* A restart may be one of the machine, whose clock starts again. */
+	node.clock_start_ms = now_ms - 1 - node.slot * CLOCK_OFFSET_MS / 2;
+	node.n_proofs = 0;
+	opts.clock_id = ++next_clock_id;
 	source = {&node.journal, node.id, &node.state};
 	if (ql_replicated_config_init(&node.config, &opts, &source, &CONFIG_OPS,
 				      &node, &error)) {
@@ -245,6 +259,12 @@
 	}
 	node.config.replica.ops = add_apply_check(node.config.replica.ops);
 	node.is_running = true;
+	set_time(node);
+}
+
+void ReplicaSimulation::set_time(SimulatedReplica &node)
+{
+	ql_replica_set_time(&node.config.replica, now_ms - node.clock_start_ms);
 }
 
 void ReplicaSimulation::stop(SimulatedReplica &node, unsigned int choice)
@@ -344,13 +364,24 @@
 
 void ReplicaSimulation::tick(SimulatedReplica &node)
 {
-	if (node.is_running)
-		ql_replica_tick(&node.config.replica);
+	now_ms += TICK_MS;
+	if (!node.is_running)
+		return;
+	set_time(node);
+	ql_replica_tick(&node.config.replica);
 }
 
 void ReplicaSimulation::on_send(SimulatedReplica *,
 				ql_rpc_replica_message *message)
 {
+	/* The age on sending, which deliver() turns into a time again. */
+	if (fault == Fault::TRANSIT_TIME_IGNORED &&
+	    message->type == QL_REPLICA_APPEND)
+		for (auto &node : nodes)
+			if (node->id == message->to)
+				message->clock_ms = now_ms -
+						    node->clock_start_ms -
+						    message->clock_ms;
 	if (in_flight.size() >= MESSAGES_IN_FLIGHT_MAX)
 		drop(0);
 	in_flight.push_back(message);
@@ -367,6 +398,7 @@
 	ql_rpc_replica_message *message = copy_message(in_flight[position]);
 	SimulatedReplica *from = nullptr, *to = nullptr;
 
+	now_ms += MESSAGE_MS;
 	if (!keep)
 		drop(position);
 	for (auto &node : nodes) {
@@ -376,8 +408,15 @@
 			to = node.get();
 	}
 	if (to && to->is_running &&
-	    !(from && partitions.count({from->slot, to->slot})))
+	    !(from && partitions.count({from->slot, to->slot}))) {
+		if (fault != Fault::CLOCK_READ_EARLY)
+			set_time(*to);
+		if (fault == Fault::TRANSIT_TIME_IGNORED &&
+		    message->type == QL_REPLICA_APPEND)
+			message->clock_ms =
+				to->config.replica.now_ms - message->clock_ms;
 		ql_replica_deliver(&to->config.replica, message);
+	}
 	ql_replica_message_free(message);
 }
 
@@ -672,6 +711,10 @@
 							  std::string(data,
 								      length)};
 	auto found = log.emplace(entry->index, entry_content);
+	uint64_t newest =
+		applied_by_time.empty() ? 0 : applied_by_time.rbegin()->second;
+
+	applied_by_time[now_ms] = std::max(newest, (uint64_t)entry->index);
 
 	if (!found.second && found.first->second != entry_content)
 		report_violation("replica " + std::to_string(node->id) +
@@ -709,6 +752,34 @@
 	newest.first->second = version;
 }
 
+/* Whatever was applied before the time that a replica claims is applied here.
+ */
+void ReplicaSimulation::check_proof(SimulatedReplica &node)
+{
+	ql_replica_t &replica = node.config.replica;
+	uint64_t proven_ms;
+
+	if (fault == Fault::OLD_PROOFS_KEPT) {
+		replica.n_proofs = std::max(replica.n_proofs, node.n_proofs);
+		node.n_proofs = replica.n_proofs;
+	}
+	proven_ms = ql_replica_proven_ms(&replica);
+	if (!proven_ms)
+		return;
+	n_proven++;
+	auto after =
+		applied_by_time.lower_bound(proven_ms + node.clock_start_ms);
+	if (after == applied_by_time.begin())
+		return;
+	if (std::prev(after)->second > replica.applied)
+		report_violation("replica " + std::to_string(node.id) +
+				 " has entry " +
+				 std::to_string(replica.applied) +
+				 " and proves that it was the newest when " +
+				 std::to_string(std::prev(after)->second) +
+				 " was applied elsewhere");
+}
+
 /* Records the voters; lists older than one that is applied are dropped. */
 void ReplicaSimulation::record_voters(const SimulatedReplica &node)
 {
@@ -733,6 +804,7 @@
 			continue;
 		check_leader(*node);
 		check_versions(*node);
+		check_proof(*node);
 		record_voters(*node);
 	}
 }
--- a/tests/control/replica_simulation.h
+++ b/tests/control/replica_simulation.h
@@ -24,6 +24,12 @@
 	OLD_TERM_COMMITTED_BY_COUNT,
 	EMPTY_DISK_VOTES,
 	SECOND_MEMBERSHIP_CHANGE_IN_PROGRESS,
+	/* A proof ages from its receipt, as if messages took no time. */
+	TRANSIT_TIME_IGNORED,
+	/* The clock is read before an input is received. */
+	CLOCK_READ_EARLY,
+	/* A leader counts the rounds of an earlier term of its own. */
+	OLD_PROOFS_KEPT,
 };
 
 const char *fault_name(Fault fault);
@@ -91,6 +97,10 @@
 	ql_config_state_t state;
 	ql_replicated_config_t config;
 	GRand *random = nullptr;
+	/* Time of the simulation at which its clock was 0. */
+	uint64_t clock_start_ms = 0;
+	/* For Fault::OLD_PROOFS_KEPT. */
+	uint64_t n_proofs = 0;
 };
 
 struct SimulatedPatch {
@@ -117,6 +127,8 @@
 	size_t n_steps = 0;
 	size_t n_accepted = 0;
 	size_t n_reads = 0;
+	/* Steps after which a replica knew a time of its newest state. */
+	size_t n_proven = 0;
 
 	/* Describes the state of all replicas for an error message. */
 	std::string describe() const;
@@ -167,6 +179,8 @@
 
 	void check();
 	void check_leader(const SimulatedReplica &node);
+	void check_proof(SimulatedReplica &node);
+	void set_time(SimulatedReplica &node);
 	void check_versions(const SimulatedReplica &node);
 	void record_voters(const SimulatedReplica &node);
 	void report_violation(const std::string &what);
@@ -198,6 +212,11 @@
 	std::map<uint64_t, std::string> accepted_bases;
 	std::map<std::pair<uint64_t, uint64_t>, VoterSet> voters;
 	uint64_t newest_accepted = 0;
+
+	uint64_t now_ms = 10000;
+	uint64_t next_clock_id = 0;
+	/* Highest index that any replica had applied, by time. */
+	std::map<uint64_t, uint64_t> applied_by_time;
 };
 
 #endif
--- a/tests/control/replica_test.cc
+++ b/tests/control/replica_test.cc
@@ -20,7 +20,7 @@
 
 TEST_P(Exploration, NoScheduleViolatesAnInvariant)
 {
-	size_t n_accepted = 0, n_reads = 0;
+	size_t n_accepted = 0, n_reads = 0, n_proven = 0;
 
 	for (uint32_t seed = 1; seed <= N_SEEDS; seed++) {
 		ReplicaSimulation simulation(GetParam().n_replicas, Fault::NONE,
@@ -30,12 +30,43 @@
 		ASSERT_EQ("", simulation.violation) << "seed " << seed;
 		n_accepted += simulation.n_accepted;
 		n_reads += simulation.n_reads;
+		n_proven += simulation.n_proven;
 	}
 	/* The schedules lead to accepted patches and confirmed reads. */
 	EXPECT_LT(N_SEEDS, n_accepted);
 	EXPECT_LT(N_SEEDS / 2, n_reads);
+	EXPECT_LT(N_SEEDS * 10, n_proven);
 }
 
+/* Faults of the proof that a state was the newest, found by random steps. */
+class FaultsOfProofs : public testing::TestWithParam<Fault>
+{
+};
+
+TEST_P(FaultsOfProofs, AreDetected)
+{
+	size_t n_detected = 0;
+
+	for (uint32_t seed = 1; seed <= N_SEEDS; seed++) {
+		ReplicaSimulation simulation(3, GetParam());
+
+		simulation.run(random_schedule(seed, SCHEDULE_BYTES));
+		if (simulation.violation.find(
+			    "proves that it was the newest") !=
+		    std::string::npos)
+			n_detected++;
+	}
+	RecordProperty("detected", (int)n_detected);
+	EXPECT_LT(0u, n_detected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Replicas, FaultsOfProofs,
+			 testing::Values(Fault::TRANSIT_TIME_IGNORED,
+					 Fault::CLOCK_READ_EARLY),
+			 [](const testing::TestParamInfo<Fault> &test) {
+				 return std::string(fault_name(test.param));
+			 });
+
 INSTANTIATE_TEST_SUITE_P(
 	Replicas, Exploration,
 	testing::Values(
@@ -201,7 +232,10 @@
 			   3,
 			   {18, 168, 247, 247, 119, 98, 221, 117, 106, 78, 182,
 			    82, 231, 189, 175, 246, 63, 157},
-			   "applies another entry"}),
+			   "applies another entry"},
+		KnownFault{Fault::OLD_PROOFS_KEPT, 5,
+			   random_schedule(8902, SCHEDULE_BYTES),
+			   "proves that it was the newest"}),
 	[](const testing::TestParamInfo<KnownFault> &test) {
 		return std::string(fault_name(test.param.fault));
 	});
--- a/tests/path/caller_test.cc
+++ b/tests/path/caller_test.cc
@@ -1,4 +1,5 @@
 #include "path_fixture.h"
+#include "quetzalloft/clock.h"
 
 namespace
 {
@@ -129,6 +130,128 @@
 	EXPECT_NE(std::string::npos, other.received.find("unknown-caller"));
 }
 
+/* A node that accepts API keys only with a proof that they are current. */
+class ProvenCaller : public Caller
+{
+      protected:
+	static constexpr uint64_t LEASE_MS = 600000;
+
+	ProvenCaller()
+	{
+		key_lease_ms = LEASE_MS;
+	}
+
+	void prove(uint64_t version, uint64_t age_ms)
+	{
+		const ql_key_proof_t proof = {version, ql_clock_boot_ms(),
+					      age_ms};
+
+		ql_front_prove_keys(&front, &proof);
+	}
+};
+
+struct ProofCase {
+	const char *name;
+	const char *path;
+	const char *headers;
+	const char *status;
+	/* Part of the response, or "". */
+	const char *reason;
+};
+
+const ProofCase WITHOUT_PROOF[] = {
+	{"known key", "/get/", "Key: k1\r\n", "503", "not-current"},
+	{"unknown key", "/get/", "Key: k3\r\n", "503", "not-current"},
+	{"two keys", "/get/", "Key: k1\r\nKey: k1\r\n", "400", ""},
+	{"no key", "/get/", "", "401", ""},
+	{"no route", "/none/", "Key: k1\r\n", "404", ""},
+};
+
+/* A proof of a later version, or one that is too old, is as good as none. */
+TEST_F(ProvenCaller, IsNotJudgedByKeysThatMayBeOld)
+{
+	const struct {
+		const char *name;
+		uint64_t version, age_ms;
+	} proofs[] = {
+		{"none", 0, 0},
+		{"too old", 1, LEASE_MS - QL_KEY_LEASE_MARGIN_MS},
+		{"before the start of the machine", 1, UINT64_MAX},
+		{"of a version that is not in force", 2, 0},
+	};
+	uint64_t n_refused = 0;
+
+	for (const auto &proof : proofs) {
+		SCOPED_TRACE(proof.name);
+		ql_key_lease_init(&front.key_lease, LEASE_MS);
+		if (proof.version)
+			prove(proof.version, proof.age_ms);
+		for (const ProofCase &test : WITHOUT_PROOF) {
+			SCOPED_TRACE(test.name);
+			RawSocket client = connect_client();
+
+			client.send(request(test.path, "x", test.headers));
+			ASSERT_TRUE(event_loop.run_until(
+				[&] { return client.has("\r\n\r\n"); }));
+			EXPECT_EQ(0u, client.received.find(
+					      std::string("HTTP/1.1 ") +
+					      test.status));
+			EXPECT_NE(std::string::npos,
+				  client.received.find(test.reason));
+			if (test.reason[0]) {
+				n_refused++;
+				EXPECT_NE(std::string::npos,
+					  client.received.find("Retry-After"));
+			}
+		}
+	}
+	EXPECT_EQ(n_refused, counter_value(QL_COUNT_KEYS_NOT_CURRENT));
+}
+
+/* Neither the calls of running requests nor anonymous routes need a proof. */
+TEST_F(ProvenCaller, NeedsAProofOnlyToUseAKey)
+{
+	RawSocket client = connect_client(), open = connect_client();
+
+	prove(1, 0);
+	client.send(request("/get/", "x", "Key: k1\r\n"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	EXPECT_NE(std::string::npos, server->received.find("Team: red"));
+	ql_key_lease_init(&front.key_lease, LEASE_MS);
+	RawSocket endpoint = connect_client();
+	endpoint.send(request("/get/", "x.1", ""));
+	auto called = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return called->has("\r\n\r\n"); }));
+	called->send("HTTP/1.1 200 OK\r\nId: x.1\r\nSeal: s\r\n"
+		     "Connection: close\r\nContent-Length: 2\r\n\r\nok");
+	ASSERT_TRUE(event_loop.run_until(
+		[&] { return endpoint.has("\r\n\r\nok"); }));
+	open.send(request("/open/", "y", "Key: k1\r\n"));
+	auto opened = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return opened->has("\r\n\r\n"); }));
+}
+
+/* A proof that comes back lets the next request pass, on the same connection.
+ */
+TEST_F(ProvenCaller, IsAcceptedAtOnceWithAProof)
+{
+	RawSocket client = connect_client();
+
+	client.send(request("/get/", "x", "Key: k1\r\n"));
+	ASSERT_TRUE(event_loop.run_until(
+		[&] { return client.has("not-current"); }));
+	prove(1, 1000);
+	client.send(request("/get/", "y", "Key: k1\r\n"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	EXPECT_NE(std::string::npos, server->received.find("Team: red"));
+}
+
 /* Without teams the headers belong to the callers and their endpoints. */
 TEST_F(Caller, HeadersPassWhereTheDocumentHasNoTeams)
 {
--- a/tests/path/path_fixture.h
+++ b/tests/path/path_fixture.h
@@ -55,6 +55,8 @@
 	ql_counters_t counters = {};
 	int n_state_changes = 0;
 	std::vector<std::string> wanted_services;
+	/* Set before SetUp(). */
+	uint64_t key_lease_ms = 0;
 
 	void SetUp() override
 	{
@@ -86,6 +88,7 @@
 		strcpy(front_opts.caller, "a");
 		strcpy(front_opts.own_gate, "127.0.0.1:1");
 		strcpy(front_opts.failure_domain, "d");
+		front_opts.key_lease_ms = key_lease_ms;
 		front_opts.local = &gate;
 		front_opts.hops = &hops;
 		front_opts.counters = &counters;
