--- a/include/quetzalloft/member.h
+++ b/include/quetzalloft/member.h
@@ -74,6 +74,9 @@
  * @registrars: "IP:port" of the registrars of the failure domain
  * @n_registrars: number of @registrars
  * @renew_ms: mean time between two renewals
+ * @backoff_max_ms: longest backoff of a registrar; 0 for the default
+ * @proof_max_ms: a registrar whose proof is missing or older than this is
+ *                renewed at together with a spare one; 0 for no such limit
  * @rules: how record versions are compared; NULL for &ql_membership_rules
  */
 typedef struct ql_member_opts {
@@ -85,6 +88,8 @@
 	char registrars[QL_REGISTRARS_MAX][QL_ADDRESS_MAX];
 	size_t n_registrars;
 	uint32_t renew_ms;
+	uint32_t backoff_max_ms;
+	uint32_t proof_max_ms;
 	const ql_membership_rules_t *rules;
 } ql_member_opts_t;
 
@@ -108,6 +113,7 @@
  * @leave_due: the registrar has to be told that the node leaves
  * @conflict: the registrar has a serving endpoint of this node recorded as
  *            leaving or gone, or in a later incarnation
+ * @unproven: its last reply had no proof, or one that was too old
  */
 typedef struct ql_member_link {
 	uint64_t incarnation;
@@ -123,6 +129,7 @@
 	bool replaced;
 	bool leave_due;
 	bool conflict;
+	bool unproven;
 } ql_member_link_t;
 
 /**
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -95,10 +95,12 @@
 /*
  * Finds the registrars for the next renewal: those of the preferred ones
  * without a renewal in flight. A spare is called only in place of one that is
- * in backoff or overdue, as it may know less. Returns their number.
+ * in backoff or overdue, as it may know less, and beside one that does not
+ * prove what it knows, as it may be cut off from the replicas. Returns their
+ * number.
  */
 static size_t find_free(const ql_member_t *member, uint64_t now_ms,
-			int free_indexes[QL_REGISTRARS_ACTIVE])
+			int free_indexes[QL_REGISTRARS_MAX])
 {
 	size_t n_active = 0, n_free = 0;
 	const ql_member_link_t *link;
@@ -110,7 +112,8 @@
 		link = &member->links[index];
 		if (link->retry_ms > now_ms || is_overdue(member, link, now_ms))
 			continue;
-		n_active++;
+		if (!link->unproven)
+			n_active++;
 		if (!link->in_flight)
 			free_indexes[n_free++] = index;
 		if (n_active >= QL_REGISTRARS_ACTIVE)
@@ -154,18 +157,28 @@
 	return -1;
 }
 
+/* Returns the one behind the registrar chosen last, or the first one. */
+static int next_in_turn(const ql_member_t *member, const int *free_indexes,
+			size_t n_free)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < n_free; i++)
+		if (free_indexes[i] == member->last_registrar)
+			return free_indexes[i + 1];
+	return free_indexes[0];
+}
+
 int ql_member_next_registrar(ql_member_t *member, uint64_t now_ms)
 {
-	int free_indexes[QL_REGISTRARS_ACTIVE];
+	int free_indexes[QL_REGISTRARS_MAX];
 	size_t n_free = find_free(member, now_ms, free_indexes);
 	int index = find_urgent(member, free_indexes, n_free);
 
 	if (index < 0 && !n_free)
 		return -1;
 	if (index < 0)
-		index = free_indexes[0] == member->last_registrar && n_free > 1
-				? free_indexes[1]
-				: free_indexes[0];
+		index = next_in_turn(member, free_indexes, n_free);
 	member->last_registrar = index;
 	return index;
 }
@@ -331,6 +344,9 @@
 	link->incarnation = res->registrar_incarnation;
 	if (!res->want_interest)
 		link->seen_change_number = res->members_number;
+	link->unproven = member->opts.proof_max_ms &&
+			 (!res->has_proof ||
+			  res->proof_age_ms > member->opts.proof_max_ms);
 	link->failures = 0;
 	link->retry_ms = 0;
 	link->renewals++;
@@ -415,6 +431,13 @@
 	add_registrar(member, address, NULL);
 }
 
+static uint64_t backoff_max_ms(const ql_member_t *member)
+{
+	if (member->opts.backoff_max_ms)
+		return member->opts.backoff_max_ms;
+	return MAX(REGISTRAR_BACKOFF_MAX_MS, member->opts.renew_ms);
+}
+
 static void back_off(ql_member_t *member, int index, uint64_t now_ms)
 {
 	ql_member_link_t *link = &member->links[index];
@@ -426,8 +449,7 @@
 	link->failures++;
 	/* The registrar may not have received the interest. */
 	link->interest_number = 0;
-	delay_ms = MIN(delay_ms, MAX(REGISTRAR_BACKOFF_MAX_MS,
-				     (uint64_t)member->opts.renew_ms));
+	delay_ms = MIN(delay_ms, backoff_max_ms(member));
 	link->retry_ms = now_ms + (uint64_t)((double)delay_ms * factor);
 	ql_member__update_agreement(member, now_ms);
 }
@@ -519,7 +541,7 @@
 
 uint32_t ql_member_renewal_delay_ms(const ql_member_t *member, uint64_t now_ms)
 {
-	int free_indexes[QL_REGISTRARS_ACTIVE];
+	int free_indexes[QL_REGISTRARS_MAX];
 	size_t n_free = find_free(member, now_ms, free_indexes);
 	uint64_t due_ms = member->due_ms;
 
--- a/src/node/lease_service.c
+++ b/src/node/lease_service.c
@@ -8,6 +8,11 @@
 
 #define LEASE_CALL_TIMEOUT_MS 1000u
 #define WAKE_RING_ENTRIES 16u
+/*
+ * Part of the lease of the API keys after which the proof of a registrar is
+ * overdue: more than one in touch takes, and early enough to ask another one.
+ */
+#define PROOF_OVERDUE_DIVISOR 4u
 #define MS_PER_S 1000u
 #define NS_PER_MS 1000000L
 #define NS_PER_S 1000000000L
@@ -409,6 +414,12 @@
 		.renew_ms = (uint32_t)settings->renew_ms,
 	};
 
+	/* Without a fresh proof, requests with API keys are refused. */
+	if (settings->key_lease_ms) {
+		opts.backoff_max_ms = opts.renew_ms;
+		opts.proof_max_ms = (uint32_t)settings->key_lease_ms /
+				    PROOF_OVERDUE_DIVISOR;
+	}
 	memcpy(opts.cluster, settings->cluster, sizeof(opts.cluster));
 	memcpy(opts.node, settings->node, sizeof(opts.node));
 	memcpy(opts.failure_domain, settings->failure_domain,
--- a/src/path/key_watch.c
+++ b/src/path/key_watch.c
@@ -8,12 +8,18 @@
 
 static void log_change(const ql_key_watch_t *watch, uint64_t age_ms)
 {
-	ql_log(watch->proven ? LOG_NOTICE : LOG_WARNING,
-	       watch->proven ? "key_proof_regained" : "key_proof_lost",
-	       QL_UINT("version", watch->front->doc->version),
-	       QL_UINT("age_ms", age_ms),
-	       QL_UINT("refused", ql_counter_value(watch->front->opts.counters,
-						   QL_COUNT_KEYS_NOT_CURRENT)));
+	uint64_t version = watch->front->doc->version;
+	uint64_t refused = ql_counter_value(watch->front->opts.counters,
+					    QL_COUNT_KEYS_NOT_CURRENT);
+
+	if (watch->proven)
+		ql_log(LOG_NOTICE, "key_proof_regained",
+		       QL_UINT("version", version), QL_UINT("age_ms", age_ms),
+		       QL_UINT("refused", refused));
+	else
+		ql_log(LOG_WARNING, "key_proof_lost",
+		       QL_UINT("version", version), QL_UINT("age_ms", age_ms),
+		       QL_UINT("refused", refused));
 }
 
 static void look(ql_key_watch_t *watch)
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -216,6 +216,93 @@
 	}
 }
 
+TEST_F(Member, BacksOffNoLongerThanItsOptionsAllow)
+{
+	const struct {
+		uint32_t backoff_max_ms;
+		uint64_t least_ms, most_ms;
+	} cases[] = {{0, 1000, 2000}, {500, 250, 500}, {3000, 1500, 3000}};
+	const uint64_t now_ms = 10000;
+
+	for (const auto &test : cases) {
+		SCOPED_TRACE(test.backoff_max_ms);
+		member.opts.backoff_max_ms = test.backoff_max_ms;
+		for (int i = 0; i < 12; i++) {
+			ql_member_begin_renewal(&member, 0, now_ms);
+			ql_member_lease_failed(&member, 0, now_ms);
+		}
+		EXPECT_GE(member.links[0].retry_ms, now_ms + test.least_ms);
+		EXPECT_LE(member.links[0].retry_ms, now_ms + test.most_ms);
+	}
+}
+
+struct TurnCase {
+	const char *description;
+	uint32_t proof_max_ms;
+	/* By registrar: age of the proof in its replies; NONE without one. */
+	std::vector<uint64_t> ages_ms;
+	/* Registrars at which the member renews, in order of preference. */
+	std::vector<size_t> used;
+};
+
+/* A registrar that is cut off from the replicas still answers. */
+TEST_F(Member, RenewsBesideARegistrarThatProvesNothing)
+{
+	const uint64_t NONE = UINT64_MAX;
+	const TurnCase cases[] = {
+		{"all prove", 1000, {400, 400, 400, 400}, {0, 1}},
+		{"no proof is wanted", 0, {NONE, NONE, NONE, NONE}, {0, 1}},
+		{"first proves nothing", 1000, {NONE, 0, 0, 0}, {0, 1, 2}},
+		{"second is late", 1000, {0, 1001, 0, 0}, {0, 1, 2}},
+		{"both", 1000, {NONE, 2000, 0, 1000}, {0, 1, 2, 3}},
+		{"none proves", 1000, {NONE, NONE, NONE, NONE}, {0, 1, 2, 3}},
+	};
+	const size_t n = 4;
+
+	member.opts.n_registrars = n;
+	for (size_t i = 0; i < n; i++)
+		g_snprintf(member.opts.registrars[i], QL_ADDRESS_MAX,
+			   "127.0.0.1:%zu", i + 1);
+	for (const TurnCase &test : cases) {
+		SCOPED_TRACE(test.description);
+		std::vector<int> order;
+		std::set<int> used;
+
+		member.opts.proof_max_ms = test.proof_max_ms;
+		memset(member.links, 0, sizeof(member.links));
+		member.last_registrar = -1;
+		for (uint64_t now = 1000; now < 20000; now += 500) {
+			int index = ql_member_next_registrar(&member, now);
+			ql_rpc_lease_res res;
+
+			ASSERT_GE(index, 0);
+			/* In the order in which they are first asked. */
+			if (std::find(order.begin(), order.end(), index) ==
+			    order.end())
+				order.push_back(index);
+			res = make_reply((uint64_t)index + 1);
+			res.config_version = 1;
+			for (size_t i = 0; i < order.size(); i++) {
+				if (order[i] != index)
+					continue;
+				res.has_proof = test.ages_ms[i] != NONE;
+				res.proof_age_ms = test.ages_ms[i];
+			}
+			begin(index, now);
+			ASSERT_EQ(0,
+				  ql_member_handle_lease_reply(&member, index,
+							       &res, now + 1,
+							       nullptr));
+			if (now > 10000)
+				used.insert(index);
+		}
+		EXPECT_EQ(test.used.size(), used.size());
+		EXPECT_EQ(test.used.size(), order.size());
+		for (size_t i : test.used)
+			EXPECT_EQ(1u, used.count(order[i]));
+	}
+}
+
 /* What a neighbour sends may be as old as what this node had. */
 TEST_F(Member, TakesNoProofFromANeighbour)
 {
