--- a/include/quetzalloft/member.h
+++ b/include/quetzalloft/member.h
@@ -18,6 +18,7 @@
 
 #include "quetzalloft/balancer.h"
 #include "quetzalloft/config_state.h"
+#include "quetzalloft/key_lease.h"
 #include "quetzalloft/record.h"
 #include "quetzalloft/withdrawal.h"
 
@@ -46,6 +47,8 @@
  *                       endpoint than this node; may be NULL
  * @withdrawal_agreed: as many registrars as the node renews at know the latest
  *                     withdrawal, and the node knows theirs; may be NULL
+ * @config_proven: a registrar has proven that the configuration in force was
+ *                 the newest at some time; may be NULL
  */
 typedef struct ql_member_ops {
 	void (*endpoint_up)(void *data, const char *service,
@@ -57,6 +60,7 @@
 	void (*withdrawal_received)(void *data,
 				    const ql_withdrawal_t *withdrawal);
 	void (*withdrawal_agreed)(void *data);
+	void (*config_proven)(void *data, const ql_key_proof_t *proof);
 } ql_member_ops_t;
 
 /**
@@ -70,6 +74,9 @@
  * @registrars: "IP:port" of the registrars of the failure domain
  * @n_registrars: number of @registrars
  * @renew_ms: mean time between two renewals
+ * @backoff_max_ms: longest backoff of a registrar; 0 for the default
+ * @proof_max_ms: a registrar whose proof is missing or older than this is
+ *                renewed at together with a spare one; 0 for no such limit
  * @rules: how record versions are compared; NULL for &ql_membership_rules
  */
 typedef struct ql_member_opts {
@@ -81,6 +88,8 @@
 	char registrars[QL_REGISTRARS_MAX][QL_ADDRESS_MAX];
 	size_t n_registrars;
 	uint32_t renew_ms;
+	uint32_t backoff_max_ms;
+	uint32_t proof_max_ms;
 	const ql_membership_rules_t *rules;
 } ql_member_opts_t;
 
@@ -104,6 +113,7 @@
  * @leave_due: the registrar has to be told that the node leaves
  * @conflict: the registrar has a serving endpoint of this node recorded as
  *            leaving or gone, or in a later incarnation
+ * @unproven: its last reply had no proof, or one that was too old
  */
 typedef struct ql_member_link {
 	uint64_t incarnation;
@@ -119,6 +129,7 @@
 	bool replaced;
 	bool leave_due;
 	bool conflict;
+	bool unproven;
 } ql_member_link_t;
 
 /**
@@ -320,6 +331,18 @@
 				 const ql_rpc_lease_res *res, uint64_t now_ms,
 				 GError **error);
 
+/**
+ * ql_member_take_proof() - Take over the proof in the reply to a renewal.
+ * @member: the member
+ * @res: a reply that ql_member_handle_lease_reply() has handled without error
+ * @sent_ms: time of ql_clock_boot_ms() before the renewal was sent
+ *
+ * Calls @config_proven if the reply has a proof and the configuration in force
+ * is the one that it is about.
+ */
+void ql_member_take_proof(ql_member_t *member, const ql_rpc_lease_res *res,
+			  uint64_t sent_ms);
+
 /**
  * ql_member_lease_failed() - Start the backoff of a registrar that did not
  * reply or has refused the lease.
--- a/src/node/lease_service.c
+++ b/src/node/lease_service.c
@@ -8,6 +8,11 @@
 
 #define LEASE_CALL_TIMEOUT_MS 1000u
 #define WAKE_RING_ENTRIES 16u
+/*
+ * Part of the lease of the API keys after which the proof of a registrar is
+ * overdue: more than one in touch takes, and early enough to ask another one.
+ */
+#define PROOF_OVERDUE_DIVISOR 4u
 #define MS_PER_S 1000u
 #define NS_PER_MS 1000000L
 #define NS_PER_S 1000000000L
@@ -19,6 +24,7 @@
 typedef struct {
 	int index;
 	ql_rpc_client_t *client;
+	uint64_t sent_boot_ms;
 	ql_rpc_lease_args args;
 } renewal_t;
 
@@ -98,6 +104,8 @@
 	int ret = ql_member_handle_lease_reply(member, renewal->index, res,
 					       now_ms(), error);
 
+	if (!ret)
+		ql_member_take_proof(member, res, renewal->sent_boot_ms);
 	if (member->config.doc->version != before)
 		ql_log(LOG_NOTICE, "config_received",
 		       QL_UINT("version", member->config.doc->version),
@@ -125,6 +133,7 @@
 	if (index >= 0) {
 		renewal->index = index;
 		renewal->client = get_client(service, index);
+		renewal->sent_boot_ms = ql_clock_boot_ms();
 		ql_member_begin_renewal(member, index, now_ms());
 		signal_agreement(service);
 	}
@@ -405,6 +414,12 @@
 		.renew_ms = (uint32_t)settings->renew_ms,
 	};
 
+	/* Without a fresh proof, requests with API keys are refused. */
+	if (settings->key_lease_ms) {
+		opts.backoff_max_ms = opts.renew_ms;
+		opts.proof_max_ms = (uint32_t)settings->key_lease_ms /
+				    PROOF_OVERDUE_DIVISOR;
+	}
 	memcpy(opts.cluster, settings->cluster, sizeof(opts.cluster));
 	memcpy(opts.node, settings->node, sizeof(opts.node));
 	memcpy(opts.failure_domain, settings->failure_domain,
