Grant the requests of teams out of one ledger for each quota

Cause: a document gives a team a quota, but nothing counted its requests.

Change: the leader of the replicas keeps a bucket of tokens for each team.

--- a/include/quetzalloft/clock.h
+++ b/include/quetzalloft/clock.h
@@ -23,6 +23,14 @@
  */
 uint64_t ql_clock_now_us(void);
 
+/**
+ * ql_clock_boot_us() - Read a clock that also runs while the machine is
+ * suspended. A permission that ends at a time is checked against this clock.
+ *
+ * Return: microseconds since the machine was started.
+ */
+uint64_t ql_clock_boot_us(void);
+
 /**
  * struct ql_hlc - A hybrid logical clock. Thread-safe.
  * @last: highest timestamp issued or observed: milliseconds of wall time in the
--- a/include/quetzalloft/replica.h
+++ b/include/quetzalloft/replica.h
@@ -30,6 +30,8 @@
 #define QL_REPLICA_MESSAGE_PAYLOAD_MAX_BYTES 262144u
 /** Most entries not yet committed; further proposals are refused. */
 #define QL_REPLICA_UNCOMMITTED_ENTRIES_MAX 8192u
+/** Latest rounds of a leader whose time is kept. */
+#define QL_REPLICA_TIMED_ROUNDS 16u
 
 /**
  * enum ql_replica_role - Role of a replica, the states of chart "replica".
@@ -190,6 +192,16 @@
 	GByteArray *bytes;
 } ql_replica_transfer_t;
 
+/**
+ * struct ql_replica_timed_round - A read round and its time.
+ * @round: number of the round
+ * @sent_us: a time at or before it was sent
+ */
+typedef struct ql_replica_timed_round {
+	uint64_t round;
+	uint64_t sent_us;
+} ql_replica_timed_round_t;
+
 /**
  * struct ql_replica - A replica.
  * @opts: options
@@ -230,6 +242,9 @@
  * @deferred_messages: messages to send once a write is synced
  * @read_round: number of the last round in which a quorum confirms the leader
  * @pending_reads: reads that wait for such a round
+ * @now_us: see ql_replica_set_time()
+ * @timed_rounds: the latest rounds of this term that began with a heartbeat,
+ *                by round modulo the size
  * @transfer: snapshot being received
  * @failed: a snapshot could not be restored; all further input is ignored
  */
@@ -270,6 +285,8 @@
 	GQueue deferred_messages;
 	uint64_t read_round;
 	GQueue pending_reads;
+	uint64_t now_us;
+	ql_replica_timed_round_t timed_rounds[QL_REPLICA_TIMED_ROUNDS];
 	ql_replica_transfer_t transfer;
 	bool failed;
 };
@@ -418,6 +435,24 @@
  */
 int ql_replica_start_read(ql_replica_t *replica, uint64_t token);
 
+/**
+ * ql_replica_set_time() - Set the time of the rounds that begin from now on.
+ * @replica: the replica
+ * @now_us: ql_clock_boot_us(), read before this call; until the first call the
+ *          time of rounds is not known
+ */
+void ql_replica_set_time(ql_replica_t *replica, uint64_t now_us);
+
+/**
+ * ql_replica_confirmed_us() - Tell until when no other replica can have been
+ * elected.
+ * @replica: the replica
+ *
+ * Return: a time at or before this leader sent the newest heartbeat of its term
+ * that a quorum has answered; 0 if there is none or it is not the leader.
+ */
+uint64_t ql_replica_confirmed_us(const ql_replica_t *replica);
+
 /**
  * ql_replica_leader_address() - Get the address of the leader.
  * @replica: the replica
--- a/src/control/replica_leader.c
+++ b/src/control/replica_leader.c
@@ -25,7 +25,8 @@
 	ql_replica__apply_event(replica, QL_EVENT_REPLICA_VOTE_WON);
 	replica->leader = replica->state.identity;
 	replica->heartbeat_elapsed = 0;
-	replica->read_round++;
+	ql_replica__forget_rounds(replica);
+	ql_replica__begin_round(replica);
 	for (i = 0; i < replica->n_peers; i++) {
 		peer = &replica->peers[i];
 		peer->match = 0;
@@ -115,6 +116,7 @@
 	size_t i;
 
 	replica->heartbeat_elapsed = 0;
+	ql_replica__begin_round(replica);
 	for (i = 0; i < replica->n_peers; i++) {
 		peer = &replica->peers[i];
 		if (!peer->answered_since_heartbeat && peer->match)
--- a/src/control/replica_private.h
+++ b/src/control/replica_private.h
@@ -126,6 +126,10 @@
 void ql_replica__finish_reads(ql_replica_t *replica);
 /* Fails all pending reads with QL_E_NOT_LEADER. */
 void ql_replica__fail_reads(ql_replica_t *replica);
+/* Begins a round and keeps its time; the caller sends it afterwards. */
+void ql_replica__begin_round(ql_replica_t *replica);
+/* Forgets the times of the rounds of an earlier term. */
+void ql_replica__forget_rounds(ql_replica_t *replica);
 
 /* replica_snapshot.c */
 /* Takes a snapshot of the applied state and compacts the log. */
--- a/src/control/replica_read.c
+++ b/src/control/replica_read.c
@@ -2,6 +2,7 @@
 #include "quetzalloft/error.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /*
  * A read that completes once a quorum has answered its round and the entry at
@@ -69,6 +70,43 @@
 	return rounds[ql_replica__quorum(replica) - 1];
 }
 
+void ql_replica_set_time(ql_replica_t *replica, uint64_t now_us)
+{
+	replica->now_us = now_us;
+}
+
+void ql_replica__forget_rounds(ql_replica_t *replica)
+{
+	memset(replica->timed_rounds, 0, sizeof(replica->timed_rounds));
+}
+
+void ql_replica__begin_round(ql_replica_t *replica)
+{
+	uint64_t round = ++replica->read_round;
+	ql_replica_timed_round_t *slot =
+		&replica->timed_rounds[round % QL_REPLICA_TIMED_ROUNDS];
+
+	slot->round = round;
+	slot->sent_us = replica->now_us;
+}
+
+uint64_t ql_replica_confirmed_us(const ql_replica_t *replica)
+{
+	const ql_replica_timed_round_t *timed;
+	uint64_t confirmed, newest_us = 0;
+	size_t i;
+
+	if (replica->role != QL_REPLICA_LEADER)
+		return 0;
+	confirmed = confirmed_round(replica);
+	for (i = 0; i < QL_REPLICA_TIMED_ROUNDS; i++) {
+		timed = &replica->timed_rounds[i];
+		if (timed->round <= confirmed)
+			newest_us = MAX(newest_us, timed->sent_us);
+	}
+	return newest_us;
+}
+
 void ql_replica__finish_reads(ql_replica_t *replica)
 {
 	uint64_t confirmed, token;
--- a/src/control/rpc/control.h
+++ b/src/control/rpc/control.h
@@ -29,6 +29,7 @@
 #define QL_RPC_SERVICES_MAX 1024
 #define QL_RPC_EXCHANGE_MAX 256
 #define QL_RPC_REGISTRARS_MAX 32
+#define QL_RPC_QUOTA_MAX 256
 #define QL_RPC_PROTOCOL_VERSION 5
 
 struct ql_rpc_greeting {
@@ -307,6 +308,43 @@
 };
 typedef struct ql_rpc_cancel_res ql_rpc_cancel_res;
 
+struct ql_rpc_quota_ask {
+	char *team;
+	u_int least;
+	u_int more;
+};
+typedef struct ql_rpc_quota_ask ql_rpc_quota_ask;
+
+struct ql_rpc_quota_grant {
+	u_int granted;
+	u_quad_t wait_us;
+	bool_t unlimited;
+};
+typedef struct ql_rpc_quota_grant ql_rpc_quota_grant;
+
+struct ql_rpc_quota_args {
+	ql_rpc_greeting greeting;
+	struct {
+		u_int asks_len;
+		ql_rpc_quota_ask *asks_val;
+	} asks;
+};
+typedef struct ql_rpc_quota_args ql_rpc_quota_args;
+
+struct ql_rpc_quota_res {
+	int status;
+	char *detail;
+	u_quad_t clock;
+	char *leader;
+	u_int valid_ms;
+	u_int retry_ms;
+	struct {
+		u_int grants_len;
+		ql_rpc_quota_grant *grants_val;
+	} grants;
+};
+typedef struct ql_rpc_quota_res ql_rpc_quota_res;
+
 #define QL_CONTROL_PROGRAM 0x20517a01
 #define QL_CONTROL_V1 1
 
@@ -332,6 +370,9 @@
 #define QL_EXCHANGE 7
 extern  enum clnt_stat ql_exchange_1(ql_rpc_exchange_args *, ql_rpc_exchange_res *, CLIENT *);
 extern  bool_t ql_exchange_1_svc(ql_rpc_exchange_args *, ql_rpc_exchange_res *, struct svc_req *);
+#define QL_QUOTA 8
+extern  enum clnt_stat ql_quota_1(ql_rpc_quota_args *, ql_rpc_quota_res *, CLIENT *);
+extern  bool_t ql_quota_1_svc(ql_rpc_quota_args *, ql_rpc_quota_res *, struct svc_req *);
 extern int ql_control_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -356,6 +397,9 @@
 #define QL_EXCHANGE 7
 extern  enum clnt_stat ql_exchange_1();
 extern  bool_t ql_exchange_1_svc();
+#define QL_QUOTA 8
+extern  enum clnt_stat ql_quota_1();
+extern  bool_t ql_quota_1_svc();
 extern int ql_control_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -385,6 +429,10 @@
 extern  bool_t xdr_ql_rpc_report_res (XDR *, ql_rpc_report_res*);
 extern  bool_t xdr_ql_rpc_cancel_args (XDR *, ql_rpc_cancel_args*);
 extern  bool_t xdr_ql_rpc_cancel_res (XDR *, ql_rpc_cancel_res*);
+extern  bool_t xdr_ql_rpc_quota_ask (XDR *, ql_rpc_quota_ask*);
+extern  bool_t xdr_ql_rpc_quota_grant (XDR *, ql_rpc_quota_grant*);
+extern  bool_t xdr_ql_rpc_quota_args (XDR *, ql_rpc_quota_args*);
+extern  bool_t xdr_ql_rpc_quota_res (XDR *, ql_rpc_quota_res*);
 
 #else /* K&R C */
 extern bool_t xdr_ql_rpc_greeting ();
@@ -410,6 +458,10 @@
 extern bool_t xdr_ql_rpc_report_res ();
 extern bool_t xdr_ql_rpc_cancel_args ();
 extern bool_t xdr_ql_rpc_cancel_res ();
+extern bool_t xdr_ql_rpc_quota_ask ();
+extern bool_t xdr_ql_rpc_quota_grant ();
+extern bool_t xdr_ql_rpc_quota_args ();
+extern bool_t xdr_ql_rpc_quota_res ();
 
 #endif /* K&R C */
 
--- a/src/control/rpc/control.x
+++ b/src/control/rpc/control.x
@@ -20,6 +20,7 @@
 const QL_RPC_SERVICES_MAX = 1024;
 const QL_RPC_EXCHANGE_MAX = 256;
 const QL_RPC_REGISTRARS_MAX = 32;
+const QL_RPC_QUOTA_MAX = 256;
 const QL_RPC_PROTOCOL_VERSION = 5;
 
 struct ql_rpc_greeting {
@@ -287,6 +288,51 @@
 	unsigned hyper clock;
 };
 
+/*
+ * Tokens that a node asks for, for one team.
+ * least: for requests that wait.
+ * more: for requests that the node expects soon.
+ */
+struct ql_rpc_quota_ask {
+	string team<QL_RPC_NAME_MAX>;
+	unsigned int least;
+	unsigned int more;
+};
+
+/*
+ * Answer to one ask, at the same index.
+ * wait_us: time until the team may have a token, when fewer than least are
+ * granted.
+ * unlimited: the team has no quota.
+ */
+struct ql_rpc_quota_grant {
+	unsigned int granted;
+	unsigned hyper wait_us;
+	bool unlimited;
+};
+
+/* A node asks the leader of the replicas for tokens of the quotas of teams. */
+struct ql_rpc_quota_args {
+	ql_rpc_greeting greeting;
+	ql_rpc_quota_ask asks<QL_RPC_QUOTA_MAX>;
+};
+
+/*
+ * leader: address of the leader, or empty when it is not known.
+ * valid_ms: how long the tokens may be spent, from when the node has sent the
+ * call.
+ * retry_ms: when to ask again if the leader does not grant tokens yet.
+ */
+struct ql_rpc_quota_res {
+	int status;
+	string detail<QL_RPC_DETAIL_MAX>;
+	unsigned hyper clock;
+	string leader<QL_RPC_ADDRESS_MAX>;
+	unsigned int valid_ms;
+	unsigned int retry_ms;
+	ql_rpc_quota_grant grants<QL_RPC_QUOTA_MAX>;
+};
+
 program QL_CONTROL_PROGRAM {
 	version QL_CONTROL_V1 {
 		ql_rpc_lease_res QL_LEASE(ql_rpc_lease_args) = 1;
@@ -296,5 +342,6 @@
 		ql_rpc_cancel_res QL_CANCEL(ql_rpc_cancel_args) = 5;
 		ql_rpc_offer_res QL_OFFER(ql_rpc_offer_args) = 6;
 		ql_rpc_exchange_res QL_EXCHANGE(ql_rpc_exchange_args) = 7;
+		ql_rpc_quota_res QL_QUOTA(ql_rpc_quota_args) = 8;
 	} = 1;
 } = 0x20517a01;
--- a/src/control/rpc/control_xdr.c
+++ b/src/control/rpc/control_xdr.c
@@ -562,3 +562,67 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_ql_rpc_quota_ask (XDR *xdrs, ql_rpc_quota_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->team, QL_RPC_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->least))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->more))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ql_rpc_quota_grant (XDR *xdrs, ql_rpc_quota_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->wait_us))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->unlimited))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ql_rpc_quota_args (XDR *xdrs, ql_rpc_quota_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ql_rpc_greeting (xdrs, &objp->greeting))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->asks.asks_val, (u_int *) &objp->asks.asks_len, QL_RPC_QUOTA_MAX,
+		sizeof (ql_rpc_quota_ask), (xdrproc_t) xdr_ql_rpc_quota_ask))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ql_rpc_quota_res (XDR *xdrs, ql_rpc_quota_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->detail, QL_RPC_DETAIL_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->leader, QL_RPC_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, QL_RPC_QUOTA_MAX,
+		sizeof (ql_rpc_quota_grant), (xdrproc_t) xdr_ql_rpc_quota_grant))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -172,6 +172,26 @@
 	json_decref(json);
 }
 
+static void handle_quota(void *data, const void *in, void *out)
+{
+	ql_control_service_t *control = data;
+	const ql_rpc_quota_args *args = in;
+	ql_rpc_quota_res *res = out;
+
+	res->clock =
+		ql_greeting_observe_clock(control->hlc, args->greeting.clock);
+	if (ql_greeting_is_refused(&args->greeting, control->settings->cluster,
+				   &res->status, &res->detail)) {
+		res->leader = copy_text("");
+	} else if (!control->settings->replica) {
+		res->status = QL_E_UNAVAILABLE;
+		res->detail = copy_text("this process is not a replica");
+		res->leader = copy_text("");
+	} else {
+		ql_quota_service_handle(&control->quota, args, res);
+	}
+}
+
 #define PROCEDURE(number, name, handler)                     \
 	{                                                    \
 		number, (xdrproc_t)xdr_ql_rpc_##name##_args, \
@@ -187,6 +207,7 @@
 	PROCEDURE(QL_REPORT, report, handle_report),
 	PROCEDURE(QL_OFFER, offer, handle_offer),
 	PROCEDURE(QL_EXCHANGE, exchange, handle_exchange),
+	PROCEDURE(QL_QUOTA, quota, handle_quota),
 };
 
 static int init_replica(ql_control_service_t *control, GError **error)
@@ -203,6 +224,10 @@
 	replica->lock = &control->lock;
 	replica->state = &control->state;
 	replica->incarnation = control->incarnation;
+	control->quota.settings = control->settings;
+	control->quota.counters = control->counters;
+	control->quota.replica = replica;
+	ql_quota_service_init(&control->quota);
 	return ql_replica_service_init(replica, error);
 }
 
@@ -299,8 +324,10 @@
 	if (control->has_lease)
 		ql_lease_service_finish(&control->lease);
 	ql_registrar_service_finish(&control->registrar);
-	if (control->settings->replica)
+	if (control->settings->replica) {
+		ql_quota_service_finish(&control->quota);
 		ql_replica_service_finish(&control->replica);
+	}
 	ql_config_state_finish(&control->state);
 	pthread_mutex_destroy(&control->lock);
 }
--- a/src/node/control_service.h
+++ b/src/node/control_service.h
@@ -8,6 +8,7 @@
 
 #include "control/rpc_server.h"
 #include "node/lease_service.h"
+#include "node/quota_service.h"
 #include "node/registrar_service.h"
 #include "node/replica_service.h"
 
@@ -33,6 +34,7 @@
  * @lock: guards @state and the registrar
  * @state: configuration of the replica, or the one that the registrar follows
  * @replica: the replica of this process, when the settings make it one
+ * @quota: the quotas of teams, when this process is a replica
  * @rpc: the RPC server
  * @registrar: the registrar of this process
  * @lease: the lease of this node, with @has_lease
@@ -52,6 +54,7 @@
 	pthread_mutex_t lock;
 	ql_config_state_t state;
 	ql_replica_service_t replica;
+	ql_quota_service_t quota;
 	ql_rpc_server_t rpc;
 	ql_registrar_service_t registrar;
 	ql_lease_service_t lease;
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -110,6 +110,13 @@
 	ql_lease_service_follow_service(&node->control.lease, service);
 }
 
+static void on_quota_wanted(void *data, const ql_quota_wallet_t *wallet)
+{
+	ql_path_node_t *node = data;
+
+	ql_quota_client_ask(&node->quota, wallet);
+}
+
 /* Runs on the loop: updates the announced state and renews the lease. */
 static void on_endpoint_changed(void *data)
 {
@@ -209,6 +216,17 @@
 	return json;
 }
 
+static int init_quota(ql_path_node_t *node, GError **error)
+{
+	node->quota.settings = node->context.settings;
+	node->quota.hlc = &node->context.hlc;
+	node->quota.lease = &node->control.lease;
+	node->quota.loop = &node->loop;
+	node->quota.front = &node->front;
+	node->quota.incarnation = (uint64_t)g_get_real_time();
+	return ql_quota_client_init(&node->quota, error);
+}
+
 static int init_path(ql_path_node_t *node, GError **error)
 {
 	const ql_settings_t *settings = node->context.settings;
@@ -226,11 +244,14 @@
 		.hops = &node->hops,
 		.counters = &node->context.counters,
 		.service_wanted = on_service_wanted,
+		.ask_quota = on_quota_wanted,
 		.data = node,
 	};
 	int ret = ql_address_parse(&gate.address, settings->endpoint.address,
 				   error);
 
+	if (!ret)
+		ret = init_quota(node, error);
 	if (ret)
 		return ret;
 	g_strlcpy(gate.service, settings->endpoint.service,
@@ -456,11 +477,13 @@
 	ql_http_server_stop(&node->announce_server);
 	ql_http_server_stop(&node->ready_server);
 	ql_log(LOG_INFO, "part_stopped", QL_STR("part", "http"));
+	ql_quota_client_stop(&node->quota);
 	ql_control_service_stop(&node->control);
 	ql_path_jobs_stop(node);
 	g_thread_join(node->loop_thread);
 	ql_loop_finish(&node->loop);
 	ql_front_finish(&node->front);
+	ql_quota_client_finish(&node->quota);
 	ql_listener_finish(&node->client_listener);
 	ql_listener_finish(&node->gate_listener);
 	pthread_mutex_destroy(&node->lock);
--- a/src/node/path_node.h
+++ b/src/node/path_node.h
@@ -11,6 +11,7 @@
 #include "node/control_service.h"
 #include "node/http_server.h"
 #include "node/metrics_http.h"
+#include "node/quota_client.h"
 #include "path/front.h"
 #include "path/hop_server.h"
 #include "path/load_log.h"
@@ -41,6 +42,7 @@
  * @gate: gate of the local endpoint
  * @hops: connections to the gates of other nodes
  * @front: front end for clients and the local endpoint
+ * @quota: calls to the leader for tokens of quotas
  * @hop_server: handler for the calls of other nodes
  * @load_log: periodic load log
  * @client_listener: listener for clients and the local endpoint
@@ -70,6 +72,7 @@
 	ql_local_gate_t gate;
 	ql_hops_t hops;
 	ql_front_t front;
+	ql_quota_client_t quota;
 	ql_hop_server_t hop_server;
 	ql_load_log_t load_log;
 	ql_listener_t client_listener;
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -171,11 +171,25 @@
 	       QL_UINT("commit", replica->state.commit));
 }
 
+/* A leader is seen to lead after its election, which makes the time safe. */
+static void note_leadership(const ql_replica_service_t *service,
+			    ql_replica_view_t *view)
+{
+	const ql_replica_t *replica = &service->config.replica;
+	bool leads = replica->role == QL_REPLICA_LEADER;
+
+	if (leads &&
+	    (!view->is_leader || view->state.term != replica->state.term))
+		view->leading_since_us = ql_clock_boot_us();
+	view->confirmed_us = ql_replica_confirmed_us(replica);
+}
+
 static void fill_view(const ql_replica_service_t *service,
 		      ql_replica_view_t *view)
 {
 	const ql_replica_t *replica = &service->config.replica;
 
+	note_leadership(service, view);
 	view->identity_synced = replica->synced_identity;
 	view->failed = replica->failed;
 	view->is_leader = replica->role == QL_REPLICA_LEADER && !view->failed;
@@ -387,6 +401,8 @@
 
 	service->last_tick_us = ql_clock_now_us();
 	while (!is_stopping(service)) {
+		ql_replica_set_time(&service->config.replica,
+				    ql_clock_boot_us());
 		complete_writes(service);
 		handle_inputs(service);
 		tick(service);
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -33,6 +33,9 @@
  * @leader: identity of the leader, or 0 when it is not known
  * @log_index: index of the last entry of the log
  * @applied: index of the last entry applied
+ * @leading_since_us: a time at or after the election of this leader, on
+ *                    ql_clock_boot_us()
+ * @confirmed_us: see ql_replica_confirmed_us()
  * @members: the members; their @snapshot holds no reference, do not use it
  * @n_members: number of @members
  */
@@ -48,6 +51,8 @@
 	uint64_t leader;
 	uint64_t log_index;
 	uint64_t applied;
+	uint64_t leading_since_us;
+	uint64_t confirmed_us;
 	ql_replica_peer_t members[QL_REPLICA_MEMBERS_MAX];
 	size_t n_members;
 } ql_replica_view_t;
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -17,6 +17,7 @@
 /* A quorum of VOTERS_MAX survives as many. */
 #define REPLICA_LOSSES_MAX 4
 #define GRACE_DEFAULT_MS 30000
+#define QUOTA_WINDOW_DEFAULT_MS 5000
 
 static const ql_json_member_t members[] = {
 	QL_MEMBER_STRING(ql_settings_t, cluster, true, 1),
@@ -45,6 +46,9 @@
 		       REPLICA_LOSSES_MAX),
 	QL_MEMBER_DURATION(ql_settings_t, grace_ms, false, 0, 600000),
 	QL_MEMBER_REAL(ql_settings_t, repeat_ratio, false, 0, 1),
+	QL_MEMBER_DURATION(ql_settings_t, quota_window_ms, false, 100, 600000),
+	QL_MEMBER_REAL(ql_settings_t, quota_overshoot, false, 0, 10),
+	QL_MEMBER_REAL(ql_settings_t, quota_slack, false, 0, 1000000),
 };
 
 static const ql_json_member_t listen_members[] = {
@@ -379,6 +383,7 @@
 	settings->renew_ms = RENEW_DEFAULT_MS;
 	settings->drain_ms = DRAIN_DEFAULT_MS;
 	settings->grace_ms = GRACE_DEFAULT_MS;
+	settings->quota_window_ms = QUOTA_WINDOW_DEFAULT_MS;
 	remaining = json_is_object(json) ? json_copy(json) : json_incref(json);
 	ret = read_address_lists(settings, remaining, error);
 	if (!ret)
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -101,6 +101,10 @@
  * @repeat_ratio: retry budget of a service: retries for each first attempt,
  *                0 to 1; 0 takes the ratio from the configuration
  * @grace_ms: longest time in ms from the request to stop until the exit
+ * @quota_window_ms: window in ms in which the requests of a team are counted
+ *                   against its quota
+ * @quota_overshoot: part by which they may exceed the quota in a window
+ * @quota_slack: requests by which they may exceed it besides
  * @balancer: name of the load balancing policy
  * @limiter: name of the limiter that overrides the one of the configuration;
  *           "" overrides nothing
@@ -144,6 +148,9 @@
 	ql_endpoint_settings_t endpoint;
 	double repeat_ratio;
 	uint64_t grace_ms;
+	uint64_t quota_window_ms;
+	double quota_overshoot;
+	double quota_slack;
 	char balancer[QL_NAME_MAX];
 	char limiter[QL_NAME_MAX];
 	char charts[QL_FOLDER_MAX];
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -31,6 +31,7 @@
 	front->opts = *opts;
 	front->random = g_rand_new();
 	front->calls = g_hash_table_new(NULL, NULL);
+	ql_front__init_quota(front);
 	front->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						service_free);
 }
@@ -54,6 +55,7 @@
 {
 	g_hash_table_destroy(front->services);
 	g_hash_table_destroy(front->calls);
+	ql_quota_wallet_finish(&front->quota);
 	release_routes(front);
 	ql_document_unref(front->doc);
 	g_rand_free(front->random);
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -11,6 +11,7 @@
 #include "path/hop.h"
 #include "path/local_gate.h"
 #include "quetzalloft/balancer.h"
+#include "quetzalloft/quota_wallet.h"
 #include "quetzalloft/retry.h"
 #include "quetzalloft/route_admission.h"
 #include "util/counters.h"
@@ -32,7 +33,10 @@
  * @service_wanted: called on the loop when a service is called for the first
  *                  time, and at most once a second when it is called and no
  *                  endpoint of it is known; may be NULL
- * @data: passed to @service_wanted
+ * @ask_quota: called on the loop to send a call to the leader for
+ *             &ql_quota_wallet.asked; it ends with ql_front_quota_answered() or
+ *             ql_front_quota_failed(). May be NULL: then quotas do not apply
+ * @data: passed to @service_wanted and @ask_quota
  */
 typedef struct ql_front_opts {
 	const ql_dialect_t *dialect;
@@ -44,6 +48,7 @@
 	ql_hops_t *hops;
 	ql_counters_t *counters;
 	void (*service_wanted)(void *data, const char *service);
+	void (*ask_quota)(void *data, const ql_quota_wallet_t *wallet);
 	void *data;
 } ql_front_opts_t;
 
@@ -121,6 +126,8 @@
  * @n_routes: number of routes
  * @calls: set of &struct ql_front_call in flight
  * @random: source of jitter and of random choices
+ * @quota: tokens of the quotas of teams
+ * @quota_timer: fires when the leader may be asked for tokens again
  */
 typedef struct ql_front {
 	ql_loop_t *loop;
@@ -134,6 +141,8 @@
 	size_t n_routes;
 	GHashTable *calls;
 	GRand *random;
+	ql_quota_wallet_t quota;
+	ql_wheel_timer_t quota_timer;
 } ql_front_t;
 
 /**
@@ -213,6 +222,24 @@
  */
 void ql_front_handle(void *data, ql_http_exchange_t *exchange);
 
+/**
+ * ql_front_quota_answered() - Handle the leader's answer to &ql_front_opts
+ * .ask_quota.
+ * @front: the front end
+ * @grants: answers, in the order of &ql_quota_wallet.asked
+ * @n_grants: number of @grants
+ * @validity_us: how long the tokens may be spent
+ */
+void ql_front_quota_answered(ql_front_t *front, const ql_quota_grant_t *grants,
+			     size_t n_grants, uint64_t validity_us);
+
+/**
+ * ql_front_quota_failed() - Handle &ql_front_opts.ask_quota without an answer.
+ * @front: the front end
+ * @retry_us: time until the next call
+ */
+void ql_front_quota_failed(ql_front_t *front, uint64_t retry_us);
+
 /**
  * ql_front_fail_all() - Fail all requests in flight with reason draining.
  * @front: the front end, at the end of the drain time
--- a/src/path/front_begin.c
+++ b/src/path/front_begin.c
@@ -155,14 +155,18 @@
 	return decision.refuse;
 }
 
-static void start_call(ql_front_call_t *call)
+static void count_request(const ql_front_call_t *call)
 {
-	uint64_t now = ql_front__now_us(call);
-
 	ql_front__count(call, call->downstream.under_way
 				      ? QL_COUNT_LOCAL_CALLS
 				      : QL_COUNT_CLIENT_REQUESTS);
 	call->route_state->usage.offered++;
+}
+
+void ql_front__start_call(ql_front_call_t *call)
+{
+	uint64_t now = ql_front__now_us(call);
+
 	if (is_rejected_early(call)) {
 		ql_front__count(call, QL_COUNT_EARLY_REFUSALS);
 		ql_front__fail(call, QL_REASON_OVERLOAD);
@@ -198,13 +202,20 @@
 			     const ql_route_t *route)
 {
 	const ql_team_t *team;
+	ql_front_call_t *call;
 	ql_reason_t reason =
 		ql_front__identify_caller(front, exchange, route, &team);
 
-	if (reason == QL_REASON_NONE)
-		start_call(call_new(front, exchange, route, team));
-	else
+	if (reason != QL_REASON_NONE) {
 		refuse_request(front, exchange, reason, 0);
+		return;
+	}
+	call = call_new(front, exchange, route, team);
+	count_request(call);
+	if (team && team->rate_per_s > 0 && front->opts.ask_quota)
+		ql_front__take_quota(call);
+	else
+		ql_front__start_call(call);
 }
 
 void ql_front_handle(void *data, ql_http_exchange_t *exchange)
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -26,6 +26,8 @@
 	g_hash_table_remove(call->front->calls, call);
 	ql_loop_stop_timer(call->front->loop, &call->deadline_timer);
 	ql_loop_stop_timer(call->front->loop, &call->delay_timer);
+	ql_loop_stop_timer(call->front->loop, &call->quota_timer);
+	ql_quota_wallet_leave(&call->quota_waiter);
 	ql_headers_finish(&call->headers);
 	g_byte_array_free(call->header_lines, TRUE);
 	g_byte_array_free(call->buffered_body, TRUE);
@@ -106,6 +108,8 @@
 		.retry_after_ms = call->retry_after_ms,
 	};
 
+	if (!call->may_have_run && !call->n_sent)
+		ql_front__return_quota(call);
 	discard_unsent_response(call);
 	log_failure(call, &result);
 	count_route_outcome(call, false);
@@ -307,6 +311,8 @@
 
 	ql_front__count(call, QL_COUNT_CLIENT_CANCELLED);
 	cancel_attempt(call, QL_REASON_CANCELLED);
+	if (!call->n_tried)
+		ql_front__return_quota(call);
 	call_free(call);
 }
 
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -47,6 +47,10 @@
  * @retry_after_ms: longest delay requested by a refusal
  * @deadline_timer: fires at the deadline
  * @delay_timer: fires when the first attempt is due
+ * @quota_waiter: its place among those that wait for a token
+ * @quota_timer: fires when it has waited for a token for too long
+ * @has_token: it has taken a token of the quota of @team
+ * @token_end_us: end of the token; 0 if @team needs none
  * @status: status of the response
  * @header_lines: header lines of the response
  * @buffered_body: body of the response while it is not streamed
@@ -82,6 +86,10 @@
 	uint32_t retry_after_ms;
 	ql_wheel_timer_t deadline_timer;
 	ql_wheel_timer_t delay_timer;
+	ql_quota_waiter_t quota_waiter;
+	ql_wheel_timer_t quota_timer;
+	bool has_token;
+	uint64_t token_end_us;
 	unsigned int status;
 	GByteArray *header_lines;
 	GByteArray *buffered_body;
@@ -139,6 +147,33 @@
  */
 void ql_front__route_unref(ql_front_route_t *route);
 
+/**
+ * ql_front__start_call() - Start a request that is within its quota.
+ * @call: the request; it may have ended and been freed on return
+ */
+void ql_front__start_call(ql_front_call_t *call);
+
+/**
+ * ql_front__init_quota() - Initialize the tokens of a front end.
+ * @front: the front end
+ */
+void ql_front__init_quota(ql_front_t *front);
+
+/**
+ * ql_front__take_quota() - Start a request once it has a token of the quota of
+ * its team, or refuse it.
+ * @call: the request, with a team that has a quota; it may have ended and been
+ *        freed on return
+ */
+void ql_front__take_quota(ql_front_call_t *call);
+
+/**
+ * ql_front__return_quota() - Return the token of a request that no endpoint has
+ * received.
+ * @call: the request
+ */
+void ql_front__return_quota(ql_front_call_t *call);
+
 /**
  * ql_front__start_attempt() - Choose an endpoint and call its gate.
  * @call: the request; it may have ended and been freed on return
--- a/src/path/load_log.c
+++ b/src/path/load_log.c
@@ -1,4 +1,5 @@
 #include "path/load_log.h"
+#include "path/quota_log.h"
 #include "quetzalloft/log.h"
 
 #include <string.h>
@@ -72,6 +73,33 @@
 	*logged = *current;
 }
 
+/* A node logs its teams only when one of them was over its quota. */
+static void log_quota(ql_quota_wallet_t *wallet)
+{
+	ql_quota_account_t *account;
+	ql_quota_load_t load;
+	bool any_refused = false;
+	GHashTableIter iter;
+	ql_quota_log_t log;
+	gpointer value;
+
+	ql_quota_log_init(&log);
+	g_hash_table_iter_init(&iter, wallet->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		account = value;
+		any_refused |= account->usage.refused > 0;
+		load = (ql_quota_load_t){
+			.team = account->name,
+			.used = account->usage.used,
+			.refused = account->usage.refused,
+		};
+		ql_quota_log_add(&log, &load);
+		account->usage = (ql_quota_usage_t){0};
+	}
+	if (any_refused)
+		ql_quota_log_write(&log);
+}
+
 static void on_timer(void *data)
 {
 	ql_load_log_t *log = data;
@@ -80,6 +108,7 @@
 	log_gate(log);
 	for (i = 0; log->front->doc && i < log->front->doc->n_routes; i++)
 		log_route(log, i);
+	log_quota(&log->front->quota);
 	ql_loop_start_timer(log->loop, &log->timer, LOG_PERIOD_MS);
 }
 
--- a/src/util/clock.c
+++ b/src/util/clock.c
@@ -1,12 +1,24 @@
 #include "quetzalloft/clock.h"
 
+#include <time.h>
+
 #define COUNTER_BITS 16
+#define NS_PER_US 1000
 
 uint64_t ql_clock_now_us(void)
 {
 	return (uint64_t)g_get_monotonic_time();
 }
 
+uint64_t ql_clock_boot_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (uint64_t)now.tv_sec * QL_US_PER_S +
+	       (uint64_t)now.tv_nsec / NS_PER_US;
+}
+
 uint64_t ql_clock_wall_ms(void)
 {
 	return (uint64_t)g_get_real_time() / QL_US_PER_MS;
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -64,6 +64,14 @@
 	[QL_COUNT_DISK_WRITES_FAILED] =
 		{"disk_writes_failed",
 		 "Failed attempts of a replica to write to its disk."},
+	[QL_COUNT_QUOTA_REFUSED] = {"quota_refused",
+				    "Requests over the quota of their team."},
+	[QL_COUNT_QUOTA_UNKNOWN] = {"quota_unknown",
+				    "Requests refused because no replica told "
+				    "in time what is left of the quota."},
+	[QL_COUNT_QUOTA_GRANTED] = {"quota_granted",
+				    "Calls of nodes that this leader has "
+				    "granted tokens of quotas."},
 };
 
 static const ql_metric_t gauge_metrics[QL_N_GAUGES] = {
--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -51,6 +51,9 @@
  *                              withdrew
  * @QL_COUNT_DISK_WRITES_FAILED: failed attempts to write to the disk of a
  * replica
+ * @QL_COUNT_QUOTA_REFUSED: requests over the quota of their team
+ * @QL_COUNT_QUOTA_UNKNOWN: requests refused as the quota was not learned in time
+ * @QL_COUNT_QUOTA_GRANTED: calls of nodes that this leader answered with tokens
  * @QL_N_COUNTERS: number of counters
  */
 typedef enum ql_counter {
@@ -83,6 +86,9 @@
 	QL_COUNT_REPORTS_REFUSED,
 	QL_COUNT_REPORTS_WITHDRAWN,
 	QL_COUNT_DISK_WRITES_FAILED,
+	QL_COUNT_QUOTA_REFUSED,
+	QL_COUNT_QUOTA_UNKNOWN,
+	QL_COUNT_QUOTA_GRANTED,
 	QL_N_COUNTERS,
 } ql_counter_t;
 
