Set the comments on the counters as the formatter does

Cause: a line of the new comments was longer than the formatter allows.

Change: the comment is set anew.

--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -52,7 +52,8 @@
  * @QL_COUNT_DISK_WRITES_FAILED: failed attempts to write to the disk of a
  * replica
  * @QL_COUNT_QUOTA_REFUSED: requests over the quota of their team
- * @QL_COUNT_QUOTA_UNKNOWN: requests refused as the quota was not learned in time
+ * @QL_COUNT_QUOTA_UNKNOWN: requests refused as the quota was not learned in
+ * time
  * @QL_COUNT_QUOTA_GRANTED: calls of nodes that this leader answered with tokens
  * @QL_N_COUNTERS: number of counters
  */
