Check a lower limit and teams that move in the simulation of quotas

Cause: the simulation had fixed limits and spread each team evenly.

Change: a limit is lowered while old leaders and paused nodes hold tokens, and teams move from node to node.

--- a/tests/policy/quota_wallet_test.cc
+++ b/tests/policy/quota_wallet_test.cc
@@ -359,6 +359,9 @@
 	static constexpr double OVERSHOOT = 0.1;
 	bool has_faults;
 	double slack;
+	/* All teams send to one node, and to the next one a second later. */
+	bool teams_move = false;
+	uint64_t changed_us = 0;
 
 	Cluster(unsigned int seed, size_t n_nodes, uint64_t duration_us,
 		bool faults, double slack_requests)
@@ -423,13 +426,27 @@
 		       std::lower_bound(times.begin(), times.end(), late_us);
 	}
 
-	/* Most requests of a team in any window. */
-	size_t most_in_a_window(size_t team) const
+	/* Changes the quota of a team at all replicas that lead. */
+	void change_limit(size_t team, uint64_t after_us, double rate_per_s,
+			  double burst)
+	{
+		changed_us = now_us + after_us;
+		at(changed_us, [this, team, rate_per_s, burst] {
+			teams[team].rate_per_s = rate_per_s;
+			teams[team].burst = burst;
+		});
+	}
+
+	/* Most requests of a team in any window that begins after a time. */
+	size_t most_in_a_window(size_t team, uint64_t from_us = 0) const
 	{
 		const std::vector<uint64_t> &times = spent[team];
-		size_t most = 0, first = 0;
+		size_t most = 0;
+		size_t first =
+			std::lower_bound(times.begin(), times.end(), from_us) -
+			times.begin();
 
-		for (size_t i = 0; i < times.size(); i++) {
+		for (size_t i = first; i < times.size(); i++) {
 			while (times[first] + WINDOW_US < times[i])
 				first++;
 			most = std::max(most, i - first + 1);
@@ -465,11 +482,12 @@
 	{
 		std::exponential_distribution<double> gap(per_s);
 
-		at(now_us + (uint64_t)(gap(random) * S) + 1,
-		   [this, team, per_s] {
-			   arrive(team, between(0, nodes.size() - 1));
-			   schedule_arrival(team, per_s);
-		   });
+		at(now_us + (uint64_t)(gap(random) * S) + 1, [this, team,
+							      per_s] {
+			arrive(team, teams_move ? now_us / S % nodes.size()
+						: between(0, nodes.size() - 1));
+			schedule_arrival(team, per_s);
+		});
 	}
 
 	void arrive(size_t team, size_t index)
@@ -702,14 +720,34 @@
 	}
 }
 
+TEST_P(QuotaCluster, ALowerLimitBindsOnceTheTokensHeldHaveEnded)
+{
+	Cluster cluster(GetParam(), 20, 40 * S, true, 0);
+	double limit = (50 * 5 + 20) *
+		       (1 + Cluster::OVERSHOOT * QL_QUOTA_OVERSHOOT_PART);
+
+	cluster.add_team(400, 800, 3000);
+	cluster.change_limit(0, 20 * S, 50, 20);
+	cluster.run();
+	EXPECT_GT(cluster.most_in_a_window(0), limit);
+	EXPECT_LE(cluster.most_in_a_window(0, cluster.changed_us +
+						      QL_QUOTA_VALIDITY_US),
+		  limit + 1e-6);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, QuotaCluster, testing::Range(1u, 13u));
 
-/* Teams that spread over 80 nodes and stay inside their quota are not held. */
-TEST(QuotaClusterWithoutFaults, ServesWhatLiesInsideTheQuota)
+/* Teams that stay inside their quota are not held, wherever they send to. */
+class QuotaClusterWithoutFaults : public testing::TestWithParam<bool>
+{
+};
+
+TEST_P(QuotaClusterWithoutFaults, ServesWhatLiesInsideTheQuota)
 {
 	Cluster cluster(7, 80, 60 * S, false, 20);
 	double rates[] = {575, 40, 10, 3, 1};
 
+	cluster.teams_move = GetParam();
 	for (double rate : rates)
 		cluster.add_team(rate * 1.6, rate * 1.6, rate);
 	cluster.run();
@@ -720,4 +758,6 @@
 	}
 }
 
+INSTANTIATE_TEST_SUITE_P(Teams, QuotaClusterWithoutFaults, testing::Bool());
+
 } // namespace
