--- a/include/quetzalloft/clock.h
+++ b/include/quetzalloft/clock.h
@@ -25,8 +25,16 @@
 uint64_t ql_clock_now_us(void);
 
 /**
- * ql_clock_boot_ms() - Read the clock that counts since the start of the
- * machine, including the time in which the machine was suspended.
+ * ql_clock_boot_us() - Read the clock that counts since the start of the
+ * machine, including the time in which the machine was suspended. A permission
+ * that ends at a time is checked against this clock.
+ *
+ * Return: microseconds since the start of the machine.
+ */
+uint64_t ql_clock_boot_us(void);
+
+/**
+ * ql_clock_boot_ms() - Read the clock of ql_clock_boot_us() in milliseconds.
  *
  * Return: milliseconds since the start of the machine.
  */
--- a/src/control/replica_private.h
+++ b/src/control/replica_private.h
@@ -151,6 +151,10 @@
 void ql_replica__finish_reads(ql_replica_t *replica);
 /* Fails all pending reads with QL_E_NOT_LEADER. */
 void ql_replica__fail_reads(ql_replica_t *replica);
+/* Begins a round and keeps its time; the caller sends it afterwards. */
+void ql_replica__begin_round(ql_replica_t *replica);
+/* Forgets the times of the rounds of an earlier term. */
+void ql_replica__forget_rounds(ql_replica_t *replica);
 
 /* replica_snapshot.c */
 /* Takes a snapshot of the applied state and compacts the log. */
--- a/src/control/replica_proof.c
+++ b/src/control/replica_proof.c
@@ -1,4 +1,5 @@
 #include "control/replica_private.h"
+#include "quetzalloft/clock.h"
 
 /*
  * Least time between two proofs, so that those that wait for a quorum stay in
@@ -6,9 +7,14 @@
  */
 #define PROOF_INTERVAL_MS 50u
 
-void ql_replica_set_time(ql_replica_t *replica, uint64_t now_ms)
+void ql_replica_set_time(ql_replica_t *replica, uint64_t now_us)
 {
-	replica->now_ms = now_ms;
+	replica->now_us = now_us;
+}
+
+static uint64_t now_ms(const ql_replica_t *replica)
+{
+	return replica->now_us / QL_US_PER_MS;
 }
 
 /* Adds a proof unless it is hardly newer than the last one. */
@@ -53,11 +59,11 @@
 	const ql_replica_proof_t proof = {
 		.round = replica->read_round + 1,
 		.index = replica->state.commit,
-		.at_ms = replica->now_ms,
+		.at_ms = now_ms(replica),
 	};
 
 	/* Before, entries of older terms may be committed unknown to it. */
-	if (!replica->now_ms || replica->state.commit < replica->term_start)
+	if (!now_ms(replica) || replica->state.commit < replica->term_start)
 		return;
 	if (add_proof(replica, &proof))
 		replica->read_round++;
@@ -104,7 +110,7 @@
 	};
 
 	if (!message->clock_id || message->clock_id != replica->opts.clock_id ||
-	    message->clock_ms > replica->now_ms)
+	    message->clock_ms > now_ms(replica))
 		return;
 	add_proof(replica, &proof);
 }
@@ -113,7 +119,7 @@
 			    ql_rpc_replica_message *answer)
 {
 	answer->clock_id = replica->opts.clock_id;
-	answer->clock_ms = replica->now_ms;
+	answer->clock_ms = now_ms(replica);
 }
 
 void ql_replica__note_clock(const ql_replica_t *replica,
@@ -124,7 +130,7 @@
 		return;
 	peer->clock_id = answer->clock_id;
 	peer->clock_ms = answer->clock_ms;
-	peer->heard_ms = replica->now_ms;
+	peer->heard_ms = now_ms(replica);
 }
 
 uint64_t ql_replica_proven_ms(const ql_replica_t *replica)
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -34,6 +34,9 @@
  * @log_index: index of the last entry of the log
  * @applied: index of the last entry applied
  * @proven_ms: see ql_replica_proven_ms(); 0 after a failure
+ * @leading_since_us: a time at or after the election of this leader, on
+ *                    ql_clock_boot_us()
+ * @confirmed_us: see ql_replica_confirmed_us()
  * @members: the members; their @snapshot holds no reference, do not use it
  * @n_members: number of @members
  */
@@ -50,6 +53,8 @@
 	uint64_t log_index;
 	uint64_t applied;
 	uint64_t proven_ms;
+	uint64_t leading_since_us;
+	uint64_t confirmed_us;
 	ql_replica_peer_t members[QL_REPLICA_MEMBERS_MAX];
 	size_t n_members;
 } ql_replica_view_t;
--- a/src/util/clock.c
+++ b/src/util/clock.c
@@ -3,22 +3,26 @@
 #include <time.h>
 
 #define COUNTER_BITS 16
-#define MS_PER_S 1000u
-#define NS_PER_MS 1000000u
+#define NS_PER_US 1000
 
 uint64_t ql_clock_now_us(void)
 {
 	return (uint64_t)g_get_monotonic_time();
 }
 
-uint64_t ql_clock_boot_ms(void)
+uint64_t ql_clock_boot_us(void)
 {
 	struct timespec now;
 
 	if (clock_gettime(CLOCK_BOOTTIME, &now))
 		g_error("clock_gettime() does not support CLOCK_BOOTTIME");
-	return (uint64_t)now.tv_sec * MS_PER_S +
-	       (uint64_t)now.tv_nsec / NS_PER_MS;
+	return (uint64_t)now.tv_sec * QL_US_PER_S +
+	       (uint64_t)now.tv_nsec / NS_PER_US;
+}
+
+uint64_t ql_clock_boot_ms(void)
+{
+	return ql_clock_boot_us() / QL_US_PER_MS;
 }
 
 uint64_t ql_clock_wall_ms(void)
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -67,6 +67,14 @@
 	[QL_COUNT_KEYS_NOT_CURRENT] =
 		{"keys_not_current",
 		 "Requests refused, as API keys could not be proven current."},
+	[QL_COUNT_QUOTA_REFUSED] = {"quota_refused",
+				    "Requests over the quota of their team."},
+	[QL_COUNT_QUOTA_UNKNOWN] = {"quota_unknown",
+				    "Requests refused because no replica told "
+				    "in time what is left of the quota."},
+	[QL_COUNT_QUOTA_GRANTED] = {"quota_granted",
+				    "Calls of nodes that this leader has "
+				    "granted tokens of quotas."},
 };
 
 static const ql_metric_t gauge_metrics[QL_N_GAUGES] = {
--- a/tests/control/replica_proof_test.cc
+++ b/tests/control/replica_proof_test.cc
@@ -225,7 +225,7 @@
 		message.clock_ms = test.clock_ms;
 		message.proof_index = replica.applied + test.index_ahead;
 		replica.n_proofs = 0;
-		ql_replica_set_time(&replica, now_ms);
+		ql_replica_set_time(&replica, now_ms * 1000);
 		ql_replica_deliver(&replica, &message);
 		EXPECT_EQ(test.proven_ms, ql_replica_proven_ms(&replica));
 	}
--- a/tests/control/replica_simulation.cc
+++ b/tests/control/replica_simulation.cc
@@ -264,7 +264,8 @@
 
 void ReplicaSimulation::set_time(SimulatedReplica &node)
 {
-	ql_replica_set_time(&node.config.replica, now_ms - node.clock_start_ms);
+	ql_replica_set_time(&node.config.replica,
+			    (now_ms - node.clock_start_ms) * 1000);
 }
 
 void ReplicaSimulation::stop(SimulatedReplica &node, unsigned int choice)
@@ -413,8 +414,8 @@
 			set_time(*to);
 		if (fault == Fault::TRANSIT_TIME_IGNORED &&
 		    message->type == QL_REPLICA_APPEND)
-			message->clock_ms =
-				to->config.replica.now_ms - message->clock_ms;
+			message->clock_ms = to->config.replica.now_us / 1000 -
+					    message->clock_ms;
 		ql_replica_deliver(&to->config.replica, message);
 	}
 	ql_replica_message_free(message);
