Admit by route and class, and share the room fairly between teams

Cause: teams may have classes of their own, so one route carries several classes, which wait differently long at the gates, but one throttle and one guaranteed share decided for all of them. Where a throttle refused, it did so by chance, whoever had asked for more than the others.

Change: the admission state is kept for each route and class. The classes of a route share their probes, and a class is throttled no more than one that is shed before it. Between the teams of a class, the first node decides by a decayed count of what each asked against its part of the quotas, with a credit for each team in place of chance; the admitted share as a whole stays that of the throttle. Events team_load and route_load by class, a counter for refusals by team. Documents without teams have one class for each route, as before.

--- a/include/quetzalloft/route_admission.h
+++ b/include/quetzalloft/route_admission.h
@@ -18,6 +18,10 @@
  * are refused early only when queueing delays are far above the acceptable one,
  * or too long for their deadline, after all routes have reduced their
  * best-effort requests.
+ *
+ * Where teams have classes of their own, the requests of a route are of several
+ * classes, which wait differently long. Each class of a route then has an
+ * admission control and a guaranteed share of its own.
  */
 
 #include "quetzalloft/throttle.h"
@@ -25,17 +29,20 @@
 G_BEGIN_DECLS
 
 /**
- * struct ql_route_admission - Admission control of one route.
+ * struct ql_route_admission - Admission control of one class of one route.
  * @guaranteed: throttle of the guaranteed requests
  * @best_effort: throttle of all other requests
  * @credit: number of requests by which the route is below its guaranteed share;
  *          negative, at least -8, if it is above. At 1 the next request is made
  *          a guaranteed one.
+ * @limit_passed: moving mean of the part of the best-effort requests chosen
+ *                with QL_THROTTLE_TAKE that the throttle admitted, 0 to 1
  */
 typedef struct ql_route_admission {
 	ql_throttle_t guaranteed;
 	ql_throttle_t best_effort;
 	double credit;
+	double limit_passed;
 } ql_route_admission_t;
 
 /**
@@ -45,12 +52,14 @@
  * @target_ms: latency target of the route; 0 if it has none
  * @random: random number generator for the decision and the jitter
  * @now_us: current time
+ * @choice: who chooses the best-effort requests to admit
  */
 typedef struct ql_admission_offer {
 	double guaranteed_share;
 	uint64_t target_ms;
 	GRand *random;
 	uint64_t now_us;
+	ql_throttle_choice_t choice;
 } ql_admission_offer_t;
 
 /**
@@ -85,6 +94,43 @@
 ql_route_admission_offer(ql_route_admission_t *admission,
 			 const ql_admission_offer_t *offer);
 
+/**
+ * struct ql_admission_peer - Another class of the same route.
+ * @admission: its admission control
+ * @shed_order: its shed order
+ */
+typedef struct ql_admission_peer {
+	const ql_route_admission_t *admission;
+	uint32_t shed_order;
+} ql_admission_peer_t;
+
+/**
+ * ql_route_admission_compare() - Take over what other classes of the route have
+ * learned. To be called before each offer if there are other classes.
+ * @admission: admission control of the class
+ * @shed_order: shed order of the class
+ * @peers: the other classes
+ * @n_peers: number of elements of @peers
+ * @now_us: current time
+ *
+ * A class waits no longer than those that are shed before it, so its share is
+ * at least that of each of them that had an answer in the last second.
+ */
+void ql_route_admission_compare(ql_route_admission_t *admission,
+				uint32_t shed_order,
+				const ql_admission_peer_t *peers,
+				size_t n_peers, uint64_t now_us);
+
+/**
+ * ql_route_admission_share() - Estimate the part of the best-effort requests
+ * that is admitted: the share, and what the limit of the requests in progress
+ * leaves of it.
+ * @admission: admission control of the class
+ *
+ * Return: 0 to 1.
+ */
+double ql_route_admission_share(const ql_route_admission_t *admission);
+
 /**
  * struct ql_admission_answer - What the answer to a request shows of the load
  * downstream.
--- a/include/quetzalloft/team.h
+++ b/include/quetzalloft/team.h
@@ -27,12 +27,15 @@
  * @rate_per_s: quota in requests per second, summed over all nodes; 0 for no
  *              quota
  * @burst: requests that the quota allows at once beyond @rate_per_s
+ * @weight: its part of the sum of all quotas, 0 to 1; a team without a quota
+ *          has the mean of those with one, and all have the same if none has
  */
 typedef struct ql_team {
 	char name[QL_NAME_MAX];
 	int32_t class_index;
 	double rate_per_s;
 	double burst;
+	double weight;
 } ql_team_t;
 
 /**
--- a/include/quetzalloft/throttle.h
+++ b/include/quetzalloft/throttle.h
@@ -16,6 +16,10 @@
  * 1, the number of requests in progress is limited to about the number that the
  * share of the offered requests would keep in progress without queueing delay.
  * When requests take longer, this limit refuses new ones at once.
+ *
+ * A route has a throttle for each class of its requests. The throttles that are
+ * in use share the probes of the route and the one request that it may always
+ * have in progress, so that many classes with few requests each do not add up.
  */
 
 #include "quetzalloft/pressure.h"
@@ -35,6 +39,7 @@
  * @probe_interval_us: time since the last admission after which a request is
  *                     admitted as a probe if none is in progress
  * @in_progress: number of admitted requests that have not ended
+ * @n_peers: number of other throttles of the same route that are in use
  */
 typedef struct ql_throttle {
 	double share;
@@ -46,8 +51,21 @@
 	double uncongested_latency_us;
 	uint64_t probe_interval_us;
 	uint32_t in_progress;
+	uint32_t n_peers;
 } ql_throttle_t;
 
+/**
+ * enum ql_throttle_choice - Who chooses the requests that make up the share.
+ * @QL_THROTTLE_RANDOM: the throttle, at random
+ * @QL_THROTTLE_TAKE: the caller, which counts this request in
+ * @QL_THROTTLE_LEAVE: the caller, which leaves this request out
+ */
+typedef enum ql_throttle_choice {
+	QL_THROTTLE_RANDOM,
+	QL_THROTTLE_TAKE,
+	QL_THROTTLE_LEAVE,
+} ql_throttle_choice_t;
+
 /**
  * struct ql_throttle_decision - Whether to refuse a request early.
  * @refuse: the request is refused; no part of it was run
@@ -82,6 +100,23 @@
 					 uint64_t target_ms, GRand *random,
 					 uint64_t now_us);
 
+/**
+ * ql_throttle_offer_chosen() - Decide on a request like ql_throttle_offer(),
+ * with the choice of the caller in place of a random one.
+ * @throttle: throttle of the route
+ * @choice: whether the request is among those that make up the share; the
+ *          limit of the requests in progress and the probes do not depend on it
+ * @target_ms: latency target of the route; 0 if it has none
+ * @random: random number generator for the decision and the jitter
+ * @now_us: current time
+ *
+ * Return: the decision.
+ */
+ql_throttle_decision_t ql_throttle_offer_chosen(ql_throttle_t *throttle,
+						ql_throttle_choice_t choice,
+						uint64_t target_ms,
+						GRand *random, uint64_t now_us);
+
 /**
  * ql_throttle_record_answer() - Adapt the admitted share to an answer.
  * @throttle: throttle of the route
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -33,12 +33,15 @@
 	front->calls = g_hash_table_new(NULL, NULL);
 	front->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						service_free);
+	front->team_shares = ql_front__new_team_shares();
 }
 
 void ql_front__route_unref(ql_front_route_t *route)
 {
-	if (!--route->references)
-		g_free(route);
+	if (--route->references)
+		return;
+	g_ptr_array_free(route->classes, TRUE);
+	g_free(route);
 }
 
 static void release_routes(ql_front_t *front)
@@ -54,6 +57,7 @@
 {
 	g_hash_table_destroy(front->services);
 	g_hash_table_destroy(front->calls);
+	g_hash_table_destroy(front->team_shares);
 	release_routes(front);
 	ql_document_unref(front->doc);
 	g_rand_free(front->random);
@@ -113,7 +117,7 @@
 
 	if (!route) {
 		route = g_new0(ql_front_route_t, 1);
-		ql_route_admission_init(&route->admission);
+		route->classes = ql_front__new_route_classes();
 	}
 	memset(route->split_credit, 0, sizeof(route->split_credit));
 	route->references++;
@@ -136,6 +140,7 @@
 	front->n_routes = doc->n_routes;
 	ql_document_unref(front->doc);
 	front->doc = ql_document_ref(doc);
+	ql_front__drop_old_classes(front);
 	update_retry_ratios(front);
 }
 
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -13,6 +13,7 @@
 #include "quetzalloft/balancer.h"
 #include "quetzalloft/retry.h"
 #include "quetzalloft/route_admission.h"
+#include "quetzalloft/team_shares.h"
 #include "util/counters.h"
 
 G_BEGIN_DECLS
@@ -82,6 +83,26 @@
 	double pressure_sum;
 } ql_front_usage_t;
 
+/**
+ * struct ql_front_route_class - State of the requests of one class on a route.
+ * Teams with a class of their own bring several classes to a route.
+ * @references: one for the route and one for each request in flight
+ * @name: name of the class; empty for the class of the route, whichever it is,
+ *        so that its state is kept when a document gives the route another one
+ * @shed_order: shed order of the class in the last document that it was used in
+ * @admission: admission control of the requests
+ * @usage: counts since the start
+ * @logged_usage: counts at the last log line
+ */
+typedef struct ql_front_route_class {
+	uint32_t references;
+	char name[QL_NAME_MAX];
+	uint32_t shed_order;
+	ql_route_admission_t admission;
+	ql_front_usage_t usage;
+	ql_front_usage_t logged_usage;
+} ql_front_route_class_t;
+
 /**
  * struct ql_front_route - State of a route, kept across all documents that have
  * a route of this name.
@@ -93,18 +114,16 @@
  * @last_blocking_us: when a request of this route was last expected to delay a
  *                    later one on its connection beyond the timeout of the
  *                    client; 0 if never
- * @admission: admission control of the requests of the route
- * @usage: counts since the start
- * @logged_usage: counts at the last log line
+ * @classes: &struct ql_front_route_class of the class of the route, which is
+ *           the first, and of other classes of the document in force that had
+ *           requests
  */
 typedef struct ql_front_route {
 	uint32_t references;
 	int64_t split_credit[QL_ROUTE_SPLIT_MAX];
 	double typical_latency_us;
 	uint64_t last_blocking_us;
-	ql_route_admission_t admission;
-	ql_front_usage_t usage;
-	ql_front_usage_t logged_usage;
+	GPtrArray *classes;
 } ql_front_route_t;
 
 /**
@@ -119,6 +138,8 @@
  * @services: &struct ql_front_service by name
  * @routes: by index of the route in @doc, each with a reference
  * @n_routes: number of routes
+ * @team_shares: &struct ql_team_shares by name of the class, of classes of the
+ *               document in force
  * @calls: set of &struct ql_front_call in flight
  * @random: source of jitter and of random choices
  */
@@ -132,6 +153,7 @@
 	GHashTable *services;
 	ql_front_route_t **routes;
 	size_t n_routes;
+	GHashTable *team_shares;
 	GHashTable *calls;
 	GRand *random;
 } ql_front_t;
--- a/src/path/front_begin.c
+++ b/src/path/front_begin.c
@@ -92,6 +92,8 @@
 	index = (size_t)(route - front->doc->routes);
 	call->route_state = front->routes[index];
 	call->route_state->references++;
+	call->route_class = ql_front__get_route_class(call);
+	call->route_class->references++;
 	call->header_lines = g_byte_array_new();
 	call->buffered_body = g_byte_array_new();
 	service = ql_front_choose_service(front, index);
@@ -135,7 +137,7 @@
 static bool is_rejected_early(ql_front_call_t *call)
 {
 	ql_front_t *front = call->front;
-	const ql_admission_offer_t offer = {
+	ql_admission_offer_t offer = {
 		.guaranteed_share = call->doc->guaranteed_share,
 		.target_ms = call->route->target_ms,
 		.random = front->random,
@@ -146,8 +148,10 @@
 	/* Refusing a call would waste the work done by its callers. */
 	if (call->downstream.under_way)
 		return false;
+	offer.choice = ql_front__compare_shares(call);
 	decision =
-		ql_route_admission_offer(&call->route_state->admission, &offer);
+		ql_route_admission_offer(&call->route_class->admission, &offer);
+	ql_front__record_share(call, &decision, offer.choice);
 	call->retry_after_ms = decision.retry_after_ms;
 	call->admitted = !decision.refuse;
 	if (decision.guaranteed && !decision.refuse)
@@ -162,7 +166,7 @@
 	ql_front__count(call, call->downstream.under_way
 				      ? QL_COUNT_LOCAL_CALLS
 				      : QL_COUNT_CLIENT_REQUESTS);
-	call->route_state->usage.offered++;
+	call->route_class->usage.offered++;
 	if (is_rejected_early(call)) {
 		ql_front__count(call, QL_COUNT_EARLY_REFUSALS);
 		ql_front__fail(call, QL_REASON_OVERLOAD);
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -19,9 +19,10 @@
 static void call_free(ql_front_call_t *call)
 {
 	if (call->admitted)
-		ql_route_admission_finish_request(&call->route_state->admission,
+		ql_route_admission_finish_request(&call->route_class->admission,
 						  call->guaranteed,
 						  call->served);
+	ql_front__route_class_unref(call->route_class);
 	ql_front__route_unref(call->route_state);
 	g_hash_table_remove(call->front->calls, call);
 	ql_loop_stop_timer(call->front->loop, &call->deadline_timer);
@@ -75,7 +76,7 @@
 /* Counts the outcome by route, for ql_load_log_t. */
 static void count_route_outcome(const ql_front_call_t *call, bool answered)
 {
-	ql_front_usage_t *usage = &call->route_state->usage;
+	ql_front_usage_t *usage = &call->route_class->usage;
 
 	if (answered)
 		usage->answered++;
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -20,6 +20,7 @@
  * @route: route of the request, in @doc
  * @team: team of the caller, in @doc; NULL if the request needs no API key
  * @route_state: state of @route, with a reference
+ * @route_class: state of the class of the request on @route, with a reference
  * @service: service that the request is forwarded to
  * @headers: headers to forward
  * @downstream: parameters of each attempt
@@ -61,6 +62,7 @@
 	const ql_route_t *route;
 	const ql_team_t *team;
 	ql_front_route_t *route_state;
+	ql_front_route_class_t *route_class;
 	ql_front_service_t *service;
 	ql_headers_t headers;
 	ql_path_call_t downstream;
@@ -133,6 +135,73 @@
  */
 void ql_front__prepare(ql_front_call_t *call, const char *service);
 
+/**
+ * ql_front__find_class() - Find the class of a client request: that of its
+ * team, or of its route if the team has none.
+ * @call: the request, with its route and team set
+ *
+ * Return: the class in the document of the request.
+ */
+const ql_class_t *ql_front__find_class(const ql_front_call_t *call);
+
+/**
+ * ql_front__new_route_classes() - Allocate &ql_front_route.classes.
+ *
+ * Return: the array.
+ */
+GPtrArray *ql_front__new_route_classes(void);
+
+/**
+ * ql_front__get_route_class() - Get the state of the class of a client request
+ * on its route.
+ * @call: the request, with its route and team set
+ *
+ * Return: the state, which is added if there is none.
+ */
+ql_front_route_class_t *ql_front__get_route_class(const ql_front_call_t *call);
+
+/**
+ * ql_front__route_class_unref() - Drop a reference to the state of a class.
+ * @data: the state; freed with the last reference
+ */
+void ql_front__route_class_unref(void *data);
+
+/**
+ * ql_front__new_team_shares() - Allocate &ql_front.team_shares.
+ *
+ * Return: the table.
+ */
+GHashTable *ql_front__new_team_shares(void);
+
+/**
+ * ql_front__drop_old_classes() - Drop the state of classes that are not in the
+ * document in force.
+ * @front: the front end
+ */
+void ql_front__drop_old_classes(ql_front_t *front);
+
+/**
+ * ql_front__compare_shares() - Prepare the admission of a client request: take
+ * over what other classes of the route have learned, and compare its team with
+ * the others.
+ * @call: the request
+ *
+ * Return: whether the request is among those to admit; QL_THROTTLE_RANDOM if it
+ * has no team.
+ */
+ql_throttle_choice_t ql_front__compare_shares(const ql_front_call_t *call);
+
+/**
+ * ql_front__record_share() - Record the admission of a client request for its
+ * team.
+ * @call: the request
+ * @decision: the decision
+ * @choice: result of ql_front__compare_shares()
+ */
+void ql_front__record_share(const ql_front_call_t *call,
+			    const ql_admission_decision_t *decision,
+			    ql_throttle_choice_t choice);
+
 /**
  * ql_front__route_unref() - Drop a reference to the state of a route.
  * @route: the state; freed with the last reference
--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -46,8 +46,7 @@
 		ql_headers_add(&call->headers, dialect->team, call->team->name);
 }
 
-/* The class of a team replaces that of the route. */
-static const ql_class_t *find_class(const ql_front_call_t *call)
+const ql_class_t *ql_front__find_class(const ql_front_call_t *call)
 {
 	const ql_team_t *team = call->team;
 
@@ -110,7 +109,7 @@
 void ql_front__prepare(ql_front_call_t *call, const char *service)
 {
 	const ql_dialect_t *dialect = call->front->opts.dialect;
-	const ql_class_t *class = find_class(call);
+	const ql_class_t *class = ql_front__find_class(call);
 	ql_http_exchange_t *exchange = call->exchange;
 	const char *id =
 		ql_headers_get(&exchange->headers, dialect->request_id);
--- a/src/path/front_record.c
+++ b/src/path/front_record.c
@@ -44,9 +44,9 @@
 	/* A request that was rejected early has no pressure sample. */
 	if (!call->admitted && !call->downstream.under_way)
 		return;
-	count_pressure_sample(&call->route_state->usage, pressure);
+	count_pressure_sample(&call->route_class->usage, pressure);
 	if (call->admitted)
-		ql_route_admission_record_answer(&call->route_state->admission,
+		ql_route_admission_record_answer(&call->route_class->admission,
 						 &answer);
 	if (call->downstream.under_way)
 		ql_local_gate_add_pressure(call->front->opts.local,
--- a/src/path/load_log.c
+++ b/src/path/load_log.c
@@ -4,6 +4,10 @@
 #include <string.h>
 
 #define LOG_PERIOD_MS 1000u
+/* Teams of a class that have a line of their own. */
+#define TEAM_LINES_MAX 3u
+/* Stands for all other teams; no team has an empty name. */
+#define OTHER_TEAMS ""
 
 static void log_class(const ql_load_log_t *log, const ql_gate_usage_t *usage,
 		      uint32_t order)
@@ -37,18 +41,18 @@
 	log->logged_usage = usage;
 }
 
-static void log_route(ql_load_log_t *log, size_t index)
+static void log_route_class(const ql_document_t *doc, const ql_route_t *route,
+			    ql_front_route_class_t *state)
 {
-	const ql_route_t *route = &log->front->doc->routes[index];
-	ql_front_route_t *route_state = log->front->routes[index];
-	const ql_front_usage_t *current = &route_state->usage;
-	ql_front_usage_t *logged = &route_state->logged_usage;
+	const char *class_name =
+		state->name[0] ? state->name
+			       : doc->classes[route->class_index].name;
+	const ql_front_usage_t *current = &state->usage;
+	ql_front_usage_t *logged = &state->logged_usage;
 
 	if (current->offered > logged->offered)
 		ql_log(LOG_NOTICE, "route_load", QL_STR("route", route->name),
-		       QL_STR("class",
-			      log->front->doc->classes[route->class_index]
-				      .name),
+		       QL_STR("class", class_name),
 		       QL_UINT("offered", current->offered - logged->offered),
 		       QL_UINT("refused_early",
 			       current->refused_early - logged->refused_early),
@@ -61,17 +65,69 @@
 			       current->congested - logged->congested),
 		       QL_REAL("pressure",
 			       current->pressure_sum - logged->pressure_sum),
-		       QL_REAL("share",
-			       route_state->admission.best_effort.share),
+		       QL_REAL("share", state->admission.best_effort.share),
 		       QL_REAL("guaranteed_share",
-			       route_state->admission.guaranteed.share),
+			       state->admission.guaranteed.share),
 		       QL_UINT("in_progress",
-			       route_state->admission.best_effort.in_progress +
-				       route_state->admission.guaranteed
+			       state->admission.best_effort.in_progress +
+				       state->admission.guaranteed
 					       .in_progress));
 	*logged = *current;
 }
 
+static void log_route(ql_load_log_t *log, size_t index)
+{
+	const GPtrArray *classes = log->front->routes[index]->classes;
+	guint i;
+
+	for (i = 0; i < classes->len; i++)
+		log_route_class(log->front->doc,
+				&log->front->doc->routes[index],
+				g_ptr_array_index(classes, i));
+}
+
+static void log_team(const char *class_name, const char *team,
+		     const ql_team_usage_t *usage)
+{
+	ql_log(LOG_NOTICE, "team_load", QL_STR("class", class_name),
+	       QL_STR("team", team), QL_UINT("offered", usage->asked),
+	       QL_UINT("admitted", usage->admitted),
+	       QL_UINT("refused_early", usage->refused));
+}
+
+/* The largest teams of a class, and the others together. */
+static void log_teams(const char *class_name, ql_team_shares_t *shares)
+{
+	const ql_team_share_t *largest[TEAM_LINES_MAX];
+	ql_team_usage_t usage[TEAM_LINES_MAX], rest;
+	size_t n, i;
+
+	n = ql_team_shares_largest(shares, largest, TEAM_LINES_MAX);
+	for (i = 0; i < n; i++)
+		usage[i] = largest[i]->usage;
+	rest = ql_team_shares_take_usage(shares);
+	if (!rest.refused)
+		return;
+	for (i = 0; i < n; i++) {
+		log_team(class_name, largest[i]->name, &usage[i]);
+		rest.asked -= usage[i].asked;
+		rest.admitted -= usage[i].admitted;
+		rest.refused -= usage[i].refused;
+	}
+	if (rest.asked)
+		log_team(class_name, OTHER_TEAMS, &rest);
+}
+
+static void log_all_teams(const ql_load_log_t *log)
+{
+	gpointer class_name, shares;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, log->front->team_shares);
+	while (g_hash_table_iter_next(&iter, &class_name, &shares))
+		log_teams(class_name, shares);
+}
+
 static void on_timer(void *data)
 {
 	ql_load_log_t *log = data;
@@ -80,6 +136,7 @@
 	log_gate(log);
 	for (i = 0; log->front->doc && i < log->front->doc->n_routes; i++)
 		log_route(log, i);
+	log_all_teams(log);
 	ql_loop_start_timer(log->loop, &log->timer, LOG_PERIOD_MS);
 }
 
--- a/src/path/load_log.h
+++ b/src/path/load_log.h
@@ -4,8 +4,10 @@
 /**
  * DOC: Periodic load log, once a second: the utilization of the local endpoint
  * and the admissions of each class (gate_load), and the outcomes of the
- * requests of each route (route_load). Routes and classes without traffic have
- * no line.
+ * requests of each class on each route (route_load). Routes and classes without
+ * traffic have no line. Classes of which requests with a team were refused
+ * early also have lines for the teams that asked for most, and one for all
+ * others (team_load).
  */
 
 #include "path/front.h"
--- a/src/policy/document_teams.c
+++ b/src/policy/document_teams.c
@@ -110,6 +110,24 @@
 	return compile_keys(&doc->teams, team, source.keys, path, error);
 }
 
+/* Sets the weights of all teams, which compare them under overload. */
+static void compute_weights(ql_teams_t *teams)
+{
+	size_t i, n_quotas = 0;
+	double sum = 0, mean, rate;
+
+	for (i = 0; i < teams->n_entries; i++) {
+		sum += teams->entries[i].rate_per_s;
+		n_quotas += teams->entries[i].rate_per_s > 0;
+	}
+	mean = n_quotas ? sum / (double)n_quotas : 1;
+	sum += mean * (double)(teams->n_entries - n_quotas);
+	for (i = 0; i < teams->n_entries; i++) {
+		rate = teams->entries[i].rate_per_s;
+		teams->entries[i].weight = (rate > 0 ? rate : mean) / sum;
+	}
+}
+
 int ql_teams__compile(ql_document_t *doc, json_t *source, GError **error)
 {
 	ql_teams_t *teams = &doc->teams;
@@ -130,6 +148,7 @@
 		if (ret)
 			return ret;
 	}
+	compute_weights(teams);
 	return 0;
 }
 
--- a/src/policy/route_admission.c
+++ b/src/policy/route_admission.c
@@ -7,12 +7,18 @@
 #define GUARANTEED_PRESSURE_MAX 2.0
 /* Most requests served beyond the guaranteed share that are counted. */
 #define SURPLUS_MAX_REQUESTS 8.0
+/* A class counts as in use for this long after its last request. */
+#define IN_USE_US (2 * QL_US_PER_S)
+/* What a class has learned is good for others for this long. */
+#define ANSWER_RECENT_US (1 * QL_US_PER_S)
+#define LIMIT_PASSED_SMOOTHING 0.05
 
 void ql_route_admission_init(ql_route_admission_t *admission)
 {
 	memset(admission, 0, sizeof(*admission));
 	ql_throttle_init(&admission->guaranteed);
 	ql_throttle_init(&admission->best_effort);
+	admission->limit_passed = 1;
 }
 
 static ql_throttle_t *find_throttle(ql_route_admission_t *admission,
@@ -39,11 +45,17 @@
 			 const ql_admission_offer_t *offer)
 {
 	bool guaranteed = take_guaranteed(admission, offer->guaranteed_share);
+	ql_throttle_choice_t choice =
+		guaranteed ? QL_THROTTLE_RANDOM : offer->choice;
 	ql_throttle_decision_t decision =
-		ql_throttle_offer(find_throttle(admission, guaranteed),
-				  offer->target_ms, offer->random,
-				  offer->now_us);
+		ql_throttle_offer_chosen(find_throttle(admission, guaranteed),
+					 choice, offer->target_ms,
+					 offer->random, offer->now_us);
 
+	if (choice == QL_THROTTLE_TAKE)
+		admission->limit_passed +=
+			LIMIT_PASSED_SMOOTHING *
+			(!decision.refuse - admission->limit_passed);
 	return (ql_admission_decision_t){
 		.refuse = decision.refuse,
 		.guaranteed = guaranteed,
@@ -51,6 +63,36 @@
 	};
 }
 
+static bool is_recent(uint64_t since_us, uint64_t now_us, uint64_t period_us)
+{
+	return since_us && now_us - since_us < period_us;
+}
+
+void ql_route_admission_compare(ql_route_admission_t *admission,
+				uint32_t shed_order,
+				const ql_admission_peer_t *peers,
+				size_t n_peers, uint64_t now_us)
+{
+	ql_throttle_t *own = &admission->best_effort;
+	const ql_throttle_t *other;
+	size_t i;
+
+	own->n_peers = 0;
+	for (i = 0; i < n_peers; i++) {
+		other = &peers[i].admission->best_effort;
+		if (is_recent(other->last_offered_us, now_us, IN_USE_US))
+			own->n_peers++;
+		if (peers[i].shed_order < shed_order &&
+		    is_recent(other->last_answer_us, now_us, ANSWER_RECENT_US))
+			own->share = MAX(own->share, other->share);
+	}
+}
+
+double ql_route_admission_share(const ql_route_admission_t *admission)
+{
+	return admission->best_effort.share * admission->limit_passed;
+}
+
 /*
  * Returns the pressure accepted for guaranteed requests. The acceptable
  * queueing delay is twice the service time, so a request takes three times as
--- a/src/policy/throttle.c
+++ b/src/policy/throttle.c
@@ -81,27 +81,44 @@
 
 	return throttle->share >= 1 ||
 	       throttle->in_progress <
-		       IN_PROGRESS_MIN + IN_PROGRESS_HEADROOM * uncongested;
+		       IN_PROGRESS_MIN / (1.0 + throttle->n_peers) +
+			       IN_PROGRESS_HEADROOM * uncongested;
 }
 
-static bool should_admit(const ql_throttle_t *throttle, GRand *random,
-			 uint64_t now_us)
+static bool is_probe_due(const ql_throttle_t *throttle, uint64_t now_us)
 {
-	if (!throttle->in_progress &&
-	    now_us - throttle->last_admitted_us >= throttle->probe_interval_us)
-		return true;
-	return is_below_in_progress_limit(throttle) &&
-	       g_rand_double(random) < throttle->share;
+	return !throttle->in_progress &&
+	       now_us - throttle->last_admitted_us >=
+		       throttle->probe_interval_us * (1 + throttle->n_peers);
+}
+
+static bool is_in_share(const ql_throttle_t *throttle,
+			ql_throttle_choice_t choice, GRand *random)
+{
+	if (choice == QL_THROTTLE_RANDOM)
+		return g_rand_double(random) < throttle->share;
+	return choice == QL_THROTTLE_TAKE;
 }
 
 ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle,
 					 uint64_t target_ms, GRand *random,
 					 uint64_t now_us)
+{
+	return ql_throttle_offer_chosen(throttle, QL_THROTTLE_RANDOM, target_ms,
+					random, now_us);
+}
+
+ql_throttle_decision_t ql_throttle_offer_chosen(ql_throttle_t *throttle,
+						ql_throttle_choice_t choice,
+						uint64_t target_ms,
+						GRand *random, uint64_t now_us)
 {
 	ql_throttle_decision_t decision = {0};
 
 	record_offer(throttle, now_us);
-	if (should_admit(throttle, random, now_us)) {
+	if (is_probe_due(throttle, now_us) ||
+	    (is_below_in_progress_limit(throttle) &&
+	     is_in_share(throttle, choice, random))) {
 		throttle->last_admitted_us = now_us;
 		throttle->in_progress++;
 		return decision;
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -18,6 +18,9 @@
 	[QL_COUNT_EARLY_REFUSALS] = {"early_refusals",
 				     "Calls refused before any attempt, from "
 				     "the levels that gates reported."},
+	[QL_COUNT_TEAM_REFUSALS] = {"team_refusals",
+				    "Calls refused before any attempt as their "
+				    "team has had its part."},
 	[QL_COUNT_GAVE_WAY] = {"gave_way",
 			       "Requests refused for one behind them."},
 	[QL_COUNT_GATE_ADMITTED] = {"gate_admitted",
--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -25,6 +25,8 @@
  * @QL_COUNT_RETRIES: attempts after the first one of a call
  * @QL_COUNT_EARLY_REFUSALS: calls refused before any attempt, by early
  *                           rejection
+ * @QL_COUNT_TEAM_REFUSALS: of these, those refused as their team has had its
+ *                          part
  * @QL_COUNT_GAVE_WAY: requests refused because of head-of-line blocking
  * @QL_COUNT_GATE_ADMITTED: calls admitted by a gate of this node
  * @QL_COUNT_GATE_REFUSED: calls refused by a gate of this node
@@ -63,6 +65,7 @@
 	QL_COUNT_ATTEMPTS,
 	QL_COUNT_RETRIES,
 	QL_COUNT_EARLY_REFUSALS,
+	QL_COUNT_TEAM_REFUSALS,
 	QL_COUNT_GAVE_WAY,
 	QL_COUNT_GATE_ADMITTED,
 	QL_COUNT_GATE_REFUSED,
--- a/tests/path/caller_test.cc
+++ b/tests/path/caller_test.cc
@@ -143,4 +143,46 @@
 	EXPECT_NE(std::string::npos, server->received.find("Team: red"));
 }
 
+/*
+ * Each class of a route has an admission control of its own. Its state is kept
+ * across documents that have the class, and while requests are in flight.
+ */
+TEST_F(Caller, ClassesOfARouteAreAdmittedSeparately)
+{
+	RawSocket client = connect_client(), other = connect_client();
+	const GPtrArray *classes = front.routes[0]->classes;
+	auto state = [&](guint index) {
+		return static_cast<const ql_front_route_class_t *>(
+			g_ptr_array_index(classes, index));
+	};
+
+	client.send(request("/get/", "x", "Key: k2\r\n"));
+	auto server = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
+	ASSERT_EQ(1u, classes->len);
+	other.send(request("/get/", "y", "Key: k1\r\n"));
+	auto second = accept_connection();
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return second->has("\r\n\r\n"); }));
+	ASSERT_EQ(2u, classes->len);
+	EXPECT_STREQ("", state(0)->name);
+	EXPECT_STREQ("high", state(1)->name);
+	EXPECT_EQ(1u, state(0)->admission.best_effort.in_progress);
+	EXPECT_EQ(1u, state(1)->admission.best_effort.in_progress);
+	EXPECT_EQ(2u, g_hash_table_size(front.team_shares));
+	set_document(ROUTES, TEAMS);
+	classes = front.routes[0]->classes;
+	ASSERT_EQ(2u, classes->len);
+	EXPECT_EQ(1u, state(1)->admission.best_effort.in_progress);
+	second->send("HTTP/1.1 200 OK\r\nId: y\r\nSeal: s\r\n"
+		     "Connection: close\r\nContent-Length: 2\r\n\r\nok");
+	ASSERT_TRUE(
+		event_loop.run_until([&] { return other.has("\r\n\r\nok"); }));
+	EXPECT_EQ(0u, state(1)->admission.best_effort.in_progress);
+	/* Without teams nothing is kept of them. */
+	set_document(ROUTES);
+	EXPECT_EQ(0u, g_hash_table_size(front.team_shares));
+}
+
 } // namespace
--- a/tests/path/front_test.cc
+++ b/tests/path/front_test.cc
@@ -30,6 +30,14 @@
 		return nullptr;
 	}
 
+	const ql_route_admission_t *find_admission(const char *name)
+	{
+		auto state = static_cast<const ql_front_route_class_t *>(
+			g_ptr_array_index(find_route_state(name)->classes, 0));
+
+		return &state->admission;
+	}
+
 	static std::string request(const char *path, const char *id)
 	{
 		return std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\n" +
@@ -496,9 +504,7 @@
 {
 	RawSocket parent = connect_client(), other = connect_client(),
 		  child = connect_client();
-	auto share = [&] {
-		return find_route_state("order")->admission.best_effort.share;
-	};
+	auto share = [&] { return find_admission("order")->best_effort.share; };
 
 	gate.gate.times.lower_quartile_us = 1;
 	parent.send(request("/order/1", "p"));
@@ -539,22 +545,19 @@
 	ASSERT_TRUE(
 		event_loop.run_until([&] { return server->has("\r\n\r\n"); }));
 	set_document(ROUTES);
-	EXPECT_EQ(1u,
-		  find_route_state("order")->admission.best_effort.in_progress);
+	EXPECT_EQ(1u, find_admission("order")->best_effort.in_progress);
 	second.send(request("/order/2", "q"));
 	auto other = accept_connection();
 	ASSERT_TRUE(
 		event_loop.run_until([&] { return other->has("\r\n\r\n"); }));
 	set_document(ROUTES);
-	EXPECT_EQ(2u,
-		  find_route_state("order")->admission.best_effort.in_progress);
+	EXPECT_EQ(2u, find_admission("order")->best_effort.in_progress);
 	event_loop.run_iterations(5);
 	ql_local_gate_add_pressure(&gate, "p", QL_PRESSURE_MAX);
 	server->send(response("p", "Seal: s\r\n"));
 	ASSERT_TRUE(event_loop.run_until([&] { return client.has("ok"); }));
-	EXPECT_EQ(1u,
-		  find_route_state("order")->admission.best_effort.in_progress);
-	EXPECT_LT(find_route_state("order")->admission.best_effort.share, 1);
+	EXPECT_EQ(1u, find_admission("order")->best_effort.in_progress);
+	EXPECT_LT(find_admission("order")->best_effort.share, 1);
 	EXPECT_GT(find_route_state("order")->typical_latency_us, 0);
 }
 
@@ -588,7 +591,8 @@
 	server->send(response("p", "Seal: s\r\n"));
 	ASSERT_TRUE(event_loop.run_until([&] { return client.has("ok"); }));
 	for (size_t i = 0; i < front.doc->n_routes; i++)
-		EXPECT_EQ(1, front.routes[i]->admission.best_effort.share);
+		EXPECT_EQ(1, find_admission(front.doc->routes[i].name)
+				     ->best_effort.share);
 }
 
 TEST_F(Front, SplitFollowsItsWeights)
--- a/tests/policy/call_tree_simulation.h
+++ b/tests/policy/call_tree_simulation.h
@@ -177,7 +177,8 @@
 		classes_[index].offered++;
 		const ql_admission_offer_t offer = {guaranteed_share_,
 						    kTargetLatencyUs / kUsPerMs,
-						    random_, now_us_};
+						    random_, now_us_,
+						    QL_THROTTLE_RANDOM};
 		ql_admission_decision_t decision =
 			ql_route_admission_offer(AdmissionOf(*request), &offer);
 
--- a/tests/policy/document_teams_test.cc
+++ b/tests/policy/document_teams_test.cc
@@ -133,4 +133,43 @@
 	}
 }
 
+struct WeightCase {
+	const char *name;
+	const char *teams;
+	double a, b;
+};
+
+const WeightCase WEIGHTS[] = {
+	{"no quotas", "{\"a\":{\"keys\":[]},\"b\":{\"keys\":[]}}", 0.5, 0.5},
+	{"two quotas",
+	 "{\"a\":{\"keys\":[],\"rate_per_s\":30},"
+	 "\"b\":{\"keys\":[],\"rate_per_s\":10}}",
+	 0.75, 0.25},
+	{"one without a quota counts as the mean",
+	 "{\"a\":{\"keys\":[],\"rate_per_s\":30},\"b\":{\"keys\":[]},"
+	 "\"c\":{\"keys\":[],\"rate_per_s\":10}}",
+	 0.5, 20.0 / 60},
+	{"one team",
+	 "{\"b\":{\"keys\":[],\"rate_per_s\":0},"
+	 "\"a\":{\"keys\":[],\"rate_per_s\":1e-9}}",
+	 0.5, 0.5},
+};
+
+TEST(Teams, WeighAsMuchAsTheirQuotas)
+{
+	for (const WeightCase &weight : WEIGHTS) {
+		std::string detail;
+		int ret;
+		ql_document_t *doc = compile(weight.teams, &ret, &detail);
+
+		SCOPED_TRACE(weight.name);
+		ASSERT_NE(nullptr, doc) << detail;
+		EXPECT_DOUBLE_EQ(weight.a,
+				 ql_teams_find_name(&doc->teams, "a")->weight);
+		EXPECT_DOUBLE_EQ(weight.b,
+				 ql_teams_find_name(&doc->teams, "b")->weight);
+		ql_document_unref(doc);
+	}
+}
+
 } // namespace
--- a/tests/policy/route_admission_test.cc
+++ b/tests/policy/route_admission_test.cc
@@ -37,7 +37,8 @@
 	void Offer(int request)
 	{
 		const ql_admission_offer_t offer = {GetParam().share, 0,
-						    random_, now_us_};
+						    random_, now_us_,
+						    QL_THROTTLE_RANDOM};
 		ql_admission_decision_t decision =
 			ql_route_admission_offer(&admission_, &offer);
 
