--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -46,6 +46,14 @@
 		ql_headers_add(&call->headers, dialect->team, call->team->name);
 }
 
+const ql_class_t *ql_front__find_class(const ql_front_call_t *call)
+{
+	size_t index =
+		ql_document_find_class(call->doc, call->route, call->team);
+
+	return &call->doc->classes[index];
+}
+
 /* When the client stops waiting, from its timeout header; 0 if not known. */
 static uint64_t client_deadline_us(const ql_front_call_t *call)
 {
@@ -100,8 +108,7 @@
 void ql_front__prepare(ql_front_call_t *call, const char *service)
 {
 	const ql_dialect_t *dialect = call->front->opts.dialect;
-	const ql_class_t *class = &call->doc->classes[ql_document_find_class(
-		call->doc, call->route, call->team)];
+	const ql_class_t *class = ql_front__find_class(call);
 	ql_http_exchange_t *exchange = call->exchange;
 	const char *id =
 		ql_headers_get(&exchange->headers, dialect->request_id);
