Choose endpoints of narrow services by the load that gates report

Change: with the setting balancer even_load, gates write their occupancy into the answers and refusals that go anyway, and nodes draw endpoints by slots and speed, corrected by that news, the less the older it is. Other failure domains get calls as far as the own one is clearly fuller. auto does so for services of up to 16 endpoints. The default stays least_time, whose choices are as before. Malformed news is ignored and counted. A line service_load tells each second how even the load is.

--- a/bench/balancer_bench.cc
+++ b/bench/balancer_bench.cc
@@ -8,7 +8,7 @@
 namespace
 {
 
-void Pick(benchmark::State &state)
+void Pick(benchmark::State &state, const ql_balancer_ops_t *ops)
 {
 	GRand *random = g_rand_new_with_seed(1);
 	ql_attempt_result_t result = {};
@@ -16,7 +16,7 @@
 	ql_pick_request_t request = {};
 	uint64_t now_us = QL_US_PER_S;
 
-	ql_balancer_init(&balancer, &ql_balancer_two_choices, "d0", random);
+	ql_balancer_init(&balancer, ops, "d0", random);
 	for (int64_t i = 0; i < state.range(0); i++) {
 		ql_endpoint_info_t info = {};
 
@@ -30,6 +30,8 @@
 	}
 	result.outcome = QL_OUTCOME_ANSWERED;
 	result.latency_us = 1000;
+	result.has_occupancy = true;
+	result.occupancy = 0.5;
 	for (auto _ : state) {
 		ql_handle_t handle;
 
@@ -42,7 +44,22 @@
 	ql_balancer_finish(&balancer);
 	g_rand_free(random);
 }
-BENCHMARK(Pick)->Arg(4)->Arg(40)->Arg(400)->Arg(4000);
+BENCHMARK_CAPTURE(Pick, two_choices, &ql_balancer_two_choices)
+	->Arg(4)
+	->Arg(40)
+	->Arg(400)
+	->Arg(4000);
+BENCHMARK_CAPTURE(Pick, least_time, &ql_balancer_least_time)
+	->Arg(4)
+	->Arg(40)
+	->Arg(400)
+	->Arg(4000);
+BENCHMARK_CAPTURE(Pick, even_load, &ql_balancer_even_load)
+	->Arg(4)
+	->Arg(16)
+	->Arg(100)
+	->Arg(400)
+	->Arg(4000);
 
 } // namespace
 
--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -4,7 +4,9 @@
 /**
  * DOC: Load balancer: chooses the endpoint of each attempt from the latencies
  * and failures that this node observed itself. Load levels that endpoints
- * report can be outdated or wrong and only break ties.
+ * report can be outdated or wrong and only break ties. ql_balancer_even_load
+ * also uses the occupancies that endpoints report with their responses, the
+ * less the older they are.
  */
 
 #include "quetzalloft/table.h"
@@ -63,6 +65,13 @@
  * @backoff_until_us: end of the delay in its last Retry-After header
  * @load_level: last load level that its gate returned
  * @load_level_us: time when @load_level was returned
+ * @occupancy: last occupancy that its gate reported or, after a refusal, 1 if
+ *             that is more; see ql_gate_occupancy()
+ * @occupancy_us: time when @occupancy was received; 0 if it never was
+ * @sent_since: attempts started since @occupancy_us
+ * @refusal_ratio: moving ratio, 0 to 1, of attempts that were refused without
+ *                 being run, as of @refusal_ratio_us
+ * @refusal_ratio_us: time of the last attempt counted in @refusal_ratio
  * @position: index in the list of all endpoints
  * @same_domain_position: index in the list of endpoints in the failure domain
  *                        of this node; UINT32_MAX if it is in another one
@@ -83,6 +92,11 @@
 	uint64_t backoff_until_us;
 	uint32_t load_level;
 	uint64_t load_level_us;
+	double occupancy;
+	uint64_t occupancy_us;
+	uint32_t sent_since;
+	double refusal_ratio;
+	uint64_t refusal_ratio_us;
 	uint32_t position;
 	uint32_t same_domain_position;
 } ql_endpoint_t;
@@ -110,16 +124,36 @@
  * @cross_domain: the candidates are from all failure domains; otherwise
  *                endpoints in the failure domain of this node are preferred
  *                while they have free slots
+ * @weighted: it weighs all candidates, so that more endpoints are examined and
+ *            more are drawn, from all failure domains alike
  * @pick: chooses one of the candidates of the balancer, of which there is at
  *        least one; returns its handle
  */
 typedef struct ql_balancer_ops {
 	const char *name;
 	bool cross_domain;
+	bool weighted;
 	ql_handle_t (*pick)(ql_balancer_t *balancer,
 			    const ql_pick_request_t *request, uint64_t now_us);
 } ql_balancer_ops_t;
 
+/**
+ * struct ql_even_load - State of ql_balancer_even_load.
+ * @mean_occupancy: mean occupancy of the endpoints with news, by slots
+ * @own_quality: part of the slots in the failure domain of this node that
+ *               serves, 0 to 1; without those of endpoints that refuse, fail,
+ *               are silent or start
+ * @cross_share: what the endpoints in other failure domains get of their even
+ *               part of the calls, 0 to 1
+ * @updated_us: time when these were computed; 0 before the first time
+ */
+typedef struct ql_even_load {
+	double mean_occupancy;
+	double own_quality;
+	double cross_share;
+	uint64_t updated_us;
+} ql_even_load_t;
+
 /**
  * struct ql_balancer - Load balancer over the endpoints of one service.
  * @ops: policy
@@ -135,6 +169,8 @@
  *              first answer
  * @min_level: cached least load level of the endpoints
  * @min_level_us: time when @min_level was computed
+ * @even_load: state of ql_balancer_even_load
+ * @refusals: attempts that were refused without being run, since the start
  * @random: random number generator; borrowed
  */
 struct ql_balancer {
@@ -149,6 +185,8 @@
 	double latency_us;
 	uint32_t min_level;
 	uint64_t min_level_us;
+	ql_even_load_t even_load;
+	uint64_t refusals;
 	GRand *random;
 };
 
@@ -165,6 +203,31 @@
  * latter, a multiple of the typical latency of the route is added.
  */
 extern const ql_balancer_ops_t ql_balancer_least_time;
+/**
+ * Chooses at random, weighted so that the same part of the slots of each
+ * endpoint is in use: by slots and speed, and by the occupancy that was
+ * reported, the less the older it is. Endpoints in other failure domains get
+ * calls as far as those in the failure domain of this node are fuller.
+ */
+extern const ql_balancer_ops_t ql_balancer_even_load;
+/**
+ * Chooses as ql_balancer_even_load among up to %QL_BALANCER_FEW_ENDPOINTS_MAX
+ * endpoints, and as ql_balancer_least_time among more.
+ */
+extern const ql_balancer_ops_t ql_balancer_auto;
+
+/** Most endpoints of a service that are few. */
+#define QL_BALANCER_FEW_ENDPOINTS_MAX 16u
+/** Names that ql_balancer_find() accepts, for messages to users. */
+#define QL_BALANCER_NAMES "random, two_choices, least_time, even_load or auto"
+
+/**
+ * ql_balancer_find() - Find a policy by its name.
+ * @name: name
+ *
+ * Return: the policy, or NULL if there is none of this name.
+ */
+const ql_balancer_ops_t *ql_balancer_find(const char *name);
 
 /**
  * ql_balancer_init() - Initialize a balancer without endpoints.
@@ -229,6 +292,8 @@
  * @typical_latency_us: typical latency of the route; 0 if not known
  * @has_load_level: the gate returned its load level
  * @load_level: load level of the gate
+ * @has_occupancy: the gate reported its occupancy
+ * @occupancy: occupancy of the gate, see ql_gate_occupancy()
  * @retry_after_us: delay in the Retry-After header of a refusal; 0 if none
  */
 typedef struct ql_attempt_result {
@@ -239,6 +304,8 @@
 	double typical_latency_us;
 	bool has_load_level;
 	uint32_t load_level;
+	bool has_occupancy;
+	double occupancy;
 	uint64_t retry_after_us;
 } ql_attempt_result_t;
 
@@ -267,6 +334,32 @@
  */
 uint32_t ql_balancer_min_level(ql_balancer_t *balancer, uint64_t now_us);
 
+/**
+ * struct ql_balancer_spread - How evenly the endpoints of a service are loaded,
+ * as far as this node knows. An endpoint without news counts as the mean.
+ * @mean: mean occupancy, by slots
+ * @busiest: highest occupancy
+ * @idle_slots: slots that are free
+ * @slots: slots of all endpoints
+ * @n_known: endpoints with news of the last second
+ */
+typedef struct ql_balancer_spread {
+	double mean;
+	double busiest;
+	double idle_slots;
+	uint32_t slots;
+	uint32_t n_known;
+} ql_balancer_spread_t;
+
+/**
+ * ql_balancer_get_spread() - Compute the spread of the load over the endpoints.
+ * @balancer: balancer
+ * @spread: set to the spread
+ * @now_us: current time
+ */
+void ql_balancer_get_spread(const ql_balancer_t *balancer,
+			    ql_balancer_spread_t *spread, uint64_t now_us);
+
 G_END_DECLS
 
 #endif
--- a/include/quetzalloft/gate.h
+++ b/include/quetzalloft/gate.h
@@ -245,6 +245,15 @@
  */
 uint32_t ql_gate_load_level(const ql_gate_t *gate, uint64_t now_us);
 
+/**
+ * ql_gate_occupancy() - Get the part of the limit that is taken.
+ * @gate: gate
+ *
+ * Return: requests in progress and queued, divided by the limit on requests in
+ * progress; 0 while the gate is idle, above 1 while requests wait.
+ */
+double ql_gate_occupancy(const ql_gate_t *gate);
+
 G_END_DECLS
 
 #endif
--- a/include/quetzalloft/metadata.h
+++ b/include/quetzalloft/metadata.h
@@ -31,6 +31,7 @@
 #define QL_HEADER_ATTEMPTS_UNUSED "Quetzalloft-Attempts-Unused"
 #define QL_HEADER_LOAD_LEVEL "Quetzalloft-Load-Level"
 #define QL_HEADER_PRESSURE "Quetzalloft-Pressure"
+#define QL_HEADER_OCCUPANCY "Quetzalloft-Occupancy"
 #define QL_HEADER_RETRY_AFTER "Retry-After"
 
 /** Largest value of the header with the timeout. */
@@ -39,6 +40,10 @@
 #define QL_PRESSURE_SCALE 1000.0
 /** Largest value of the pressure header. */
 #define QL_PRESSURE_MAX_PERMILLE 1000000ULL
+/** Value of the occupancy header for an occupancy of 1: it is in thousandths. */
+#define QL_OCCUPANCY_SCALE 1000.0
+/** Largest value of the occupancy header. */
+#define QL_OCCUPANCY_MAX_PERMILLE 100000ULL
 
 /**
  * struct ql_metadata - Parsed metadata of a call or of its answer.
@@ -50,6 +55,8 @@
  * @clock: hybrid logical clock of the sender
  * @load_level: load level of the gate that answers, see ql_gate_load_level()
  * @pressure: pressure of the call in thousandths, see quetzalloft/pressure.h
+ * @occupancy: occupancy of the gate that answers in thousandths, see
+ *             ql_gate_occupancy()
  * @attempt: identity of the attempt
  * @key: idempotency key
  * @class_name: name of the class of the client request
@@ -73,6 +80,7 @@
 	uint64_t clock;
 	uint64_t load_level;
 	uint64_t pressure;
+	uint64_t occupancy;
 	ql_attempt_id_t attempt;
 	char key[QL_KEY_MAX];
 	char class_name[QL_NAME_MAX];
@@ -106,6 +114,7 @@
 	QL_HAS_SEAL = 1 << 14,
 	QL_HAS_PRESSURE = 1 << 15,
 	QL_HAS_REPEAT = 1 << 16,
+	QL_HAS_OCCUPANCY = 1 << 17,
 };
 
 /**
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -212,16 +212,21 @@
 static int init_path(ql_path_node_t *node, GError **error)
 {
 	const ql_settings_t *settings = node->context.settings;
+	const ql_balancer_ops_t *balancer =
+		ql_balancer_find(settings->balancer);
 	ql_local_gate_opts_t gate = {
 		.dialect = node->dialect,
 		.state_changed = on_endpoint_changed,
 		.data = node,
 		.await_withdrawal = true,
+		.reports_occupancy = balancer == &ql_balancer_even_load ||
+				     balancer == &ql_balancer_auto,
 		.counters = &node->context.counters,
 	};
 	ql_front_opts_t front = {
 		.dialect = node->dialect,
 		.repeat_ratio = settings->repeat_ratio,
+		.balancer = balancer,
 		.local = &node->gate,
 		.hops = &node->hops,
 		.counters = &node->context.counters,
--- a/src/node/router.c
+++ b/src/node/router.c
@@ -43,9 +43,7 @@
 {
 	router->context = context;
 	router->client = client;
-	router->ops = !strcmp(context->settings->balancer, "random")
-			      ? &ql_balancer_random
-			      : &ql_balancer_two_choices;
+	router->ops = ql_balancer_find(context->settings->balancer);
 	pthread_mutex_init(&router->lock, NULL);
 	router->services = g_hash_table_new_full(g_str_hash, g_str_equal,
 						 g_free, pool_free);
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -1,5 +1,6 @@
 #include "node/settings.h"
 #include "quetzalloft/address.h"
+#include "quetzalloft/balancer.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
 #include "quetzalloft/limiter.h"
@@ -280,6 +281,11 @@
 {
 	size_t i;
 
+	if (!settings->balancer[0])
+		g_strlcpy(settings->balancer,
+			  settings->role == QL_ROLE_NODE ? "least_time"
+							 : "two_choices",
+			  QL_NAME_MAX);
 	if (settings->role == QL_ROLE_REPLICA) {
 		settings->replica = true;
 		settings->registrar = true;
@@ -331,6 +337,24 @@
 			    own);
 }
 
+/*
+ * The path of calls knows all policies, the first engine those that need no
+ * news of the endpoints.
+ */
+static int check_balancer(const ql_settings_t *settings, GError **error)
+{
+	bool is_path = settings->role == QL_ROLE_NODE;
+	const ql_balancer_ops_t *ops = ql_balancer_find(settings->balancer);
+
+	if (ops && (is_path || !ops->cross_domain))
+		return 0;
+	return ql_error_set(error, QL_E_NOT_FOUND,
+			    "settings.balancer: found \"%s\", allowed %s",
+			    settings->balancer,
+			    is_path ? QL_BALANCER_NAMES
+				    : "random or two_choices");
+}
+
 static int check_relations(const ql_settings_t *settings, GError **error)
 {
 	char address[QL_ADDRESS_MAX * 2];
@@ -363,7 +387,7 @@
 			error, QL_E_NOT_FOUND,
 			"settings.limiter: found \"%s\", allowed " QL_LIMITER_NAMES,
 			settings->limiter);
-	return 0;
+	return check_balancer(settings, error);
 }
 
 int ql_settings_parse(ql_settings_t *settings, json_t *json, GError **error)
@@ -372,7 +396,6 @@
 	int ret;
 
 	memset(settings, 0, sizeof(*settings));
-	g_strlcpy(settings->balancer, "two_choices", QL_NAME_MAX);
 	settings->connections = LISTENER_CONNECTIONS_DEFAULT;
 	settings->queue = GATE_QUEUE_DEFAULT;
 	settings->lease_ms = LEASE_DEFAULT_MS;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -101,7 +101,8 @@
  * @repeat_ratio: retry budget of a service: retries for each first attempt,
  *                0 to 1; 0 takes the ratio from the configuration
  * @grace_ms: longest time in ms from the request to stop until the exit
- * @balancer: name of the load balancing policy
+ * @balancer: name of the load balancing policy; by default least_time of a
+ *            node and two_choices of others
  * @limiter: name of the limiter that overrides the one of the configuration;
  *           "" overrides nothing
  * @charts: folder of the state charts; "" for the installed one
--- a/src/path/call.h
+++ b/src/path/call.h
@@ -54,6 +54,9 @@
  * @has_load_level: the gate reported its load level
  * @load_level: load level of the gate
  * @pressure: backpressure signal of the call, see quetzalloft/pressure.h
+ * @has_occupancy: the gate reported its occupancy
+ * @bad_occupancy: it reported one that is malformed, which is ignored
+ * @occupancy: occupancy of the gate without this call, see ql_gate_occupancy()
  */
 typedef struct ql_call_result {
 	ql_outcome_t outcome;
@@ -62,6 +65,9 @@
 	bool has_load_level;
 	uint32_t load_level;
 	double pressure;
+	bool has_occupancy;
+	bool bad_occupancy;
+	double occupancy;
 } ql_call_result_t;
 
 /**
@@ -70,12 +76,16 @@
  * @headers: response headers; borrowed
  * @length: bytes of the body, or -1 if not known
  * @pressure: see &struct ql_call_result
+ * @has_occupancy: see &struct ql_call_result
+ * @occupancy: see &struct ql_call_result
  */
 typedef struct ql_response_head {
 	unsigned int status;
 	const ql_headers_t *headers;
 	int64_t length;
 	double pressure;
+	bool has_occupancy;
+	double occupancy;
 } ql_response_head_t;
 
 /**
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -67,7 +67,9 @@
 	if (service)
 		return service;
 	service = g_new0(ql_front_service_t, 1);
-	ql_balancer_init(&service->balancer, &ql_balancer_least_time,
+	ql_balancer_init(&service->balancer,
+			 front->opts.balancer ? front->opts.balancer
+					      : &ql_balancer_least_time,
 			 front->opts.failure_domain, front->random);
 	ql_retry_budget_init(&service->budget, 0, RETRY_BUDGET_BURST);
 	g_hash_table_insert(front->services, g_strdup(name), service);
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -26,6 +26,7 @@
  * @repeat_ratio: retry budget of a service: retries for each first attempt,
  *                summed over all layers of callers above it; 0 uses the retry
  *                ratio of the document
+ * @balancer: how an endpoint is chosen; NULL for &ql_balancer_least_time
  * @local: gate of this node; borrowed
  * @hops: connections to other gates; borrowed
  * @counters: metrics to update; borrowed
@@ -40,6 +41,7 @@
 	char own_gate[QL_ADDRESS_MAX];
 	char failure_domain[QL_NAME_MAX];
 	double repeat_ratio;
+	const ql_balancer_ops_t *balancer;
 	ql_local_gate_t *local;
 	ql_hops_t *hops;
 	ql_counters_t *counters;
@@ -51,12 +53,14 @@
  * struct ql_front_service - A service that requests are forwarded to.
  * @balancer: endpoints of the service
  * @budget: retry budget
+ * @logged_refusals: refusals of the balancer at the last log line
  * @next_wanted_us: when @service_wanted may be called again; 0 before the
  *                  first time
  */
 typedef struct ql_front_service {
 	ql_balancer_t balancer;
 	ql_retry_budget_t budget;
+	uint64_t logged_refusals;
 	uint64_t next_wanted_us;
 } ql_front_service_t;
 
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -131,11 +131,15 @@
 		.typical_latency_us = ql_front__typical_latency_us(call),
 		.has_load_level = result->has_load_level,
 		.load_level = result->load_level,
+		.has_occupancy = result->has_occupancy,
+		.occupancy = result->occupancy,
 		.retry_after_us = result->retry_after_ms * QL_US_PER_MS,
 	};
 
 	ql_latency_record(call->front->opts.counters, QL_LATENCY_ATTEMPT,
 			  attempt_result.latency_us);
+	if (result->bad_occupancy)
+		ql_front__count(call, QL_COUNT_BAD_METADATA);
 	call->attempt_in_flight = false;
 	call->attempt.call = NULL;
 	if (result->outcome == QL_OUTCOME_ANSWERED)
--- a/src/path/hop.c
+++ b/src/path/hop.c
@@ -54,6 +54,23 @@
 	g_hash_table_remove(hops->gates, gate);
 }
 
+/*
+ * Reads a header of the protocol. A response is good without the occupancy of
+ * its gate, so a malformed one is only counted.
+ */
+static void read_header(hop_call_t *call, ql_metadata_t *metadata,
+			const char *name, const char *value)
+{
+	if (!ql_metadata_add(metadata, name, value, NULL))
+		return;
+	if (g_ascii_strcasecmp(name, QL_HEADER_OCCUPANCY) != 0) {
+		call->malformed = true;
+		return;
+	}
+	call->result.bad_occupancy = true;
+	metadata->has &= ~(uint32_t)QL_HAS_OCCUPANCY;
+}
+
 /* Reads the result of a call from the response headers of a gate. */
 static void read_result(hop_call_t *call, const ql_headers_t *headers)
 {
@@ -65,9 +82,8 @@
 	for (i = 0; i < ql_headers_count(headers); i++) {
 		name = ql_headers_name(headers, i);
 		value = ql_headers_value(headers, i);
-		if (ql_call_is_protocol_header(name) &&
-		    ql_metadata_add(&metadata, name, value, NULL))
-			call->malformed = true;
+		if (ql_call_is_protocol_header(name))
+			read_header(call, &metadata, name, value);
 	}
 	value = ql_headers_get(headers, QL_HEADER_RETRY_AFTER);
 	if (!(metadata.has & QL_HAS_OUTCOME))
@@ -77,6 +93,10 @@
 	call->result.has_load_level = (metadata.has & QL_HAS_LOAD_LEVEL) != 0;
 	call->result.load_level = (uint32_t)metadata.load_level;
 	call->result.pressure = (double)metadata.pressure / QL_PRESSURE_SCALE;
+	call->result.has_occupancy = (metadata.has & QL_HAS_OCCUPANCY) &&
+				     !call->result.bad_occupancy;
+	call->result.occupancy =
+		(double)metadata.occupancy / QL_OCCUPANCY_SCALE;
 	if (call->result.outcome != QL_OUTCOME_ANSWERED && value)
 		call->result.retry_after_ms =
 			(uint32_t)(g_ascii_strtod(value, NULL) * MS_PER_S);
--- a/src/path/hop_server.c
+++ b/src/path/hop_server.c
@@ -19,8 +19,8 @@
 } served_call_t;
 
 /*
- * Writes the outcome, load level, pressure and retry delay of a call, and
- * echoes its attempt.
+ * Writes the outcome, load level, occupancy, pressure and retry delay of a
+ * call, and echoes its attempt.
  */
 static void write_result(GByteArray *out, const ql_metadata_t *request,
 			 const ql_call_result_t *result)
@@ -38,6 +38,11 @@
 	if (metadata.pressure)
 		metadata.has |= QL_HAS_PRESSURE;
 	metadata.load_level = result->load_level;
+	if (result->has_occupancy)
+		metadata.has |= QL_HAS_OCCUPANCY;
+	metadata.occupancy =
+		(uint64_t)MIN(MAX(result->occupancy, 0) * QL_OCCUPANCY_SCALE,
+			      QL_OCCUPANCY_MAX_PERMILLE);
 	ql_call_write_metadata(out, &metadata);
 	if (result->retry_after_ms)
 		ql_call_write_retry_after(out, result->retry_after_ms);
@@ -65,6 +70,8 @@
 	const ql_call_result_t result = {
 		.outcome = QL_OUTCOME_ANSWERED,
 		.pressure = head->pressure,
+		.has_occupancy = head->has_occupancy,
+		.occupancy = head->occupancy,
 	};
 	GByteArray *lines = g_byte_array_sized_new(512);
 
--- a/src/path/load_log.c
+++ b/src/path/load_log.c
@@ -72,6 +72,39 @@
 	*logged = *current;
 }
 
+/* A service that was not heard of for a second has no line. */
+static void log_service(ql_load_log_t *log, const char *name,
+			ql_front_service_t *service)
+{
+	uint64_t refusals = service->balancer.refusals;
+	ql_balancer_spread_t spread;
+
+	ql_balancer_get_spread(&service->balancer, &spread,
+			       ql_loop_now_us(log->loop));
+	if (spread.n_known)
+		ql_log(LOG_NOTICE, "service_load", QL_STR("service", name),
+		       QL_UINT("endpoints", service->balancer.all->len),
+		       QL_UINT("known", spread.n_known),
+		       QL_REAL("mean", spread.mean),
+		       QL_REAL("busiest", spread.busiest),
+		       QL_REAL("idle_slots", spread.idle_slots),
+		       QL_UINT("slots", spread.slots),
+		       QL_REAL("cross_share",
+			       service->balancer.even_load.cross_share),
+		       QL_UINT("refused", refusals - service->logged_refusals));
+	service->logged_refusals = refusals;
+}
+
+static void log_services(ql_load_log_t *log)
+{
+	gpointer name, service;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, log->front->services);
+	while (g_hash_table_iter_next(&iter, &name, &service))
+		log_service(log, name, service);
+}
+
 static void on_timer(void *data)
 {
 	ql_load_log_t *log = data;
@@ -80,6 +113,7 @@
 	log_gate(log);
 	for (i = 0; log->front->doc && i < log->front->doc->n_routes; i++)
 		log_route(log, i);
+	log_services(log);
 	ql_loop_start_timer(log->loop, &log->timer, LOG_PERIOD_MS);
 }
 
--- a/src/path/load_log.h
+++ b/src/path/load_log.h
@@ -3,9 +3,10 @@
 
 /**
  * DOC: Periodic load log, once a second: the utilization of the local endpoint
- * and the admissions of each class (gate_load), and the outcomes of the
- * requests of each route (route_load). Routes and classes without traffic have
- * no line.
+ * and the admissions of each class (gate_load), the outcomes of the requests of
+ * each route (route_load), and what this node knows of the endpoints of each
+ * service that reports its occupancy (service_load). Routes, classes and
+ * services without traffic have no line.
  */
 
 #include "path/front.h"
--- a/src/path/local_gate.h
+++ b/src/path/local_gate.h
@@ -26,6 +26,7 @@
  *                 has changed
  * @data: passed to @state_changed
  * @await_withdrawal: no call is accepted before ql_local_gate_open()
+ * @reports_occupancy: callers are told the occupancy of the gate
  * @counters: metrics to update; borrowed
  */
 typedef struct ql_local_gate_opts {
@@ -35,6 +36,7 @@
 	void (*state_changed)(void *data);
 	void *data;
 	bool await_withdrawal;
+	bool reports_occupancy;
 	ql_counters_t *counters;
 } ql_local_gate_opts_t;
 
--- a/src/path/local_gate_call.c
+++ b/src/path/local_gate_call.c
@@ -36,6 +36,8 @@
 		.reason = reason,
 		.has_load_level = true,
 		.load_level = ql_local_gate_load_level(gate),
+		.has_occupancy = gate->opts.reports_occupancy,
+		.occupancy = ql_gate_occupancy(&gate->gate),
 	};
 }
 
@@ -65,10 +67,10 @@
 static void fail_call(ql_gate_call_t *call, ql_outcome_t outcome,
 		      ql_reason_t reason, ql_gate_outcome_t gate_outcome)
 {
-	ql_call_result_t result =
-		ql_gate_call__result(call->gate, outcome, reason);
+	ql_call_result_t result;
 
 	release_slot(call, gate_outcome);
+	result = ql_gate_call__result(call->gate, outcome, reason);
 	if (call->sink)
 		call->sink->failed(call->data, &result);
 	finish_call(call);
@@ -122,11 +124,16 @@
 static void on_head(void *data, ql_http_reader_t *reader)
 {
 	ql_gate_call_t *call = data;
+	const ql_gate_t *gate = &call->gate->gate;
 	const ql_response_head_t head = {
 		.status = ql_http_reader_status(reader),
 		.headers = &reader->headers,
 		.length = call->bodiless ? 0 : ql_http_reader_length(reader),
 		.pressure = ql_pressure_get(&call->pressure),
+		.has_occupancy = call->gate->opts.reports_occupancy,
+		/* This call is about to end. */
+		.occupancy = ql_gate_occupancy(gate) -
+			     1.0 / ql_limiter_get(&gate->limiter),
 	};
 	bool is_own = match_response(call, reader) == QL_RESPONSE_OWN;
 	bool is_refusal = is_own && is_endpoint_refusal(call, reader);
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -5,7 +5,9 @@
 
 #define ENDPOINTS_MAX 4096u
 /* Up to this many endpoints are all examined; of more, some are drawn. */
-#define SCANNED_ENDPOINTS_MAX 16u
+#define SCANNED_ENDPOINTS_MAX QL_BALANCER_FEW_ENDPOINTS_MAX
+/* As many by a policy that weighs them, up to those that a node knows all of. */
+#define SCANNED_WEIGHTED_MAX 128u
 /* Draws in search of two candidates; ineligible endpoints use up draws. */
 #define RANDOM_DRAWS_MAX 16u
 /* With many endpoints, the least load level is computed once in this time. */
@@ -233,11 +235,11 @@
 	return false;
 }
 
-/* Draws up to two candidates at random; no policy compares more of a list. */
-static void draw_two(ql_balancer_t *balancer, const GArray *handles,
-		     const search_t *search, bool other_domains_only)
+/* Draws up to n candidates at random. */
+static void draw(ql_balancer_t *balancer, const GArray *handles, guint n,
+		 const search_t *search, bool other_domains_only)
 {
-	guint n_wanted = balancer->candidates->len + 2;
+	guint n_wanted = balancer->candidates->len + n;
 	ql_handle_t handle;
 	guint i;
 
@@ -269,9 +271,14 @@
 {
 	bool cross_domain = balancer->ops->cross_domain;
 
+	if (balancer->ops->weighted) {
+		draw(balancer, handles, RANDOM_DRAWS_MAX, search, false);
+		return;
+	}
+	/* The other policies compare no more than two of a list. */
 	if (cross_domain && balancer->same_domain->len)
-		draw_two(balancer, balancer->same_domain, search, false);
-	draw_two(balancer, handles, search, cross_domain);
+		draw(balancer, balancer->same_domain, 2, search, false);
+	draw(balancer, handles, 2, search, cross_domain);
 }
 
 /*
@@ -285,7 +292,8 @@
 					: balancer->all;
 
 	g_array_set_size(balancer->candidates, 0);
-	if (handles->len > SCANNED_ENDPOINTS_MAX)
+	if (handles->len > (balancer->ops->weighted ? SCANNED_WEIGHTED_MAX
+						    : SCANNED_ENDPOINTS_MAX))
 		draw_candidates(balancer, handles, search);
 	if (!balancer->candidates->len)
 		add_all_candidates(balancer, handles, search);
@@ -328,6 +336,7 @@
 	endpoint = ql_table_get(&balancer->endpoints, handle);
 	if (!endpoint->in_progress++)
 		endpoint->unanswered_since_us = now_us;
+	endpoint->sent_since++;
 	return handle;
 }
 
--- a/src/policy/balancer_choice.c
+++ b/src/policy/balancer_choice.c
@@ -1,6 +1,8 @@
 #include "policy/balancer_internal.h"
 #include "quetzalloft/clock.h"
 
+#include <string.h>
+
 /*
  * Cost of a certain failure, in expected latencies: it wastes the work of the
  * callers and is often followed by a retry.
@@ -183,8 +185,45 @@
 	return best;
 }
 
-const ql_balancer_ops_t ql_balancer_random = {"random", false, pick_random};
-const ql_balancer_ops_t ql_balancer_two_choices = {"two_choices", false,
-						   pick_two_choices};
-const ql_balancer_ops_t ql_balancer_least_time = {"least_time", true,
-						  pick_least_time};
+const ql_balancer_ops_t ql_balancer_random = {
+	.name = "random",
+	.pick = pick_random,
+};
+const ql_balancer_ops_t ql_balancer_two_choices = {
+	.name = "two_choices",
+	.pick = pick_two_choices,
+};
+const ql_balancer_ops_t ql_balancer_least_time = {
+	.name = "least_time",
+	.cross_domain = true,
+	.pick = pick_least_time,
+};
+
+/* Few endpoints are all known, and each one that is fuller matters. */
+static ql_handle_t pick_auto(ql_balancer_t *balancer,
+			     const ql_pick_request_t *request, uint64_t now_us)
+{
+	if (balancer->all->len <= QL_BALANCER_FEW_ENDPOINTS_MAX)
+		return ql_balancer_even_load.pick(balancer, request, now_us);
+	return pick_least_time(balancer, request, now_us);
+}
+
+const ql_balancer_ops_t ql_balancer_auto = {
+	.name = "auto",
+	.cross_domain = true,
+	.pick = pick_auto,
+};
+
+const ql_balancer_ops_t *ql_balancer_find(const char *name)
+{
+	static const ql_balancer_ops_t *const policies[] = {
+		&ql_balancer_random, &ql_balancer_two_choices,
+		&ql_balancer_least_time, &ql_balancer_even_load,
+		&ql_balancer_auto};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(policies); i++)
+		if (!strcmp(policies[i]->name, name))
+			return policies[i];
+	return NULL;
+}
--- a/src/policy/balancer_estimates.c
+++ b/src/policy/balancer_estimates.c
@@ -7,6 +7,7 @@
 /* Weights of the newest value in the moving means. */
 #define LATENCY_EWMA_WEIGHT 0.2
 #define FAILURE_RATIO_EWMA_WEIGHT 0.1
+#define REFUSAL_RATIO_EWMA_WEIGHT 0.1
 /*
  * An endpoint is ejected after EJECT_AFTER_FAILURES connection failures in a
  * row, unless EJECTED_MAX_PERCENT of the endpoints are ejected already. Until
@@ -35,6 +36,8 @@
 /* Decays a value observed in the past. */
 static double decayed(double value, uint64_t observed_us, uint64_t now_us)
 {
+	if (!(value < 0 || value > 0))
+		return 0;
 	return value *
 	       exp2(-(double)(now_us - observed_us) / OBSERVATION_HALF_LIFE_US);
 }
@@ -66,6 +69,13 @@
 		       now_us);
 }
 
+double ql_balancer__expected_refusal_ratio(const ql_endpoint_t *endpoint,
+					   uint64_t now_us)
+{
+	return decayed(endpoint->refusal_ratio, endpoint->refusal_ratio_us,
+		       now_us);
+}
+
 /* Drops from the list endpoints that answered since or were removed. */
 static uint32_t count_ejected(ql_balancer_t *balancer)
 {
@@ -174,6 +184,40 @@
 	endpoint->failure_ratio_us = now_us;
 }
 
+/* Whether the gate or the endpoint turned the attempt away without running it.
+ */
+static bool is_refusal(const ql_attempt_result_t *result)
+{
+	return result->outcome == QL_OUTCOME_NOT_RUN &&
+	       result->reason != QL_REASON_CONNECT_FAILED;
+}
+
+/*
+ * An endpoint that refuses is taken for full, whatever it reports: one that
+ * refuses at once would look idle.
+ */
+static void record_occupancy(ql_balancer_t *balancer, ql_endpoint_t *endpoint,
+			     const ql_attempt_result_t *result, uint64_t now_us)
+{
+	bool refused = is_refusal(result);
+	double previous = ql_balancer__expected_refusal_ratio(endpoint, now_us);
+
+	balancer->refusals += refused;
+	if (refused || result->outcome == QL_OUTCOME_ANSWERED) {
+		endpoint->refusal_ratio =
+			previous + REFUSAL_RATIO_EWMA_WEIGHT *
+					   ((double)refused - previous);
+		endpoint->refusal_ratio_us = now_us;
+	}
+	if (!refused && !result->has_occupancy)
+		return;
+	endpoint->occupancy = result->has_occupancy ? result->occupancy : 0;
+	if (refused)
+		endpoint->occupancy = MAX(endpoint->occupancy, 1);
+	endpoint->occupancy_us = now_us;
+	endpoint->sent_since = 0;
+}
+
 void ql_balancer_record_result(ql_balancer_t *balancer, ql_handle_t handle,
 			       const ql_attempt_result_t *result,
 			       uint64_t now_us)
@@ -193,6 +237,7 @@
 	}
 	if (result->retry_after_us)
 		endpoint->backoff_until_us = now_us + result->retry_after_us;
+	record_occupancy(balancer, endpoint, result, now_us);
 	if (result->outcome == QL_OUTCOME_ANSWERED || is_failure(result))
 		update_failure_ratio(endpoint, is_failure(result), now_us);
 	if (result->outcome == QL_OUTCOME_ANSWERED)
--- a/src/policy/balancer_internal.h
+++ b/src/policy/balancer_internal.h
@@ -4,7 +4,7 @@
 /**
  * DOC: Functions shared by the sources of the balancer: the table of endpoints
  * and the search for candidates (balancer.c), the policies that choose one of
- * them (balancer_choice.c), and the estimates of latency and failure ratio from
+ * them (balancer_choice.c, balancer_even_load.c), and the estimates of latency and failure ratio from
  * the results of attempts (balancer_estimates.c).
  */
 
@@ -105,6 +105,18 @@
 double ql_balancer__expected_failure_ratio(const ql_endpoint_t *endpoint,
 					   uint64_t now_us);
 
+/**
+ * ql_balancer__expected_refusal_ratio() - Estimate the ratio of attempts that
+ * the endpoint refuses without running them.
+ * @endpoint: endpoint
+ * @now_us: current time
+ *
+ * Return: the ratio, 0 to 1, which decays towards 0 since the last attempt
+ * that counted for it.
+ */
+double ql_balancer__expected_refusal_ratio(const ql_endpoint_t *endpoint,
+					   uint64_t now_us);
+
 G_END_DECLS
 
 #endif
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -495,6 +495,12 @@
 	*usage = gate->usage;
 }
 
+double ql_gate_occupancy(const ql_gate_t *gate)
+{
+	return (double)(gate->in_progress + ql_gate_queue_length(&gate->queue)) /
+	       ql_limiter_get(&gate->limiter);
+}
+
 uint32_t ql_gate_load_level(const ql_gate_t *gate, uint64_t now_us)
 {
 	return now_us - gate->load_level_us < LOAD_LEVEL_HOLD_US
--- a/src/util/counters.c
+++ b/src/util/counters.c
@@ -25,7 +25,8 @@
 	[QL_COUNT_GATE_REFUSED] = {"gate_refused",
 				   "Calls that the gates refused."},
 	[QL_COUNT_BAD_METADATA] = {"bad_metadata",
-				   "Requests with malformed headers."},
+				   "Requests with malformed headers, and "
+				   "answers with a malformed occupancy."},
 	[QL_COUNT_BAD_ANSWERS] = {"bad_answers",
 				  "Answers dropped: late, of another attempt "
 				  "or malformed."},
--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -28,7 +28,8 @@
  * @QL_COUNT_GAVE_WAY: requests refused because of head-of-line blocking
  * @QL_COUNT_GATE_ADMITTED: calls admitted by a gate of this node
  * @QL_COUNT_GATE_REFUSED: calls refused by a gate of this node
- * @QL_COUNT_BAD_METADATA: requests with malformed metadata
+ * @QL_COUNT_BAD_METADATA: requests with malformed metadata, and responses with
+ *                         a malformed occupancy
  * @QL_COUNT_BAD_ANSWERS: responses that are malformed or to another attempt
  * @QL_COUNT_TOO_LARGE: bodies over the size limit
  * @QL_COUNT_LEASES_SENT: lease renewals sent
--- a/tests/node/settings_test.cc
+++ b/tests/node/settings_test.cc
@@ -77,11 +77,58 @@
 			",\"registrar\":true,\"voters\":3,\"replica_losses\":2",
 			QL_E_RANGE,
 			"settings.voters: found 3, allowed at least 5"},
+		SettingsCase{",\"registrar\":true,\"balancer\":\"random\"", 0,
+			     nullptr},
+		SettingsCase{",\"registrar\":true,\"balancer\":\"even_load\"",
+			     QL_E_NOT_FOUND, "random or two_choices"},
+		SettingsCase{",\"registrar\":true,\"balancer\":\"magic\"",
+			     QL_E_NOT_FOUND, "settings.balancer"},
 		SettingsCase{
 			",\"registrar\":true,\"limiter\":\"magic\"",
 			QL_E_NOT_FOUND,
 			"fixed, headroom, aimd, gradient or gradient_drift"}));
 
+struct BalancerCase {
+	const char *more_json;
+	int expected;
+	const char *name;
+};
+
+TEST(Settings, BalancerOfANode)
+{
+	const std::string node =
+		R"("role":"node","cluster":"s","node":"n","failure_domain":"d",)"
+		R"("address":"127.0.0.1","control_port":4,)"
+		R"("seeds":["127.0.0.1:5"],"listen":{"client":"127.0.0.1:1",)"
+		R"("gate":"127.0.0.1:2","ready":"127.0.0.1:3",)"
+		R"("announce":"127.0.0.1:6"},)"
+		R"("endpoint":{"address":"127.0.0.1:7","service":"s"})";
+	const BalancerCase cases[] = {
+		{"", 0, "least_time"},
+		{",\"balancer\":\"least_time\"", 0, "least_time"},
+		{",\"balancer\":\"even_load\"", 0, "even_load"},
+		{",\"balancer\":\"auto\"", 0, "auto"},
+		{",\"balancer\":\"two_choices\"", 0, "two_choices"},
+		{",\"balancer\":\"even\"", QL_E_NOT_FOUND, nullptr},
+	};
+
+	for (const BalancerCase &test : cases) {
+		SCOPED_TRACE(test.more_json);
+		std::string text = "{" + node + test.more_json + "}";
+		ql_settings_t settings;
+		json_t *json;
+
+		ASSERT_EQ(0, ql_json_parse(&json, text.c_str(), text.size(),
+					   nullptr));
+		EXPECT_EQ(test.expected,
+			  ql_settings_parse(&settings, json, nullptr));
+		if (test.name) {
+			EXPECT_STREQ(test.name, settings.balancer);
+		}
+		json_decref(json);
+	}
+}
+
 struct VotersCase {
 	const char *more_json;
 	uint64_t voters;
--- a/tests/path/hop_server_test.cc
+++ b/tests/path/hop_server_test.cc
@@ -114,4 +114,31 @@
 	}
 }
 
+/* Callers hear of the load with each answer and each refusal, if it is set. */
+TEST_F(HopServer, ReportsTheOccupancyWithoutTheCallItself)
+{
+	const EchoCase cases[] = {
+		{"answered", "Quetzalloft-Service: a\r\n",
+		 "HTTP/1.1 200 OK\r\nId: x\r\nSeal: s\r\n"
+		 "Connection: close\r\nContent-Length: 0\r\n\r\n",
+		 "Quetzalloft-Occupancy: 0\r\n"},
+		{"refused by the endpoint", "Quetzalloft-Service: a\r\n",
+		 "HTTP/1.1 503 Busy\r\nId: x\r\nNot-Run: 1\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 "Quetzalloft-Occupancy: 0\r\n"},
+		{"refused by the gate", "Quetzalloft-Service: b\r\n", nullptr,
+		 "Quetzalloft-Occupancy: 0\r\n"},
+	};
+
+	for (const EchoCase &test : cases) {
+		SCOPED_TRACE(test.description);
+		gate.opts.reports_occupancy = false;
+		EXPECT_EQ(std::string::npos,
+			  call(test.headers, test.answer).find("Occupancy"));
+		gate.opts.reports_occupancy = true;
+		EXPECT_NE(std::string::npos,
+			  call(test.headers, test.answer).find(test.outcome));
+	}
+}
+
 } // namespace
--- a/tests/policy/gate_test.cc
+++ b/tests/policy/gate_test.cc
@@ -98,6 +98,21 @@
 	EXPECT_EQ(2u, ql_gate_load_level(&gate, 0));
 }
 
+/* What runs and what waits, as parts of the limit. */
+TEST_F(Gate, OccupancyCountsTheQueue)
+{
+	double limit;
+
+	EXPECT_EQ(0, ql_gate_occupancy(&gate));
+	fill_slots();
+	limit = ql_limiter_get(&gate.limiter);
+	EXPECT_EQ(1, ql_gate_occupancy(&gate));
+	offer(5, 0);
+	EXPECT_EQ((limit + 1) / limit, ql_gate_occupancy(&gate));
+	ql_gate_finish_request(&gate, admitted[0], QL_GATE_SERVED, MS);
+	EXPECT_EQ(1, ql_gate_occupancy(&gate));
+}
+
 TEST_F(Gate, RefusesARequestQueuedTooLong)
 {
 	ql_gate_decision_t waiting, next;
--- a/tests/policy/metadata_test.cc
+++ b/tests/policy/metadata_test.cc
@@ -52,6 +52,14 @@
 		HeaderCase{QL_HEADER_KEY, std::string(127, 'k'), 0},
 		HeaderCase{QL_HEADER_KEY, std::string(128, 'k'), QL_E_RANGE},
 		HeaderCase{QL_HEADER_OUTCOME, "maybe", QL_E_INVALID},
+		HeaderCase{QL_HEADER_OCCUPANCY, "0", 0},
+		HeaderCase{QL_HEADER_OCCUPANCY, "1250", 0},
+		HeaderCase{QL_HEADER_OCCUPANCY, "100000", 0},
+		HeaderCase{QL_HEADER_OCCUPANCY, "100001", QL_E_RANGE},
+		HeaderCase{QL_HEADER_OCCUPANCY, "-5", QL_E_INVALID},
+		HeaderCase{QL_HEADER_OCCUPANCY, "0.5", QL_E_INVALID},
+		HeaderCase{QL_HEADER_OCCUPANCY, "nan", QL_E_INVALID},
+		HeaderCase{QL_HEADER_OCCUPANCY, " 5", QL_E_INVALID},
 		HeaderCase{"Accept", "anything at all", 0}));
 
 TEST(Metadata, RefusesRepeatedHeader)
