--- a/include/quetzalloft/metadata.h
+++ b/include/quetzalloft/metadata.h
@@ -40,7 +40,7 @@
 #define QL_PRESSURE_SCALE 1000.0
 /** Largest value of the pressure header. */
 #define QL_PRESSURE_MAX_PERMILLE 1000000ULL
-/** Value of the occupancy header for an occupancy of 1: it is in thousandths. */
+/** Value of the occupancy header for an occupancy of 1. */
 #define QL_OCCUPANCY_SCALE 1000.0
 /** Largest value of the occupancy header. */
 #define QL_OCCUPANCY_MAX_PERMILLE 100000ULL
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -6,7 +6,7 @@
 #define ENDPOINTS_MAX 4096u
 /* Up to this many endpoints are all examined; of more, some are drawn. */
 #define SCANNED_ENDPOINTS_MAX QL_BALANCER_FEW_ENDPOINTS_MAX
-/* As many by a policy that weighs them, up to those that a node knows all of. */
+/* The same for a policy that weighs them all. */
 #define SCANNED_WEIGHTED_MAX 128u
 /* Draws in search of two candidates; ineligible endpoints use up draws. */
 #define RANDOM_DRAWS_MAX 16u
--- a/src/policy/balancer_internal.h
+++ b/src/policy/balancer_internal.h
@@ -4,8 +4,9 @@
 /**
  * DOC: Functions shared by the sources of the balancer: the table of endpoints
  * and the search for candidates (balancer.c), the policies that choose one of
- * them (balancer_choice.c, balancer_even_load.c), and the estimates of latency and failure ratio from
- * the results of attempts (balancer_estimates.c).
+ * them (balancer_choice.c, balancer_even_load.c), and the estimates of latency
+ * and of the ratios of failures and refusals from the results of attempts
+ * (balancer_estimates.c).
  */
 
 #include "quetzalloft/balancer.h"
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -497,7 +497,8 @@
 
 double ql_gate_occupancy(const ql_gate_t *gate)
 {
-	return (double)(gate->in_progress + ql_gate_queue_length(&gate->queue)) /
+	return (double)(gate->in_progress +
+			ql_gate_queue_length(&gate->queue)) /
 	       ql_limiter_get(&gate->limiter);
 }
 
