Take only refusals for want of room as news of a full endpoint

Cause: a call that was refused as too late or malformed counted as if its endpoint was full, which is a fault of the request.

Change: only overload, draining, not ready, no endpoint and refusals by the endpoint count.

Conclusion: short deadlines do not make an endpoint look full.

--- a/src/policy/balancer_estimates.c
+++ b/src/policy/balancer_estimates.c
@@ -184,12 +184,24 @@
 	endpoint->failure_ratio_us = now_us;
 }
 
-/* Whether the gate or the endpoint turned the attempt away without running it.
+/*
+ * Whether the gate or the endpoint turned the attempt away for its own sake,
+ * not for the sake of the request.
  */
 static bool is_refusal(const ql_attempt_result_t *result)
 {
-	return result->outcome == QL_OUTCOME_NOT_RUN &&
-	       result->reason != QL_REASON_CONNECT_FAILED;
+	if (result->outcome != QL_OUTCOME_NOT_RUN)
+		return false;
+	switch (result->reason) {
+	case QL_REASON_OVERLOAD:
+	case QL_REASON_DRAINING:
+	case QL_REASON_NOT_READY:
+	case QL_REASON_NO_ENDPOINT:
+	case QL_REASON_ENDPOINT_REFUSED:
+		return true;
+	default:
+		return false;
+	}
 }
 
 /*
