Log the spread of a service by the news of the last second only

Change: older news is left out; free slots of the others are taken as the mean.

Figures: none of callers; EvenLoadNews.SpreadIsThatOfTheLastSecond.

Conclusion: the line tells of now.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -336,7 +336,8 @@
 
 /**
  * struct ql_balancer_spread - How evenly the endpoints of a service are loaded,
- * as far as this node knows. An endpoint without news counts as the mean.
+ * as far as this node knows. One without news of the last second counts as the
+ * mean of the others.
  * @mean: mean occupancy, by slots
  * @busiest: highest occupancy
  * @idle_slots: slots that are free
--- a/src/policy/balancer_even_load.c
+++ b/src/policy/balancer_even_load.c
@@ -8,6 +8,8 @@
 #define MEANS_CACHE_US (10 * QL_US_PER_MS)
 /* Time in which a difference in occupancy between domains loses half of it. */
 #define DOMAIN_NEWS_HALF_LIFE_US (5 * QL_US_PER_S)
+/* News that tell how the load is now. */
+#define RECENT_NEWS_US (1 * QL_US_PER_S)
 /* A report of more counts as this, so that one endpoint cannot move the mean.
  */
 #define OCCUPANCY_MAX 1.5
@@ -244,26 +246,29 @@
 void ql_balancer_get_spread(const ql_balancer_t *balancer,
 			    ql_balancer_spread_t *spread, uint64_t now_us)
 {
-	domain_sums_t sums = {0};
 	const ql_endpoint_t *endpoint;
-	double occupancy;
+	double slots, occupancy, known_slots = 0, occupied = 0;
 	guint i;
 
 	memset(spread, 0, sizeof(*spread));
 	for (i = 0; i < balancer->all->len; i++) {
 		endpoint = ql_balancer__endpoint_at(balancer, balancer->all, i);
-		add_endpoint(&sums, balancer, endpoint, now_us);
-		if (!endpoint->occupancy_us)
+		slots = slots_of(endpoint);
+		spread->slots += (uint32_t)slots;
+		if (!endpoint->occupancy_us ||
+		    now_us - endpoint->occupancy_us > RECENT_NEWS_US)
 			continue;
 		occupancy = reported_occupancy(endpoint);
+		spread->n_known++;
 		spread->busiest = MAX(spread->busiest, occupancy);
-		spread->idle_slots +=
-			slots_of(endpoint) * MAX(1 - occupancy, 0);
-		spread->n_known +=
-			now_us - endpoint->occupancy_us < QL_US_PER_S;
+		spread->idle_slots += slots * MAX(1 - occupancy, 0);
+		known_slots += slots;
+		occupied += slots * occupancy;
 	}
-	spread->mean = mean_occupancy(&sums);
-	spread->slots = (uint32_t)sums.slots;
+	if (!spread->n_known)
+		return;
+	spread->mean = occupied / known_slots;
+	spread->idle_slots *= spread->slots / known_slots;
 }
 
 const ql_balancer_ops_t ql_balancer_even_load = {
--- a/tests/policy/even_load_test.cc
+++ b/tests/policy/even_load_test.cc
@@ -606,4 +606,39 @@
 	}
 }
 
+/* News that are older than a second say nothing of the spread. */
+TEST(EvenLoadNews, SpreadIsThatOfTheLastSecond)
+{
+	const double reported[] = {0.2, 0.6, 1.2};
+	GRand *random = g_rand_new_with_seed(1);
+	ql_attempt_result_t result = {};
+	ql_balancer_spread_t spread;
+	ql_balancer_t balancer;
+
+	ql_balancer_init(&balancer, &ql_balancer_even_load, "d", random);
+	ql_balancer_get_spread(&balancer, &spread, kStartUs);
+	EXPECT_EQ(0u, spread.n_known);
+	result.outcome = QL_OUTCOME_ANSWERED;
+	result.latency_us = 1000;
+	result.has_occupancy = true;
+	for (int i = 0; i < 3; i++) {
+		ql_endpoint_info_t info = {};
+
+		g_snprintf(info.gate, sizeof(info.gate), "g%d", i);
+		info.slots = 10;
+		result.occupancy = reported[i];
+		ql_balancer_record_result(
+			&balancer, ql_balancer_add(&balancer, &info, kStartUs),
+			&result, kStartUs + (i ? QL_US_PER_S : 0));
+	}
+	ql_balancer_get_spread(&balancer, &spread, kStartUs + QL_US_PER_S + 1);
+	EXPECT_EQ(2u, spread.n_known);
+	EXPECT_EQ(30u, spread.slots);
+	EXPECT_DOUBLE_EQ(0.9, spread.mean);
+	EXPECT_DOUBLE_EQ(1.2, spread.busiest);
+	EXPECT_DOUBLE_EQ(0.4 * 10 * 1.5, spread.idle_slots);
+	ql_balancer_finish(&balancer);
+	g_rand_free(random);
+}
+
 } // namespace
