--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -108,7 +108,8 @@
  *                   against its quota
  * @quota_overshoot: part by which they may exceed the quota in a window
  * @quota_slack: requests by which they may exceed it besides
- * @balancer: name of the load balancing policy
+ * @balancer: name of the load balancing policy; by default least_time of a
+ *            node and two_choices of others
  * @limiter: name of the limiter that overrides the one of the configuration;
  *           "" overrides nothing
  * @charts: folder of the state charts; "" for the installed one
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -30,6 +30,7 @@
  *                summed over all layers of callers above it; 0 uses the retry
  *                ratio of the document
  * @key_lease_ms: see &ql_key_lease.lease_ms
+ * @balancer: how an endpoint is chosen; NULL for &ql_balancer_least_time
  * @local: gate of this node; borrowed
  * @hops: connections to other gates; borrowed
  * @counters: metrics to update; borrowed
@@ -48,6 +49,7 @@
 	char failure_domain[QL_NAME_MAX];
 	double repeat_ratio;
 	uint64_t key_lease_ms;
+	const ql_balancer_ops_t *balancer;
 	ql_local_gate_t *local;
 	ql_hops_t *hops;
 	ql_counters_t *counters;
@@ -60,12 +62,14 @@
  * struct ql_front_service - A service that requests are forwarded to.
  * @balancer: endpoints of the service
  * @budget: retry budget
+ * @logged_refusals: refusals of the balancer at the last log line
  * @next_wanted_us: when @service_wanted may be called again; 0 before the
  *                  first time
  */
 typedef struct ql_front_service {
 	ql_balancer_t balancer;
 	ql_retry_budget_t budget;
+	uint64_t logged_refusals;
 	uint64_t next_wanted_us;
 } ql_front_service_t;
 
--- a/src/path/load_log.h
+++ b/src/path/load_log.h
@@ -3,11 +3,12 @@
 
 /**
  * DOC: Periodic load log, once a second: the utilization of the local endpoint
- * and the admissions of each class (gate_load), and the outcomes of the
- * requests of each class on each route (route_load). Routes and classes without
- * traffic have no line. Classes of which requests with a team were refused
- * early also have lines for the teams that asked for most, and one for all
- * others (team_load).
+ * and the admissions of each class (gate_load), the outcomes of the requests of
+ * each class on each route (route_load), and what this node knows of the
+ * endpoints of each service that reports its occupancy (service_load). Routes,
+ * classes and services without traffic have no line. Classes of which requests
+ * with a team were refused early also have lines for the teams that asked for
+ * most, and one for all others (team_load).
  */
 
 #include "path/front.h"
