Renew at four registrars in turn at most while none proves anything

Cause: a registrar without a fresh proof does not count as one of the two that a node renews at. While there is no leader none has one, so a node with key_lease_ms went round all registrars that it knows, up to eight, with one renewal each 0.5 s. Each one, also the holder of the endpoints, then heard of the node every 4 s only, and a lease of 3 s ended there.

Change: at most four registrars are in turn, the two and two more. Fewer than half of the replicas lack a proof while there is a leader, that is three of eight, so one of the four has one. Without key_lease_ms nothing changes.

Conclusion: a lost leader does not end leases. A gap of up to 2.4 s, for four in turn, is within the lease unless lease_ms is lowered.

--- a/src/control/member.c
+++ b/src/control/member.c
@@ -36,6 +36,13 @@
  * configuration from other nodes.
  */
 #define NEIGHBOUR_REQUEST_DELAY_MS 6000u
+/*
+ * Most registrars that are renewed at in turn. Each of them has to be renewed
+ * at well within a lease, also while none proves what it knows. A minority of
+ * the replicas has no proof while there is a leader, which is three of
+ * QL_REGISTRARS_MAX at most, so one of these is in touch then.
+ */
+#define REGISTRARS_IN_TURN_MAX (2 * QL_REGISTRARS_ACTIVE)
 /* Consecutive failures after which a registrar may be replaced by a new one. */
 #define REGISTRAR_REPLACE_FAILURES 4u
 
@@ -102,7 +109,7 @@
 static size_t find_free(const ql_member_t *member, uint64_t now_ms,
 			int free_indexes[QL_REGISTRARS_MAX])
 {
-	size_t n_active = 0, n_free = 0;
+	size_t n_active = 0, n_in_turn = 0, n_free = 0;
 	const ql_member_link_t *link;
 	size_t position;
 	int index;
@@ -112,11 +119,13 @@
 		link = &member->links[index];
 		if (link->retry_ms > now_ms || is_overdue(member, link, now_ms))
 			continue;
+		n_in_turn++;
 		if (!link->unproven)
 			n_active++;
 		if (!link->in_flight)
 			free_indexes[n_free++] = index;
-		if (n_active >= QL_REGISTRARS_ACTIVE)
+		if (n_active >= QL_REGISTRARS_ACTIVE ||
+		    n_in_turn >= REGISTRARS_IN_TURN_MAX)
 			break;
 	}
 	return n_free;
--- a/tests/control/member_test.cc
+++ b/tests/control/member_test.cc
@@ -303,6 +303,37 @@
 	}
 }
 
+/* While there is no leader, no registrar proves anything. */
+TEST_F(Member, KeepsItsLeasesWhileNoRegistrarProvesAnything)
+{
+	const uint64_t lease_ms = 6 * (uint64_t)member.opts.renew_ms;
+	const size_t n = QL_REGISTRARS_MAX;
+	std::map<int, uint64_t> renewed_ms;
+
+	member.opts.n_registrars = n;
+	member.opts.proof_max_ms = 1000;
+	for (size_t i = 0; i < n; i++)
+		g_snprintf(member.opts.registrars[i], QL_ADDRESS_MAX,
+			   "127.0.0.1:%zu", i + 1);
+	for (uint64_t now = 1000; now < 60000; now++) {
+		if (ql_member_renewal_delay_ms(&member, now))
+			continue;
+		int index = ql_member_next_registrar(&member, now);
+		ql_rpc_lease_res res = make_reply((uint64_t)index + 1);
+
+		ASSERT_GE(index, 0);
+		res.config_version = 1;
+		begin(index, now);
+		ASSERT_EQ(0, ql_member_handle_lease_reply(&member, index, &res,
+							  now, nullptr));
+		renewed_ms[index] = now;
+		for (const auto &entry : renewed_ms)
+			ASSERT_LT(now - entry.second, lease_ms)
+				<< "registrar " << entry.first;
+	}
+	EXPECT_GT(renewed_ms.size(), (size_t)QL_REGISTRARS_ACTIVE);
+}
+
 /* What a neighbour sends may be as old as what this node had. */
 TEST_F(Member, TakesNoProofFromANeighbour)
 {
