Keep the times of a leader's rounds whatever numbers its reads take

Cause: the time of a round that begins with a heartbeat was kept at its number modulo 16. Proofs of keys and reads take numbers from the same row, so with 14 of them between two heartbeats (or 30, and so on) each round took the place of the one before. Until its answer came, the leader then counted as confirmed by an older round only, or by none, and refused tokens of quotas.

Change: the times are a ring in the order of the heartbeats.

Conclusion: the time was never too late, so that no token was granted twice; now it is not too early either.

--- a/include/quetzalloft/replica.h
+++ b/include/quetzalloft/replica.h
@@ -272,7 +272,8 @@
  * @proofs: the last proofs, as a ring
  * @n_proofs: number of proofs added to @proofs
  * @timed_rounds: the latest rounds of this term that began with a heartbeat,
- *                by round modulo the size
+ *                as a ring
+ * @n_timed_rounds: number of rounds added to @timed_rounds
  * @transfer: snapshot being received
  * @failed: a snapshot could not be restored; all further input is ignored
  */
@@ -317,6 +318,7 @@
 	ql_replica_proof_t proofs[QL_REPLICA_PROOFS_MAX];
 	uint64_t n_proofs;
 	ql_replica_timed_round_t timed_rounds[QL_REPLICA_TIMED_ROUNDS];
+	uint64_t n_timed_rounds;
 	ql_replica_transfer_t transfer;
 	bool failed;
 };
--- a/src/control/replica_read.c
+++ b/src/control/replica_read.c
@@ -74,13 +74,17 @@
 	memset(replica->timed_rounds, 0, sizeof(replica->timed_rounds));
 }
 
+/*
+ * The number of a round is no place in the ring, as proofs and reads take
+ * numbers too.
+ */
 void ql_replica__begin_round(ql_replica_t *replica)
 {
-	uint64_t round = ++replica->read_round;
 	ql_replica_timed_round_t *slot =
-		&replica->timed_rounds[round % QL_REPLICA_TIMED_ROUNDS];
+		&replica->timed_rounds[replica->n_timed_rounds++ %
+				       QL_REPLICA_TIMED_ROUNDS];
 
-	slot->round = round;
+	slot->round = ++replica->read_round;
 	slot->sent_us = replica->now_us;
 }
 
--- a/tests/control/replica_confirmed_test.cc
+++ b/tests/control/replica_confirmed_test.cc
@@ -103,4 +103,33 @@
 	EXPECT_GT(confirmed_us(second), killed_us);
 }
 
+/* Reads take numbers between those of the rounds of two heartbeats. */
+TEST_F(Confirmed, IsKeptOverAHeartbeatWhateverTheNumberOfReads)
+{
+	const size_t leader = leader_index();
+	ql_replica_t *replica = &cluster.replicas[leader]->config.replica;
+
+	for (uint64_t n_reads = 0; n_reads < 2 * QL_REPLICA_TIMED_ROUNDS;
+	     n_reads++) {
+		SCOPED_TRACE(n_reads);
+		uint64_t round = replica->read_round;
+
+		run(HEARTBEAT_TICKS);
+		for (uint64_t i = 0; i < n_reads; i++)
+			ASSERT_EQ(0, ql_replica_start_read(replica, i + 1));
+		run(HEARTBEAT_TICKS);
+		ASSERT_GT(replica->read_round, round + n_reads);
+		/* The heartbeat that is sent now is not answered yet. */
+		uint64_t before_us = confirmed_us(leader);
+
+		ASSERT_NE(0u, before_us);
+		for (uint64_t i = 0; i < n_reads; i++)
+			ASSERT_EQ(0, ql_replica_start_read(replica, i + 1));
+		ql_replica_set_time(replica, now_us + TICK_US);
+		for (size_t i = 0; i < HEARTBEAT_TICKS; i++)
+			ql_replica_tick(replica);
+		EXPECT_EQ(before_us, confirmed_us(leader));
+	}
+}
+
 } // namespace
