Bound the time for which a node refuses a team without asking

Cause: the time that the leader's answer gives was added to the clock as it came.

Conclusion: only a faulty leader sends such times; it now does no harm that lasts.

--- a/src/policy/quota_wallet.c
+++ b/src/policy/quota_wallet.c
@@ -12,6 +12,8 @@
  * leader, and is well within the validity, so that the tokens are spent.
  */
 #define PREFETCH_S 0.1
+/* Longest time for which a team is refused without asking again. */
+#define NONE_MAX_US (60 * QL_US_PER_S)
 /* Time without a request after which an account is forgotten. */
 #define ACCOUNT_IDLE_US (10 * QL_US_PER_S)
 /* Most tokens to ask ahead for. */
@@ -320,7 +322,8 @@
 	serve_waiters(account, now_us);
 	if (grant->unlimited || grant->granted >= ask->least)
 		return;
-	account->none_before_us = now_us + MAX(grant->wait_us, 1);
+	account->none_before_us =
+		now_us + CLAMP(grant->wait_us, 1, NONE_MAX_US);
 	refuse_waiters(account, now_us);
 }
 
--- a/tests/policy/quota_wallet_test.cc
+++ b/tests/policy/quota_wallet_test.cc
@@ -89,6 +89,30 @@
 	EXPECT_EQ(UINT64_MAX, ql_quota_wallet_next_ask_us(&wallet));
 }
 
+/* Whatever the leader says, the team is refused for a while and asked for. */
+TEST_F(QuotaWallet, ATimeWithoutTokensIsBounded)
+{
+	const uint64_t TIMES_US[] = {61 * S, UINT64_MAX / 2, UINT64_MAX - 1,
+				     UINT64_MAX};
+
+	for (uint64_t time_us : TIMES_US) {
+		SCOPED_TRACE(time_us);
+		Request first, second, third;
+
+		ASSERT_EQ(QL_QUOTA_WAIT, take(first));
+		ASSERT_TRUE(ql_quota_wallet_begin_ask(&wallet, now_us));
+		reply({0, time_us, false});
+		EXPECT_EQ(QL_QUOTA_NONE, first.result.verdict);
+		EXPECT_EQ(60 * S, first.result.retry_us);
+		now_us += 60 * S - 1;
+		EXPECT_EQ(QL_QUOTA_NONE, take(second));
+		EXPECT_EQ(1u, second.result.retry_us);
+		now_us += 1;
+		EXPECT_EQ(QL_QUOTA_WAIT, take(third));
+		ql_quota_wallet_leave(&third.waiter);
+	}
+}
+
 struct ReplyCase {
 	const char *name;
 	/* From the sending of the call until its answer. */
