Look at the key of a request again after its wait for a token

Cause: the key was looked at before the request waited for a token of its quota, which takes up to an eighth of its target or deadline (3.75 s of 30 s). A request whose key was withdrawn meanwhile, or whose node had lost its proof, was still sent to an endpoint, by a node that knew better.

Change: after a wait the caller is identified again, by the document in force then. A request that is refused gives its token back.

Conclusion: the wait no longer adds to the time of key_lease_ms.

--- a/src/path/front_begin.c
+++ b/src/path/front_begin.c
@@ -203,18 +203,12 @@
 	       now + (uint64_t)state->typical_latency_us >= front->end_us;
 }
 
-static void refuse_caller(ql_front_t *front, ql_http_exchange_t *exchange,
-			  ql_reason_t reason)
+uint32_t ql_front__caller_retry_after_ms(ql_front_t *front, ql_reason_t reason)
 {
-	uint32_t retry_after_ms = 0;
-
-	if (reason == QL_REASON_NOT_CURRENT) {
-		retry_after_ms = ql_retry_after_ms(NOT_CURRENT_RETRY_AFTER_MS,
-						   front->random);
-		ql_counter_increment(front->opts.counters,
-				     QL_COUNT_KEYS_NOT_CURRENT);
-	}
-	refuse_request(front, exchange, reason, retry_after_ms);
+	if (reason != QL_REASON_NOT_CURRENT)
+		return 0;
+	ql_counter_increment(front->opts.counters, QL_COUNT_KEYS_NOT_CURRENT);
+	return ql_retry_after_ms(NOT_CURRENT_RETRY_AFTER_MS, front->random);
 }
 
 /* Refuses the request of an unknown caller and starts that of a known one. */
@@ -227,7 +221,8 @@
 		ql_front__identify_caller(front, exchange, route, &team);
 
 	if (reason != QL_REASON_NONE) {
-		refuse_caller(front, exchange, reason);
+		refuse_request(front, exchange, reason,
+			       ql_front__caller_retry_after_ms(front, reason));
 		return;
 	}
 	call = call_new(front, exchange, route, team);
--- a/src/path/front_quota.c
+++ b/src/path/front_quota.c
@@ -56,9 +56,29 @@
 	ql_front__fail(call, QL_REASON_QUOTA);
 }
 
+/*
+ * The key may have been withdrawn while the request waited, or the proof that
+ * it is current may be too old by now.
+ */
+static ql_reason_t check_caller_again(const ql_front_call_t *call)
+{
+	const ql_team_t *team;
+
+	return ql_front__identify_caller(call->front, call->exchange,
+					 call->route, &team);
+}
+
+static void start_with_token(ql_front_call_t *call, uint64_t end_us)
+{
+	call->has_token = true;
+	call->token_end_us = end_us;
+	ql_front__start_call(call);
+}
+
 static void on_decided(void *data, const ql_quota_result_t *result)
 {
 	ql_front_call_t *call = data;
+	ql_reason_t reason;
 
 	ql_loop_stop_timer(call->front->loop, &call->quota_timer);
 	if (result->verdict != QL_QUOTA_TAKEN) {
@@ -67,7 +87,14 @@
 	}
 	call->has_token = true;
 	call->token_end_us = result->end_us;
-	ql_front__start_call(call);
+	reason = check_caller_again(call);
+	if (reason == QL_REASON_NONE) {
+		ql_front__start_call(call);
+		return;
+	}
+	call->retry_after_ms =
+		ql_front__caller_retry_after_ms(call->front, reason);
+	ql_front__fail(call, reason);
 }
 
 static void on_wait_expired(void *data)
@@ -108,8 +135,10 @@
 	if (result.verdict == QL_QUOTA_WAIT)
 		ql_loop_start_timer(front->loop, &call->quota_timer,
 				    longest_wait_ms(call));
+	else if (result.verdict == QL_QUOTA_TAKEN)
+		start_with_token(call, result.end_us);
 	else
-		on_decided(call, &result);
+		refuse(call, &result);
 	ask_if_due(front);
 }
 
--- a/tests/path/quota_test.cc
+++ b/tests/path/quota_test.cc
@@ -1,4 +1,5 @@
 #include "path_fixture.h"
+#include "quetzalloft/clock.h"
 
 #include <functional>
 
@@ -189,6 +190,58 @@
 	EXPECT_EQ(1u, n_asks);
 }
 
+struct ChangeCase {
+	const char *name;
+	/* The teams that come into force while the request waits. */
+	const char *teams;
+	/* Lease of the keys, which has no proof; 0 if none is needed. */
+	uint64_t key_lease_ms;
+	const char *status;
+	const char *reason;
+};
+
+const ChangeCase CHANGES[] = {
+	{"key stays", "{\"red\":{\"keys\":[\"k1\"],\"rate_per_s\":9}}", 0,
+	 "200", ""},
+	{"no more keys", "{}", 5000, "200", ""},
+	{"key withdrawn",
+	 "{\"red\":{\"keys\":[\"k3\"],\"rate_per_s\":5,\"burst\":5}}", 0, "401",
+	 "unknown-key"},
+	{"team removed", "{\"blue\":{\"keys\":[\"k2\"]}}", 0, "401",
+	 "unknown-key"},
+	{"proof lost", TEAMS, 5000, "503", "not-current"},
+};
+
+TEST_F(Quota, ItsKeyIsLookedAtAgainAfterAWait)
+{
+	for (const ChangeCase &c : CHANGES) {
+		SCOPED_TRACE(c.name);
+		size_t n_before = n_asks;
+		RawSocket client = connect_client();
+
+		ql_key_lease_init(&front.key_lease, 0);
+		set_target(LONG_MS);
+		client.send(request("/get/", "Key: k1\r\n"));
+		wait_for_ask(n_before + 1);
+		set_document(routes_with_target(LONG_MS).c_str(), c.teams);
+		ql_key_lease_init(&front.key_lease, c.key_lease_ms);
+		answer(1);
+		if (!c.reason[0])
+			serve();
+		expect_status(client, c.status);
+		EXPECT_NE(std::string::npos, client.received.find(c.reason));
+		EXPECT_FALSE(endpoint_was_called());
+		/* The token of a refused request is there for another one. */
+		ql_quota_waiter_t waiter = {};
+		EXPECT_EQ(c.reason[0] ? QL_QUOTA_TAKEN : QL_QUOTA_WAIT,
+			  ql_quota_wallet_take(&front.quota, "red", &waiter,
+					       ql_clock_boot_us())
+				  .verdict);
+		ql_quota_wallet_leave(&waiter);
+		g_hash_table_remove_all(front.quota.accounts);
+	}
+}
+
 TEST_F(Quota, WithoutAnAnswerTheRequestIsRefused)
 {
 	RawSocket client = connect_client();
