Refuse no request of a team while the throttle is open

The part of the chosen requests that the limit on those in progress let through stayed as it was when the share of a route came back to 1, where there is no such limit, and a team that had had a probe on top of its part still paid for it. So teams were refused without any shortage, at first as many as the limit had held back.

At a share of 1 the part is now 1, and every request is chosen. The new test, with a part of 0.3 left over and ten teams in debt, failed before and passes.

--- a/src/policy/route_admission.c
+++ b/src/policy/route_admission.c
@@ -90,6 +90,9 @@
 
 double ql_route_admission_share(const ql_route_admission_t *admission)
 {
+	/* There is no limit on the requests in progress then. */
+	if (admission->best_effort.share >= 1)
+		return 1;
 	return admission->best_effort.share * admission->limit_passed;
 }
 
--- a/src/policy/team_shares.c
+++ b/src/policy/team_shares.c
@@ -229,7 +229,8 @@
 	team->last_due =
 		MIN(fair_part(shares, team, share), CREDIT_MAX - team->credit);
 	team->credit += team->last_due;
-	take = team->credit >= 1;
+	/* A debt is not called in while there is room for all. */
+	take = share >= 1 || team->credit >= 1;
 	add_owed(shares, share - take);
 	return take ? QL_THROTTLE_TAKE : QL_THROTTLE_LEAVE;
 }
--- a/tests/policy/team_shares_test.cc
+++ b/tests/policy/team_shares_test.cc
@@ -280,6 +280,42 @@
 	g_rand_free(random);
 }
 
+/* Refused for want of room before, all are admitted once there is room again. */
+TEST(TeamShares, NobodyIsRefusedOnceTheThrottleIsOpen)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	uint64_t now_us = 60 * QL_US_PER_S;
+	ql_route_admission_t admission;
+	ql_team_shares_t shares;
+
+	ql_team_shares_init(&shares, random);
+	ql_route_admission_init(&admission);
+	admission.limit_passed = 0.3;
+	for (int i = 0; i < 200; i++, now_us += 10 * QL_US_PER_MS) {
+		std::string team = std::to_string(i % 10);
+
+		/* A probe takes more than is due to the team. */
+		if (i < 10) {
+			ql_team_shares_offer(&shares, team.c_str(), 0.1, 0,
+					     now_us);
+			ql_team_shares_record(&shares, team.c_str(), true,
+					      false);
+		}
+		const ql_admission_offer_t offer = {
+			0, 1000, random, now_us,
+			ql_team_shares_offer(
+				&shares, team.c_str(), 0.1,
+				ql_route_admission_share(&admission), now_us)};
+		bool refuse =
+			ql_route_admission_offer(&admission, &offer).refuse;
+
+		EXPECT_FALSE(refuse) << "request " << i;
+		ql_team_shares_record(&shares, team.c_str(), !refuse, false);
+	}
+	ql_team_shares_finish(&shares);
+	g_rand_free(random);
+}
+
 struct RecordCase {
 	const char *name;
 	bool admitted, guaranteed;
