Give guaranteed requests to the teams that are due one

The guaranteed requests of a route, one in six, went to whoever asked next. So where room was shortest a hot team had nearly the part of the others.

A request that is not among those to admit of its team now leaves the guarantee to the next one that is. So that there are enough of them, the part of the teams is at least the guaranteed share, and a guaranteed request is charged to the credit of its team like any other. The case of the test by which it left the credit as it was no longer exists, as the record does not tell them apart; what the teams get is tested instead. The turns that wait are bounded, and requests without a team never wait.

--- a/include/quetzalloft/route_admission.h
+++ b/include/quetzalloft/route_admission.h
@@ -33,8 +33,8 @@
  * @guaranteed: throttle of the guaranteed requests
  * @best_effort: throttle of all other requests
  * @credit: number of requests by which the route is below its guaranteed share;
- *          negative, at least -8, if it is above. At 1 the next request is made
- *          a guaranteed one.
+ *          negative, at least -8, if it is above. From 1 on the next request
+ *          that may be is made a guaranteed one; at most 8.
  * @limit_passed: moving mean of the part of the best-effort requests chosen
  *                with QL_THROTTLE_TAKE that the throttle admitted, 0 to 1
  */
@@ -52,7 +52,8 @@
  * @target_ms: latency target of the route; 0 if it has none
  * @random: random number generator for the decision and the jitter
  * @now_us: current time
- * @choice: who chooses the best-effort requests to admit
+ * @choice: whether the request is among those to admit. With
+ *          QL_THROTTLE_LEAVE it is not made a guaranteed one either
  */
 typedef struct ql_admission_offer {
 	double guaranteed_share;
@@ -122,14 +123,16 @@
 				size_t n_peers, uint64_t now_us);
 
 /**
- * ql_route_admission_share() - Estimate the part of the best-effort requests
- * that is admitted: the share, and what the limit of the requests in progress
- * leaves of it.
+ * ql_route_admission_share() - Estimate the part of the requests that is
+ * admitted: the share, and what the limit of the requests in progress leaves of
+ * it, but no less than the guaranteed share.
  * @admission: admission control of the class
+ * @guaranteed_share: see &struct ql_admission_offer
  *
  * Return: 0 to 1.
  */
-double ql_route_admission_share(const ql_route_admission_t *admission);
+double ql_route_admission_share(const ql_route_admission_t *admission,
+				double guaranteed_share);
 
 /**
  * struct ql_admission_answer - What the answer to a request shows of the load
--- a/include/quetzalloft/team_shares.h
+++ b/include/quetzalloft/team_shares.h
@@ -43,7 +43,6 @@
  * @weight: part of all requests that the team is expected to ask for, 0 to 1
  * @asked: decayed number of requests, in units of &ql_team_shares.scale
  * @credit: admitted part of the requests so far that is still due, in requests
- * @last_due: what the last request added to @credit
  * @usage: counts since the last ql_team_shares_take_usage()
  */
 typedef struct ql_team_share {
@@ -52,7 +51,6 @@
 	double weight;
 	double asked;
 	double credit;
-	double last_due;
 	ql_team_usage_t usage;
 } ql_team_share_t;
 
@@ -66,7 +64,6 @@
  * @owed: requests by which the admitted ones are below the share, within
  *        bounds; counts of small teams are too rough for the sum to come out
  *        right by itself
- * @last_owed: what the last request added to @owed
  * @rest: usage of teams that left since the last ql_team_shares_take_usage()
  */
 typedef struct ql_team_shares {
@@ -75,7 +72,6 @@
 	double scale;
 	uint64_t scaled_us;
 	double owed;
-	double last_owed;
 	ql_team_usage_t rest;
 } ql_team_shares_t;
 
@@ -108,14 +104,12 @@
  * @shares: the teams
  * @team: name of the team that asked
  * @admitted: the request was admitted
- * @guaranteed: the request is a guaranteed one, which leaves the credit of its
- *              team as it was
  *
  * The credit of a team whose request was refused in spite of QL_THROTTLE_TAKE
  * stays, so its next request goes first.
  */
 void ql_team_shares_record(ql_team_shares_t *shares, const char *team,
-			   bool admitted, bool guaranteed);
+			   bool admitted);
 
 /**
  * ql_team_shares_largest() - Find the teams with the most requests since the
--- a/src/path/front_classes.c
+++ b/src/path/front_classes.c
@@ -149,7 +149,8 @@
 	compare_classes(call);
 	if (!call->team)
 		return QL_THROTTLE_RANDOM;
-	share = ql_route_admission_share(&call->route_class->admission);
+	share = ql_route_admission_share(&call->route_class->admission,
+					 call->doc->guaranteed_share);
 	return ql_team_shares_offer(get_team_shares(call), call->team->name,
 				    call->team->weight, share,
 				    ql_front__now_us(call));
@@ -162,7 +163,7 @@
 	if (!call->team)
 		return;
 	ql_team_shares_record(get_team_shares(call), call->team->name,
-			      !decision->refuse, decision->guaranteed);
+			      !decision->refuse);
 	if (decision->refuse && choice == QL_THROTTLE_LEAVE)
 		ql_front__count(call, QL_COUNT_TEAM_REFUSALS);
 }
--- a/src/policy/route_admission.c
+++ b/src/policy/route_admission.c
@@ -7,6 +7,8 @@
 #define GUARANTEED_PRESSURE_MAX 2.0
 /* Most requests served beyond the guaranteed share that are counted. */
 #define SURPLUS_MAX_REQUESTS 8.0
+/* Most guaranteed requests that wait for a chosen one. */
+#define MISSING_MAX_REQUESTS 8.0
 /* A class counts as in use for this long after its last request. */
 #define IN_USE_US (2 * QL_US_PER_S)
 /* What a class has learned is good for others for this long. */
@@ -29,12 +31,15 @@
 
 /*
  * Adds the guaranteed share of one offered request to the credit. Takes 1 from
- * it and returns true if the request is to be a guaranteed one.
+ * it and returns true if the request is to be a guaranteed one. A request that
+ * is not chosen leaves its turn to the next that is.
  */
-static bool take_guaranteed(ql_route_admission_t *admission, double share)
+static bool take_guaranteed(ql_route_admission_t *admission,
+			    const ql_admission_offer_t *offer)
 {
-	admission->credit += share;
-	if (admission->credit < 1)
+	admission->credit = MIN(admission->credit + offer->guaranteed_share,
+				MISSING_MAX_REQUESTS);
+	if (admission->credit < 1 || offer->choice == QL_THROTTLE_LEAVE)
 		return false;
 	admission->credit -= 1;
 	return true;
@@ -44,7 +49,7 @@
 ql_route_admission_offer(ql_route_admission_t *admission,
 			 const ql_admission_offer_t *offer)
 {
-	bool guaranteed = take_guaranteed(admission, offer->guaranteed_share);
+	bool guaranteed = take_guaranteed(admission, offer);
 	ql_throttle_choice_t choice =
 		guaranteed ? QL_THROTTLE_RANDOM : offer->choice;
 	ql_throttle_decision_t decision =
@@ -88,12 +93,14 @@
 	}
 }
 
-double ql_route_admission_share(const ql_route_admission_t *admission)
+double ql_route_admission_share(const ql_route_admission_t *admission,
+				double guaranteed_share)
 {
 	/* There is no limit on the requests in progress then. */
 	if (admission->best_effort.share >= 1)
 		return 1;
-	return admission->best_effort.share * admission->limit_passed;
+	return MAX(admission->best_effort.share * admission->limit_passed,
+		   guaranteed_share);
 }
 
 /*
--- a/src/policy/team_shares.c
+++ b/src/policy/team_shares.c
@@ -209,9 +209,7 @@
 
 static void add_owed(ql_team_shares_t *shares, double owed)
 {
-	shares->last_owed =
-		CLAMP(shares->owed + owed, -OWED_MAX, OWED_MAX) - shares->owed;
-	shares->owed += shares->last_owed;
+	shares->owed = CLAMP(shares->owed + owed, -OWED_MAX, OWED_MAX);
 }
 
 ql_throttle_choice_t ql_team_shares_offer(ql_team_shares_t *shares,
@@ -226,9 +224,8 @@
 	team->weight = weight;
 	team->asked += shares->scale;
 	team->usage.asked++;
-	team->last_due =
-		MIN(fair_part(shares, team, share), CREDIT_MAX - team->credit);
-	team->credit += team->last_due;
+	team->credit =
+		MIN(team->credit + fair_part(shares, team, share), CREDIT_MAX);
 	/* A debt is not called in while there is room for all. */
 	take = share >= 1 || team->credit >= 1;
 	add_owed(shares, share - take);
@@ -236,7 +233,7 @@
 }
 
 void ql_team_shares_record(ql_team_shares_t *shares, const char *name,
-			   bool admitted, bool guaranteed)
+			   bool admitted)
 {
 	ql_team_share_t *team = find_team(shares, name);
 
@@ -244,12 +241,8 @@
 		return;
 	team->usage.admitted += admitted;
 	team->usage.refused += !admitted;
-	if (guaranteed) {
-		team->credit -= team->last_due;
-		shares->owed -= shares->last_owed;
-	} else if (admitted) {
+	if (admitted)
 		team->credit = MAX(team->credit - 1, -CREDIT_MAX);
-	}
 }
 
 size_t ql_team_shares_largest(const ql_team_shares_t *shares,
