Give each combined class a name of its own

Names of classes may have dots, and the name of a combined class had one between those of its team's class and its route's class. So "a" with "b.c" and "a.b" with "c" were one name, and "a" with "b" that of a class "a.b" of the document. Gates look the shed order up by name, so requests of one class were shed as the other, and both shared one admission control.

Such names are now replaced by their hash, as those that are too long are, and the hash is over the two names with a separator that no name has. Names of short classes without dots stay.

--- a/src/policy/document_classes.c
+++ b/src/policy/document_classes.c
@@ -21,18 +21,36 @@
 				      route_class];
 }
 
-/* Two long names are replaced by their hash, so that the name fits. */
-static void set_combined_name(ql_class_t *class, const ql_class_t *team_class,
+static bool is_base_class(const ql_document_t *doc, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < doc->n_base_classes; i++)
+		if (!strcmp(doc->classes[i].name, name))
+			return true;
+	return false;
+}
+
+/*
+ * Names that are too long together are replaced by their hash, so that the name
+ * fits. So are those with a dot, as another pair could have the same name. The
+ * hash is that of the names with a line feed between, which no name has.
+ */
+static void set_combined_name(const ql_document_t *doc, ql_class_t *class,
+			      const ql_class_t *team_class,
 			      const ql_class_t *route_class)
 {
 	char name[2 * QL_NAME_MAX];
 	int length = snprintf(name, sizeof(name), "%s.%s", team_class->name,
 			      route_class->name);
 
-	if (length >= QL_NAME_MAX)
+	if (length >= QL_NAME_MAX || strchr(team_class->name, '.') ||
+	    strchr(route_class->name, '.') || is_base_class(doc, name)) {
+		name[strlen(team_class->name)] = '\n';
 		length = snprintf(name, sizeof(name),
 				  "combined-%016" G_GINT64_MODIFIER "x",
 				  (uint64_t)XXH3_64bits(name, (size_t)length));
+	}
 	g_strlcpy(class->name, name, sizeof(class->name));
 }
 
@@ -44,7 +62,7 @@
 	if (*index != NO_CLASS)
 		return;
 	*index = (uint16_t)doc->n_classes;
-	set_combined_name(&doc->classes[doc->n_classes],
+	set_combined_name(doc, &doc->classes[doc->n_classes],
 			  &doc->classes[team_class],
 			  &doc->classes[route_class]);
 	keys[doc->n_classes] = (class_key_t){
--- a/tests/policy/document_teams_test.cc
+++ b/tests/policy/document_teams_test.cc
@@ -114,6 +114,41 @@
 	json_decref(json);
 }
 
+/* A dot in the name of a class does not make two classes one. */
+TEST(Teams, CombinedClassesHaveNamesOfTheirOwn)
+{
+	static const char *const names[] = {"a", "b", "a.b", "b.c", "c"};
+	std::string classes, routes, teams;
+	std::set<std::string> found;
+	int order = 0;
+	json_t *json = nullptr;
+	ql_document_t *doc;
+
+	for (const char *name : names) {
+		std::string quoted = std::string("\"") + name + "\"";
+		std::string comma = classes.empty() ? "" : ",";
+
+		classes += comma + quoted +
+			   ":{\"shed_order\":" + std::to_string(order++) + "}";
+		routes += comma + quoted + ":{\"path\":\"/" + name +
+			  "\",\"service\":\"a\",\"class\":" + quoted +
+			  ",\"idempotent\":true,\"deadline_ms\":1000}";
+		teams += comma + quoted + ":{\"keys\":[],\"class\":" + quoted +
+			 "}";
+	}
+	std::string text = "{\"site\":\"s\",\"attempts\":20,\"classes\":{" +
+			   classes + "},\"services\":{\"a\":{}},\"routes\":{" +
+			   routes + "},\"teams\":{" + teams + "}}";
+	ASSERT_EQ(0, ql_json_parse(&json, text.c_str(), text.size(), nullptr));
+	ASSERT_EQ(0, ql_document_compile(&doc, json, 1, nullptr));
+	EXPECT_EQ(5u + 5 * 5, doc->n_classes);
+	for (size_t i = 0; i < doc->n_classes; i++)
+		EXPECT_TRUE(found.insert(doc->classes[i].name).second)
+			<< doc->classes[i].name;
+	ql_document_unref(doc);
+	json_decref(json);
+}
+
 /* Names that are too long together, and more pairs than shed orders. */
 TEST(Teams, ManyCombinedClassesHaveNamesAndOrdersInBounds)
 {
