Stop the replicas of the test of confirmed leaders before a new start

Cause: the cluster of the tests starts its replicas and elects a leader by itself, and this test started each of them a second time over the first. The state of the first start was lost, which the leak sanitizer reports as 43536 bytes in 192 allocations, so that scripts/sanitize would fail.

Change: they are killed and started, as other tests do.

Conclusion: a fault of the test only.

--- a/tests/control/replica_confirmed_test.cc
+++ b/tests/control/replica_confirmed_test.cc
@@ -23,8 +23,10 @@
 		      SNAPSHOT_ENTRIES)
 	{
 		cluster.sets_time = false;
-		for (size_t i = 0; i < 3; i++)
+		for (size_t i = 0; i < 3; i++) {
+			cluster.kill(i);
 			cluster.start(i);
+		}
 		cluster.run_until_elected();
 		cluster.sets_time = true;
 	}
