Add "quetzalloft explain": where a request would go now, and why

Cause: an operator who asks why a request is refused, or goes to one endpoint and not to another, had to put it together from the log of the node, the configuration and the code.

Change: the command asks one node, over the report RPC, for a host, path, method and API key. The answer has the route, team, class and shed order, the proof of the keys, the quota, the admission, the service (for a split all parts and the next one) and the endpoints with what the balancer compares them by and the likely one. The key comes from a file or the environment and is in no answer and no log. Each error has its message; the exit statuses are those of the other commands.

The functions of the path answer. Where a decision also changes state, it is split into a look without effects and the step that changes it, and both use the look: throttle, route admission, quota wallet, split and caller. Team shares and the balancer are asked on copies, without a random number, by the functions that choose. Each balancing policy tells what it compares by with the function that it picks by.

What the split costs a request was not measured.

Conclusion: the answer is what the next request would meet, as far as it does not depend on chance, and asking costs no request anything but the time of the loop.

--- a/include/quetzalloft/balancer.h
+++ b/include/quetzalloft/balancer.h
@@ -118,6 +118,19 @@
 	double typical_latency_us;
 } ql_pick_request_t;
 
+/**
+ * enum ql_estimate_kind - What a policy compares the endpoints by.
+ * @QL_ESTIMATE_NONE: by nothing, all are alike
+ * @QL_ESTIMATE_COST: by an expected cost, of which the least is the best; see
+ *                    the policy for its unit
+ * @QL_ESTIMATE_WEIGHT: by a weight, which each is chosen with
+ */
+typedef enum ql_estimate_kind {
+	QL_ESTIMATE_NONE,
+	QL_ESTIMATE_COST,
+	QL_ESTIMATE_WEIGHT,
+} ql_estimate_kind_t;
+
 /**
  * struct ql_balancer_ops - A load balancing policy.
  * @name: name of the policy
@@ -128,6 +141,8 @@
  *            more are drawn, from all failure domains alike
  * @pick: chooses one of the candidates of the balancer, of which there is at
  *        least one; returns its handle
+ * @estimate: sets what @pick compares each of the candidates by, in their
+ *            order; may change @balancer
  */
 typedef struct ql_balancer_ops {
 	const char *name;
@@ -135,6 +150,9 @@
 	bool weighted;
 	ql_handle_t (*pick)(ql_balancer_t *balancer,
 			    const ql_pick_request_t *request, uint64_t now_us);
+	ql_estimate_kind_t (*estimate)(ql_balancer_t *balancer,
+				       const ql_pick_request_t *request,
+				       uint64_t now_us, double *estimates);
 } ql_balancer_ops_t;
 
 /**
@@ -283,6 +301,65 @@
 ql_handle_t ql_balancer_pick(ql_balancer_t *balancer,
 			     const ql_pick_request_t *request, uint64_t now_us);
 
+/**
+ * enum ql_endpoint_obstacle - Why an endpoint is passed over for others.
+ * @QL_OBSTACLE_NONE: it is a candidate, or those preferred are closer
+ * @QL_OBSTACLE_CONNECTIONS: all its connections are in use
+ * @QL_OBSTACLE_EJECTED: it is ejected
+ * @QL_OBSTACLE_PROBED: after its ejection, one attempt at a time is made
+ * @QL_OBSTACLE_BACKOFF: it asked for a delay that has not ended
+ * @QL_OBSTACLE_SLOTS: this node uses all its slots
+ */
+typedef enum ql_endpoint_obstacle {
+	QL_OBSTACLE_NONE,
+	QL_OBSTACLE_CONNECTIONS,
+	QL_OBSTACLE_EJECTED,
+	QL_OBSTACLE_PROBED,
+	QL_OBSTACLE_BACKOFF,
+	QL_OBSTACLE_SLOTS,
+} ql_endpoint_obstacle_t;
+
+/**
+ * struct ql_endpoint_look - What a balancer holds of an endpoint now.
+ * @endpoint: the endpoint; borrowed
+ * @same_domain: it is in the failure domain of this node
+ * @candidate: it could be chosen
+ * @likely: of the candidates, none is chosen more often
+ * @estimate: what it is compared by, of a candidate
+ * @latency_us: expected latency
+ * @failure_ratio: expected ratio of failures, 0 to 1
+ * @refusal_ratio: expected ratio of refusals, 0 to 1
+ * @obstacle: why it is passed over; that of a candidate did not count, as there
+ *            is no better one
+ */
+typedef struct ql_endpoint_look {
+	const ql_endpoint_t *endpoint;
+	bool same_domain;
+	bool candidate;
+	bool likely;
+	double estimate;
+	double latency_us;
+	double failure_ratio;
+	double refusal_ratio;
+	ql_endpoint_obstacle_t obstacle;
+} ql_endpoint_look_t;
+
+/**
+ * ql_balancer_look() - Tell what ql_balancer_pick() would choose from now, for
+ * the first attempt of a call, without choosing.
+ * @balancer: balancer; neither it nor its random number generator changes
+ * @request: the attempt, without endpoints tried
+ * @now_us: current time
+ * @out: set to one entry for each endpoint, as many as &ql_balancer.all has
+ *
+ * Of many endpoints, ql_balancer_pick() draws a few and compares these.
+ *
+ * Return: what the endpoints are compared by.
+ */
+ql_estimate_kind_t ql_balancer_look(const ql_balancer_t *balancer,
+				    const ql_pick_request_t *request,
+				    uint64_t now_us, ql_endpoint_look_t *out);
+
 /**
  * struct ql_attempt_result - Result of an attempt, for the balancer.
  * @outcome: outcome
--- a/include/quetzalloft/quota_wallet.h
+++ b/include/quetzalloft/quota_wallet.h
@@ -130,6 +130,32 @@
  */
 void ql_quota_wallet_finish(ql_quota_wallet_t *wallet);
 
+/**
+ * struct ql_quota_look - What a request of a team would meet.
+ * @verdict: what ql_quota_wallet_take() would return
+ * @unlimited: the team has no quota for now
+ * @tokens: tokens held that have not ended
+ * @retry_us: time until the leader has room again; 0 if not known
+ */
+typedef struct ql_quota_look {
+	ql_quota_verdict_t verdict;
+	bool unlimited;
+	uint64_t tokens;
+	uint64_t retry_us;
+} ql_quota_look_t;
+
+/**
+ * ql_quota_wallet_look() - Tell what ql_quota_wallet_take() would return now,
+ * without taking a token or counting a request.
+ * @wallet: the wallet
+ * @team: name of the team
+ * @now_us: current time
+ *
+ * Return: what the request would meet.
+ */
+ql_quota_look_t ql_quota_wallet_look(const ql_quota_wallet_t *wallet,
+				     const char *team, uint64_t now_us);
+
 /**
  * ql_quota_wallet_take() - Take a token for a request, or begin to wait.
  * @wallet: the wallet
--- a/include/quetzalloft/route_admission.h
+++ b/include/quetzalloft/route_admission.h
@@ -94,6 +94,30 @@
 ql_route_admission_offer(ql_route_admission_t *admission,
 			 const ql_admission_offer_t *offer);
 
+/**
+ * struct ql_admission_look - What would be decided on a request.
+ * @guaranteed: it would be a guaranteed one
+ * @verdict: what would decide on it
+ * @share: share of such requests that is admitted, 0 to 1
+ */
+typedef struct ql_admission_look {
+	bool guaranteed;
+	ql_throttle_verdict_t verdict;
+	double share;
+} ql_admission_look_t;
+
+/**
+ * ql_route_admission_look() - Tell what ql_route_admission_offer() would decide
+ * now, without offering a request.
+ * @admission: the admission control
+ * @offer: the request; its random number generator is not used
+ *
+ * Return: the decision.
+ */
+ql_admission_look_t
+ql_route_admission_look(const ql_route_admission_t *admission,
+			const ql_admission_offer_t *offer);
+
 /**
  * struct ql_admission_peer - Another class of the same route.
  * @admission: its admission control
--- a/include/quetzalloft/team_shares.h
+++ b/include/quetzalloft/team_shares.h
@@ -103,6 +103,22 @@
 					  const char *team, double weight,
 					  double share, uint64_t now_us);
 
+/**
+ * ql_team_shares_look() - Tell what ql_team_shares_offer() would choose now,
+ * without counting a request.
+ * @shares: the teams of a class
+ * @team: name of the team
+ * @weight: see ql_team_shares_offer()
+ * @share: see ql_team_shares_offer()
+ * @now_us: current time
+ *
+ * Return: the choice; QL_THROTTLE_RANDOM for a team that is not known yet, as
+ * it starts with a random credit.
+ */
+ql_throttle_choice_t ql_team_shares_look(const ql_team_shares_t *shares,
+					 const char *team, double weight,
+					 double share, uint64_t now_us);
+
 /**
  * ql_team_shares_record() - Record the decision on the last offered request.
  * @shares: the teams
--- a/include/quetzalloft/throttle.h
+++ b/include/quetzalloft/throttle.h
@@ -117,6 +117,35 @@
 						uint64_t target_ms,
 						GRand *random, uint64_t now_us);
 
+/**
+ * enum ql_throttle_verdict - What decides on a request.
+ * @QL_THROTTLE_PROBE: it is admitted as a probe
+ * @QL_THROTTLE_IN_SHARE: it is admitted, as the caller counts it in
+ * @QL_THROTTLE_CHANCE: it is admitted with the probability of the share
+ * @QL_THROTTLE_BUSY: it is refused, as too many requests are in progress
+ * @QL_THROTTLE_OUT_OF_SHARE: it is refused, as the caller leaves it out
+ */
+typedef enum ql_throttle_verdict {
+	QL_THROTTLE_PROBE,
+	QL_THROTTLE_IN_SHARE,
+	QL_THROTTLE_CHANCE,
+	QL_THROTTLE_BUSY,
+	QL_THROTTLE_OUT_OF_SHARE,
+} ql_throttle_verdict_t;
+
+/**
+ * ql_throttle_look() - Tell what would decide on a request now, without
+ * offering it.
+ * @throttle: throttle of the route
+ * @choice: see ql_throttle_offer_chosen()
+ * @now_us: current time
+ *
+ * Return: the verdict of ql_throttle_offer_chosen().
+ */
+ql_throttle_verdict_t ql_throttle_look(const ql_throttle_t *throttle,
+				       ql_throttle_choice_t choice,
+				       uint64_t now_us);
+
 /**
  * ql_throttle_record_answer() - Adapt the admitted share to an answer.
  * @throttle: throttle of the route
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -30,6 +30,7 @@
 int ql_command_members(int argc, char **argv);
 int ql_command_status(int argc, char **argv);
 int ql_command_drain(int argc, char **argv);
+int ql_command_explain(int argc, char **argv);
 int ql_command_timeline(int argc, char **argv);
 int ql_command_metrics(int argc, char **argv);
 int ql_command_replicas_status(int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -14,6 +14,8 @@
 	{"members", "list nodes and endpoints", ql_command_members},
 	{"status", "show the state of processes", ql_command_status},
 	{"drain", "stop a node gracefully", ql_command_drain},
+	{"explain", "show where a request would go now, and why",
+	 ql_command_explain},
 	{"replicas status", "show the replicas of the configuration",
 	 ql_command_replicas_status},
 	{"replicas add", "add a new replica as a learner",
--- a/src/node/control_service.c
+++ b/src/node/control_service.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define TOPIC_EXPLAIN "explain"
+
 static char *copy_text(const char *text)
 {
 	return strdup(text ? text : "");
@@ -153,6 +155,28 @@
 	}
 }
 
+/* Sets *json to NULL after a failure. */
+static void explain(ql_control_service_t *control,
+		    const ql_rpc_report_args *args, ql_rpc_report_res *res,
+		    json_t **json)
+{
+	GError *error = NULL;
+
+	*json = NULL;
+	if (!control->explain) {
+		res->status = QL_E_NOT_FOUND;
+		res->detail = copy_text("this process has no call path, ask a "
+					"node that receives requests");
+		return;
+	}
+	res->status = control->explain(control->explain_data, json,
+				       args->filter, &error);
+	if (!res->status)
+		return;
+	res->detail = copy_text(error->message);
+	g_error_free(error);
+}
+
 static void handle_report(void *data, const void *in, void *out)
 {
 	ql_control_service_t *control = data;
@@ -165,7 +189,13 @@
 	if (ql_greeting_is_refused(&args->greeting, control->settings->cluster,
 				   &res->status, &res->detail))
 		return;
-	json = control->report(control->report_data, args->topic, args->filter);
+	if (!strcmp(args->topic, TOPIC_EXPLAIN))
+		explain(control, args, res, &json);
+	else
+		json = control->report(control->report_data, args->topic,
+				       args->filter);
+	if (res->status)
+		return;
 	if (!json) {
 		res->status = QL_E_NOT_FOUND;
 		res->detail = copy_text("no report with this topic");
--- a/src/node/control_service.h
+++ b/src/node/control_service.h
@@ -29,6 +29,9 @@
  * @report: returns a new reference to the report on a topic, or NULL when there
  *          is none
  * @report_data: passed to @report
+ * @explain: sets the explanation of a request, see node/path_explain.h; returns
+ *           0 or an error; NULL in a process without a call path
+ * @explain_data: passed to @explain
  * @incarnation: start of this process in microseconds of real time
  * @has_lease: this process holds a lease
  * @lock: guards @state and the registrar
@@ -49,6 +52,9 @@
 	ql_timeline_t *timeline;
 	json_t *(*report)(void *data, const char *topic, const char *filter);
 	void *report_data;
+	int (*explain)(void *data, json_t **out, const char *filter,
+		       GError **error);
+	void *explain_data;
 	uint64_t incarnation;
 	bool has_lease;
 	pthread_mutex_t lock;
--- a/src/node/path_node.c
+++ b/src/node/path_node.c
@@ -1,6 +1,7 @@
 #include "node/path_node.h"
 #include "node/announcements.h"
 #include "node/http_response.h"
+#include "node/path_explain.h"
 #include "node/path_jobs.h"
 #include "quetzalloft/address.h"
 #include "quetzalloft/drain_schedule.h"
@@ -361,6 +362,8 @@
 	node->control.describe_endpoints_data = node;
 	node->control.report = make_report;
 	node->control.report_data = node;
+	node->control.explain = ql_path_explain;
+	node->control.explain_data = node;
 	return ql_control_service_start(&node->control, &member_ops, node,
 					error);
 }
--- a/src/path/front.c
+++ b/src/path/front.c
@@ -186,21 +186,30 @@
 	ql_hops_remove_gate(front->opts.hops, gate);
 }
 
+uint16_t ql_front__next_part(const ql_front_t *front, size_t index)
+{
+	const ql_route_t *route = &front->doc->routes[index];
+	const int64_t *credit = front->routes[index]->split_credit;
+	uint16_t i, best = 0;
+
+	for (i = 1; i < route->n_split; i++)
+		if (credit[i] + route->split[i].weight >
+		    credit[best] + route->split[best].weight)
+			best = i;
+	return best;
+}
+
 uint16_t ql_front_choose_service(ql_front_t *front, size_t index)
 {
 	const ql_route_t *route = &front->doc->routes[index];
 	int64_t *credit = front->routes[index]->split_credit;
-	uint16_t i, best = 0;
-	int64_t sum = 0;
+	uint16_t i, best = ql_front__next_part(front, index);
 
 	if (!route->n_split)
 		return route->service;
 	for (i = 0; i < route->n_split; i++) {
 		credit[i] += route->split[i].weight;
-		sum += route->split[i].weight;
-		if (credit[i] > credit[best])
-			best = i;
+		credit[best] -= route->split[i].weight;
 	}
-	credit[best] -= sum;
 	return route->split[best].service;
 }
--- a/src/path/front_begin.c
+++ b/src/path/front_begin.c
@@ -192,8 +192,7 @@
 	delay_or_start(call);
 }
 
-/* Returns whether a request would be failed at the end of the grace time. */
-static bool ends_too_late(const ql_front_t *front, const ql_route_t *route)
+bool ql_front__ends_too_late(const ql_front_t *front, const ql_route_t *route)
 {
 	const ql_front_route_t *state =
 		front->routes[route - front->doc->routes];
@@ -232,7 +231,7 @@
 	}
 	call = call_new(front, exchange, route, team);
 	count_request(call);
-	if (team && team->rate_per_s > 0 && front->opts.ask_quota)
+	if (ql_front__has_quota(front, team))
 		ql_front__take_quota(call);
 	else
 		ql_front__start_call(call);
@@ -255,7 +254,7 @@
 	route = ql_front__find_route(front, exchange);
 	if (!route)
 		refuse_request(front, exchange, QL_REASON_NO_ROUTE, 0);
-	else if (ends_too_late(front, route))
+	else if (ql_front__ends_too_late(front, route))
 		refuse_request(front, exchange, QL_REASON_DRAINING,
 			       DRAINING_RETRY_AFTER_MS);
 	else
--- a/src/path/front_caller.c
+++ b/src/path/front_caller.c
@@ -41,31 +41,41 @@
 		       : QL_REASON_UNKNOWN_CALLER;
 }
 
+bool ql_front__needs_key(const ql_front_t *front, const ql_route_t *route)
+{
+	return front->doc->teams.n_entries && !route->anonymous &&
+	       front->opts.dialect->api_key;
+}
+
+ql_reason_t ql_front__find_team(const ql_front_t *front, const char *key,
+				const ql_team_t **team)
+{
+	/*
+	 * Whether a key is known is not said without a proof, as it may have
+	 * been added since. The process may have been paused after the time of
+	 * the loop was read.
+	 */
+	if (!ql_front_keys_are_current(front, ql_clock_boot_ms()))
+		return QL_REASON_NOT_CURRENT;
+	*team = ql_teams_find_key(&front->doc->teams, key);
+	return *team ? QL_REASON_NONE : QL_REASON_UNKNOWN_KEY;
+}
+
 ql_reason_t ql_front__identify_caller(const ql_front_t *front,
 				      const ql_http_exchange_t *exchange,
 				      const ql_route_t *route,
 				      const ql_team_t **team)
 {
-	const ql_teams_t *teams = &front->doc->teams;
-	const char *name = front->opts.dialect->api_key;
 	const char *key;
 	size_t n;
 
 	*team = NULL;
-	if (!teams->n_entries || route->anonymous || !name)
+	if (!ql_front__needs_key(front, route))
 		return QL_REASON_NONE;
-	key = only_value(&exchange->headers, name, &n);
+	key = only_value(&exchange->headers, front->opts.dialect->api_key, &n);
 	if (n > 1)
 		return QL_REASON_BAD_REQUEST;
 	if (!n)
 		return check_local_call(front, exchange);
-	/*
-	 * Whether a key is known is not said without a proof, as it may have
-	 * been added since. The process may have been paused after the time of
-	 * the loop was read.
-	 */
-	if (!ql_front_keys_are_current(front, ql_clock_boot_ms()))
-		return QL_REASON_NOT_CURRENT;
-	*team = ql_teams_find_key(teams, key);
-	return *team ? QL_REASON_NONE : QL_REASON_UNKNOWN_KEY;
+	return ql_front__find_team(front, key, team);
 }
--- a/src/path/front_classes.c
+++ b/src/path/front_classes.c
@@ -32,20 +32,35 @@
 	return classes;
 }
 
-ql_front_route_class_t *ql_front__get_route_class(const ql_front_call_t *call)
+/* Returns the name of the state of the class of a request on its route. */
+static const char *state_name(const ql_front_call_t *call,
+			      const ql_class_t *class)
 {
-	const ql_class_t *class = ql_front__find_class(call);
 	bool is_own = class == &call->doc->classes[call->route->class_index];
-	const char *name = is_own ? OWN_CLASS : class->name;
-	ql_front_route_t *route = call->route_state;
-	ql_front_route_class_t *state = NULL;
+
+	return is_own ? OWN_CLASS : class->name;
+}
+
+ql_front_route_class_t *ql_front__find_route_class(const ql_front_call_t *call)
+{
+	const char *name = state_name(call, ql_front__find_class(call));
+	const ql_front_route_t *route = call->route_state;
 	guint i;
 
-	for (i = 0; i < route->classes->len && !state; i++)
+	for (i = 0; i < route->classes->len; i++)
 		if (!strcmp(class_at(route, i)->name, name))
-			state = class_at(route, i);
+			return class_at(route, i);
+	return NULL;
+}
+
+ql_front_route_class_t *ql_front__get_route_class(const ql_front_call_t *call)
+{
+	const ql_class_t *class = ql_front__find_class(call);
+	ql_front_route_class_t *state = ql_front__find_route_class(call);
+
 	if (!state)
-		state = add_route_class(route->classes, name);
+		state = add_route_class(call->route_state->classes,
+					state_name(call, class));
 	state->shed_order = (uint32_t) class->shed_order;
 	return state;
 }
@@ -106,9 +121,11 @@
 }
 
 /* Takes over what the other classes of the route have learned. */
-static void compare_classes(const ql_front_call_t *call)
+static void compare_classes(const ql_front_call_t *call,
+			    ql_route_admission_t *admission,
+			    uint32_t shed_order)
 {
-	ql_front_route_class_t *own = call->route_class, *other;
+	const ql_front_route_class_t *own = call->route_class, *other;
 	ql_admission_peer_t peers[QL_CLASSES_MAX];
 	size_t n = 0;
 	guint i;
@@ -122,7 +139,7 @@
 			.shed_order = other->shed_order,
 		};
 	}
-	ql_route_admission_compare(&own->admission, own->shed_order, peers, n,
+	ql_route_admission_compare(admission, shed_order, peers, n,
 				   ql_front__now_us(call));
 }
 
@@ -146,7 +163,8 @@
 {
 	double share;
 
-	compare_classes(call);
+	compare_classes(call, &call->route_class->admission,
+			call->route_class->shed_order);
 	if (!call->team)
 		return QL_THROTTLE_RANDOM;
 	share = ql_route_admission_share(&call->route_class->admission);
@@ -155,6 +173,27 @@
 				    ql_front__now_us(call));
 }
 
+ql_throttle_choice_t ql_front__look_at_shares(const ql_front_call_t *call,
+					      ql_route_admission_t *admission)
+{
+	const ql_class_t *class = ql_front__find_class(call);
+	const ql_team_shares_t *shares;
+
+	if (call->route_class)
+		*admission = call->route_class->admission;
+	else
+		ql_route_admission_init(admission);
+	compare_classes(call, admission, (uint32_t) class->shed_order);
+	if (!call->team)
+		return QL_THROTTLE_RANDOM;
+	shares = g_hash_table_lookup(call->front->team_shares, class->name);
+	if (!shares)
+		return QL_THROTTLE_RANDOM;
+	return ql_team_shares_look(shares, call->team->name, call->team->weight,
+				   ql_route_admission_share(admission),
+				   ql_front__now_us(call));
+}
+
 void ql_front__record_share(const ql_front_call_t *call,
 			    const ql_admission_decision_t *decision,
 			    ql_throttle_choice_t choice)
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -122,6 +122,84 @@
 const ql_route_t *ql_front__find_route(const ql_front_t *front,
 				       const ql_http_exchange_t *exchange);
 
+/**
+ * ql_front__match_route() - Find the route of a request by host, method and
+ * path.
+ * @front: the front end, with a document
+ * @host: value of the Host header, with or without a port; may be NULL
+ * @method: HTTP method
+ * @target: path, with or without a query
+ *
+ * Return: the route in the document in force, or NULL.
+ */
+const ql_route_t *ql_front__match_route(const ql_front_t *front,
+					const char *host, const char *method,
+					const char *target);
+
+/**
+ * ql_front__ends_too_late() - Check whether a request would be failed at the
+ * end of the grace time.
+ * @front: the front end
+ * @route: route of the request, in the document in force
+ */
+bool ql_front__ends_too_late(const ql_front_t *front, const ql_route_t *route);
+
+/**
+ * ql_front__next_part() - Look up the part of a split that gets the next
+ * request.
+ * @front: the front end
+ * @index: index of the route in the document in force
+ *
+ * Return: index in the split of the route; 0 if it has none.
+ */
+uint16_t ql_front__next_part(const ql_front_t *front, size_t index);
+
+/**
+ * ql_front__needs_key() - Check whether client requests need an API key.
+ * @front: the front end, with a document
+ * @route: route of the request
+ */
+bool ql_front__needs_key(const ql_front_t *front, const ql_route_t *route);
+
+/**
+ * ql_front__find_team() - Find the team of an API key.
+ * @front: the front end, with a document
+ * @key: the API key
+ * @team: set to the team
+ *
+ * Return: QL_REASON_NONE, QL_REASON_NOT_CURRENT or QL_REASON_UNKNOWN_KEY.
+ */
+ql_reason_t ql_front__find_team(const ql_front_t *front, const char *key,
+				const ql_team_t **team);
+
+/**
+ * ql_front__has_quota() - Check whether requests of a team need a token.
+ * @front: the front end
+ * @team: the team; may be NULL
+ */
+bool ql_front__has_quota(const ql_front_t *front, const ql_team_t *team);
+
+/**
+ * ql_front__find_route_class() - Find the state of the class of a client
+ * request on its route.
+ * @call: the request, with its route and team set
+ *
+ * Return: the state, or NULL if there is none yet.
+ */
+ql_front_route_class_t *ql_front__find_route_class(const ql_front_call_t *call);
+
+/**
+ * ql_front__look_at_shares() - Tell what ql_front__compare_shares() would
+ * return, without counting a request.
+ * @call: the request, with its route and team set, and the state of its class
+ *        or NULL
+ * @admission: set to the admission control that would decide, a copy
+ *
+ * Return: the choice; QL_THROTTLE_RANDOM if the team is not known yet.
+ */
+ql_throttle_choice_t ql_front__look_at_shares(const ql_front_call_t *call,
+					      ql_route_admission_t *admission);
+
 /**
  * ql_front__identify_caller() - Find the team of a caller by its API key.
  * @front: the front end, with a document
--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -132,12 +132,19 @@
 		inherit_class(call, id);
 }
 
-/* Matches the host without its port and the path without its query. */
 const ql_route_t *ql_front__find_route(const ql_front_t *front,
 				       const ql_http_exchange_t *exchange)
 {
-	const char *host = ql_headers_get(&exchange->headers, "host");
-	const char *target = exchange->target->str;
+	return ql_front__match_route(front,
+				     ql_headers_get(&exchange->headers, "host"),
+				     exchange->method, exchange->target->str);
+}
+
+/* Matches the host without its port and the path without its query. */
+const ql_route_t *ql_front__match_route(const ql_front_t *front,
+					const char *host, const char *method,
+					const char *target)
+{
 	char name[QL_NAME_MAX] = "";
 	char path[QL_PATH_MAX * 8];
 
@@ -145,5 +152,5 @@
 		g_strlcpy(name, host,
 			  MIN(strcspn(host, ":") + 1, sizeof(name)));
 	g_strlcpy(path, target, MIN(strcspn(target, "?") + 1, sizeof(path)));
-	return ql_document_match(front->doc, -1, name, exchange->method, path);
+	return ql_document_match(front->doc, -1, name, method, path);
 }
--- a/src/path/front_quota.c
+++ b/src/path/front_quota.c
@@ -94,6 +94,11 @@
 	return MAX(limit_ms / WAIT_PART, 1);
 }
 
+bool ql_front__has_quota(const ql_front_t *front, const ql_team_t *team)
+{
+	return team && team->rate_per_s > 0 && front->opts.ask_quota;
+}
+
 void ql_front__take_quota(ql_front_call_t *call)
 {
 	ql_front_t *front = call->front;
--- a/src/policy/balancer.c
+++ b/src/policy/balancer.c
@@ -168,9 +168,10 @@
 	N_PASSES,
 } search_pass_t;
 
-/* A pass and the endpoints that it must leave out. */
+/* A pass, the endpoints that it must leave out, and whether none is drawn. */
 typedef struct {
 	search_pass_t pass;
+	bool all;
 	const ql_handle_t *tried;
 	size_t n_tried;
 	uint64_t now_us;
@@ -292,7 +293,8 @@
 					: balancer->all;
 
 	g_array_set_size(balancer->candidates, 0);
-	if (handles->len > (balancer->ops->weighted ? SCANNED_WEIGHTED_MAX
+	if (!search->all &&
+	    handles->len > (balancer->ops->weighted ? SCANNED_WEIGHTED_MAX
 						    : SCANNED_ENDPOINTS_MAX))
 		draw_candidates(balancer, handles, search);
 	if (!balancer->candidates->len)
@@ -340,6 +342,91 @@
 	return handle;
 }
 
+static ql_endpoint_obstacle_t obstacle_of(const ql_endpoint_t *endpoint,
+					  uint64_t now_us)
+{
+	if (!has_connection(endpoint))
+		return QL_OBSTACLE_CONNECTIONS;
+	if (!is_healthy(endpoint, now_us))
+		return endpoint->ejected_until_us > now_us ? QL_OBSTACLE_EJECTED
+							   : QL_OBSTACLE_PROBED;
+	if (!has_capacity(endpoint, now_us))
+		return endpoint->backoff_until_us > now_us ? QL_OBSTACLE_BACKOFF
+							   : QL_OBSTACLE_SLOTS;
+	return QL_OBSTACLE_NONE;
+}
+
+static void fill_look(ql_endpoint_look_t *look, const ql_balancer_t *balancer,
+		      const ql_endpoint_t *endpoint, uint64_t now_us)
+{
+	*look = (ql_endpoint_look_t){
+		.endpoint = endpoint,
+		.same_domain = endpoint->same_domain_position != UINT32_MAX,
+		.latency_us =
+			ql_balancer__expected_latency_us(balancer, endpoint,
+							 now_us),
+		.failure_ratio =
+			ql_balancer__expected_failure_ratio(endpoint, now_us),
+		.refusal_ratio =
+			ql_balancer__expected_refusal_ratio(endpoint, now_us),
+		.obstacle = obstacle_of(endpoint, now_us),
+	};
+}
+
+static bool is_better(ql_estimate_kind_t kind, double a, double b)
+{
+	return kind == QL_ESTIMATE_WEIGHT ? a > b : a < b;
+}
+
+/* Marks the candidates; of those compared, the best is the likely one. */
+static void mark_candidates(const ql_balancer_t *balancer,
+			    ql_estimate_kind_t kind, const double *estimates,
+			    ql_endpoint_look_t *out)
+{
+	const ql_endpoint_t *endpoint;
+	guint i, best = 0;
+
+	for (i = 0; i < balancer->candidates->len; i++) {
+		endpoint = ql_balancer__endpoint_at(balancer,
+						    balancer->candidates, i);
+		out[endpoint->position].candidate = true;
+		out[endpoint->position].estimate = estimates[i];
+		if (is_better(kind, estimates[i], estimates[best]))
+			best = i;
+	}
+	if (!i || (kind == QL_ESTIMATE_NONE && i > 1))
+		return;
+	endpoint =
+		ql_balancer__endpoint_at(balancer, balancer->candidates, best);
+	out[endpoint->position].likely = true;
+}
+
+/* The policy works on a copy, which has candidates of its own. */
+ql_estimate_kind_t ql_balancer_look(const ql_balancer_t *balancer,
+				    const ql_pick_request_t *request,
+				    uint64_t now_us, ql_endpoint_look_t *out)
+{
+	search_t search = {.all = true, .now_us = now_us};
+	ql_balancer_t copy = *balancer;
+	ql_estimate_kind_t kind;
+	double *estimates;
+	guint i;
+
+	for (i = 0; i < balancer->all->len; i++)
+		fill_look(&out[i], balancer,
+			  ql_balancer__endpoint_at(balancer, balancer->all, i),
+			  now_us);
+	copy.candidates = handles_new();
+	copy.random = NULL;
+	find_candidates(&copy, &search);
+	estimates = g_new0(double, copy.candidates->len + 1);
+	kind = copy.ops->estimate(&copy, request, now_us, estimates);
+	mark_candidates(&copy, kind, estimates, out);
+	g_free(estimates);
+	g_array_free(copy.candidates, TRUE);
+	return kind;
+}
+
 static uint32_t compute_min_level(const ql_balancer_t *balancer,
 				  uint64_t now_us)
 {
--- a/src/policy/balancer_choice.c
+++ b/src/policy/balancer_choice.c
@@ -30,6 +30,14 @@
 						    (gint32)candidates->len));
 }
 
+static ql_estimate_kind_t
+estimate_alike(ql_balancer_t *balancer G_GNUC_UNUSED,
+	       const ql_pick_request_t *request G_GNUC_UNUSED,
+	       uint64_t now_us G_GNUC_UNUSED, double *estimates G_GNUC_UNUSED)
+{
+	return QL_ESTIMATE_NONE;
+}
+
 /*
  * Expected latency in microseconds, multiplied by the attempts in flight
  * including one more; higher during slow start and back-off.
@@ -46,6 +54,22 @@
 						   : cost;
 }
 
+static ql_estimate_kind_t
+estimate_load_cost(ql_balancer_t *balancer,
+		   const ql_pick_request_t *request G_GNUC_UNUSED,
+		   uint64_t now_us, double *estimates)
+{
+	guint i;
+
+	for (i = 0; i < balancer->candidates->len; i++)
+		estimates[i] = expected_load_cost(
+			balancer,
+			ql_balancer__endpoint_at(balancer, balancer->candidates,
+						 i),
+			now_us);
+	return QL_ESTIMATE_COST;
+}
+
 /*
  * Compares expected load costs. The reported load level only breaks ties, as it
  * can be outdated or wrong.
@@ -134,6 +158,21 @@
 	return cost_us;
 }
 
+static ql_estimate_kind_t estimate_cost(ql_balancer_t *balancer,
+					const ql_pick_request_t *request,
+					uint64_t now_us, double *estimates)
+{
+	guint i;
+
+	for (i = 0; i < balancer->candidates->len; i++)
+		estimates[i] = expected_cost_us(
+			balancer,
+			ql_balancer__endpoint_at(balancer, balancer->candidates,
+						 i),
+			request, now_us);
+	return QL_ESTIMATE_COST;
+}
+
 /*
  * Moves the candidates in the failure domain of this node to the beginning.
  * Returns their number.
@@ -188,30 +227,47 @@
 const ql_balancer_ops_t ql_balancer_random = {
 	.name = "random",
 	.pick = pick_random,
+	.estimate = estimate_alike,
 };
 const ql_balancer_ops_t ql_balancer_two_choices = {
 	.name = "two_choices",
 	.pick = pick_two_choices,
+	.estimate = estimate_load_cost,
 };
 const ql_balancer_ops_t ql_balancer_least_time = {
 	.name = "least_time",
 	.cross_domain = true,
 	.pick = pick_least_time,
+	.estimate = estimate_cost,
 };
 
 /* Few endpoints are all known, and each one that is fuller matters. */
+static const ql_balancer_ops_t *auto_policy(const ql_balancer_t *balancer)
+{
+	return balancer->all->len <= QL_BALANCER_FEW_ENDPOINTS_MAX
+		       ? &ql_balancer_even_load
+		       : &ql_balancer_least_time;
+}
+
 static ql_handle_t pick_auto(ql_balancer_t *balancer,
 			     const ql_pick_request_t *request, uint64_t now_us)
 {
-	if (balancer->all->len <= QL_BALANCER_FEW_ENDPOINTS_MAX)
-		return ql_balancer_even_load.pick(balancer, request, now_us);
-	return pick_least_time(balancer, request, now_us);
+	return auto_policy(balancer)->pick(balancer, request, now_us);
+}
+
+static ql_estimate_kind_t estimate_auto(ql_balancer_t *balancer,
+					const ql_pick_request_t *request,
+					uint64_t now_us, double *estimates)
+{
+	return auto_policy(balancer)->estimate(balancer, request, now_us,
+					       estimates);
 }
 
 const ql_balancer_ops_t ql_balancer_auto = {
 	.name = "auto",
 	.cross_domain = true,
 	.pick = pick_auto,
+	.estimate = estimate_auto,
 };
 
 const ql_balancer_ops_t *ql_balancer_find(const char *name)
--- a/src/policy/balancer_even_load.c
+++ b/src/policy/balancer_even_load.c
@@ -218,6 +218,36 @@
 	return 1 - (1 - state->cross_share) * state->own_quality;
 }
 
+static double weight_of(const ql_balancer_t *balancer,
+			const ql_endpoint_t *endpoint, double factor,
+			uint64_t now_us)
+{
+	double weight = even_weight(balancer, endpoint, now_us);
+
+	return endpoint->same_domain_position == UINT32_MAX ? weight * factor
+							    : weight;
+}
+
+static ql_estimate_kind_t
+estimate_weight(ql_balancer_t *balancer,
+		const ql_pick_request_t *request G_GNUC_UNUSED, uint64_t now_us,
+		double *estimates)
+{
+	double factor;
+	guint i;
+
+	update_means(balancer, now_us);
+	factor = cross_factor(balancer);
+	for (i = 0; i < balancer->candidates->len; i++)
+		estimates[i] =
+			weight_of(balancer,
+				  ql_balancer__endpoint_at(balancer,
+							   balancer->candidates,
+							   i),
+				  factor, now_us);
+	return QL_ESTIMATE_WEIGHT;
+}
+
 static ql_handle_t
 pick_even_load(ql_balancer_t *balancer,
 	       const ql_pick_request_t *request G_GNUC_UNUSED, uint64_t now_us)
@@ -232,9 +262,7 @@
 	factor = cross_factor(balancer);
 	for (i = 0; i < candidates->len; i++) {
 		endpoint = ql_balancer__endpoint_at(balancer, candidates, i);
-		weight = even_weight(balancer, endpoint, now_us);
-		if (endpoint->same_domain_position == UINT32_MAX)
-			weight *= factor;
+		weight = weight_of(balancer, endpoint, factor, now_us);
 		sum += weight;
 		/* Each is chosen with its weight, in one pass. */
 		if (g_rand_double(balancer->random) * sum < weight)
@@ -276,4 +304,5 @@
 	.cross_domain = true,
 	.weighted = true,
 	.pick = pick_even_load,
+	.estimate = estimate_weight,
 };
--- a/src/policy/quota_wallet.c
+++ b/src/policy/quota_wallet.c
@@ -78,6 +78,20 @@
 	return n;
 }
 
+static uint64_t tokens_left(const ql_quota_account_t *account, uint64_t now_us)
+{
+	const batch_t *batch;
+	uint64_t n = 0;
+	guint i;
+
+	for (i = 0; i < account->batches->len; i++) {
+		batch = &g_array_index(account->batches, batch_t, i);
+		if (batch->end_us > now_us)
+			n += batch->n;
+	}
+	return n;
+}
+
 /* Takes the token that ends first. Returns its end, or 0 if there is none. */
 static uint64_t take_token(ql_quota_account_t *account, uint64_t now_us)
 {
@@ -182,6 +196,34 @@
 	return result;
 }
 
+/* Those that wait already are served first. */
+static ql_quota_verdict_t decide(const ql_quota_account_t *account,
+				 uint64_t now_us)
+{
+	if (now_us < account->unlimited_until_us)
+		return QL_QUOTA_TAKEN;
+	if (!account->waiters.length && tokens_left(account, now_us))
+		return QL_QUOTA_TAKEN;
+	return now_us < account->none_before_us ? QL_QUOTA_NONE : QL_QUOTA_WAIT;
+}
+
+ql_quota_look_t ql_quota_wallet_look(const ql_quota_wallet_t *wallet,
+				     const char *team, uint64_t now_us)
+{
+	const ql_quota_account_t *account =
+		g_hash_table_lookup(wallet->accounts, team);
+	ql_quota_look_t look = {.verdict = QL_QUOTA_WAIT};
+
+	if (!account)
+		return look;
+	look.verdict = decide(account, now_us);
+	look.unlimited = now_us < account->unlimited_until_us;
+	look.tokens = tokens_left(account, now_us);
+	if (now_us < account->none_before_us)
+		look.retry_us = account->none_before_us - now_us;
+	return look;
+}
+
 ql_quota_result_t ql_quota_wallet_take(ql_quota_wallet_t *wallet,
 				       const char *team,
 				       ql_quota_waiter_t *waiter,
@@ -190,17 +232,15 @@
 	ql_quota_account_t *account = get_account(wallet, team);
 	ql_quota_ask_t unused;
 	ql_quota_result_t result;
-	uint64_t end_us = 0;
+	ql_quota_verdict_t verdict;
 
 	count_demand(account, now_us);
 	if (now_us < account->unlimited_until_us)
 		return taken(account, 0);
-	/* Those that wait already are served first. */
-	if (!account->waiters.length)
-		end_us = take_token(account, now_us);
-	if (end_us)
-		result = taken(account, end_us);
-	else if (now_us < account->none_before_us)
+	verdict = decide(account, now_us);
+	if (verdict == QL_QUOTA_TAKEN)
+		result = taken(account, take_token(account, now_us));
+	else if (verdict == QL_QUOTA_NONE)
 		result = refused(account, now_us);
 	else
 		result = wait_for_token(account, waiter);
--- a/src/policy/route_admission.c
+++ b/src/policy/route_admission.c
@@ -27,17 +27,49 @@
 	return guaranteed ? &admission->guaranteed : &admission->best_effort;
 }
 
+/* Checks whether one more offered request is to be a guaranteed one. */
+static bool is_next_guaranteed(const ql_route_admission_t *admission,
+			       double share)
+{
+	return admission->credit + share >= 1;
+}
+
 /*
  * Adds the guaranteed share of one offered request to the credit. Takes 1 from
  * it and returns true if the request is to be a guaranteed one.
  */
 static bool take_guaranteed(ql_route_admission_t *admission, double share)
 {
+	bool guaranteed = is_next_guaranteed(admission, share);
+
 	admission->credit += share;
-	if (admission->credit < 1)
-		return false;
-	admission->credit -= 1;
-	return true;
+	if (guaranteed)
+		admission->credit -= 1;
+	return guaranteed;
+}
+
+static ql_throttle_choice_t choice_of(const ql_admission_offer_t *offer,
+				      bool guaranteed)
+{
+	return guaranteed ? QL_THROTTLE_RANDOM : offer->choice;
+}
+
+ql_admission_look_t
+ql_route_admission_look(const ql_route_admission_t *admission,
+			const ql_admission_offer_t *offer)
+{
+	bool guaranteed =
+		is_next_guaranteed(admission, offer->guaranteed_share);
+	const ql_throttle_t *throttle =
+		guaranteed ? &admission->guaranteed : &admission->best_effort;
+
+	return (ql_admission_look_t){
+		.guaranteed = guaranteed,
+		.verdict =
+			ql_throttle_look(throttle, choice_of(offer, guaranteed),
+					 offer->now_us),
+		.share = throttle->share,
+	};
 }
 
 ql_admission_decision_t
@@ -45,8 +77,7 @@
 			 const ql_admission_offer_t *offer)
 {
 	bool guaranteed = take_guaranteed(admission, offer->guaranteed_share);
-	ql_throttle_choice_t choice =
-		guaranteed ? QL_THROTTLE_RANDOM : offer->choice;
+	ql_throttle_choice_t choice = choice_of(offer, guaranteed);
 	ql_throttle_decision_t decision =
 		ql_throttle_offer_chosen(find_throttle(admission, guaranteed),
 					 choice, offer->target_ms,
--- a/src/policy/team_shares.c
+++ b/src/policy/team_shares.c
@@ -234,6 +234,22 @@
 	return take ? QL_THROTTLE_TAKE : QL_THROTTLE_LEAVE;
 }
 
+/* A team that is known is offered to a copy without any random number. */
+ql_throttle_choice_t ql_team_shares_look(const ql_team_shares_t *shares,
+					 const char *name, double weight,
+					 double share, uint64_t now_us)
+{
+	ql_team_shares_t copy = *shares;
+	ql_throttle_choice_t choice;
+
+	if (!find_team(shares, name))
+		return QL_THROTTLE_RANDOM;
+	copy.teams = g_array_copy(shares->teams);
+	choice = ql_team_shares_offer(&copy, name, weight, share, now_us);
+	g_array_free(copy.teams, TRUE);
+	return choice;
+}
+
 void ql_team_shares_record(ql_team_shares_t *shares, const char *name,
 			   bool admitted, bool guaranteed)
 {
--- a/src/policy/throttle.c
+++ b/src/policy/throttle.c
@@ -92,12 +92,37 @@
 		       throttle->probe_interval_us * (1 + throttle->n_peers);
 }
 
-static bool is_in_share(const ql_throttle_t *throttle,
-			ql_throttle_choice_t choice, GRand *random)
+/* Decides on a request that has been counted, apart from a random choice. */
+static ql_throttle_verdict_t decide(const ql_throttle_t *throttle,
+				    ql_throttle_choice_t choice,
+				    uint64_t now_us)
 {
+	if (is_probe_due(throttle, now_us))
+		return QL_THROTTLE_PROBE;
+	if (!is_below_in_progress_limit(throttle))
+		return QL_THROTTLE_BUSY;
 	if (choice == QL_THROTTLE_RANDOM)
+		return QL_THROTTLE_CHANCE;
+	return choice == QL_THROTTLE_TAKE ? QL_THROTTLE_IN_SHARE
+					  : QL_THROTTLE_OUT_OF_SHARE;
+}
+
+static bool is_admitted(const ql_throttle_t *throttle,
+			ql_throttle_verdict_t verdict, GRand *random)
+{
+	if (verdict == QL_THROTTLE_CHANCE)
 		return g_rand_double(random) < throttle->share;
-	return choice == QL_THROTTLE_TAKE;
+	return verdict == QL_THROTTLE_PROBE || verdict == QL_THROTTLE_IN_SHARE;
+}
+
+ql_throttle_verdict_t ql_throttle_look(const ql_throttle_t *throttle,
+				       ql_throttle_choice_t choice,
+				       uint64_t now_us)
+{
+	ql_throttle_t counted = *throttle;
+
+	record_offer(&counted, now_us);
+	return decide(&counted, choice, now_us);
 }
 
 ql_throttle_decision_t ql_throttle_offer(ql_throttle_t *throttle,
@@ -116,9 +141,7 @@
 	ql_throttle_decision_t decision = {0};
 
 	record_offer(throttle, now_us);
-	if (is_probe_due(throttle, now_us) ||
-	    (is_below_in_progress_limit(throttle) &&
-	     is_in_share(throttle, choice, random))) {
+	if (is_admitted(throttle, decide(throttle, choice, now_us), random)) {
 		throttle->last_admitted_us = now_us;
 		throttle->in_progress++;
 		return decision;
--- a/tests/cli/commands.sh
+++ b/tests/cli/commands.sh
@@ -80,6 +80,9 @@
 expect 0 '"failure_domain": "d1"' members --json
 expect 5 "$nobody" members --server "$QUETZALLOFT_SERVERS" --server "$nobody"
 expect 0 "nodes behind: 0" config status
+expect 64 "exactly one" explain --server "$nobody" --server "$other" /x
+expect 65 "no call path" explain --server "$other" /x
+expect 75 "Connection refused" explain --server "$nobody" /x
 expect 64 "exactly one" drain --server "$nobody" --server "$other"
 expect 0 "has stopped" drain --server "$other"
 wait "$TOWN_NODE_1" || fail "the drained node did not exit with status 0"
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -28,6 +28,21 @@
 	"config_version":2,"lease_age_ms":2,"endpoints":[]}],"domains":[
 	{"failure_domain":"d2","age_ms":9000,"covered":false,"stale":true}]})";
 
+const char EXPLANATION[] =
+	R"({"outcome":"by_chance","version":3,"team":"red","call":false,
+	"route":{"name":"get","target_ms":50,"deadline_ms":900},
+	"class":{"name":"low","shed_order":1},
+	"keys":{"current":true,"age_ms":12,"lease_ms":9000},
+	"quota":{"rate_per_s":5.0,"burst":7.0,"tokens":2,"next":"admitted",
+	"room_in_ms":null},"admission":{"share":0.5,"guaranteed_share":0.1,
+	"in_progress":4,"next_by":"chance","next_chance":0.5},
+	"service":{"name":"a","split":[{"service":"a","weight":3,"next":true},
+	{"service":"b","weight":1,"next":false}]},"balancer":{
+	"policy":"least_time","likely":"127.0.0.9:1","compared_by":"cost",
+	"reason":"it is the only candidate","endpoints":[{"gate":"127.0.0.9:1",
+	"likely":true,"estimate":812.5,"occupancy":0.25,
+	"occupancy_age_ms":40,"obstacle":"none"}]}})";
+
 /* Runs commands against a control port with scripted answers. */
 class Commands : public testing::Test
 {
@@ -72,6 +87,10 @@
 			json_decref(json);
 		} else if (!strcmp(args->topic, "members")) {
 			res->report.report_val = strdup(MEMBERS);
+		} else if (!strcmp(args->topic, "explain")) {
+			self->answer_explain(args->filter, res);
+			if (res->status)
+				return;
 		} else {
 			res->status = QL_E_NOT_FOUND;
 			return;
@@ -79,6 +98,37 @@
 		res->report.report_len = (u_int)strlen(res->report.report_val);
 	}
 
+	/* Answers as the path of the request asks for. */
+	void answer_explain(const char *asked, ql_rpc_report_res *res)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		const struct {
+			const char *path;
+			int status;
+			const char *detail;
+		} errors[] = {
+			{"/route", QL_E_NOT_FOUND, "no route"},
+			{"/key", QL_E_UNKNOWN_KEY, "no team"},
+			{"/missing", QL_E_MISSING_KEY, "need an API key"},
+			{"/proof", QL_E_PENDING, "cannot prove"},
+			{"/leaving", QL_E_UNAVAILABLE, "is leaving"},
+			{"/core", QL_E_NOT_FOUND, "no call path"},
+			{"/slow", QL_E_TIMEOUT, "did not answer"},
+		};
+
+		filter = asked;
+		for (const auto &e : errors) {
+			if (filter.find(std::string("\"") + e.path + "\"") ==
+			    std::string::npos)
+				continue;
+			res->status = e.status;
+			free(res->detail);
+			res->detail = strdup(e.detail);
+			return;
+		}
+		res->report.report_val = strdup(EXPLANATION);
+	}
+
 	/* Answers "not leader" first, then "pending", then accepts the patch.
 	 */
 	static void patch(void *data, const void *in, void *out)
@@ -167,6 +217,7 @@
 	ql_rpc_server_t server;
 	std::mutex lock; /* guards ids */
 	std::vector<std::string> ids;
+	std::string filter; /* of the last explanation */
 	std::string out, err;
 };
 
@@ -340,6 +391,84 @@
 	g_free(folder);
 }
 
+TEST_F(Commands, ExplainMapsEachErrorToAStatus)
+{
+	const std::string LONG(600, 'x');
+	const struct {
+		std::vector<std::string> words;
+		int status;
+		const char *err;
+	} cases[] = {
+		{{"-s", ADDRESS, "/ok"}, EX_OK, ""},
+		{{"-s", ADDRESS, "/route"}, EX_DATAERR, "no route"},
+		{{"-s", ADDRESS, "/key"}, EX_DATAERR, "no team"},
+		{{"-s", ADDRESS, "/missing"}, EX_DATAERR, "need an API key"},
+		{{"-s", ADDRESS, "/proof"}, EX_TEMPFAIL, "cannot prove"},
+		{{"-s", ADDRESS, "/leaving"}, EX_TEMPFAIL, "is leaving"},
+		{{"-s", ADDRESS, "/core"}, EX_DATAERR, "no call path"},
+		{{"-s", ADDRESS, "/slow"}, EX_TEMPFAIL, "did not answer"},
+		{{"-s", UNUSED_ADDRESS, "/ok"}, EX_TEMPFAIL, "unavailable"},
+		{{"-s", ADDRESS}, EX_USAGE, "--help"},
+		{{"-s", ADDRESS, "relative"}, EX_USAGE, "must start with"},
+		{{"-s", ADDRESS, "-s", ADDRESS, "/ok"},
+		 EX_USAGE,
+		 "exactly one"},
+		{{"-s", ADDRESS, "-m", "LONGNAME", "/ok"},
+		 EX_USAGE,
+		 "--method"},
+		{{"-s", ADDRESS, "-m", "", "/ok"}, EX_USAGE, "--method"},
+		{{"-s", ADDRESS, "-H", LONG, "/ok"}, EX_USAGE, "--host"},
+		{{"-s", ADDRESS, "/" + LONG}, EX_USAGE, "511 bytes"},
+		{{"-s", ADDRESS, "--api-key", "k", "/ok"}, EX_USAGE, "--help"},
+		{{"-s", ADDRESS, "--key", "k", "/ok"}, EX_NOINPUT, "k"},
+		{{"-s", ADDRESS, "-k", "/nowhere", "/ok"},
+		 EX_NOINPUT,
+		 "/nowhere"},
+		{{"-s", ADDRESS, "-k", "/dev/null", "/ok"},
+		 EX_DATAERR,
+		 "empty"},
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.words.back());
+		std::vector<std::string> words = c.words;
+
+		words.insert(words.begin(), {"-c", "town"});
+		EXPECT_EQ(c.status, run(ql_command_explain, words));
+		EXPECT_NE(std::string::npos, err.find(c.err)) << err;
+	}
+}
+
+TEST_F(Commands, ExplainShowsAllPartsAndNeverTheKey)
+{
+	char *folder = g_dir_make_tmp(nullptr, nullptr);
+	std::string path = std::string(folder) + "/key";
+
+	g_file_set_contents(path.c_str(), "secret-1\n", -1, nullptr);
+	EXPECT_EQ(EX_OK, run(ql_command_explain,
+			     {"-s", ADDRESS, "-c", "town", "-m", "POST", "-H",
+			      "shop", "-k", path, "/ok"}));
+	EXPECT_EQ(R"({"call":false,"host":"shop","key":"secret-1",)"
+		  R"("method":"POST","path":"/ok"})",
+		  filter);
+	for (const char *text :
+	     {"by_chance", "get, target 50 ms", "red", "shed order 1",
+	      "proven 12 ms ago", "tokens held 2", "share 0.5", "chance 0.5",
+	      "127.0.0.9:1", "812.5", "0.25", "40", "only candidate"})
+		EXPECT_NE(std::string::npos, out.find(text)) << text << out;
+	EXPECT_EQ(std::string::npos, (out + err).find("secret"));
+	g_setenv("QUETZALLOFT_KEY", "secret-2", TRUE);
+	EXPECT_EQ(EX_OK, run(ql_command_explain,
+			     {"-s", ADDRESS, "-c", "town", "--json", "/ok"}));
+	EXPECT_NE(std::string::npos, filter.find("secret-2"));
+	EXPECT_EQ(std::string::npos, (out + err).find("secret"));
+	EXPECT_NE(std::string::npos, out.find("\"next_by\"")) << out;
+	g_unsetenv("QUETZALLOFT_KEY");
+	unlink(path.c_str());
+	rmdir(folder);
+	g_free(folder);
+}
+
 TEST_F(Commands, CheckDetectsTheKindOfFile)
 {
 	struct {
@@ -382,13 +511,13 @@
 TEST_F(Commands, PrintHelpAndRejectUnknownOptions)
 {
 	int (*const commands[])(int, char **) = {
-		ql_command_config_get,	    ql_command_config_patch,
-		ql_command_config_status,   ql_command_members,
-		ql_command_status,	    ql_command_drain,
-		ql_command_timeline,	    ql_command_metrics,
-		ql_command_check,	    ql_command_replicas_status,
-		ql_command_replicas_add,    ql_command_replicas_promote,
-		ql_command_replicas_remove,
+		ql_command_config_get,	     ql_command_config_patch,
+		ql_command_config_status,    ql_command_members,
+		ql_command_status,	     ql_command_drain,
+		ql_command_explain,	     ql_command_timeline,
+		ql_command_metrics,	     ql_command_check,
+		ql_command_replicas_status,  ql_command_replicas_add,
+		ql_command_replicas_promote, ql_command_replicas_remove,
 	};
 
 	for (auto command : commands) {
--- a/tests/node/quota.sh
+++ b/tests/node/quota.sh
@@ -70,6 +70,30 @@
 expect "429" "no request was refused for the quota"
 send | grep -qi "^Retry-After" || fail "a refusal without a time"
 expect "no-endpoint" "no request got a token of the next ones"
+
+# explain STATUS TEXT KEY [OPTIONS...]: asks the node where a request would go
+explain() {
+	status=$1
+	text=$2
+	key=$3
+	shift 3
+	QUETZALLOFT_KEY=$key "$TOWN_BUILD/src/cli/quetzalloft" explain \
+		--server "$host:$(town_port 0 3)" --cluster "$TOWN_CLUSTER" \
+		"$@" >"$TOWN_DIR/out" 2>&1
+	found=$?
+	[ "$found" -eq "$status" ] && grep -q "$text" "$TOWN_DIR/out" &&
+		! grep -q "key-1" "$TOWN_DIR/out" ||
+		fail "explain $*: $found, $(cat "$TOWN_DIR/out")"
+}
+
+explain 0 "team       red" key-1 /orders/1
+explain 0 '"rate_per_s": 0.5' key-1 --json /orders/1
+explain 0 "not asked for a call" "" --call /orders/1
+explain 65 "unknown_key" key-2 /orders/1
+explain 65 "missing_key" "" /orders/1
+explain 65 "not_found" key-1 /elsewhere
+explain 64 "must start" key-1 orders
+grep -q "key-1" "$TOWN_DIR"/*.log && fail "a key is in the log"
 kill -STOP "$TOWN_NODE_0"
 expect "quota-unknown" "a request was not refused without the leader"
 kill -CONT "$TOWN_NODE_0"
