--- a/src/policy/document_classes.c
+++ b/src/policy/document_classes.c
@@ -43,13 +43,14 @@
 	char name[2 * QL_NAME_MAX];
 	int length = snprintf(name, sizeof(name), "%s.%s", team_class->name,
 			      route_class->name);
+	uint64_t hash;
 
 	if (length >= QL_NAME_MAX || strchr(team_class->name, '.') ||
 	    strchr(route_class->name, '.') || is_base_class(doc, name)) {
 		name[strlen(team_class->name)] = '\n';
-		length = snprintf(name, sizeof(name),
-				  "combined-%016" G_GINT64_MODIFIER "x",
-				  (uint64_t)XXH3_64bits(name, (size_t)length));
+		hash = XXH3_64bits(name, (size_t)length);
+		snprintf(name, sizeof(name),
+			 "combined-%016" G_GINT64_MODIFIER "x", hash);
 	}
 	g_strlcpy(class->name, name, sizeof(class->name));
 }
