Do not take the fast failures of an endpoint for speed

even_load gives an endpoint its part in proportion to its speed.

An endpoint that answers faster than usual is now held for that fast only in so far as it does not fail. The other policies are unchanged.

--- a/src/policy/balancer_even_load.c
+++ b/src/policy/balancer_even_load.c
@@ -187,11 +187,20 @@
 		     CORRECTION_MIN, CORRECTION_MAX);
 }
 
+/* Failures are often fast, which is no speed. */
+static double relative_latency(const ql_endpoint_t *endpoint, uint64_t now_us)
+{
+	double relative =
+		ql_balancer__expected_relative_latency(endpoint, now_us);
+	double failures = ql_balancer__expected_failure_ratio(endpoint, now_us);
+
+	return relative < 1 ? relative + (1 - relative) * failures : relative;
+}
+
 static double even_weight(const ql_balancer_t *balancer,
 			  const ql_endpoint_t *endpoint, uint64_t now_us)
 {
-	return slots_of(endpoint) /
-	       ql_balancer__expected_relative_latency(endpoint, now_us) *
+	return slots_of(endpoint) / relative_latency(endpoint, now_us) *
 	       quality(balancer, endpoint, now_us) *
 	       correction(balancer, endpoint, now_us);
 }
--- a/tests/policy/even_load_test.cc
+++ b/tests/policy/even_load_test.cc
@@ -641,4 +641,44 @@
 	g_rand_free(random);
 }
 
+/* An endpoint that answers fast because it fails does not draw the load. */
+TEST(EvenLoad, AFastFailureIsNotSpeed)
+{
+	constexpr int kEndpoints = 8, kPicks = 4000;
+	GRand *random = g_rand_new_with_seed(1);
+	ql_pick_request_t request = {};
+	uint64_t now_us = kStartUs;
+	int picks[kEndpoints] = {};
+	std::vector<ql_handle_t> handles;
+	ql_balancer_t balancer;
+
+	ql_balancer_init(&balancer, &ql_balancer_even_load, "d", random);
+	for (int i = 0; i < kEndpoints; i++) {
+		ql_endpoint_info_t info = {};
+
+		g_snprintf(info.gate, sizeof(info.gate), "g%d", i);
+		info.slots = 10;
+		handles.push_back(ql_balancer_add(&balancer, &info, kStartUs));
+	}
+	for (int i = 0; i < kPicks; i++, now_us += 10 * QL_US_PER_MS) {
+		ql_handle_t handle =
+			ql_balancer_pick(&balancer, &request, now_us);
+		size_t index = (size_t)(std::find(handles.begin(),
+						  handles.end(), handle) -
+					handles.begin());
+		ql_attempt_result_t result = {};
+
+		ASSERT_LT(index, handles.size());
+		picks[index]++;
+		result.outcome = QL_OUTCOME_ANSWERED;
+		result.failed = !index;
+		result.latency_us = index ? 100 * QL_US_PER_MS : QL_US_PER_MS;
+		result.typical_latency_us = 100.0 * QL_US_PER_MS;
+		ql_balancer_record_result(&balancer, handle, &result, now_us);
+	}
+	EXPECT_LT(picks[0], kPicks / kEndpoints / 2);
+	ql_balancer_finish(&balancer);
+	g_rand_free(random);
+}
+
 } // namespace
