--- a/src/control/member.c
+++ b/src/control/member.c
@@ -42,7 +42,7 @@
  * the replicas has no proof while there is a leader, which is three of
  * QL_REGISTRARS_MAX at most, so one of these is in touch then.
  */
-#define REGISTRARS_IN_TURN_MAX (2u * QL_REGISTRARS_ACTIVE)
+#define REGISTRARS_IN_TURN_MAX ((size_t)2 * QL_REGISTRARS_ACTIVE)
 /* Consecutive failures after which a registrar may be replaced by a new one. */
 #define REGISTRAR_REPLACE_FAILURES 4u
 
