Name the replica that gave no tokens, and mend the pages after a reading

Cause: a reader who is new to the code found that quota_ask_failed names the replica that is asked next, and pages and comments that the code does not keep: what unknown-key means, what used and given count, which policies a role takes, how far a quota without burst holds.

Conclusion: of the reading, two rings for the times of rounds, two counts of tokens and a long init_path are left as they are.

--- a/include/quetzalloft/quota_wallet.h
+++ b/include/quetzalloft/quota_wallet.h
@@ -58,7 +58,8 @@
 
 /**
  * struct ql_quota_usage - Counts of the requests of a team.
- * @used: requests that took a token
+ * @used: requests that were let through, with a token or because the team has
+ * no quota for now; without those whose token was put back
  * @refused: requests that the quota had no token for
  */
 typedef struct ql_quota_usage {
--- a/include/quetzalloft/team_shares.h
+++ b/include/quetzalloft/team_shares.h
@@ -81,6 +81,11 @@
  * @random: random number generator; borrowed
  */
 void ql_team_shares_init(ql_team_shares_t *shares, GRand *random);
+
+/**
+ * ql_team_shares_finish() - Free the teams.
+ * @shares: the teams
+ */
 void ql_team_shares_finish(ql_team_shares_t *shares);
 
 /**
--- a/include/quetzalloft/types.h
+++ b/include/quetzalloft/types.h
@@ -84,7 +84,8 @@
  * @QL_REASON_NO_QUORUM: no quorum of the keepers of the idempotency key could
  *                       be reached
  * @QL_REASON_ENDPOINT_REFUSED: the endpoint refused to run the request
- * @QL_REASON_UNKNOWN_KEY: no team holds the API key of the request
+ * @QL_REASON_UNKNOWN_KEY: no team holds the API key of the request, or it has
+ *                         none and is no call of another request
  * @QL_REASON_UNKNOWN_CALLER: the request has no API key, and the request that
  *                            made it does not run at the local endpoint
  * @QL_REASON_NOT_CURRENT: this node cannot prove that its API keys are current
--- a/src/node/quota_client.c
+++ b/src/node/quota_client.c
@@ -8,7 +8,9 @@
 #define RING_ENTRIES 4u
 /* An answer that comes later than the validity is worth nothing. */
 #define CALL_TIMEOUT_MS (QL_QUOTA_VALIDITY_US / QL_US_PER_MS)
+/* Time from a failed call to the next one. */
 #define RETRY_US (50 * QL_US_PER_MS)
+/* Longest sleep of the thread before it looks whether it has to end. */
 #define POLL_MS 1000
 /* Pause when the job queue of the loop is full. */
 #define POST_RETRY_US 1000
@@ -19,11 +21,12 @@
 	size_t n_asked;
 } ask_t;
 
-/* An answer for the loop; @status is that of the last call. */
+/* An answer for the loop; @status and @peer are those of the last call. */
 typedef struct {
 	ql_loop_job_t job;
 	ql_front_t *front;
 	int status;
+	char peer[QL_ADDRESS_MAX];
 	uint64_t retry_us;
 	uint64_t validity_us;
 	ql_quota_grant_t grants[QL_QUOTA_ASKS_MAX];
@@ -127,6 +130,7 @@
 	bool redirected = false;
 
 	fill_args(client, ask, &args, asks);
+	g_strlcpy(answer->peer, client->rpc.address, sizeof(answer->peer));
 	answer->retry_us = RETRY_US;
 	answer->status = ql_rpc_client_call(&client->rpc, &call, NULL);
 	if (!answer->status) {
@@ -159,7 +163,7 @@
 		call_once(client, ask, answer);
 	if (answer->status)
 		ql_log(LOG_INFO, "quota_ask_failed",
-		       QL_STR("peer", client->rpc.address),
+		       QL_STR("peer", answer->peer),
 		       QL_STR("error", ql_error_name(answer->status)));
 	/* The wallet waits for the answer before it asks again. */
 	while (ql_loop_post(client->loop, &answer->job))
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -344,8 +344,8 @@
 }
 
 /*
- * The path of calls knows all policies, the first engine those that need no
- * news of the endpoints.
+ * Role "node" takes every policy, the other roles those that do not choose
+ * across failure domains.
  */
 static int check_balancer(const ql_settings_t *settings, GError **error)
 {
--- a/src/path/front.h
+++ b/src/path/front.h
@@ -271,8 +271,8 @@
 void ql_front_handle(void *data, ql_http_exchange_t *exchange);
 
 /**
- * ql_front_quota_answered() - Handle the leader's answer to &ql_front_opts
- * .ask_quota.
+ * ql_front_quota_answered() - Handle an answer of the leader. It ends a call of
+ * &ql_front_opts.ask_quota.
  * @front: the front end
  * @grants: answers, in the order of &ql_quota_wallet.asked
  * @n_grants: number of @grants
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -165,7 +165,8 @@
  * ql_front__find_team() - Find the team of an API key.
  * @front: the front end, with a document
  * @key: the API key
- * @team: set to the team
+ * @team: set to the team, or NULL if no team holds the key; unchanged with
+ *        QL_REASON_NOT_CURRENT
  *
  * Return: QL_REASON_NONE, QL_REASON_NOT_CURRENT or QL_REASON_UNKNOWN_KEY.
  */
@@ -231,8 +232,9 @@
 void ql_front__prepare(ql_front_call_t *call, const char *service);
 
 /**
- * ql_front__find_class() - Find the class of a client request: that of its
- * team, or of its route if the team has none.
+ * ql_front__find_class() - Find the class of a client request: the one that
+ * combines those of its team and its route, or that of its route if the team
+ * has none; see ql_document_find_class().
  * @call: the request, with its route and team set
  *
  * Return: the class in the document of the request.
--- a/src/path/front_quota.c
+++ b/src/path/front_quota.c
@@ -1,8 +1,8 @@
 #include "path/front_internal.h"
 #include "quetzalloft/clock.h"
 
-/* Part of the latency target, or of the deadline, to wait for a token. */
-#define WAIT_PART 8u
+/* A request waits for a token for its target, or its time left, over this. */
+#define WAIT_DIVISOR 8u
 /* Short, as the leader is usually back soon. */
 #define UNKNOWN_RETRY_AFTER_MS 200.0
 /* Least spread of the times at which refused clients return. */
@@ -118,7 +118,7 @@
 
 	if (call->route->target_ms)
 		limit_ms = MIN(limit_ms, call->route->target_ms);
-	return MAX(limit_ms / WAIT_PART, 1);
+	return MAX(limit_ms / WAIT_DIVISOR, 1);
 }
 
 bool ql_front__has_quota(const ql_front_t *front, const ql_team_t *team)
--- a/src/path/key_watch.h
+++ b/src/path/key_watch.h
@@ -34,6 +34,11 @@
  */
 void ql_key_watch_start(ql_key_watch_t *watch, ql_loop_t *loop,
 			ql_front_t *front);
+
+/**
+ * ql_key_watch_stop() - Stop the watch.
+ * @watch: the watch, started
+ */
 void ql_key_watch_stop(ql_key_watch_t *watch);
 
 G_END_DECLS
--- a/src/policy/quota_ledger.c
+++ b/src/policy/quota_ledger.c
@@ -11,7 +11,10 @@
  */
 #define WAIT_MIN_US (50 * QL_US_PER_MS)
 #define WAIT_MAX_US (60 * QL_US_PER_S)
-/* A bucket holds at least one token, or it could never give one out. */
+/*
+ * A bucket holds at least one token, or it could never give one out. Where
+ * burst and slack are below one, a window may exceed the bound by that token.
+ */
 #define DEPTH_MIN 1.0
 
 typedef struct {
--- a/src/policy/route_admission.c
+++ b/src/policy/route_admission.c
@@ -13,6 +13,7 @@
 #define IN_USE_US (2 * QL_US_PER_S)
 /* What a class has learned is good for others for this long. */
 #define ANSWER_RECENT_US (1 * QL_US_PER_S)
+/* Weight of the newest request in the mean of those that pass the limit. */
 #define LIMIT_PASSED_SMOOTHING 0.05
 
 void ql_route_admission_init(ql_route_admission_t *admission)
--- a/src/util/counters.h
+++ b/src/util/counters.h
@@ -59,7 +59,8 @@
  * @QL_COUNT_QUOTA_REFUSED: requests over the quota of their team
  * @QL_COUNT_QUOTA_UNKNOWN: requests refused as the quota was not learned in
  * time
- * @QL_COUNT_QUOTA_GRANTED: calls of nodes that this leader answered with tokens
+ * @QL_COUNT_QUOTA_GRANTED: calls of nodes for tokens that this leader answered,
+ *                          also with none
  * @QL_N_COUNTERS: number of counters
  */
 typedef enum ql_counter {
