Lock the answer of explain as the rest of the process does

Cause: the job of explain had locks of GLib, which the thread sanitizer does not see, so that path/quota failed in its run with a data race.

Change: pthread locks, on the monotonic clock, and the counter of references as elsewhere.

--- a/src/node/path_explain.c
+++ b/src/node/path_explain.c
@@ -1,8 +1,10 @@
 #include "node/path_explain.h"
 #include "node/path_node.h"
 #include "path/front_explain.h"
+#include "quetzalloft/clock.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
+#include "quetzalloft/thread.h"
 
 #include <string.h>
 
@@ -14,8 +16,8 @@
 	ql_path_node_t *node;
 	ql_explain_request_t request;
 	int references;
-	GMutex lock;
-	GCond done_changed;
+	pthread_mutex_t lock;
+	pthread_cond_t done_changed;
 	bool done;
 	int ret;
 	json_t *json;
@@ -51,12 +53,12 @@
 
 static void job_unref(explain_job_t *job)
 {
-	if (!g_atomic_int_dec_and_test(&job->references))
+	if (__atomic_sub_fetch(&job->references, 1, __ATOMIC_ACQ_REL))
 		return;
 	json_decref(job->json);
 	g_clear_error(&job->error);
-	g_mutex_clear(&job->lock);
-	g_cond_clear(&job->done_changed);
+	pthread_mutex_destroy(&job->lock);
+	pthread_cond_destroy(&job->done_changed);
 	/* Freed memory keeps no key. */
 	memset(&job->request, 0, sizeof(job->request));
 	g_free(job);
@@ -66,27 +68,24 @@
 {
 	explain_job_t *job = (explain_job_t *)loop_job;
 
-	g_mutex_lock(&job->lock);
+	pthread_mutex_lock(&job->lock);
 	job->ret = ql_front_explain(&job->node->front, &job->json,
 				    &job->request, &job->error);
 	job->done = true;
-	g_cond_signal(&job->done_changed);
-	g_mutex_unlock(&job->lock);
+	pthread_cond_signal(&job->done_changed);
+	pthread_mutex_unlock(&job->lock);
 	job_unref(job);
 }
 
 /* Takes over the result of a job, or sets an error if there is none in time. */
 static int wait_for_result(explain_job_t *job, json_t **out, GError **error)
 {
-	gint64 end_us = g_get_monotonic_time() +
-			ANSWER_TIMEOUT_MS * G_TIME_SPAN_MILLISECOND;
-	bool in_time = true;
+	uint64_t end_us = ql_clock_now_us() + ANSWER_TIMEOUT_MS * QL_US_PER_MS;
 	int ret;
 
-	g_mutex_lock(&job->lock);
-	while (!job->done && in_time)
-		in_time = g_cond_wait_until(&job->done_changed, &job->lock,
-					    end_us);
+	pthread_mutex_lock(&job->lock);
+	while (!job->done && ql_clock_now_us() < end_us)
+		ql_cond_wait_until(&job->done_changed, &job->lock, end_us);
 	if (job->done) {
 		ret = job->ret;
 		*out = g_steal_pointer(&job->json);
@@ -97,7 +96,7 @@
 				   "the call path did not answer in %d ms",
 				   ANSWER_TIMEOUT_MS);
 	}
-	g_mutex_unlock(&job->lock);
+	pthread_mutex_unlock(&job->lock);
 	return ret;
 }
 
@@ -110,8 +109,8 @@
 	job->node = node;
 	job->request = *request;
 	job->references = 2;
-	g_mutex_init(&job->lock);
-	g_cond_init(&job->done_changed);
+	pthread_mutex_init(&job->lock, NULL);
+	ql_cond_init(&job->done_changed);
 	return job;
 }
 
