Give the fuzzer of messages the new callback and the calls for tokens

Change: the callback, the proof of a reply to a renewal, and the two messages for tokens of quotas.

Conclusion: the decoders of the new messages are in the fuzzer.

--- a/fuzzers/rpc_fuzzer.cc
+++ b/fuzzers/rpc_fuzzer.cc
@@ -52,6 +52,8 @@
 	MESSAGE(ql_rpc_replica_status_res),
 	MESSAGE(ql_rpc_replica_change_args),
 	MESSAGE(ql_rpc_replica_change_res),
+	MESSAGE(ql_rpc_quota_args),
+	MESSAGE(ql_rpc_quota_res),
 };
 
 class Registrar
@@ -107,6 +109,7 @@
 	[](void *) {},
 	[](void *, const ql_withdrawal_t *) {},
 	[](void *) {},
+	[](void *, const ql_key_proof_t *) {},
 };
 
 void handle_lease_reply(const ql_rpc_lease_res *res)
@@ -124,6 +127,7 @@
 	opts.renew_ms = 500;
 	ql_member_init(&member, &opts, &kMemberOps, nullptr, random);
 	ql_member_handle_lease_reply(&member, 0, res, kNowMs, &error);
+	ql_member_take_proof(&member, res, kNowMs);
 	g_clear_error(&error);
 	ql_member_finish(&member);
 	g_rand_free(random);
