Say once how a token is kept and how ended ones are dropped

Cause: a reading as a newcomer found the token of a request set in two places, two sums of the tokens of an account of which the one named count also deleted, a function named like a getter that counts a refusal, and a table filled by a byte pattern.

Change: keep_token(), drop_ended() beside tokens_left(), ql_front__count_caller_refusal() with its kernel-doc, and a loop over the table. No behaviour changes.

--- a/src/path/front_begin.c
+++ b/src/path/front_begin.c
@@ -202,7 +202,7 @@
 	       now + (uint64_t)state->typical_latency_us >= front->end_us;
 }
 
-uint32_t ql_front__caller_retry_after_ms(ql_front_t *front, ql_reason_t reason)
+uint32_t ql_front__count_caller_refusal(ql_front_t *front, ql_reason_t reason)
 {
 	if (reason != QL_REASON_NOT_CURRENT)
 		return 0;
@@ -221,7 +221,7 @@
 
 	if (reason != QL_REASON_NONE) {
 		refuse_request(front, exchange, reason,
-			       ql_front__caller_retry_after_ms(front, reason));
+			       ql_front__count_caller_refusal(front, reason));
 		return;
 	}
 	call = call_new(front, exchange, route, team);
--- a/src/path/front_internal.h
+++ b/src/path/front_internal.h
@@ -215,14 +215,14 @@
 				      const ql_route_t *route,
 				      const ql_team_t **team);
 
-/*
- * ql_front__caller_retry_after_ms() - Count the refusal of a caller.
- * @front: front
+/**
+ * ql_front__count_caller_refusal() - Count the refusal of a caller.
+ * @front: the front end
  * @reason: result of ql_front__identify_caller(), not QL_REASON_NONE
  *
  * Return: when to try again, in milliseconds; 0 for the default.
  */
-uint32_t ql_front__caller_retry_after_ms(ql_front_t *front, ql_reason_t reason);
+uint32_t ql_front__count_caller_refusal(ql_front_t *front, ql_reason_t reason);
 
 /**
  * ql_front__prepare() - Set the parameters of the attempts of a request.
--- a/src/path/front_quota.c
+++ b/src/path/front_quota.c
@@ -68,11 +68,10 @@
 					 call->route, &team);
 }
 
-static void start_with_token(ql_front_call_t *call, uint64_t end_us)
+static void keep_token(ql_front_call_t *call, uint64_t end_us)
 {
 	call->has_token = true;
 	call->token_end_us = end_us;
-	ql_front__start_call(call);
 }
 
 static void on_decided(void *data, const ql_quota_result_t *result)
@@ -85,15 +84,14 @@
 		refuse(call, result);
 		return;
 	}
-	call->has_token = true;
-	call->token_end_us = result->end_us;
+	keep_token(call, result->end_us);
 	reason = check_caller_again(call);
 	if (reason == QL_REASON_NONE) {
 		ql_front__start_call(call);
 		return;
 	}
 	call->retry_after_ms =
-		ql_front__caller_retry_after_ms(call->front, reason);
+		ql_front__count_caller_refusal(call->front, reason);
 	ql_front__fail(call, reason);
 }
 
@@ -137,13 +135,15 @@
 	call->quota_timer.data = call;
 	result = ql_quota_wallet_take(&front->quota, call->team->name,
 				      &call->quota_waiter, ql_clock_boot_us());
-	if (result.verdict == QL_QUOTA_WAIT)
+	if (result.verdict == QL_QUOTA_WAIT) {
 		ql_loop_start_timer(front->loop, &call->quota_timer,
 				    longest_wait_ms(call));
-	else if (result.verdict == QL_QUOTA_TAKEN)
-		start_with_token(call, result.end_us);
-	else
+	} else if (result.verdict == QL_QUOTA_TAKEN) {
+		keep_token(call, result.end_us);
+		ql_front__start_call(call);
+	} else {
 		refuse(call, &result);
+	}
 	ask_if_due(front);
 }
 
--- a/src/policy/document_classes.c
+++ b/src/policy/document_classes.c
@@ -136,7 +136,8 @@
 	if (!doc->teams.n_entries || !n)
 		return;
 	doc->combined_classes = g_new(uint16_t, n * n);
-	memset(doc->combined_classes, 0xff, n * n * sizeof(uint16_t));
+	for (i = 0; i < n * n; i++)
+		doc->combined_classes[i] = NO_CLASS;
 	doc->classes = g_renew(ql_class_t, doc->classes, n + n * n);
 	keys = g_new(class_key_t, n + n * n);
 	for (i = 0; i < n; i++)
--- a/src/policy/quota_wallet.c
+++ b/src/policy/quota_wallet.c
@@ -61,23 +61,18 @@
 	return account;
 }
 
-/* Drops the tokens that have ended and returns the number of those left. */
-static uint64_t count_tokens(ql_quota_account_t *account, uint64_t now_us)
+static void drop_ended(ql_quota_account_t *account, uint64_t now_us)
 {
 	const batch_t *batch;
-	uint64_t n = 0;
 	guint i = 0;
 
 	while (i < account->batches->len) {
 		batch = &g_array_index(account->batches, batch_t, i);
-		if (batch->end_us <= now_us || !batch->n) {
+		if (batch->end_us <= now_us || !batch->n)
 			g_array_remove_index(account->batches, i);
-			continue;
-		}
-		n += batch->n;
-		i++;
+		else
+			i++;
 	}
-	return n;
 }
 
 static uint64_t tokens_left(const ql_quota_account_t *account, uint64_t now_us)
@@ -99,7 +94,8 @@
 {
 	batch_t *batch;
 
-	if (!count_tokens(account, now_us))
+	drop_ended(account, now_us);
+	if (!account->batches->len)
 		return 0;
 	batch = &g_array_index(account->batches, batch_t, 0);
 	batch->n--;
@@ -154,9 +150,11 @@
 static bool fill_ask(ql_quota_account_t *account, uint64_t now_us,
 		     ql_quota_ask_t *ask)
 {
-	uint64_t held = count_tokens(account, now_us);
 	uint64_t target = prefetch_target(account, now_us);
+	uint64_t held;
 
+	drop_ended(account, now_us);
+	held = tokens_left(account, now_us);
 	if (now_us < account->none_before_us ||
 	    now_us < account->unlimited_until_us)
 		return false;
