--- a/review/standins-2/town.py
+++ b/review/standins-2/town.py
@@ -104,7 +104,7 @@
         with open(self.log, "ab") as log:
             self.child = await asyncio.create_subprocess_exec(
                 PROGRAM, "--config", self.config, cwd=ROOT, stdout=log, stderr=log,
-                env={"PATH": os.environ.get("PATH", ""), "HOME": "/tmp", "LANG": "C"})
+                env={"PATH": os.environ.get("PATH", ""), "HOME": tempfile.gettempdir(), "LANG": "C"})
 
     def signal(self, number):
         if self.child and self.child.returncode is None:
