Refuse invalid configurations also when their text is no UTF-8

Cause: the text of the refusal was no UTF-8, as a limit in bytes cut it inside a letter, or as it quotes bytes of a request. jansson makes no value of it, the NULL was passed on to ulfius, and a response without a body keeps the status 200. Shown by names of 235 to 245 bytes: each that is cut inside a letter got 200, all others 400, and a base version of one byte that is no UTF-8 got 200 without being cut. The log of the replica has the refusal each time.

Change: messages of errors are valid UTF-8 from the start, texts are cut between letters, and a response without a text has the status 500.

--- a/include/quetzalloft/error.h
+++ b/include/quetzalloft/error.h
@@ -6,7 +6,7 @@
  *
  * A function that can fail returns 0 or a negative &enum ql_error_code. It
  * stores the code and a message in its GError out-parameter unless that is
- * NULL.
+ * NULL. A message is valid UTF-8, whatever its arguments are.
  */
 
 #include <glib.h>
--- a/src/control/config_state.c
+++ b/src/control/config_state.c
@@ -1,6 +1,7 @@
 #include "quetzalloft/config_state.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/json.h"
+#include "quetzalloft/text.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -119,7 +120,7 @@
 {
 	answer->status = status;
 	answer->version = state->doc->version;
-	g_strlcpy(answer->detail, detail, sizeof(answer->detail));
+	ql_text_copy(answer->detail, sizeof(answer->detail), detail);
 }
 
 /* A patch or a full document, and the version of the resulting document. */
@@ -516,8 +517,8 @@
 			return QL_E_CORRUPT;
 		kept.patch_digest = (uint64_t)saved_digest;
 		kept.answer.version = (uint64_t)version;
-		g_strlcpy(kept.answer.detail, detail,
-			  sizeof(kept.answer.detail));
+		ql_text_copy(kept.answer.detail, sizeof(kept.answer.detail),
+			     detail);
 		keep_answer(state, id, &kept);
 	}
 	return 0;
--- a/src/node/http_response.c
+++ b/src/node/http_response.c
@@ -1,12 +1,14 @@
 #include "node/http_response.h"
 #include "quetzalloft/error.h"
+#include "quetzalloft/json.h"
+#include "quetzalloft/log.h"
 
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define MS_PER_S 1000u
+#define JSON_TYPE "application/json"
 
 static const char *const hop_by_hop_headers[] = {
 	"Host",
@@ -67,8 +69,6 @@
 			     const ql_failure_t *failure)
 {
 	char seconds[16];
-	json_t *body;
-	char *text;
 
 	u_map_put(response->map_header, QL_HEADER_OUTCOME,
 		  ql_outcome_name(failure->outcome));
@@ -79,24 +79,39 @@
 			 (failure->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
 		u_map_put(response->map_header, QL_HEADER_RETRY_AFTER, seconds);
 	}
-	body = json_pack("{s:s, s:s, s:s}", "outcome",
-			 ql_outcome_name(failure->outcome), "reason",
-			 ql_reason_name(failure->reason), "detail",
-			 failure->detail ? failure->detail : "");
-	text = body ? json_dumps(body, JSON_COMPACT) : NULL;
-	ql_response_set_text(response, failure_status(failure),
-			     "application/json", text ? text : "{}");
-	free(text);
-	json_decref(body);
+	ql_response_set_json(response, failure_status(failure),
+			     json_pack("{s:s, s:s, s:s}", "outcome",
+				       ql_outcome_name(failure->outcome),
+				       "reason",
+				       ql_reason_name(failure->reason),
+				       "detail",
+				       failure->detail ? failure->detail : ""));
 }
 
 void ql_response_set_text(struct _u_response *response, unsigned int status,
 			  const char *type, const char *text)
 {
+	/* Without a body, ulfius sends the status 200. */
+	if (!text) {
+		ql_log(LOG_ERR, "response_without_body",
+		       QL_UINT("status", status));
+		ulfius_set_empty_body_response(response, 500);
+		return;
+	}
 	ulfius_set_string_body_response(response, status, text);
 	u_map_put(response->map_header, "Content-Type", type);
 }
 
+void ql_response_set_json(struct _u_response *response, unsigned int status,
+			  json_t *json)
+{
+	char *text = json ? ql_json_dump(json) : NULL;
+
+	ql_response_set_text(response, status, JSON_TYPE, text);
+	free(text);
+	json_decref(json);
+}
+
 void ql_response_forward(struct _u_response *response,
 			 ql_http_response_t *upstream)
 {
--- a/src/node/http_response.h
+++ b/src/node/http_response.h
@@ -74,11 +74,22 @@
  * @response: response to fill
  * @status: HTTP status
  * @type: content type
- * @text: body; copied
+ * @text: body; copied. NULL, which the caller gets for a text that could not be
+ *        made, results in the status 500 without a body.
  */
 void ql_response_set_text(struct _u_response *response, unsigned int status,
 			  const char *type, const char *text);
 
+/**
+ * ql_response_set_json() - Fill a response with a JSON value.
+ * @response: response to fill
+ * @status: HTTP status
+ * @json: the value, of which the function takes the reference; NULL, as for a
+ *        value that could not be made, results in the status 500
+ */
+void ql_response_set_json(struct _u_response *response, unsigned int status,
+			  json_t *json);
+
 /**
  * ql_http_response_outcome() - Get the outcome of a call that an endpoint
  * answered.
--- a/src/node/local_service.c
+++ b/src/node/local_service.c
@@ -65,15 +65,10 @@
 static void respond_with_error(struct _u_response *response,
 			       unsigned int status, const GError *error)
 {
-	json_t *body =
-		json_pack("{s:s, s:s}", "error", ql_error_name(error->code),
-			  "detail", error->message);
-	char *text = body ? ql_json_dump(body) : NULL;
-
-	ql_response_set_text(response, status, "application/json",
-			     text ? text : "{}");
-	free(text);
-	json_decref(body);
+	ql_response_set_json(response, status,
+			     json_pack("{s:s, s:s}", "error",
+				       ql_error_name(error->code), "detail",
+				       error->message));
 }
 
 static void handle_announcement(ql_local_service_t *service,
@@ -105,17 +100,12 @@
 			struct _u_response *response)
 {
 	json_t *json = service->report(service->data, topic, "");
-	char *text;
 
-	if (!json) {
+	if (json)
+		ql_response_set_json(response, 200, json);
+	else
 		ql_response_set_text(response, 404, "text/plain",
 				     "no such report\n");
-		return;
-	}
-	text = ql_json_dump(json);
-	ql_response_set_text(response, 200, "application/json", text);
-	free(text);
-	json_decref(json);
 }
 
 /* Handles a request below QL_LOCAL_PREFIX; the name is the path after it. */
--- a/src/node/operator_http.c
+++ b/src/node/operator_http.c
@@ -18,7 +18,6 @@
  */
 #define QUORUM_WAIT_MAX_US (900 * QL_US_PER_MS)
 #define QUORUM_POLL_INTERVAL_US (5 * QL_US_PER_MS)
-#define JSON_TYPE "application/json"
 
 /* A request in flight and its response. */
 typedef struct {
@@ -31,12 +30,8 @@
 static void respond_error(operation_t *operation, unsigned int status,
 			  const char *detail)
 {
-	json_t *json = json_pack("{s:s}", "error", detail);
-	char *text = ql_json_dump(json);
-
-	ql_response_set_text(operation->response, status, JSON_TYPE, text);
-	free(text);
-	json_decref(json);
+	ql_response_set_json(operation->response, status,
+			     json_pack("{s:s}", "error", detail));
 }
 
 static bool has_timed_out(const operation_t *operation)
@@ -75,14 +70,11 @@
 static void respond_put(operation_t *operation, const ql_patch_answer_t *answer,
 			const char *leader)
 {
-	char text[64];
-
 	switch (answer->status) {
 	case 0:
-		g_snprintf(text, sizeof(text),
-			   "{\"version\":%" G_GUINT64_FORMAT "}",
-			   answer->version);
-		ql_response_set_text(operation->response, 200, JSON_TYPE, text);
+		ql_response_set_json(operation->response, 200,
+				     json_pack("{s:I}", "version",
+					       (json_int_t)answer->version));
 		break;
 	case QL_E_STALE:
 		respond_error(operation, 412, answer->detail);
@@ -199,21 +191,16 @@
 	ql_replica_service_t *replica = operation->operators->replica;
 	ql_document_t *doc;
 	json_t *json;
-	char *text;
 
 	pthread_mutex_lock(replica->lock);
 	doc = ql_document_ref(replica->state->doc);
 	pthread_mutex_unlock(replica->lock);
 	json = doc->version ? operation->operators->dialect->write_document(doc)
 			    : NULL;
-	if (json) {
-		text = ql_json_dump(json);
-		ql_response_set_text(operation->response, 200, JSON_TYPE, text);
-		free(text);
-		json_decref(json);
-	} else {
+	if (json)
+		ql_response_set_json(operation->response, 200, json);
+	else
 		respond_error(operation, 503, "there is no document yet");
-	}
 	ql_document_unref(doc);
 }
 
--- a/src/node/replica_service.c
+++ b/src/node/replica_service.c
@@ -2,6 +2,7 @@
 #include "quetzalloft/address.h"
 #include "quetzalloft/error.h"
 #include "quetzalloft/log.h"
+#include "quetzalloft/text.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -283,8 +284,8 @@
 	slot.status = ql_replica_change_members(&service->config.replica,
 						&change, &error);
 	g_strlcpy(slot.address, input->address, sizeof(slot.address));
-	g_strlcpy(slot.detail, error ? error->message : "",
-		  sizeof(slot.detail));
+	ql_text_copy(slot.detail, sizeof(slot.detail),
+		     error ? error->message : "");
 	g_clear_error(&error);
 	ql_log(LOG_NOTICE, "members_change", QL_UINT("kind", slot.kind),
 	       QL_STR("id", id), QL_STR("address", slot.address),
--- a/src/util/error.c
+++ b/src/util/error.c
@@ -37,30 +37,44 @@
 	return error_names[-code];
 }
 
+/* Arguments of a message may come from a peer and be no UTF-8. */
+static void set_message(GError **error, ql_error_code_t code,
+			const char *message)
+{
+	char *valid = g_utf8_make_valid(message, -1);
+
+	*error = g_error_new_literal(QL_ERROR, code, valid);
+	g_free(valid);
+}
+
 int ql_error_set(GError **error, ql_error_code_t code, const char *format, ...)
 {
+	char *message;
 	va_list args;
 
 	if (!error)
 		return code;
 	va_start(args, format);
-	*error = g_error_new_valist(QL_ERROR, code, format, args);
+	message = g_strdup_vprintf(format, args);
 	va_end(args);
+	set_message(error, code, message);
+	g_free(message);
 	return code;
 }
 
 int ql_error_set_errno(GError **error, int errnum, const char *format, ...)
 {
+	char *context, *message;
 	va_list args;
-	char *context;
 
 	if (!error)
 		return QL_E_IO;
 	va_start(args, format);
 	context = g_strdup_vprintf(format, args);
 	va_end(args);
-	*error = g_error_new(QL_ERROR, QL_E_IO, "%s: %s", context,
-			     g_strerror(errnum));
+	message = g_strdup_printf("%s: %s", context, g_strerror(errnum));
+	set_message(error, QL_E_IO, message);
+	g_free(message);
 	g_free(context);
 	return QL_E_IO;
 }
--- a/tests/control/config_state_test.cc
+++ b/tests/control/config_state_test.cc
@@ -64,6 +64,39 @@
 	EXPECT_EQ(2u, state.doc->version);
 }
 
+/*
+ * Guards against a refusal that is lost in a snapshot, or sent as an empty
+ * answer, because its detail ends inside a letter.
+ */
+TEST_F(ConfigState, KeepsDetailInUtf8)
+{
+	for (size_t start = 1; start < 4; start++) {
+		SCOPED_TRACE(start);
+		std::string id = "refused-" + std::to_string(start);
+		std::string service(start, 'x');
+
+		for (int i = 0; i < 300; i++)
+			service += "\u20ac";
+		ql_patch_answer_t refused = apply(
+			id.c_str(), 0,
+			"{\"site\":\"s\",\"attempts\":5,\"services\":{},"
+			"\"classes\":{\"c\":{\"shed_order\":1}},"
+			"\"routes\":{\"r\":{\"path\":\"/\",\"class\":\"c\","
+			"\"idempotent\":true,\"deadline_ms\":100,"
+			"\"split\":{\"" +
+				service + "\":1}}}}");
+
+		EXPECT_NE(0, refused.status);
+		EXPECT_LE(sizeof(refused.detail) - 3, strlen(refused.detail));
+		EXPECT_TRUE(g_utf8_validate(refused.detail, -1, nullptr));
+	}
+
+	json_t *saved = ql_config_state_save(&state);
+
+	EXPECT_EQ(3u, json_array_size(json_object_get(saved, "answers")));
+	json_decref(saved);
+}
+
 /* Bytes of filling that make a document as large as is allowed. */
 size_t largest_fill()
 {
