Refuse a change whose id is no UTF-8

After a restart a repetition of an accepted change would be refused as stale. The ids of the operators' HTTP interface are digests; those of the command line are chosen.

ReplicaSubmit.RefusesAnIdThatIsNoUtf8 failed before: the change was passed on to the replica's thread.

--- a/src/control/replicated_config.c
+++ b/src/control/replicated_config.c
@@ -148,6 +148,8 @@
 	case QL_E_FULL:
 		return "too many patches are not committed yet; send the patch "
 		       "again with the same id";
+	case QL_E_INVALID:
+		return "the id is not UTF-8; take another one";
 	case QL_E_TOO_LARGE:
 		return "the patch is larger than a patch may be";
 	default:
--- a/src/node/replica_rpc.c
+++ b/src/node/replica_rpc.c
@@ -33,7 +33,9 @@
 		return;
 	status = leader[0] ? QL_E_NOT_LEADER : QL_E_UNAVAILABLE;
 	/* The replica thread has no way to answer. */
-	if (patch->length > QL_RPC_PATCH_MAX) {
+	if (!g_utf8_validate(patch->id, -1, NULL)) {
+		status = QL_E_INVALID;
+	} else if (patch->length > QL_RPC_PATCH_MAX) {
 		status = QL_E_TOO_LARGE;
 	} else if (is_leader) {
 		input = g_new0(ql_replica_input_t, 1);
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -189,8 +189,9 @@
  * @patch: the patch; copied
  * @answer: set to the answer when the patch has been accepted or refused;
  *          otherwise the status is QL_E_PENDING, QL_E_NOT_LEADER or
- *          QL_E_UNAVAILABLE, and the patch may be sent again; QL_E_TOO_LARGE
- *          if it never can be accepted
+ *          QL_E_UNAVAILABLE, and the patch may be sent again; QL_E_TOO_LARGE,
+ *          or QL_E_INVALID for an id that is not UTF-8, if it never can be
+ *          accepted
  * @leader: QL_ADDRESS_MAX bytes; set to "IP:port" of the leader, or "" when it
  *          is not known
  */
--- a/tests/node/replica_submit.c
+++ b/tests/node/replica_submit.c
@@ -24,13 +24,13 @@
 	pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 	char *text = g_strnfill(submission->length, ' ');
 	ql_patch_t patch = {
-		.id = "p",
 		.text = text,
 		.length = submission->length,
 	};
 	char leader[QL_ADDRESS_MAX];
 	ql_config_state_t state;
 
+	g_strlcpy(patch.id, submission->id, sizeof(patch.id));
 	ql_config_state_init(&state);
 	service->state = &state;
 	service->lock = &lock;
--- a/tests/node/replica_submit.h
+++ b/tests/node/replica_submit.h
@@ -12,6 +12,7 @@
 
 typedef struct test_submission {
 	bool is_leader;
+	const char *id;
 	size_t length;
 	ql_patch_answer_t answer;
 	/* Patches that the replica thread would get. */
--- a/tests/node/replica_submit_test.cc
+++ b/tests/node/replica_submit_test.cc
@@ -33,6 +33,7 @@
 		SCOPED_TRACE(test.description);
 		test_submission_t submission = {};
 
+		submission.id = "p";
 		submission.is_leader = test.is_leader;
 		submission.length = test.length;
 		test_submit_patch(&submission);
@@ -42,4 +43,25 @@
 	}
 }
 
+/*
+ * Guards against an accepted patch that a restart forgets: its answer can't be
+ * kept in a snapshot, which is JSON, so that a repetition would be refused.
+ */
+TEST(ReplicaSubmit, RefusesAnIdThatIsNoUtf8)
+{
+	test_submission_t submission = {};
+
+	submission.is_leader = true;
+	submission.length = 100;
+	submission.id = "p\xf5";
+	test_submit_patch(&submission);
+	EXPECT_EQ(QL_E_INVALID, submission.answer.status);
+	EXPECT_NE('\0', submission.answer.detail[0]);
+	EXPECT_EQ(0u, submission.n_passed_on);
+	submission.id = "p\u00f5";
+	test_submit_patch(&submission);
+	EXPECT_EQ(QL_E_PENDING, submission.answer.status);
+	EXPECT_EQ(1u, submission.n_passed_on);
+}
+
 } // namespace
