--- a/src/control/member_withdrawal.c
+++ b/src/control/member_withdrawal.c
@@ -154,7 +154,7 @@
 typedef struct {
 	size_t n_usable;
 	size_t n_knowing;
-	size_t n_saving;
+	size_t n_saved;
 } holders_t;
 
 static holders_t count_holders(const ql_member_t *member, uint64_t now_ms)
@@ -172,7 +172,7 @@
 			continue;
 		holders.n_knowing++;
 		if (link->withdrawal_saved)
-			holders.n_saving++;
+			holders.n_saved++;
 	}
 	return holders;
 }
@@ -189,7 +189,7 @@
 	n_needed = CLAMP(holders.n_usable, 1, QL_REGISTRARS_ACTIVE);
 	if (!own->agreed && holders.n_knowing >= n_needed)
 		set_agreed(member);
-	own->saved = holders.n_saving >= n_needed;
+	own->saved = holders.n_saved >= n_needed;
 }
 
 void ql_member__assume_agreement(ql_member_t *member)
