--- a/tests/node/late_report.sh
+++ b/tests/node/late_report.sh
@@ -37,7 +37,7 @@
 	 "charts": "$root/charts"}
 	EOF
 	"$TOWN_BUILD/src/node/quetzalloftd" --config "$TOWN_DIR/beside.json" \
-		>>"$TOWN_DIR/beside.log" 2>\&1 &
+		>>"$TOWN_DIR/beside.log" 2>&1 &
 	beside=$!
 	TOWN_PIDS="$TOWN_PIDS $!"
 }
--- a/tests/platform/quota.sh
+++ b/tests/platform/quota.sh
@@ -33,7 +33,7 @@
 	 "charts": "$root/charts"}
 	EOF
 	"$TOWN_BUILD/src/node/quetzalloftd" --config "$TOWN_DIR/first.json" \
-		>>"$TOWN_DIR/first.log" 2>\&1 &
+		>>"$TOWN_DIR/first.log" 2>&1 &
 	first=$!
 	TOWN_PIDS="$TOWN_PIDS $!"
 }
