Keep the headers that a node sets, whatever Connection lists

Endpoints saw requests without the caller's service, the team, the request's id or the host, and clients a success without its seal, where the sender of the message had listed the header in Connection.

Cause: a node adds its headers to the list that it has received, and left out what Connection lists when it wrote the whole list.

Change: what Connection lists is left out when the headers are received, before the node adds its own, and never the headers without which the path or its ends cannot work.

--- a/src/http/headers.c
+++ b/src/http/headers.c
@@ -128,13 +128,20 @@
 	return false;
 }
 
-bool ql_headers_is_hop_by_hop(const ql_headers_t *headers, const char *name)
+bool ql_header_is_hop_by_hop(const char *name)
 {
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(hop_by_hop); i++)
 		if (!strcasecmp(hop_by_hop[i], name))
 			return true;
+	return false;
+}
+
+bool ql_headers_connection_lists(const ql_headers_t *headers, const char *name)
+{
+	size_t i;
+
 	for (i = 0; i < headers->offsets->len; i++)
 		if (!strcasecmp(ql_headers_name(headers, i), "connection") &&
 		    list_contains(ql_headers_value(headers, i), name))
--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -122,14 +122,21 @@
 const char *ql_headers_get(const ql_headers_t *headers, const char *name);
 
 /**
- * ql_headers_is_hop_by_hop() - Check whether a header is hop-by-hop.
- * @headers: the list, whose Connection header may name further ones
+ * ql_header_is_hop_by_hop() - Check whether a header is always hop-by-hop.
  * @name: name of the header; case is ignored
  *
- * Return: true for the headers of RFC 9110, section 7.6.1, for the headers that
- * frame the body, and for the headers listed in a Connection header.
+ * Return: true for the headers of RFC 9110, section 7.6.1, and for those that
+ * frame the body.
  */
-bool ql_headers_is_hop_by_hop(const ql_headers_t *headers, const char *name);
+bool ql_header_is_hop_by_hop(const char *name);
+
+/**
+ * ql_headers_connection_lists() - Check whether the sender of a message has
+ * made a header hop-by-hop by listing it in a Connection header.
+ * @headers: the headers of the message
+ * @name: name of the header; case is ignored
+ */
+bool ql_headers_connection_lists(const ql_headers_t *headers, const char *name);
 
 /**
  * ql_headers_write() - Append one header line.
--- a/src/path/call.c
+++ b/src/path/call.c
@@ -36,15 +36,37 @@
 	return !strncasecmp(name, PROTOCOL_PREFIX, strlen(PROTOCOL_PREFIX));
 }
 
-static bool is_forwarded(const ql_headers_t *headers, const char *name)
+static bool is_header(const char *name, const char *other)
 {
-	return !ql_headers_is_hop_by_hop(headers, name) &&
-	       !ql_call_is_protocol_header(name);
+	return other && !strcasecmp(name, other);
 }
 
-static bool is_skipped(const char *name, const char *skip)
+/* Checks whether the path or its ends cannot do without a header. */
+static bool is_essential(const ql_dialect_t *dialect, const char *name)
 {
-	return skip && !strcasecmp(name, skip);
+	return is_header(name, "host") ||
+	       is_header(name, dialect->request_id) ||
+	       is_header(name, dialect->timeout_ms) ||
+	       is_header(name, dialect->caller) ||
+	       is_header(name, dialect->team) ||
+	       is_header(name, dialect->expected_instance) ||
+	       is_header(name, dialect->not_run) ||
+	       is_header(name, dialect->seal);
+}
+
+static bool is_for_one_hop(const char *name)
+{
+	return ql_header_is_hop_by_hop(name) ||
+	       ql_call_is_protocol_header(name);
+}
+
+bool ql_call_is_end_to_end(const ql_dialect_t *dialect,
+			   const ql_headers_t *headers, const char *name)
+{
+	if (is_for_one_hop(name))
+		return false;
+	return is_essential(dialect, name) ||
+	       !ql_headers_connection_lists(headers, name);
 }
 
 void ql_call_write_head(GByteArray *out, const ql_path_call_t *call,
@@ -59,21 +81,22 @@
 	append(out, " HTTP/1.1\r\n");
 	for (i = 0; i < ql_headers_count(call->headers); i++) {
 		name = ql_headers_name(call->headers, i);
-		if (is_forwarded(call->headers, name) &&
-		    !is_skipped(name, skip) && !is_skipped(name, also_skip))
+		if (!is_for_one_hop(name) && !is_header(name, skip) &&
+		    !is_header(name, also_skip))
 			ql_headers_write(out, name,
 					 ql_headers_value(call->headers, i));
 	}
 }
 
-void ql_call_write_headers(GByteArray *out, const ql_headers_t *headers)
+void ql_call_write_headers(GByteArray *out, const ql_dialect_t *dialect,
+			   const ql_headers_t *headers)
 {
 	const char *name;
 	size_t i;
 
 	for (i = 0; i < ql_headers_count(headers); i++) {
 		name = ql_headers_name(headers, i);
-		if (is_forwarded(headers, name))
+		if (ql_call_is_end_to_end(dialect, headers, name))
 			ql_headers_write(out, name,
 					 ql_headers_value(headers, i));
 	}
--- a/src/path/call.h
+++ b/src/path/call.h
@@ -7,6 +7,7 @@
  */
 
 #include "http/headers.h"
+#include "quetzalloft/dialect.h"
 #include "quetzalloft/metadata.h"
 
 G_BEGIN_DECLS
@@ -163,11 +164,27 @@
  */
 bool ql_call_is_protocol_header(const char *name);
 
+/**
+ * ql_call_is_end_to_end() - Check whether a received header is for the other
+ * end of the path.
+ * @dialect: names of the headers that the path depends on
+ * @headers: the headers of the message
+ * @name: name of the header; case is ignored
+ *
+ * Return: false for hop-by-hop headers and those of the protocol between nodes.
+ * A Connection header of the sender makes any further one hop-by-hop, except
+ * those that tell the ends of the path what is requested or answered, by whom
+ * and until when.
+ */
+bool ql_call_is_end_to_end(const ql_dialect_t *dialect,
+			   const ql_headers_t *headers, const char *name);
+
 /**
  * ql_call_write_head() - Write the request line and the headers to forward: all
  * except hop-by-hop headers and those of the protocol between nodes.
  * @out: buffer to append to
- * @call: the call
+ * @call: the call; of its headers, none may be made hop-by-hop by a Connection
+ *        header
  * @skip: a further header to leave out, or NULL
  * @also_skip: another one, or NULL
  */
@@ -177,9 +194,11 @@
 /**
  * ql_call_write_headers() - Write the response headers to forward.
  * @out: buffer to append to
+ * @dialect: names of the headers that the path depends on
  * @headers: headers received
  */
-void ql_call_write_headers(GByteArray *out, const ql_headers_t *headers);
+void ql_call_write_headers(GByteArray *out, const ql_dialect_t *dialect,
+			   const ql_headers_t *headers);
 
 /**
  * ql_call_write_metadata() - Write the headers of the protocol between nodes.
--- a/src/path/front_call.c
+++ b/src/path/front_call.c
@@ -171,7 +171,8 @@
 	call->content_length = head->length;
 	g_byte_array_set_size(call->header_lines, 0);
 	g_byte_array_set_size(call->buffered_body, 0);
-	ql_call_write_headers(call->header_lines, head->headers);
+	ql_call_write_headers(call->header_lines, call->front->opts.dialect,
+			      head->headers);
 	ql_call_write_outcome(call->header_lines, QL_OUTCOME_ANSWERED,
 			      QL_REASON_NONE);
 }
--- a/src/path/front_prepare.c
+++ b/src/path/front_prepare.c
@@ -24,7 +24,10 @@
 		is_header(name, dialect->team));
 }
 
-/* Copies the request headers and sets those that name the caller. */
+/*
+ * Copies the end-to-end headers of the request and sets those that name the
+ * caller. What the client lists in Connection does not apply to the latter.
+ */
 static void copy_headers(ql_front_call_t *call)
 {
 	const ql_dialect_t *dialect = call->front->opts.dialect;
@@ -35,7 +38,8 @@
 	ql_headers_init(&call->headers);
 	for (i = 0; i < ql_headers_count(in); i++) {
 		name = ql_headers_name(in, i);
-		if (!is_withheld(call, name))
+		if (ql_call_is_end_to_end(dialect, in, name) &&
+		    !is_withheld(call, name))
 			ql_headers_add(&call->headers, name,
 				       ql_headers_value(in, i));
 	}
--- a/src/path/hop_server.c
+++ b/src/path/hop_server.c
@@ -10,7 +10,7 @@
 
 /* A call of another node that is served by the local gate. */
 typedef struct {
-	const char *request_id;
+	const ql_dialect_t *dialect;
 	ql_metadata_t metadata;
 	ql_http_exchange_t *exchange;
 	ql_call_handle_t handle;
@@ -75,7 +75,7 @@
 	};
 	GByteArray *lines = g_byte_array_sized_new(512);
 
-	ql_call_write_headers(lines, head->headers);
+	ql_call_write_headers(lines, served->dialect, head->headers);
 	write_result(lines, &served->metadata, &result);
 	served->head_sent = true;
 	ql_http_exchange_write_head(served->exchange, head->status, lines,
@@ -112,7 +112,7 @@
 	if (served->head_sent)
 		ql_http_exchange_abort(served->exchange);
 	else
-		send_failure(served->exchange, served->request_id,
+		send_failure(served->exchange, served->dialect->request_id,
 			     &served->metadata, result);
 	g_free(served);
 }
@@ -213,7 +213,7 @@
 			       metadata.timeout_ms * QL_US_PER_MS,
 	};
 	served = g_new0(served_call_t, 1);
-	served->request_id = request_id;
+	served->dialect = server->gate->opts.dialect;
 	served->metadata = metadata;
 	served->exchange = exchange;
 	exchange->ops = &exchange_ops;
--- a/tests/http/headers_test.cc
+++ b/tests/http/headers_test.cc
@@ -44,11 +44,15 @@
 
 	ql_headers_init(&headers);
 	ql_headers_add(&headers, "Connection", "close, X-Own");
-	for (const char *name : {"Keep-Alive", "transfer-encoding", "x-own",
+	for (const char *name : {"Keep-Alive", "transfer-encoding",
 				 "Content-Length", "TE", "Upgrade"})
-		EXPECT_TRUE(ql_headers_is_hop_by_hop(&headers, name)) << name;
-	for (const char *name : {"X-Owner", "X-Ow", "Host", "Accept"})
-		EXPECT_FALSE(ql_headers_is_hop_by_hop(&headers, name)) << name;
+		EXPECT_TRUE(ql_header_is_hop_by_hop(name)) << name;
+	EXPECT_TRUE(ql_headers_connection_lists(&headers, "x-own"));
+	for (const char *name : {"X-Owner", "X-Ow", "Host", "Accept"}) {
+		EXPECT_FALSE(ql_header_is_hop_by_hop(name)) << name;
+		EXPECT_FALSE(ql_headers_connection_lists(&headers, name))
+			<< name;
+	}
 	ql_headers_finish(&headers);
 }
 
