Refuse bytes that are no HTTP/1.1, in answers and in requests

Cause: http-parser takes what other implementations read differently or refuse, and the reader handed that on. Lengths, control bytes and empty names were refused already. Requests had a check for spaces and took the rest.

Change: one check of all header and trailer lines before they are parsed, and one of the framing. Such a request gets 400; such an answer is a failed attempt and its connection is closed.

--- a/src/http/listener_reader.c
+++ b/src/http/listener_reader.c
@@ -22,28 +22,12 @@
 	ql_http_exchange_end(exchange);
 }
 
-/*
- * The parser accepts a space before the colon. Other implementations read such
- * a header differently, which would allow request smuggling.
- */
-static bool has_space_in_name(const ql_headers_t *headers)
-{
-	size_t i;
-
-	for (i = 0; i < ql_headers_count(headers); i++)
-		if (strpbrk(ql_headers_name(headers, i), " \t"))
-			return true;
-	return false;
-}
-
 static unsigned int check_head(const ql_listener_connection_t *connection,
 			       const ql_http_reader_t *reader)
 {
 	const ql_listener_opts_t *opts = &connection->listener->opts;
 	if (reader->head_bytes > opts->head_limit_bytes)
 		return HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
-	if (has_space_in_name(&reader->headers))
-		return HTTP_STATUS_BAD_REQUEST;
 	if (reader->parser.method == HTTP_CONNECT)
 		return HTTP_STATUS_NOT_IMPLEMENTED;
 	if (ql_http_reader_length(reader) > (int64_t)opts->body_limit_bytes)
--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -6,6 +6,7 @@
 #define INITIAL_TARGET_BYTES 128u
 #define PARSER_PAUSED 1
 #define PARSER_SKIP_BODY 1
+#define CHUNKED "chunked"
 
 static int on_begin(http_parser *parser)
 {
@@ -50,12 +51,50 @@
 	return 0;
 }
 
+/* Checks for the coding "chunked" and nothing else. */
+static bool is_chunked(const char *value)
+{
+	size_t length = strlen(CHUNKED);
+
+	value += strspn(value, " \t");
+	return !strncasecmp(value, CHUNKED, length) &&
+	       !value[length + strspn(value + length, " \t")];
+}
+
+/*
+ * Checks that the body has one framing that this reader knows: a length, a
+ * single chunked coding, or the end of the connection. The parser has refused
+ * lengths that are malformed, repeated or beside a coding.
+ */
+static bool has_known_framing(const ql_http_reader_t *reader)
+{
+	size_t n_codings = 0, i;
+
+	for (i = 0; i < ql_headers_count(&reader->headers); i++) {
+		if (strcasecmp(ql_headers_name(&reader->headers, i),
+			       "transfer-encoding") != 0)
+			continue;
+		if (!is_chunked(ql_headers_value(&reader->headers, i)))
+			return false;
+		n_codings++;
+	}
+	if (!n_codings)
+		return true;
+	/* HTTP/1.0 has no codings; the parser knows not all spellings. */
+	return n_codings == 1 && reader->parser.http_minor &&
+	       (reader->parser.flags & F_CHUNKED);
+}
+
 static int on_head(http_parser *parser)
 {
 	ql_http_reader_t *reader = parser->data;
 
 	/* Protocol upgrades are not supported. */
 	parser->upgrade = 0;
+	if (parser->http_major != 1 || !has_known_framing(reader)) {
+		reader->is_malformed = true;
+		return -1;
+	}
 	if (!reader->ops->head(reader->data, reader))
 		return -1;
 	return reader->bodiless ? PARSER_SKIP_BODY : 0;
@@ -74,8 +113,22 @@
 	ql_http_reader_t *reader = parser->data;
 
 	reader->started = false;
-	if (!reader->ops->complete(reader->data, reader))
+	reader->is_stopped = !reader->ops->complete(reader->data, reader);
+	/* The next header is checked before it is parsed. */
+	reader->fields = QL_FIELD_BEFORE_START;
+	http_parser_pause(parser, PARSER_PAUSED);
+	return 0;
+}
+
+static int on_chunk_size(http_parser *parser)
+{
+	ql_http_reader_t *reader = parser->data;
+
+	/* Behind the last chunk are the trailers. */
+	if (!parser->content_length) {
+		reader->fields = QL_FIELD_LINE;
 		http_parser_pause(parser, PARSER_PAUSED);
+	}
 	return 0;
 }
 
@@ -87,6 +140,7 @@
 	.on_headers_complete = on_head,
 	.on_body = on_body,
 	.on_message_complete = on_complete,
+	.on_chunk_header = on_chunk_size,
 };
 
 void ql_http_reader_init(ql_http_reader_t *reader, bool requests,
@@ -108,20 +162,55 @@
 	g_string_free(reader->target, TRUE);
 }
 
-ql_http_read_t ql_http_reader_feed(ql_http_reader_t *reader, const char *bytes,
-				   size_t length, size_t *used)
+static ql_http_read_t read_result(const ql_http_reader_t *reader)
 {
-	enum http_errno failure;
+	switch (HTTP_PARSER_ERRNO(&reader->parser)) {
+	case HPE_OK:
+		return QL_HTTP_READ_MORE;
+	case HPE_PAUSED:
+		return QL_HTTP_READ_STOPPED;
+	case HPE_CB_headers_complete:
+		return reader->is_malformed ? QL_HTTP_READ_MALFORMED
+					    : QL_HTTP_READ_STOPPED;
+	default:
+		return QL_HTTP_READ_MALFORMED;
+	}
+}
 
+/* Parses bytes up to a pause; returns whether the reader goes on behind it. */
+static bool parse(ql_http_reader_t *reader, const char *bytes, size_t length,
+		  size_t *used)
+{
 	*used = http_parser_execute(&reader->parser, &settings, bytes, length);
-	failure = HTTP_PARSER_ERRNO(&reader->parser);
-	if (failure == HPE_PAUSED || failure == HPE_CB_headers_complete)
-		return QL_HTTP_READ_STOPPED;
-	return failure == HPE_OK ? QL_HTTP_READ_MORE : QL_HTTP_READ_MALFORMED;
+	if (HTTP_PARSER_ERRNO(&reader->parser) != HPE_PAUSED ||
+	    reader->is_stopped)
+		return false;
+	http_parser_pause(&reader->parser, 0);
+	return true;
+}
+
+ql_http_read_t ql_http_reader_feed(ql_http_reader_t *reader, const char *bytes,
+				   size_t length, size_t *used)
+{
+	bool goes_on = true;
+	size_t parsed;
+
+	*used = 0;
+	if (!length)
+		parse(reader, NULL, 0, used);
+	while (goes_on && *used < length) {
+		if (!ql_field_check(&reader->fields, bytes + *used,
+				    length - *used))
+			return QL_HTTP_READ_MALFORMED;
+		goes_on = parse(reader, bytes + *used, length - *used, &parsed);
+		*used += parsed;
+	}
+	return read_result(reader);
 }
 
 void ql_http_reader_resume(ql_http_reader_t *reader)
 {
+	reader->is_stopped = false;
 	if (HTTP_PARSER_ERRNO(&reader->parser) == HPE_PAUSED)
 		http_parser_pause(&reader->parser, 0);
 }
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -4,9 +4,11 @@
 /**
  * DOC: Incremental reader of HTTP/1.1 messages. http-parser does the parsing;
  * this module stores the start line and headers of the current message and
- * rejects ambiguous framing.
+ * rejects malformed header lines and ambiguous framing. Neither reaches the
+ * owner.
  */
 
+#include "http/field_check.h"
 #include "http/headers.h"
 
 #include <http_parser.h>
@@ -41,6 +43,9 @@
  * @bodiless: set by the owner when the response has no body whatever its
  *            headers say, as the response to HEAD
  * @head_bytes: bytes of the target and headers, including trailers, so far
+ * @fields: check of the header lines, and of the trailers after it
+ * @is_malformed: the framing of the current message is ambiguous or unknown
+ * @is_stopped: the complete callback has stopped the reader
  */
 struct ql_http_reader {
 	http_parser parser;
@@ -52,6 +57,9 @@
 	bool in_value;
 	bool bodiless;
 	size_t head_bytes;
+	ql_field_state_t fields;
+	bool is_malformed;
+	bool is_stopped;
 };
 
 /**
--- a/tests/http/listener_test.cc
+++ b/tests/http/listener_test.cc
@@ -241,6 +241,15 @@
 			"SpaceBeforeColon",
 			"POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc",
 			"HTTP/1.1 400"},
+		InvalidRequest{
+			"FoldedLine",
+			"POST / HTTP/1.1\r\nX: 1\r\n Content-Length: 3\r\n\r\n",
+			"HTTP/1.1 400"},
+		InvalidRequest{
+			"CodingOfHttp10",
+			"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+			"0\r\n\r\n",
+			"HTTP/1.1 400"},
 		InvalidRequest{
 			"BadChunkSize",
 			"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/http/upstream_test.cc
+++ b/tests/http/upstream_test.cc
@@ -239,7 +239,27 @@
 		ResponseCase{"TwoLengths",
 			     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
 			     "Content-Length: 3\r\n\r\nok",
-			     false, false, "", QL_UPSTREAM_MALFORMED, false}),
+			     false, false, "", QL_UPSTREAM_MALFORMED, false},
+		ResponseCase{"SpaceBeforeColon",
+			     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked"
+			     "\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+			     false, false, "", QL_UPSTREAM_MALFORMED, false},
+		ResponseCase{"FoldedLine",
+			     "HTTP/1.1 200 OK\r\nX: 1\r\n 2\r\n"
+			     "Content-Length: 2\r\n\r\nok",
+			     false, false, "", QL_UPSTREAM_MALFORMED, false},
+		ResponseCase{"OtherCoding",
+			     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+			     "\r\nok",
+			     false, false, "", QL_UPSTREAM_MALFORMED, false},
+		ResponseCase{"MalformedInterimResponse",
+			     "HTTP/1.1 100 Continue\r\nX : 1\r\n\r\n"
+			     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			     false, false, "", QL_UPSTREAM_MALFORMED, false},
+		ResponseCase{"ChunkedWithTrailers",
+			     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			     "\r\n2\r\nok\r\n0\r\nX: 1\r\n\r\n",
+			     false, true, "ok", QL_UPSTREAM_LOST, true}),
 	[](const auto &test) { return test.param.name; });
 
 } // namespace
