Simulate disks of registrars, and the end of all of them at once

The simulated registrars save withdrawals within 50 ms and lose what is not saved when they are killed. Three rows more: all processes killed, the registrars back one after the other, and a failure domain that is cut off as well.

--- a/tests/control/membership_simulation.cc
+++ b/tests/control/membership_simulation.cc
@@ -17,6 +17,7 @@
 
 constexpr uint64_t CALL_TIMEOUT_MS = 1000;
 constexpr uint64_t DELAY_MAX_MS = 3000;
+constexpr int SYNC_MAX_MS = 50;
 
 template <typename T> std::shared_ptr<T> make_message(xdrproc_t xdr_routine)
 {
@@ -341,6 +342,7 @@
 			return;
 		ql_registrar_handle_lease(&registrar.registrar, args.get(),
 					  res.get(), now_ms);
+		save_withdrawals(registrar);
 		send([this, index, generation, slot, res, is_done] {
 			SimulatedNode &caller = *nodes[index];
 
@@ -376,6 +378,44 @@
 	});
 }
 
+/* Writes all withdrawals; what is written late is lost if it is killed. */
+void MembershipSimulation::save_withdrawals(SimulatedRegistrar &registrar)
+{
+	uint64_t number = registrar.registrar.withdrawals_change_number;
+	uint64_t generation = registrar.generation;
+	std::vector<std::shared_ptr<GBytes>> written;
+	GPtrArray *encoded;
+
+	if (registrar.is_saving ||
+	    !ql_registrar_has_unsaved_withdrawals(&registrar.registrar))
+		return;
+	encoded = ql_registrar_encode_withdrawals(&registrar.registrar, 0);
+	for (guint i = 0; i < encoded->len; i++)
+		written.emplace_back(g_bytes_ref((GBytes *)encoded->pdata[i]),
+				     g_bytes_unref);
+	g_ptr_array_unref(encoded);
+	registrar.is_saving = true;
+	schedule(now_ms + 1 + (uint64_t)random(SYNC_MAX_MS), [this, &registrar,
+							      generation,
+							      number, written] {
+		if (registrar.generation != generation)
+			return;
+		registrar.is_saving = false;
+		registrar.saved = written;
+		ql_registrar_set_withdrawals_saved(&registrar.registrar,
+						   number);
+		save_withdrawals(registrar);
+	});
+}
+
+void MembershipSimulation::restore_withdrawals(SimulatedRegistrar &registrar)
+{
+	registrar.is_saving = false;
+	for (const auto &saved : registrar.saved)
+		ql_registrar_restore_withdrawal(&registrar.registrar,
+						saved.get(), now_ms);
+}
+
 void MembershipSimulation::stop_registrar(SimulatedRegistrar &registrar)
 {
 	if (!registrar.is_running)
@@ -406,8 +446,10 @@
 	opts.started_ms = now_ms;
 	opts.lease_ms = LEASE_MS;
 	opts.rules = rules;
+	opts.saves_withdrawals = true;
 	ql_config_state_init(&registrar.config);
 	ql_registrar_init(&registrar.registrar, &opts, &registrar.config);
+	restore_withdrawals(registrar);
 	registrar.peer_indexes.clear();
 	for (i = 0; i < registrars.size(); i++)
 		if ((int)i != index)
@@ -435,6 +477,7 @@
 		return;
 	}
 	ql_registrar_tick(&registrar.registrar, now_ms);
+	save_withdrawals(registrar);
 	if (now_ms % 500 < 100 && is_reachable(registrar.domain, 0)) {
 		ql_registrar_record_replica_answer(&registrar.registrar,
 						   now_ms);
--- a/tests/control/membership_simulation.h
+++ b/tests/control/membership_simulation.h
@@ -59,7 +59,10 @@
 	int agreements = 0;
 };
 
-/* A registrar and its exchange with all others. */
+/*
+ * A registrar and its exchange with all others. saved has the withdrawals on
+ * its disk, which outlive it.
+ */
 struct SimulatedRegistrar {
 	MembershipSimulation *simulation;
 	int index;
@@ -70,6 +73,8 @@
 	ql_registrar_t registrar;
 	ql_exchange_t exchange;
 	std::vector<int> peer_indexes;
+	bool is_saving = false;
+	std::vector<std::shared_ptr<GBytes>> saved;
 };
 
 class MembershipSimulation
@@ -135,6 +140,8 @@
 	void exchange(int index, uint64_t generation);
 	void stop_node(SimulatedNode &node);
 	void stop_registrar(SimulatedRegistrar &registrar);
+	void save_withdrawals(SimulatedRegistrar &registrar);
+	void restore_withdrawals(SimulatedRegistrar &registrar);
 	int registrar_index(const SimulatedNode &node, int slot) const;
 
 	int n_registrars;
--- a/tests/control/membership_test.cc
+++ b/tests/control/membership_test.cc
@@ -471,6 +471,9 @@
 	bool restart_registrars_in_turn;
 	uint64_t down_ms;
 	bool domain_cut;
+	bool kill_all = false;
+	/* The registrars start again with this time between two of them. */
+	uint64_t between_starts_ms = 0;
 };
 
 class MembershipWithdrawal : public testing::TestWithParam<WithdrawalCase>
@@ -499,7 +502,7 @@
 			simulation.cut_domains.insert(node.domain);
 		ql_withdrawal_init(&left, "i-1", 100, QL_WITHDRAWAL_FINAL);
 		ql_member_withdraw(&node.member, &left);
-		while (node.agreements == 1)
+		while (!ql_member_is_withdrawal_saved(&node.member))
 			simulation.run(1);
 		if (test.restart_registrars_in_turn)
 			for (int i = 0; i < REGISTRARS_PER_DOMAIN; i++) {
@@ -511,9 +514,17 @@
 		simulation.kill_node(0);
 		if (test.kill_first_registrar)
 			simulation.kill_registrar(0);
+		if (test.kill_all)
+			for (int i = 0; i < REGISTRARS_PER_DOMAIN; i++)
+				simulation.kill_registrar(i);
 		simulation.run(test.down_ms);
 		simulation.start_node(0);
 		ASSERT_STREQ("", node.withdrawal.instance);
+		if (test.kill_all)
+			for (int i = 0; i < REGISTRARS_PER_DOMAIN; i++) {
+				simulation.start_registrar(i);
+				simulation.run(test.between_starts_ms);
+			}
 		while (!node.agreements)
 			simulation.run(1);
 		EXPECT_STREQ("i-1", node.withdrawal.instance);
@@ -527,7 +538,12 @@
 		WithdrawalCase{"half a second later", false, false, 500, false},
 		WithdrawalCase{"lost registrar", true, false, 500, false},
 		WithdrawalCase{"restarted registrars", false, true, 500, false},
-		WithdrawalCase{"cut domain", false, false, 500, true}),
+		WithdrawalCase{"cut domain", false, false, 500, true},
+		WithdrawalCase{"all killed", false, false, 800, false, true},
+		WithdrawalCase{"all killed and back in turn", false, false, 800,
+			       false, true, 300},
+		WithdrawalCase{"cut domain killed", false, false, 800, true,
+			       true}),
 	[](const testing::TestParamInfo<WithdrawalCase> &param_info) {
 		std::string name = param_info.param.description;
 
