--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -23,6 +23,8 @@
 #define HEAD_MAX 16384
 #define BLOCK 65536
 #define NOTHING (-1)
+/* Least number of times in a second that a slow reader reads. */
+#define TURNS_PER_S 20
 #define HEAD_LINE 512
 /* Bytes of a head that is sent in two segments. */
 #define HEAD_PART 40
@@ -214,12 +216,14 @@
 static size_t read_body(reader_t *reader, size_t length, size_t rate)
 {
 	size_t total = reader->n < length ? reader->n : length;
+	size_t most =
+		rate && rate / TURNS_PER_S < BLOCK ? rate / TURNS_PER_S : BLOCK;
 	char block[BLOCK];
 
 	reader->n -= total;
 	memmove(reader->bytes, reader->bytes + total, reader->n);
 	while (total < length) {
-		size_t want = length - total < BLOCK ? length - total : BLOCK;
+		size_t want = length - total < most ? length - total : most;
 		ssize_t n = recv(reader->fd, block, want, 0);
 
 		if (n <= 0)
@@ -519,8 +523,8 @@
 }
 
 /*
- * Reads one answer. The pause comes behind its head. Returns the status, or 0
- * if the connection ended before the whole answer.
+ * Reads one answer, with a pause behind its head. Returns the status, or 0 if
+ * the connection ended before the whole answer.
  */
 static int read_answer(const client_t *client, reader_t *reader, long pause)
 {
@@ -578,7 +582,8 @@
 		return;
 	}
 	for (i = 1; i <= client->depth; i++) {
-		int status = read_answer(client, reader, client->pause);
+		int status =
+			read_answer(client, reader, i == 1 ? client->pause : 0);
 
 		if (!status)
 			return;
