--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -30,6 +30,8 @@
 #define HEAD_PART 40
 
 static int record_fd = 2;
+/* How long a caller waits for more bytes of an answer; 0 for ever. */
+static time_t answer_timeout_s;
 
 static uint64_t now_ms(void)
 {
@@ -115,7 +117,11 @@
 {
 	struct sockaddr_in address = parse_address(where);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct timeval timeout = {.tv_sec = answer_timeout_s};
 
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout,
+			   sizeof(timeout));
 	if (fd >= 0 &&
 	    !connect(fd, (struct sockaddr *)&address, sizeof(address)))
 		return fd;
@@ -656,16 +662,33 @@
 	return 0;
 }
 
-/* call METHOD ADDRESS PATH [HEADER] [BODY]: prints the status and the body. */
-static int run_call(char **arguments)
+/* Reads a whole file into memory that is not freed. */
+static char *read_file(const char *path)
+{
+	FILE *file = fopen(path, "r");
+	char *text = NULL;
+	size_t size = 0;
+
+	if (!file || getdelim(&text, &size, '\0', file) < 0)
+		_exit(2);
+	fclose(file);
+	return text;
+}
+
+/*
+ * Makes a call of the operator's kind, and follows a redirection twice. Returns
+ * the status, or 0 without an answer.
+ */
+static int call(char **arguments, char *out, size_t size)
 {
-	static char out[1 << 20];
 	char head[1024], location[128] = "", where[64];
 	const char *header = arguments[3] ? arguments[3] : "";
 	const char *body = arguments[3] && arguments[4] ? arguments[4] : "";
 	bool has_host = !strncmp(header, "Host:", 5);
 	int status = 0, turn;
 
+	if (body[0] == '@')
+		body = read_file(body + 1);
 	snprintf(where, sizeof(where), "%s", arguments[1]);
 	for (turn = 0; turn < 3; turn++) {
 		snprintf(head, sizeof(head),
@@ -678,17 +701,64 @@
 			 has_host ? "" : "\r\n", header,
 			 header[0] ? "\r\n" : "", (int)getpid(), turn,
 			 strlen(body));
-		status =
-			exchange(where, head, body, out, sizeof(out), location);
+		status = exchange(where, head, body, out, size, location);
 		if (status != 307 || strncmp(location, "http://", 7) != 0)
 			break;
 		snprintf(where, sizeof(where), "%.*s",
 			 (int)strcspn(location + 7, "/"), location + 7);
 	}
-	printf("%d %s\n", status, out);
+	return status;
+}
+
+static char call_answer[1 << 20];
+
+/*
+ * call METHOD ADDRESS PATH [HEADER] [BODY]: prints the status and the body.
+ * A body that begins with @ names a file.
+ */
+static int run_call(char **arguments)
+{
+	int status = call(arguments, call_answer, sizeof(call_answer));
+
+	printf("%d %s\n", status, call_answer);
 	return 0;
 }
 
+/*
+ * order RECORD NAME BASE FILE ADDRESS...: sends a configuration, to one node
+ * after the other and with increasing backoff, until the answer is clear.
+ */
+static int run_order(char **arguments)
+{
+	char base[64], file[256];
+	int status = 0, turn, n = 0;
+
+	open_record(arguments[0]);
+	answer_timeout_s = 4;
+	snprintf(base, sizeof(base), "Base-Version: %s", arguments[2]);
+	snprintf(file, sizeof(file), "@%s", arguments[3]);
+	while (arguments[4 + n])
+		n++;
+	for (turn = 0; turn < 12; turn++) {
+		char *words[] = {
+			"PUT",
+			arguments[4 + turn % n],
+			"/quetzalloft/config",
+			base,
+			file,
+			NULL,
+		};
+
+		status = call(words, call_answer, sizeof(call_answer));
+		note("operator order %s at %s: %d", arguments[1], words[1],
+		     status);
+		if (status >= 200 && status < 500 && status != 307)
+			break;
+		sleep_ms(200 * (uint64_t)(turn + 1));
+	}
+	return status == 200 ? 0 : 1;
+}
+
 /* Resident memory of a process, in KiB; 0 when it has ended. */
 static long resident_kib(long pid)
 {
@@ -784,6 +854,7 @@
 		{"server", 1, run_server}, {"clients", 1, run_clients},
 		{"call", 3, run_call},	   {"memory", 2, run_memory},
 		{"port", 1, run_port},	   {"beat", 8, run_beat},
+		{"order", 5, run_order},
 	};
 	size_t i;
 
@@ -792,6 +863,7 @@
 		if (!strcmp(argv[1], verbs[i].name) &&
 		    argc >= 2 + verbs[i].least)
 			return verbs[i].run(argv + 2);
-	fprintf(stderr, "usage: stand server|clients|call|memory|port|beat\n");
+	fprintf(stderr,
+		"usage: stand server|clients|call|order|memory|port|beat\n");
 	return 2;
 }
