--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -297,6 +297,21 @@
 	return send_all(fd, head, (size_t)n);
 }
 
+/* Answers before it reads the body, keeps the connection and reads on later. */
+static bool answer_early(reader_t *reader, const char *id, size_t body)
+{
+	size_t got;
+
+	note("server %s runs %s", server.id, id);
+	note("server %s ends %s", server.id, id);
+	if (!answer(reader->fd, id, 1))
+		return false;
+	got = read_body(reader, body, (size_t)server.rate);
+	note("server %s has read the body of %s: %zu of %zu", server.id, id,
+	     got, body);
+	return got == body;
+}
+
 /* Serves one request; returns false at the end of the connection. */
 static bool serve(reader_t *reader)
 {
@@ -314,6 +329,8 @@
 		return read_body(reader, body, 0) == body &&
 		       reject(reader->fd, id);
 	note("server %s reached %s body=%zu %s", server.id, id, body, line);
+	if (strstr(line, "/early/"))
+		return answer_early(reader, id, body);
 	got = read_body(reader, body, (size_t)server.rate);
 	if (got != body) {
 		note("server %s cut %s got=%zu", server.id, id, got);
@@ -401,14 +418,33 @@
 	return exchange(server.control, head, body, out, sizeof(out), location);
 }
 
+static volatile sig_atomic_t is_draining;
+
+static void begin_drain(int signal_number)
+{
+	(void)signal_number;
+	is_draining = 1;
+}
+
+/* Reports every beat, and at once when the drain begins. */
 static void *send_reports(void *data)
 {
-	uint64_t sequence = 0;
+	uint64_t sequence = 0, next = 0;
+	bool confirmed = false;
+	int status;
 
 	(void)data;
 	for (;;) {
-		report(server.id, server.born, ++sequence, "ready");
-		sleep_ms((uint64_t)server.beat);
+		sleep_ms(10);
+		if (now_ms() < next && (!is_draining || confirmed))
+			continue;
+		next = now_ms() + (uint64_t)server.beat;
+		status = report(server.id, server.born, ++sequence,
+				is_draining ? "draining" : "ready");
+		if (!is_draining || confirmed)
+			continue;
+		note("server %s draining has answer %d", server.id, status);
+		confirmed = status == 200;
 	}
 	return NULL;
 }
@@ -421,6 +457,7 @@
 	int fd, one = 1;
 
 	open_record(text_option(arguments, "record", "/dev/null"));
+	signal(SIGUSR1, begin_drain);
 	server = (server_t){
 		.id = text_option(arguments, "id", "i-1"),
 		.service = text_option(arguments, "service", "s"),
