--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -30,8 +30,6 @@
 #define HEAD_PART 40
 
 static int record_fd = 2;
-/* How long a caller waits for more bytes of an answer; 0 for ever. */
-static time_t answer_timeout_s;
 
 static uint64_t now_ms(void)
 {
@@ -117,11 +115,7 @@
 {
 	struct sockaddr_in address = parse_address(where);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	struct timeval timeout = {.tv_sec = answer_timeout_s};
 
-	if (fd >= 0)
-		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout,
-			   sizeof(timeout));
 	if (fd >= 0 &&
 	    !connect(fd, (struct sockaddr *)&address, sizeof(address)))
 		return fd;
@@ -498,15 +492,10 @@
 	const char *method;
 	const char *name;
 	long body;
-	long pause;
-	long rate;
-	long leave;
 	long depth;
 	long split;
 	long warm;
 	long deadline;
-	long together;
-	long wait;
 	int number;
 	int served;
 } client_t;
@@ -566,10 +555,10 @@
 }
 
 /*
- * Reads one answer, with a pause behind its head. Returns the status, or 0 if
+ * Reads one answer. Returns the status, or 0 if
  * the connection ended before the whole answer.
  */
-static int read_answer(const client_t *client, reader_t *reader, long pause)
+static int read_answer(const client_t *client, reader_t *reader)
 {
 	char head[HEAD_MAX], id[128], length[128];
 	size_t want, got;
@@ -584,9 +573,7 @@
 	get_header(head, "Request-Id", id);
 	get_header(head, "Content-Length", length);
 	want = strtoul(length, NULL, 10);
-	if (pause)
-		sleep_ms((uint64_t)pause);
-	got = read_body(reader, want, (size_t)client->rate);
+	got = read_body(reader, want, 0);
 	if (strcasestr(head, "transfer-encoding: chunked")) {
 		note("client %s%02d got a chunked answer", client->name,
 		     client->number);
@@ -619,14 +606,8 @@
 	}
 	note("client %s%02d sent %ld", client->name, client->number,
 	     client->depth);
-	if (client->leave) {
-		sleep_ms((uint64_t)client->leave);
-		note("client %s%02d leaves", client->name, client->number);
-		return;
-	}
 	for (i = 1; i <= client->depth; i++) {
-		int status =
-			read_answer(client, reader, i == 1 ? client->pause : 0);
+		int status = read_answer(client, reader);
 
 		if (!status)
 			return;
@@ -646,9 +627,8 @@
 	if (client->warm)
 		warm = reader->fd >= 0 &&
 		       send_request(client, reader->fd, 0, 0) &&
-		       read_answer(client, reader, 0) == 200;
+		       read_answer(client, reader) == 200;
 	pthread_barrier_wait(&together);
-	sleep_ms((uint64_t)(client->wait * client->number));
 	if (reader->fd >= 0 && warm)
 		send_burst(client, reader);
 	else
@@ -679,14 +659,10 @@
 			.method = text_option(arguments, "method", "POST"),
 			.name = text_option(arguments, "name", "c"),
 			.body = option(arguments, "body", 0),
-			.pause = option(arguments, "pause", 0),
-			.rate = option(arguments, "rate", 0),
-			.leave = option(arguments, "leave", 0),
 			.depth = option(arguments, "depth", 1),
 			.split = option(arguments, "split", 0),
 			.warm = option(arguments, "warm", 1),
 			.deadline = option(arguments, "deadline", 5000),
-			.wait = option(arguments, "wait", 0),
 			.number = (int)i + 1,
 		};
 		pthread_create(&threads[i], NULL, run_one_client, &clients[i]);
@@ -699,19 +675,6 @@
 	return 0;
 }
 
-/* Reads a whole file into memory that is not freed. */
-static char *read_file(const char *path)
-{
-	FILE *file = fopen(path, "r");
-	char *text = NULL;
-	size_t size = 0;
-
-	if (!file || getdelim(&text, &size, '\0', file) < 0)
-		_exit(2);
-	fclose(file);
-	return text;
-}
-
 /*
  * Makes a call of the operator's kind, and follows a redirection twice. Returns
  * the status, or 0 without an answer.
@@ -724,8 +687,6 @@
 	bool has_host = !strncmp(header, "Host:", 5);
 	int status = 0, turn;
 
-	if (body[0] == '@')
-		body = read_file(body + 1);
 	snprintf(where, sizeof(where), "%s", arguments[1]);
 	for (turn = 0; turn < 3; turn++) {
 		snprintf(head, sizeof(head),
@@ -751,7 +712,6 @@
 
 /*
  * call METHOD ADDRESS PATH [HEADER] [BODY]: prints the status and the body.
- * A body that begins with @ names a file.
  */
 static int run_call(char **arguments)
 {
@@ -761,41 +721,6 @@
 	return 0;
 }
 
-/*
- * order RECORD NAME BASE FILE ADDRESS...: sends a configuration, to one node
- * after the other and with increasing backoff, until the answer is clear.
- */
-static int run_order(char **arguments)
-{
-	char base[64], file[256];
-	int status = 0, turn, n = 0;
-
-	open_record(arguments[0]);
-	answer_timeout_s = 4;
-	snprintf(base, sizeof(base), "Base-Version: %s", arguments[2]);
-	snprintf(file, sizeof(file), "@%s", arguments[3]);
-	while (arguments[4 + n])
-		n++;
-	for (turn = 0; turn < 12; turn++) {
-		char *words[] = {
-			"PUT",
-			arguments[4 + turn % n],
-			"/quetzalloft/config",
-			base,
-			file,
-			NULL,
-		};
-
-		status = call(words, call_answer, sizeof(call_answer));
-		note("operator order %s at %s: %d", arguments[1], words[1],
-		     status);
-		if (status >= 200 && status < 500 && status != 307)
-			break;
-		sleep_ms(200 * (uint64_t)(turn + 1));
-	}
-	return status == 200 ? 0 : 1;
-}
-
 /* Resident memory of a process, in KiB; 0 when it has ended. */
 static long resident_kib(long pid)
 {
@@ -869,18 +794,6 @@
 	return 2;
 }
 
-/* beat CONTROL SERVICE ADDRESS ID BORN SEQUENCE STATE SLOTS: one report. */
-static int run_beat(char **arguments)
-{
-	server.control = arguments[0];
-	server.service = arguments[1];
-	server.listen = arguments[2];
-	server.slots = strtol(arguments[7], NULL, 10);
-	printf("%d\n", report(arguments[3], strtoull(arguments[4], NULL, 10),
-			      strtoull(arguments[5], NULL, 10), arguments[6]));
-	return 0;
-}
-
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -890,8 +803,8 @@
 	} verbs[] = {
 		{"server", 1, run_server}, {"clients", 1, run_clients},
 		{"call", 3, run_call},	   {"memory", 2, run_memory},
-		{"port", 1, run_port},	   {"beat", 8, run_beat},
-		{"order", 5, run_order},
+		{"port", 1, run_port},
+
 	};
 	size_t i;
 
@@ -900,7 +813,6 @@
 		if (!strcmp(argv[1], verbs[i].name) &&
 		    argc >= 2 + verbs[i].least)
 			return verbs[i].run(argv + 2);
-	fprintf(stderr,
-		"usage: stand server|clients|call|order|memory|port|beat\n");
+	fprintf(stderr, "usage: stand server|clients|call|memory|port\n");
 	return 2;
 }
