--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -4,6 +4,8 @@
  * uses more memory than its machine has. One thread a connection.
  */
 #define _GNU_SOURCE
+#include "wire.inc"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -271,8 +273,9 @@
 {
 	char head[512];
 	int n = snprintf(head, sizeof(head),
-			 "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-			 "Response-Seal: seal.%s\r\nKeep-Alive: timeout=10\r\n"
+			 "HTTP/1.1 200 OK\r\n" REQUEST_ID
+			 ": %s\r\n" RESPONSE_SEAL
+			 ": seal.%s\r\nKeep-Alive: timeout=10\r\n"
 			 "Content-Length: %zu\r\n\r\n",
 			 id, id, length);
 
@@ -283,8 +286,8 @@
 {
 	char head[512];
 	int n = snprintf(head, sizeof(head),
-			 "HTTP/1.1 421 Misdirected Request\r\n"
-			 "Request-Id: %s\r\nNot-Executed: instance\r\n"
+			 "HTTP/1.1 421 Misdirected Request\r\n" REQUEST_ID
+			 ": %s\r\n" NOT_EXECUTED ": instance\r\n"
 			 "Content-Length: 0\r\n\r\n",
 			 id);
 
@@ -314,9 +317,9 @@
 
 	if (!read_head(reader, head))
 		return false;
-	get_header(head, "Request-Id", id);
+	get_header(head, REQUEST_ID, id);
 	get_header(head, "Content-Length", length);
-	get_header(head, "Target-Instance", target);
+	get_header(head, TARGET_INSTANCE, target);
 	snprintf(line, sizeof(line), "%.*s", (int)strcspn(head, "\r"), head);
 	body = strtoul(length, NULL, 10);
 	if (target[0] && strcmp(target, server.id) != 0)
@@ -401,7 +404,7 @@
 	snprintf(body, sizeof(body),
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-a\","
 		 "\"version\":\"v1\",\"slots\":%ld,\"state\":\"%s\","
-		 "\"coldLeft\":\"0ms\",\"sequence\":%llu,\"born\":%llu}",
+		 "\"" COLD_LEFT "\":\"0ms\",\"sequence\":%llu,\"born\":%llu}",
 		 server.service, server.listen, server.slots, state,
 		 (unsigned long long)sequence, (unsigned long long)born);
 	snprintf(head, sizeof(head),
@@ -507,8 +510,8 @@
 			char head[HEAD_LINE])
 {
 	int n = snprintf(head, HEAD_LINE,
-			 "%s %s%d HTTP/1.1\r\nHost: %s\r\n"
-			 "Request-Id: %s%02d%04d\r\nDeadline-Ms: %ld\r\n",
+			 "%s %s%d HTTP/1.1\r\nHost: %s\r\n" REQUEST_ID
+			 ": %s%02d%04d\r\n" DEADLINE_MS ": %ld\r\n",
 			 body ? client->method : "GET", client->path, request,
 			 client->host, client->name, client->number, request,
 			 client->deadline);
@@ -570,7 +573,7 @@
 		return 0;
 	}
 	status = (int)strtol(head + strlen("HTTP/1.1 "), NULL, 10);
-	get_header(head, "Request-Id", id);
+	get_header(head, REQUEST_ID, id);
 	get_header(head, "Content-Length", length);
 	want = strtoul(length, NULL, 10);
 	got = read_body(reader, want, 0);
@@ -690,8 +693,8 @@
 	snprintf(where, sizeof(where), "%s", arguments[1]);
 	for (turn = 0; turn < 3; turn++) {
 		snprintf(head, sizeof(head),
-			 "%s %s HTTP/1.1\r\n%s%s%s%s%s"
-			 "Request-Id: call%d-%d\r\n"
+			 "%s %s HTTP/1.1\r\n%s%s%s%s%s" REQUEST_ID
+			 ": call%d-%d\r\n"
 			 "Content-Type: application/json\r\n"
 			 "Connection: close\r\nContent-Length: %zu\r\n\r\n",
 			 arguments[0], arguments[2],
